--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Every target does its own set-up: the virtual environment in .venv is
+# made when it is missing and renewed when the pinned requirements change.
+
+VENV := .venv
+PY := $(VENV)/bin/python
+PACKAGES := limpetwalk limpetwalk-node limpetwalk-ctl limpetwalk-bench
+STAMP := $(VENV)/.installed
+SOURCES := packages tests
+
+.PHONY: help setup test format lint unit demo bench soak clean
+
+help:
+	@echo "make test    set up .venv, then run formatter check, linter and tests"
+	@echo "make demo    set up .venv, then run a router, its stand-ins and a load"
+	@echo "make bench   run the quick measurements into docs/measurements"
+	@echo "make soak SEED=n   run the property tests longer, from another seed"
+	@echo "make format  rewrite the sources in the project's format"
+
+setup: $(STAMP)
+
+$(STAMP): requirements/dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+	@echo "setting up $(VENV) from requirements/dev.txt"
+	@test -x $(PY) || python3.11 -m venv $(VENV)
+	@$(PY) -m pip install --quiet --disable-pip-version-check -r requirements/dev.txt
+	@$(PY) -m pip install --quiet --disable-pip-version-check --no-deps \
+	    --no-build-isolation $(PACKAGES:%=-e packages/%)
+	@touch $(STAMP)
+
+format: $(STAMP)
+	$(VENV)/bin/ruff check --quiet --fix $(SOURCES)
+	$(VENV)/bin/ruff format $(SOURCES)
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check --quiet $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
+	$(VENV)/bin/mypy $(PACKAGES:%=packages/%)
+
+unit: $(STAMP)
+	$(VENV)/bin/nose2 --config nose2.cfg
+
+test: lint unit
+
+clean:
+	rm -rf $(VENV) build run
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, fault injection, load and experiments."""
--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operator command line."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of backend servers and the choice between them."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/backends/base.py
@@ -0,0 +1,216 @@
+"""Protocol between an entry node and a backend server."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+from typing import Any
+from typing import Protocol
+
+from ..conf import snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class EngineCall:
+    """One attempt of a chat completion at a model engine.
+
+    :param request_id: identifier of the request, the same for each attempt.
+    :param attempt_id: identifier of the attempt, echoed by the engine.
+    :param target: version that must answer.
+    :param body: chat completion body as the caller sent it.
+    :param priority: 0 is served first.
+    :param deadline: monotonic instant by which the answer must be whole.
+    :param resume_from: tokens of an earlier attempt to skip.
+    """
+
+    request_id: str
+    attempt_id: str
+    target: snapshot.ModelVersion
+    body: Mapping[str, Any]
+    priority: int
+    deadline: float
+    resume_from: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens that an answer took.
+
+    :param input_tokens: tokens of the prompt.
+    :param output_tokens: tokens generated.
+    """
+
+    input_tokens: int
+    output_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """Piece of a streamed answer.
+
+    :param text: text of the piece.
+    :param tokens: tokens in the piece.
+    """
+
+    text: str
+    tokens: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """Terminal event: the answer is whole.
+
+    :param usage: tokens taken.
+    :param reason: why generation ended (``stop`` or ``length``).
+    """
+
+    usage: Usage
+    reason: str
+
+
+EngineEvent = Delta | Finished
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """One attempt of a call of a plain service.
+
+    :param request_id: identifier of the request.
+    :param attempt_id: identifier of the attempt, echoed by the service.
+    :param method: HTTP method.
+    :param path: path and query below the service.
+    :param headers: headers to pass on.
+    :param body: body as the caller sent it.
+    :param deadline: monotonic instant by which the answer must be whole.
+    """
+
+    request_id: str
+    attempt_id: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """Whole answer of a plain service.
+
+    :param status: HTTP status code.
+    :param headers: headers to pass back.
+    :param body: whole body.
+    """
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+class FailureKind(enum.Enum):
+    """How an attempt failed."""
+
+    CONNECT_FAILED = "connect_failed"
+    NOT_RUN = "not_run"
+    OVERLOADED = "overloaded"
+    SILENT = "silent"
+    CONNECTION_LOST = "connection_lost"
+    TRUNCATED = "truncated"
+    CROSSED = "crossed"
+    SERVER_ERROR = "server_error"
+    DEADLINE = "deadline"
+
+
+class AttemptFailed(Exception):
+    """An attempt at a backend server gave no whole answer.
+
+    :param kind: how it failed.
+    :param sent: whether any byte of the request may have left; False proves
+        that the backend server did not run it.
+    :param crashed: whether the backend server seems to have crashed on it.
+    :param detail: text for the log.
+    """
+
+    def __init__(
+        self,
+        kind: FailureKind,
+        sent: bool,
+        crashed: bool = False,
+        detail: str = "",
+    ) -> None:
+        super().__init__(f"{kind.value}: {detail}")
+        self.kind = kind
+        self.sent = sent
+        self.crashed = crashed
+        self.detail = detail
+
+    @property
+    def not_run(self) -> bool:
+        """Whether it is proved that the request did not run."""
+        return not self.sent or self.kind in (
+            FailureKind.NOT_RUN,
+            FailureKind.OVERLOADED,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load as a backend server reports it, with a lag.
+
+    :param boot_id: changes with each start of the server; empty when it is
+        unknown.
+    :param running: requests in its batch.
+    :param waiting: requests in its queue.
+    :param token_ms: recent time between tokens, in milliseconds.
+    :param age: age of the report when it was read, in seconds.
+    """
+
+    boot_id: str
+    running: int
+    waiting: int
+    token_ms: float
+    age: float
+
+
+class BackendClient(Protocol):
+    """Client of one backend server; plug-ins of kind BACKEND_PROTOCOL.
+
+    A plug-in is called with the ``snapshot.Server`` and
+    ``snapshot.Tuning`` and returns the client.
+    """
+
+    def complete(self, call: EngineCall) -> AsyncIterator[EngineEvent]:
+        """Run a chat completion and yield its events as they come.
+
+        The last event is ``Finished``. Closing the iterator early cancels
+        the work at the engine.
+
+        :raises AttemptFailed: when there is no whole answer.
+        """
+        ...
+
+    async def call_service(self, call: ServiceCall) -> ServiceAnswer:
+        """Run a call of a plain service.
+
+        :raises AttemptFailed: when there is no whole answer.
+        """
+        ...
+
+    async def outcome(self, request_id: str) -> ServiceAnswer | None:
+        """Return the answer that the server keeps for a request, if any.
+
+        :raises AttemptFailed: when the server can't tell.
+        """
+        ...
+
+    async def load(self) -> LoadReport:
+        """Return the server's load report.
+
+        :raises AttemptFailed: when it does not answer.
+        """
+        ...
+
+    async def close(self) -> None:
+        """Close connections."""
+        ...
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: files, checks, snapshots and the generation in force."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The ledger: one bill entry for each answered request."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between entry nodes."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the services that the platform gives."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/records/__init__.py
@@ -0,0 +1,1 @@
+"""Durable records that keep a non-idempotent request to one run."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about a request: version, model, replica, admission."""
