--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's services, in one process."""
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/platform/instances.py
@@ -0,0 +1,81 @@
+"""Instance list stand-in: the list shows changes with a lag."""
+
+from aiohttp import web
+import pydantic
+
+from limpetwalk import clock as clocks
+from limpetwalk.platform import base
+from limpetwalk.platform import http_sd
+
+from . import faults
+
+Listing = list[base.Instance]
+
+
+class Entry(pydantic.BaseModel):
+    """Instance as the control endpoint takes it."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    name: str
+    kind: base.InstanceKind
+    address: str
+    zone: str
+    state: base.InstanceState = base.InstanceState.LIVE
+    operators: str = ""
+
+    def instance(self) -> base.Instance:
+        """Return the entry as the platform's data class."""
+        return base.Instance(
+            name=self.name,
+            kind=self.kind,
+            address=self.address,
+            zone=self.zone,
+            state=self.state,
+            operators=self.operators,
+        )
+
+
+class InstanceService:
+    """Instance list.
+
+    :param service: faults and counts of the service.
+    :param clock: clock by which the list lags.
+    """
+
+    def __init__(
+        self, service: faults.FaultyService, clock: clocks.Clock
+    ) -> None:
+        self.lag = 0.0
+        self._service = service
+        self._clock = clock
+        self._truth: dict[str, base.Instance] = {}
+        self._history: list[tuple[float, Listing]] = [(float("-inf"), [])]
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the service."""
+        return [web.get("/instances", self._fetch)]
+
+    def update(self, added: list[Entry], removed: list[str]) -> None:
+        """Register or change instances and remove others."""
+        for entry in added:
+            self._truth[entry.name] = entry.instance()
+        for name in removed:
+            self._truth.pop(name, None)
+        now = self._clock.monotonic()
+        self._history.append((now, list(self._truth.values())))
+
+    def visible(self) -> Listing:
+        """Return the list as it stood ``lag`` seconds ago."""
+        horizon = self._clock.monotonic() - self.lag
+        while len(self._history) > 1 and self._history[1][0] <= horizon:
+            self._history.pop(0)
+        return self._history[0][1]
+
+    async def _fetch(self, req: web.Request) -> web.StreamResponse:
+        self._service.count("fetch")
+
+        async def apply(_: web.Request) -> web.StreamResponse:
+            return web.json_response(http_sd.to_groups(self.visible()))
+
+        return await self._service.handle(req, False, apply)
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/platform/standin.py
@@ -0,0 +1,95 @@
+"""The platform's stand-ins together."""
+
+import asyncio
+import random
+
+from limpetwalk import clock as clocks
+from limpetwalk.platform import settings
+
+from . import control
+from . import faults
+from . import instances
+from . import listener
+from . import objects
+from . import ratings
+from . import table
+from . import weights
+
+CONTROL = "control"
+Name = faults.ServiceName
+
+
+class StandIns:
+    """All services of the platform and their control endpoint.
+
+    :param port: port of the control endpoint, the services take the next
+        ones; 0 lets the system choose all.
+    :param seed: seed of the faults' and scores' randomness.
+    """
+
+    def __init__(self, port: int = 0, seed: int = 0) -> None:
+        clock = clocks.SystemClock()
+        self.services = {
+            name: faults.FaultyService(random.Random(f"{seed}/{name.value}"))
+            for name in Name
+        }
+        self.table = table.TableService(self.services[Name.TABLE])
+        self.objects = objects.ObjectService(self.services[Name.OBJECTS])
+        self.instances = instances.InstanceService(
+            self.services[Name.INSTANCES], clock
+        )
+        self.ratings = ratings.RatingStandIn(self.services[Name.RATINGS], seed)
+        self.weights = weights.WeightService(
+            self.services[Name.WEIGHTS], clock
+        )
+        routes = {
+            Name.TABLE: self.table.routes(),
+            Name.OBJECTS: self.objects.routes(),
+            Name.INSTANCES: self.instances.routes(),
+            Name.RATINGS: self.ratings.routes(),
+            Name.WEIGHTS: self.weights.routes(),
+        }
+        self._listeners = {
+            name: listener.Listener(routes[name], port and port + number)
+            for number, name in enumerate(Name, start=1)
+        }
+        controls = control.ControlService(
+            self.services,
+            self._listeners,
+            self.instances,
+            self.ratings,
+            self.weights,
+        )
+        self._control = listener.Listener(controls.routes(), port)
+
+    async def start(self) -> None:
+        """Listen on all ports."""
+        for each in (self._control, *self._listeners.values()):
+            await each.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await asyncio.gather(
+            *(each.stop() for each in self._listeners.values())
+        )
+        await self._control.stop()
+
+    def ports(self) -> dict[str, int]:
+        """Return the TCP port of each service and of the control endpoint."""
+        ports = {name.value: e.port for name, e in self._listeners.items()}
+        return {CONTROL: self._control.port, **ports}
+
+    def settings(self) -> settings.PlatformSettings:
+        """Return the settings with which clients reach the stand-ins."""
+        urls = {
+            name: f"http://{listener.HOST}:{port}"
+            for name, port in self.ports().items()
+        }
+        return settings.PlatformSettings.model_validate(
+            {
+                "table": {"endpoint": urls["table"]},
+                "objects": {"endpoint": urls["objects"]},
+                "instances": {"url": urls["instances"] + "/instances"},
+                "ratings": {"url": urls["ratings"] + "/rate"},
+            }
+        )
--- a/packages/limpetwalk/limpetwalk/platform/base.py
+++ b/packages/limpetwalk/limpetwalk/platform/base.py
@@ -10,6 +10,9 @@
 
 from result import Result
 
+TRANSACTION_LIMIT = 100
+ROW_LIMIT_BYTES = 400 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class RowKey:
@@ -113,12 +116,15 @@
         after: str = "",
         prefix: str = "",
         limit: int = 1000,
+        descending: bool = False,
     ) -> list[Row]:
         """Return rows of a partition in the order of their sort names.
 
-        :param after: only rows whose sort name is greater.
+        :param after: only rows that come after this sort name in the order
+            of the query; empty starts at the first.
         :param prefix: only rows whose sort name starts with it.
         :param limit: most rows to return.
+        :param descending: whether the greatest sort name comes first.
         :raises StoreUnavailable: when the service does not answer.
         """
         ...
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/platform/factory.py
@@ -0,0 +1,66 @@
+"""Opens the clients of the platform's services that settings name."""
+
+import contextlib
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from .. import registry
+from . import base
+from . import settings
+
+PLUGINS = [
+    "limpetwalk.platform.dynamodb",
+    "limpetwalk.platform.s3",
+    "limpetwalk.platform.http_sd",
+    "limpetwalk.platform.ratings",
+]
+
+
+@dataclass(slots=True)
+class Platform:
+    """Clients of the platform's services.
+
+    :param table: table service.
+    :param objects: object store.
+    :param instances: instance list.
+    :param ratings: rating service, or None when there is none.
+    """
+
+    table: base.TableStore
+    objects: base.ObjectStore
+    instances: base.InstanceList
+    ratings: base.RatingService | None
+    _stack: contextlib.AsyncExitStack = field(
+        default_factory=contextlib.AsyncExitStack
+    )
+
+    async def close(self) -> None:
+        """Release all connections."""
+        await self._stack.aclose()
+
+
+async def open_platform(cfg: settings.PlatformSettings) -> Platform:
+    """Open the clients; no service needs to be up for it.
+
+    :raises UnknownPlugin: when the settings name a client that is unknown.
+    """
+    registry.load_plugins(PLUGINS)
+    async with contextlib.AsyncExitStack() as stack:
+        kind = registry.Kind
+        table = await _open(stack, kind.TABLE_STORE, cfg.table)
+        objects = await _open(stack, kind.OBJECT_STORE, cfg.objects)
+        instances = await _open(stack, kind.INSTANCE_LIST, cfg.instances)
+        ratings = None
+        if cfg.ratings is not None:
+            ratings = await _open(stack, kind.RATING_SERVICE, cfg.ratings)
+        return Platform(table, objects, instances, ratings, stack.pop_all())
+
+
+async def _open(
+    stack: contextlib.AsyncExitStack, kind: registry.Kind, cfg: Any
+) -> Any:
+    client = registry.get(kind, cfg.client)(cfg)
+    stack.push_async_callback(client.close)
+    await client.open()
+    return client
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/platform/memory.py
@@ -0,0 +1,282 @@
+"""In-process fakes of the platform's services, with fault switches."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from result import Err
+from result import Ok
+from result import Result
+
+from .. import exceptions
+from . import base
+
+Hook = Callable[[str], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class Faults:
+    """Fault switches of one service.
+
+    :param unavailable: whether every call fails without effect.
+    :param refuse_writes: next writes that are refused before they apply.
+    :param lose_answers: next writes that apply although their answer is
+        lost.
+    :param before: awaited with the operation's name before it takes effect;
+        a test makes the service slow with it.
+    :param after: awaited with the operation's name after it took effect and
+        before its answer.
+    """
+
+    unavailable: bool = False
+    refuse_writes: int = 0
+    lose_answers: int = 0
+    before: Hook | None = None
+    after: Hook | None = None
+
+    async def enter(self, operation: str, write: bool) -> None:
+        """Fail or wait as switched on, before the operation.
+
+        :raises StoreUnavailable: when the call must not take effect.
+        """
+        if self.before is not None:
+            await self.before(operation)
+        if self.unavailable:
+            raise exceptions.StoreUnavailable("switched off")
+        if write and self.refuse_writes > 0:
+            self.refuse_writes -= 1
+            raise exceptions.StoreUnavailable("write refused")
+
+    async def leave(self, operation: str, write: bool) -> None:
+        """Wait or lose the answer as switched on, after the operation.
+
+        :raises StoreOutcomeUnknown: when the answer is lost.
+        """
+        if self.after is not None:
+            await self.after(operation)
+        if write and self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise exceptions.StoreOutcomeUnknown("answer lost")
+
+
+class Rows:
+    """Rows of a table, changed by conditional transactions."""
+
+    def __init__(self) -> None:
+        self._partitions: dict[str, dict[str, base.Row]] = {}
+
+    def get(self, key: base.RowKey) -> base.Row | None:
+        """Return a row, or None when it is absent."""
+        return self._partitions.get(key.partition, {}).get(key.sort)
+
+    def query(
+        self,
+        partition: str,
+        after: str = "",
+        prefix: str = "",
+        limit: int = 1000,
+        descending: bool = False,
+    ) -> list[base.Row]:
+        """Return rows of a partition as ``TableStore.query`` does."""
+        rows = self._partitions.get(partition, {})
+        names = sorted(
+            (name for name in rows if name.startswith(prefix)),
+            reverse=descending,
+        )
+        if after and descending:
+            names = [name for name in names if name < after]
+        elif after:
+            names = [name for name in names if name > after]
+        return [rows[name] for name in names[:limit]]
+
+    def transact(
+        self, writes: Sequence[base.Write], write_id: str
+    ) -> Result[None, base.Conflict]:
+        """Apply all writes or none.
+
+        :raises ValueError: when two writes are on one row or there are too
+            many.
+        """
+        if len({write.key for write in writes}) != len(writes):
+            raise ValueError("two writes of a transaction are on one row")
+        if not 0 < len(writes) <= base.TRANSACTION_LIMIT:
+            raise ValueError(f"a transaction of {len(writes)} writes")
+        failed = tuple(
+            write.key
+            for write in writes
+            if self._version(write.key) != write.expect_version
+        )
+        if failed:
+            return Err(base.Conflict(failed))
+        for write in writes:
+            self._apply(write, write_id)
+        return Ok(None)
+
+    def expire(self, now: float) -> int:
+        """Delete rows whose lifetime is over.
+
+        :param now: Unix time in seconds.
+        :returns: number of rows deleted.
+        """
+        expired = [
+            row.key
+            for rows in self._partitions.values()
+            for row in rows.values()
+            if row.expires_at is not None and row.expires_at <= now
+        ]
+        for key in expired:
+            del self._partitions[key.partition][key.sort]
+        return len(expired)
+
+    def _version(self, key: base.RowKey) -> int:
+        row = self.get(key)
+        return 0 if row is None else row.version
+
+    def _apply(self, write: base.Write, write_id: str) -> None:
+        rows = self._partitions.setdefault(write.key.partition, {})
+        if isinstance(write, base.Put):
+            rows[write.key.sort] = base.Row(
+                key=write.key,
+                version=write.expect_version + 1,
+                write_id=write_id,
+                value=write.value,
+                expires_at=write.expires_at,
+            )
+        elif isinstance(write, base.Delete):
+            del rows[write.key.sort]
+
+
+class MemoryTable:
+    """Table service within the process.
+
+    :param rows: rows, shared between tables that stand for the connections
+        of several nodes; None makes an empty set.
+    """
+
+    def __init__(self, rows: Rows | None = None) -> None:
+        self.rows = rows if rows is not None else Rows()
+        self.faults = Faults()
+        self.reads = 0
+        self.writes = 0
+
+    async def get(self, key: base.RowKey) -> base.Row | None:
+        """Return a row by a consistent read."""
+        self.reads += 1
+        await self.faults.enter("get", write=False)
+        row = self.rows.get(key)
+        await self.faults.leave("get", write=False)
+        return row
+
+    async def query(
+        self,
+        partition: str,
+        after: str = "",
+        prefix: str = "",
+        limit: int = 1000,
+        descending: bool = False,
+    ) -> list[base.Row]:
+        """Return rows of a partition in the order of their sort names."""
+        self.reads += 1
+        await self.faults.enter("query", write=False)
+        rows = self.rows.query(partition, after, prefix, limit, descending)
+        await self.faults.leave("query", write=False)
+        return rows
+
+    async def transact(
+        self, writes: Sequence[base.Write], write_id: str
+    ) -> Result[None, base.Conflict]:
+        """Apply all writes or none."""
+        self.writes += 1
+        await self.faults.enter("transact", write=True)
+        outcome = self.rows.transact(writes, write_id)
+        await self.faults.leave("transact", write=True)
+        return outcome
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+
+class MemoryObjects:
+    """Object store within the process.
+
+    :param blobs: contents by name, shared between stores that stand for
+        the connections of several nodes; None starts empty.
+    """
+
+    def __init__(self, blobs: dict[str, bytes] | None = None) -> None:
+        self.blobs = blobs if blobs is not None else {}
+        self.faults = Faults()
+        self.reads = 0
+        self.writes = 0
+
+    async def put_if_absent(
+        self, name: str, data: bytes
+    ) -> Result[None, base.AlreadyExists]:
+        """Store an object unless the name is taken."""
+        self.writes += 1
+        await self.faults.enter("put", write=True)
+        taken = name in self.blobs
+        if not taken:
+            self.blobs[name] = bytes(data)
+        await self.faults.leave("put", write=True)
+        return Err(base.AlreadyExists(name)) if taken else Ok(None)
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object's contents, or None when it is absent."""
+        self.reads += 1
+        await self.faults.enter("get", write=False)
+        data = self.blobs.get(name)
+        await self.faults.leave("get", write=False)
+        return data
+
+    async def names(self, prefix: str) -> list[str]:
+        """Return the sorted names that start with a prefix."""
+        self.reads += 1
+        await self.faults.enter("names", write=False)
+        found = sorted(name for name in self.blobs if name.startswith(prefix))
+        await self.faults.leave("names", write=False)
+        return found
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+
+class MemoryInstances:
+    """Instance list within the process.
+
+    :param instances: instances to show.
+    """
+
+    def __init__(self, instances: Sequence[base.Instance] = ()) -> None:
+        self.instances = list(instances)
+        self.unavailable = False
+
+    async def fetch(self) -> list[base.Instance]:
+        """Return the list as it stands now."""
+        if self.unavailable:
+            raise exceptions.InstanceListUnavailable("switched off")
+        return list(self.instances)
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
+
+
+class MemoryRatings:
+    """Rating service within the process.
+
+    :param score: returns the score of a request.
+    """
+
+    def __init__(self, score: Callable[[base.RatingRequest], float]) -> None:
+        self.score = score
+        self.unavailable = False
+
+    async def rate(self, req: base.RatingRequest, timeout: float) -> float:
+        """Return a score from 0.0 to 1.0."""
+        if self.unavailable:
+            raise exceptions.RatingUnavailable("switched off")
+        return self.score(req)
+
+    async def close(self) -> None:
+        """Do nothing; there are no connections."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/platform/ratings.py
@@ -0,0 +1,57 @@
+"""Rating service client over HTTP with JSON bodies."""
+
+import asyncio
+import dataclasses
+
+import aiohttp
+import pydantic
+
+from .. import exceptions
+from .. import registry
+from . import base
+from . import settings
+
+
+class _Score(pydantic.BaseModel):
+    score: float = pydantic.Field(ge=0.0, le=1.0, allow_inf_nan=False)
+
+
+@registry.register(registry.Kind.RATING_SERVICE, "http")
+class HttpRatings:
+    """Rating service that scores answers posted to it.
+
+    :param cfg: where the service is.
+    """
+
+    def __init__(self, cfg: settings.RatingSettings) -> None:
+        self._cfg = cfg
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Make the HTTP session; no connection is opened yet."""
+        self._session = aiohttp.ClientSession()
+
+    async def rate(self, req: base.RatingRequest, timeout: float) -> float:
+        """Return a score from 0.0 to 1.0."""
+        assert self._session is not None
+        try:
+            async with self._session.post(
+                self._cfg.url,
+                json=dataclasses.asdict(req),
+                timeout=aiohttp.ClientTimeout(total=timeout),
+            ) as answer:
+                answer.raise_for_status()
+                body = await answer.read()
+            return _Score.model_validate_json(body).score
+        except (
+            aiohttp.ClientError,
+            asyncio.TimeoutError,
+            pydantic.ValidationError,
+        ) as exc:
+            text = str(exc) or type(exc).__name__
+            raise exceptions.RatingUnavailable(text) from exc
+
+    async def close(self) -> None:
+        """Release connections."""
+        if self._session is not None:
+            await self._session.close()
