--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/records/rows.py
@@ -0,0 +1,96 @@
+"""Form of a record as a row of the table service."""
+
+import base64
+
+import pydantic
+
+from ..backends import base as backends
+from ..platform import base as platform
+from . import base
+
+
+class AnswerValue(pydantic.BaseModel):
+    """Stored answer.
+
+    :param status: HTTP status code.
+    :param headers: headers to pass back.
+    :param body: body in base 64, empty when it lies in the object store.
+    :param body_object: name of the object that holds the body, or empty.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: str = ""
+    body_object: str = ""
+
+
+class RecordValue(pydantic.BaseModel):
+    """Contents of the row of a record.
+
+    :param claimed_until: Unix time in seconds from which a claim may be
+        taken over even while its holder lives.
+    """
+
+    body_digest: str
+    state: base.RecordState
+    request_id: str
+    holder: str
+    claimed_until: float
+    attempt_id: str = ""
+    server: str = ""
+    answer: AnswerValue | None = None
+
+
+def row_key(workspace: str, key: str) -> platform.RowKey:
+    """Return the key of the row of a record."""
+    return platform.RowKey(f"record#{workspace}", key)
+
+
+def encode_answer(
+    answer: backends.ServiceAnswer, body_object: str
+) -> AnswerValue:
+    """Return the stored form of an answer.
+
+    :param body_object: name of the object that holds the body; empty keeps
+        the body in the row.
+    """
+    body = "" if body_object else base64.b64encode(answer.body).decode()
+    return AnswerValue(
+        status=answer.status,
+        headers=dict(answer.headers),
+        body=body,
+        body_object=body_object,
+    )
+
+
+def decode_answer(
+    value: AnswerValue, body: bytes | None
+) -> backends.ServiceAnswer:
+    """Return an answer from its stored form.
+
+    :param body: body from the object store, or None when the row holds it.
+    """
+    if body is None:
+        body = base64.b64decode(value.body)
+    return backends.ServiceAnswer(
+        status=value.status, body=body, headers=value.headers
+    )
+
+
+def decode_record(
+    workspace: str,
+    row: platform.Row,
+    value: RecordValue,
+    answer: backends.ServiceAnswer | None,
+) -> base.Record:
+    """Return the record that a row holds."""
+    return base.Record(
+        ident=base.RecordIdent(workspace, row.key.sort, value.body_digest),
+        state=value.state,
+        request_id=value.request_id,
+        holder=value.holder,
+        attempt_id=value.attempt_id,
+        server=value.server,
+        answer=answer,
+        version=row.version,
+    )
