--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/ledger/reader.py
@@ -0,0 +1,99 @@
+"""Reads the ledger: entries and totals of workspaces."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from ..platform import base as platform
+from . import base
+from . import rows
+
+PAGE_ROWS = 200
+
+
+@dataclass(slots=True)
+class Total:
+    """Sum of the bill entries of one workspace and subject.
+
+    :param workspace: workspace that pays.
+    :param subject: public model name or plain service.
+    :param entries: number of entries.
+    :param input_tokens: tokens of prompts.
+    :param output_tokens: tokens of answers.
+    :param cost: price in micro-units.
+    """
+
+    workspace: str
+    subject: str
+    entries: int = 0
+    input_tokens: int = 0
+    output_tokens: int = 0
+    cost: int = 0
+
+    def add(self, entry: base.BillEntry) -> None:
+        """Add one entry."""
+        self.entries += 1
+        self.input_tokens += entry.input_tokens
+        self.output_tokens += entry.output_tokens
+        self.cost += entry.cost
+
+
+class LedgerReader:
+    """Reads all partitions of the ledger.
+
+    Writers drop an entry that the newest batches hold; the reader drops any
+    other repeat, so that the first entry of a key is the one that counts.
+
+    :param table: table service.
+    :param partitions: number of partitions.
+    """
+
+    def __init__(self, table: platform.TableStore, partitions: int) -> None:
+        self._table = table
+        self._partitions = partitions
+
+    async def raw_entries(self) -> AsyncIterator[base.BillEntry]:
+        """Yield every entry as it stands in the log, repeats included.
+
+        :raises StoreUnavailable: when the service does not answer.
+        """
+        for number in range(self._partitions):
+            after = ""
+            while True:
+                found = await self._table.query(
+                    rows.partition_name(number), after=after, limit=PAGE_ROWS
+                )
+                for row in found:
+                    for entry in rows.decode_batch(row):
+                        yield entry
+                if len(found) < PAGE_ROWS:
+                    break
+                after = found[-1].key.sort
+
+    async def entries(
+        self, workspace: str | None = None
+    ) -> AsyncIterator[base.BillEntry]:
+        """Yield the entries that count, each key once.
+
+        :param workspace: workspace to read; None reads all.
+        :raises StoreUnavailable: when the service does not answer.
+        """
+        seen: set[bytes] = set()
+        async for entry in self.raw_entries():
+            if workspace not in (None, entry.workspace):
+                continue
+            key = rows.digest(entry)
+            if key not in seen:
+                seen.add(key)
+                yield entry
+
+    async def totals(self, workspace: str | None = None) -> list[Total]:
+        """Return sums by workspace and subject, sorted.
+
+        :param workspace: workspace to read; None reads all.
+        :raises StoreUnavailable: when the service does not answer.
+        """
+        totals: dict[tuple[str, str], Total] = {}
+        async for entry in self.entries(workspace):
+            key = (entry.workspace, entry.subject)
+            totals.setdefault(key, Total(*key)).add(entry)
+        return [totals[key] for key in sorted(totals)]
