--- a/packages/limpetwalk/limpetwalk/platform/s3.py
+++ b/packages/limpetwalk/limpetwalk/platform/s3.py
@@ -3,16 +3,22 @@
 import contextlib
 from typing import Any
 
+from aiobotocore import config as aioconfig
+from aiobotocore import session as aiosession
 from botocore import exceptions as botoexc
 from result import Err
 from result import Ok
 from result import Result
 
+from .. import exceptions
 from .. import registry
 from . import base
-from . import dynamodb
 from . import settings
 
+CONNECTIONS = 8
+# Errors with status 5xx that say that the operation was not started.
+NOT_STARTED = frozenset({"SlowDown", "ServiceUnavailable"})
+
 
 @registry.register(registry.Kind.OBJECT_STORE, "s3")
 class S3Objects:
@@ -28,9 +34,22 @@
 
     async def open(self) -> None:
         """Make the client; no connection is opened yet."""
-        self._client = await self._stack.enter_async_context(
-            dynamodb.open_client("s3", self._cfg)
+        cfg = self._cfg
+        client = aiosession.get_session().create_client(
+            "s3",
+            region_name=cfg.region,
+            endpoint_url=cfg.endpoint,
+            aws_access_key_id=cfg.access_key,
+            aws_secret_access_key=cfg.secret_key,
+            config=aioconfig.AioConfig(
+                connect_timeout=cfg.timeout,
+                read_timeout=cfg.timeout,
+                retries={"total_max_attempts": 1},
+                max_pool_connections=CONNECTIONS,
+                s3={"addressing_style": "path"},
+            ),
         )
+        self._client = await self._stack.enter_async_context(client)
 
     async def put_if_absent(
         self, name: str, data: bytes
@@ -43,7 +62,7 @@
         except Exception as exc:
             if _status(exc) == 412:
                 return Err(base.AlreadyExists(name))
-            raise dynamodb.write_error(exc) from exc
+            raise _write_error(exc) from exc
         return Ok(None)
 
     async def get(self, name: str) -> bytes | None:
@@ -57,7 +76,7 @@
         except Exception as exc:
             if _code(exc) == "NoSuchKey":
                 return None
-            raise dynamodb.read_error(exc) from exc
+            raise _read_error(exc) from exc
 
     async def names(self, prefix: str) -> list[str]:
         """Return the sorted names that start with a prefix."""
@@ -74,7 +93,7 @@
                 token = answer["NextContinuationToken"]
                 more = {"ContinuationToken": token}
         except Exception as exc:
-            raise dynamodb.read_error(exc) from exc
+            raise _read_error(exc) from exc
 
     async def close(self) -> None:
         """Release connections."""
@@ -91,3 +110,22 @@
     if not isinstance(exc, botoexc.ClientError):
         return ""
     return exc.response.get("Error", {}).get("Code", "")
+
+
+def _write_error(exc: Exception) -> exceptions.StoreError:
+    """Return the error for a write that failed.
+
+    Only failures that prove that nothing was stored make it
+    ``StoreUnavailable``.
+    """
+    text = str(exc) or type(exc).__name__
+    unsent = (botoexc.EndpointConnectionError, botoexc.ConnectTimeoutError)
+    if isinstance(exc, unsent):
+        return exceptions.StoreUnavailable(text)
+    if 400 <= _status(exc) < 500 or _code(exc) in NOT_STARTED:
+        return exceptions.StoreUnavailable(text)
+    return exceptions.StoreOutcomeUnknown(text)
+
+
+def _read_error(exc: Exception) -> exceptions.StoreError:
+    return exceptions.StoreUnavailable(str(exc) or type(exc).__name__)
