--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of limpetctl, one a module."""
--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/show.py
@@ -0,0 +1,67 @@
+"""Shows a merged folder or the configuration in force."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from absl import flags
+
+from limpetwalk import registry
+from limpetwalk.conf import diff
+from limpetwalk.conf import findings
+from limpetwalk.conf import marked
+
+from .. import base
+from .. import exits
+from .. import folders
+
+_DEFAULT = "default"
+
+
+@registry.register(registry.Kind.COMMAND, "show")
+class Show:
+    """Shows each value of a folder with the line that it came from."""
+
+    help = "show a merged folder with the place of each value"
+    usage = "show DIR"
+    examples = ("show site/", "--json show site/")
+    needs_platform = False
+
+    def define_flags(self, values: flags.FlagValues) -> None:
+        """Define no flags."""
+
+    async def handle(self, ctx: base.Context) -> exits.ExitCode:
+        """Show the folder."""
+        (path,) = ctx.arguments("DIR")
+        loaded = await folders.read(ctx, path, None)
+        if loaded is None:
+            return exits.ExitCode.FINDINGS
+        values = list(_leaves(diff.masked(loaded.document), ()))
+        rows = [
+            (findings.format_path(key), value, _source(loaded.tree, key))
+            for key, value in values
+        ]
+        ctx.out.table(("PATH", "VALUE", "FROM"), rows)
+        ctx.out.json(
+            {
+                "values": [
+                    {"path": name, "value": value, "from": source}
+                    for name, value, source in rows
+                ]
+            }
+        )
+        return exits.ExitCode.OK
+
+
+def _leaves(
+    value: Any, path: findings.KeyPath
+) -> Iterator[tuple[findings.KeyPath, Any]]:
+    if not isinstance(value, dict):
+        yield path, value
+        return
+    for key in sorted(value):
+        yield from _leaves(value[key], (*path, key))
+
+
+def _source(tree: marked.Marked, path: findings.KeyPath) -> str:
+    place = marked.place_of(tree, path)
+    return str(place) if place else _DEFAULT
--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/exits.py
@@ -0,0 +1,16 @@
+"""Exit codes of limpetctl."""
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What a program that calls limpetctl can go by."""
+
+    OK = 0
+    FINDINGS = 1
+    USAGE = 2
+    CONFLICT = 3
+    STORE_UNAVAILABLE = 4
+    NOT_SEEN_EVERYWHERE = 5
+    OUTCOME_UNKNOWN = 6
+    NOT_FOUND = 7
--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
@@ -0,0 +1,102 @@
+"""Writes answers: tables for people, JSON for programs."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import datetime
+import json
+from typing import Any
+from typing import TextIO
+
+import rich.console
+import rich.table
+import rich.text
+
+from limpetwalk.conf import diff
+from limpetwalk.conf import findings
+
+DIGEST_DIGITS = 12
+PIPE_COLUMNS = 2000
+
+
+class Output:
+    """Writer of one command's answer.
+
+    :param as_json: whether to write JSON for programs.
+    :param stdout: stream of the answer.
+    :param stderr: stream of what went wrong.
+    """
+
+    def __init__(self, as_json: bool, stdout: TextIO, stderr: TextIO) -> None:
+        self.as_json = as_json
+        self._stdout = stdout
+        self._stderr = stderr
+        self._console = rich.console.Console(file=stdout)
+        if not self._console.is_terminal:
+            # What goes into a pipe or a file is never cut.
+            self._console.width = PIPE_COLUMNS
+
+    def json(self, value: Any) -> None:
+        """Write the answer for programs, when it was asked for."""
+        if self.as_json:
+            text = json.dumps(value, indent=2, sort_keys=True)
+            self._stdout.write(text + "\n")
+
+    def line(self, text: str) -> None:
+        """Write a line for people."""
+        if not self.as_json:
+            self._stdout.write(text + "\n")
+
+    def error(self, text: str) -> None:
+        """Write a line about what went wrong."""
+        self._stderr.write(f"limpetctl: {text}\n")
+
+    def table(
+        self, columns: Sequence[str], rows: Iterable[Sequence[object]]
+    ) -> None:
+        """Write a table for people."""
+        if self.as_json:
+            return
+        table = rich.table.Table(box=None, pad_edge=False)
+        for column in columns:
+            table.add_column(column, overflow="fold")
+        for row in rows:
+            table.add_row(*(rich.text.Text(str(cell)) for cell in row))
+        self._console.print(table)
+
+    def findings(self, found: Sequence[findings.Finding]) -> None:
+        """Write findings, one a line, for people."""
+        for finding in found:
+            self.line(str(finding))
+
+
+def finding_json(finding: findings.Finding) -> dict[str, Any]:
+    """Return a finding as JSON for programs."""
+    place = finding.place
+    return {
+        "id": finding.id,
+        "level": finding.level.value,
+        "file": place.file if place else None,
+        "line": place.line if place and place.line else None,
+        "path": list(finding.path),
+        "got": finding.got,
+        "expected": finding.expected,
+        "hint": finding.hint,
+    }
+
+
+def change_json(change: diff.Change) -> dict[str, Any]:
+    """Return a difference as JSON for programs."""
+    return {
+        "path": list(change.path),
+        "kind": change.kind,
+        "old": change.old,
+        "new": change.new,
+    }
+
+
+def moment(seconds: float) -> str:
+    """Return an instant of the Unix clock as text in UTC."""
+    if not seconds:
+        return "never"
+    at = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return at.strftime("%Y-%m-%d %H:%M:%S")
--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/settings.py
@@ -0,0 +1,54 @@
+"""Settings of limpetctl."""
+
+import getpass
+
+import pydantic
+from result import Err
+from result import Ok
+from result import Result
+
+from limpetwalk.conf import findings
+from limpetwalk.conf import marked
+from limpetwalk.conf import validation
+from limpetwalk.conf import yamlfile
+from limpetwalk.platform import settings as platform_settings
+
+
+class CtlSettings(pydantic.BaseModel):
+    """Settings of limpetctl, read from a YAML file.
+
+    :param platform: where the platform's services are.
+    :param operator: name under which changes are recorded; empty takes the
+        name of the login.
+    :param wait_timeout: longest wait for nodes to report a generation, in
+        seconds.
+    :param node_timeout: longest wait for one answer of a node, in seconds.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    platform: platform_settings.PlatformSettings
+    operator: str = ""
+    wait_timeout: float = pydantic.Field(default=15.0, gt=0)
+    node_timeout: float = pydantic.Field(default=1.0, gt=0)
+
+
+def read(path: str) -> Result[CtlSettings, list[findings.Finding]]:
+    """Return the settings of a file, or all findings in it."""
+    outcome = yamlfile.read(path)
+    if isinstance(outcome, Err):
+        return outcome
+    tree = outcome.ok_value
+    try:
+        return Ok(CtlSettings.model_validate(tree.plain()))
+    except pydantic.ValidationError as exc:
+        found = validation.from_error(exc, CtlSettings)
+        return Err([marked.placed(finding, tree) for finding in found])
+
+
+def login_name() -> str:
+    """Return the name of the login, or a stand-in when it has none."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/conf/diff.py
@@ -0,0 +1,80 @@
+"""Differences between two documents, value by value."""
+
+from dataclasses import dataclass
+import hashlib
+from typing import Any
+
+from . import document
+from . import findings
+
+MASK_DIGITS = 8
+
+_MISSING = object()
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Difference of one value.
+
+    :param path: keys from the top to the value.
+    :param old: JSON value before, or None when it was absent.
+    :param new: JSON value after, or None when it is absent.
+    :param kind: ``added``, ``removed`` or ``changed``.
+    """
+
+    path: findings.KeyPath
+    old: Any
+    new: Any
+    kind: str
+
+    def __str__(self) -> str:
+        path = findings.format_path(self.path)
+        if self.kind == "added":
+            return f"+ {path}: {self.new}"
+        if self.kind == "removed":
+            return f"- {path}: {self.old}"
+        return f"~ {path}: {self.old} -> {self.new}"
+
+
+def diff_documents(
+    old: document.Document, new: document.Document
+) -> list[Change]:
+    """Return what changed, ordered by path, with secrets masked."""
+    changes: list[Change] = []
+    _walk(masked(old), masked(new), (), changes)
+    return changes
+
+
+def masked(doc: document.Document) -> dict[str, Any]:
+    """Return a document as plain data with digests in place of secrets."""
+    tree = doc.model_dump(mode="json")
+    for section in tree["session_keys"].values():
+        section["secret"] = mask(section["secret"])
+    return tree
+
+
+def mask(secret: str) -> str:
+    """Return a text that tells two secrets apart but not what they are."""
+    digest = hashlib.sha256(secret.encode()).hexdigest()
+    return f"<secret {digest[:MASK_DIGITS]}>"
+
+
+def _walk(
+    old: Any, new: Any, path: findings.KeyPath, changes: list[Change]
+) -> None:
+    if old == new:
+        return
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key in sorted(old.keys() | new.keys()):
+            _walk(
+                old.get(key, _MISSING),
+                new.get(key, _MISSING),
+                (*path, key),
+                changes,
+            )
+    elif old is _MISSING:
+        changes.append(Change(path, None, new, "added"))
+    elif new is _MISSING:
+        changes.append(Change(path, old, None, "removed"))
+    else:
+        changes.append(Change(path, old, new, "changed"))
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/conf/findings.py
@@ -0,0 +1,80 @@
+"""Findings: what is wrong with a configuration, and where."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+import enum
+
+KeyPath = tuple[str | int, ...]
+
+
+class Level(enum.Enum):
+    """How grave a finding is; an error keeps a configuration out."""
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Place:
+    """Line of a file.
+
+    :param file: path of the file or folder.
+    :param line: line number, from 1; 0 for the file as a whole.
+    """
+
+    file: str
+    line: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}" if self.line else self.file
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One thing that is wrong.
+
+    :param id: stable identifier of the kind of finding.
+    :param level: error or warning.
+    :param path: keys from the top of the configuration to the value.
+    :param got: what was found.
+    :param expected: what should stand there.
+    :param hint: what the operator can do, or empty.
+    :param place: file and line, once it is known.
+    """
+
+    id: str
+    level: Level
+    path: KeyPath
+    got: str
+    expected: str
+    hint: str = ""
+    place: Place | None = None
+
+    def __str__(self) -> str:
+        parts = [str(self.place)] if self.place else []
+        if self.path:
+            parts.append(format_path(self.path))
+        parts.append(f"got {self.got}, expected {self.expected}")
+        text = ": ".join(parts)
+        if self.level is Level.WARNING:
+            text = f"{text} (warning)"
+        return f"{text}; {self.hint}" if self.hint else text
+
+
+def format_path(path: KeyPath) -> str:
+    """Return keys joined by dots."""
+    return ".".join(str(key) for key in path)
+
+
+def errors(findings: Iterable[Finding]) -> list[Finding]:
+    """Return the findings that keep a configuration out."""
+    return [found for found in findings if found.level is Level.ERROR]
+
+
+def in_order(findings: Iterable[Finding]) -> list[Finding]:
+    """Return findings by file, line and path."""
+
+    def key(found: Finding) -> tuple[Place, str]:
+        return found.place or Place(""), str(found)
+
+    return sorted(findings, key=key)
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/conf/head.py
@@ -0,0 +1,257 @@
+"""The accepted configuration: its head row, its history and its bytes.
+
+The bytes of a document lie in the object store under their digest. One
+transaction moves the head row from a generation to the next and adds the
+history row of the new one, so a change is in force exactly when it is in
+the history.
+"""
+
+import dataclasses
+from dataclasses import dataclass
+import uuid
+
+import pydantic
+from result import Err
+from result import Ok
+from result import Result
+
+from .. import clock as clocks
+from .. import exceptions
+from ..platform import base as platform
+from ..platform import settle
+from . import compile as compiler
+from . import diff
+from . import document
+
+HEAD_KEY = platform.RowKey("config", "head")
+HISTORY_PARTITION = "config-history"
+OBJECT_PREFIX = "config/"
+GENERATION_DIGITS = 12
+PUT_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Generation in force.
+
+    :param generation: 0 before the first accepted configuration.
+    :param digest: SHA-256 of the document's bytes, in hexadecimal.
+    :param author: operator whose change made the generation.
+    :param at: when it was accepted, in seconds since the Unix epoch.
+    :param summary: what the change was, in a few words.
+    """
+
+    generation: int
+    digest: str
+    author: str
+    at: float
+    summary: str = ""
+
+
+NO_HEAD = Head(0, "", "", 0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class HeadConflict:
+    """Another change was accepted first, so this one was not.
+
+    :param expected: generation that the change was made from.
+    :param head: generation in force.
+    :param changes: what changed between the two, with secrets masked; empty
+        when it can't be read.
+    """
+
+    expected: int
+    head: Head
+    changes: tuple[diff.Change, ...]
+
+
+class CorruptHead(exceptions.LimpetwalkError):
+    """The head or history row is not one that this release can read."""
+
+
+class CorruptObject(exceptions.LimpetwalkError):
+    """The object under a digest has other contents."""
+
+
+class _HeadValue(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    generation: int
+    digest: str
+    author: str
+    at: float
+    summary: str = ""
+
+
+class HeadStore:
+    """Reads and moves the head of the accepted configurations.
+
+    :param table: table service with the head and history rows.
+    :param objects: object store with the documents' bytes.
+    :param clock: source of the time of acceptance.
+    """
+
+    def __init__(
+        self,
+        table: platform.TableStore,
+        objects: platform.ObjectStore,
+        clock: clocks.Clock,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._clock = clock
+
+    async def read(self) -> Head:
+        """Return the head; its generation is 0 when there is none yet.
+
+        :raises StoreUnavailable: when the table service does not answer.
+        """
+        head, _ = await self._read_row()
+        return head
+
+    async def load(self, digest: str) -> bytes | None:
+        """Return the bytes of a document, or None when they are absent.
+
+        :raises StoreUnavailable: when the object store does not answer.
+        :raises CorruptObject: when the bytes do not have the digest.
+        """
+        data = await self._objects.get(OBJECT_PREFIX + digest)
+        if data is not None and compiler.digest_of(data) != digest:
+            raise CorruptObject(
+                f"got other contents, expected those of digest {digest}"
+            )
+        return data
+
+    async def history(self, limit: int = 20) -> list[Head]:
+        """Return the newest accepted generations, newest first.
+
+        :param limit: most generations to return.
+        :raises StoreUnavailable: when the table service does not answer.
+        """
+        head = await self.read()
+        oldest = max(0, head.generation - limit)
+        rows = await self._table.query(
+            HISTORY_PARTITION, after=_sort_name(oldest), limit=limit
+        )
+        return [_parse(row) for row in reversed(rows)]
+
+    async def generation(self, number: int) -> Head | None:
+        """Return an accepted generation, or None when there is none.
+
+        :raises StoreUnavailable: when the table service does not answer.
+        """
+        row = await self._table.get(_history_key(number))
+        return _parse(row) if row is not None else None
+
+    async def accept(
+        self,
+        data: bytes,
+        expected_generation: int,
+        author: str,
+        summary: str = "",
+    ) -> Result[Head, HeadConflict]:
+        """Make a document the next generation.
+
+        :param data: canonical bytes of a checked document.
+        :param expected_generation: generation that the change was made
+            from; 0 for the first.
+        :param author: operator who makes the change.
+        :param summary: what the change is, in a few words.
+        :raises StoreUnavailable: when nothing was accepted.
+        :raises StoreOutcomeUnknown: when the change may have been accepted.
+        """
+        digest = compiler.digest_of(data)
+        await self._store(digest, data)
+        held, row_version = await self._read_row()
+        if held.generation != expected_generation:
+            return Err(await self._conflict(expected_generation, held))
+        head = Head(
+            generation=held.generation + 1,
+            digest=digest,
+            author=author,
+            at=self._clock.wall(),
+            summary=summary,
+        )
+        value = _HeadValue(**dataclasses.asdict(head)).model_dump_json()
+        writes = [
+            platform.Put(HEAD_KEY, value, row_version),
+            platform.Put(_history_key(head.generation), value, 0),
+        ]
+        outcome = await settle.transact_settled(
+            self._table, writes, uuid.uuid4().hex
+        )
+        if isinstance(outcome, Ok):
+            return Ok(head)
+        return Err(
+            await self._conflict(expected_generation, await self.read())
+        )
+
+    async def _read_row(self) -> tuple[Head, int]:
+        row = await self._table.get(HEAD_KEY)
+        return (NO_HEAD, 0) if row is None else (_parse(row), row.version)
+
+    async def _store(self, digest: str, data: bytes) -> None:
+        """Store a document's bytes so that they can be loaded.
+
+        Nothing refers to them yet, so a put whose outcome is unknown is
+        only repeated, and a failure leaves nothing to undo.
+        """
+        name = OBJECT_PREFIX + digest
+        for _ in range(PUT_ATTEMPTS):
+            try:
+                outcome = await self._objects.put_if_absent(name, data)
+            except exceptions.StoreOutcomeUnknown:
+                continue
+            if isinstance(outcome, Err):
+                # An earlier writer may have been cut off half-way.
+                await self.load(digest)
+            return
+        raise exceptions.StoreUnavailable(
+            f"the object store gave no answer to {PUT_ATTEMPTS} puts"
+        )
+
+    async def _conflict(self, expected: int, head: Head) -> HeadConflict:
+        changes: tuple[diff.Change, ...] = ()
+        try:
+            old = await self.document(await self.generation(expected))
+            new = await self.document(head)
+            changes = tuple(diff.diff_documents(old, new))
+        except (exceptions.LimpetwalkError, pydantic.ValidationError):
+            # The conflict is told even when its contents can't be read.
+            pass
+        return HeadConflict(expected, head, changes)
+
+    async def document(self, head: Head | None) -> document.Document:
+        """Return the document of a generation; empty for generation 0.
+
+        :raises StoreUnavailable: when the object store does not answer.
+        :raises CorruptObject: when its bytes are missing or others.
+        """
+        if head is None or not head.generation:
+            return document.Document()
+        data = await self.load(head.digest)
+        if data is None:
+            raise CorruptObject(
+                f"got nothing, expected the bytes of digest {head.digest}"
+            )
+        return document.Document.from_bytes(data)
+
+
+def _sort_name(generation: int) -> str:
+    return f"{generation:0{GENERATION_DIGITS}d}"
+
+
+def _history_key(generation: int) -> platform.RowKey:
+    return platform.RowKey(HISTORY_PARTITION, _sort_name(generation))
+
+
+def _parse(row: platform.Row) -> Head:
+    try:
+        value = _HeadValue.model_validate_json(row.value)
+    except pydantic.ValidationError:
+        raise CorruptHead(
+            f"got a row {row.key.sort!r} that is not a head, expected "
+            f"generation, digest, author and time"
+        ) from None
+    return Head(**dict(value))
