Add stand-ins of a model engine and of a plain service

Both run by python -m, log each run under /_runs and take faults under /_control on a port that stays up when they crash.

--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Parts shared by the stand-ins of engines and plain services."""
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/backend/listener.py
@@ -0,0 +1,112 @@
+"""HTTP listener that can crash, come back and keep connections silent."""
+
+import asyncio
+import contextlib
+import uuid
+
+from aiohttp import web
+
+
+class Listener:
+    """Listener of a stand-in.
+
+    :param app: application that it serves.
+    :param host: IP number to listen on.
+    :param port: port, 0 for any; a restart takes the same one again.
+    """
+
+    def __init__(self, app: web.Application, host: str, port: int) -> None:
+        self.app = app
+        self.host = host
+        self.port = port
+        self.boot_id = uuid.uuid4().hex
+        self._runner: web.AppRunner | None = None
+        self._server: asyncio.Server | None = None
+        self._silenced: set[int] = set()
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+
+    @property
+    def up(self) -> bool:
+        """Whether the listener accepts connections."""
+        return self._server is not None
+
+    async def start(self) -> None:
+        """Listen."""
+        if self._runner is None:
+            self._runner = web.AppRunner(
+                self.app, handler_cancellation=True, access_log=None
+            )
+            await self._runner.setup()
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._runner.server,  # type: ignore[arg-type]
+            self.host,
+            self.port,
+            reuse_address=True,
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def crash(self) -> None:
+        """Refuse new connections and abort all that are open."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for conn in self._connections():
+            conn.abort()
+        self._silenced.clear()
+        self._thawed.set()
+
+    async def restart(self) -> None:
+        """Come back with a new boot id."""
+        self.crash()
+        self.boot_id = uuid.uuid4().hex
+        await self.start()
+
+    def renew_boot(self) -> None:
+        """Take a new boot id without dropping connections."""
+        self.boot_id = uuid.uuid4().hex
+
+    def silence(self) -> int:
+        """Never send again on the connections that are open now.
+
+        :returns: number of connections.
+        """
+        silenced = {id(conn) for conn in self._connections()}
+        self._silenced |= silenced
+        return len(silenced)
+
+    def freeze(self, frozen: bool) -> None:
+        """Accept connections but never answer until thawed."""
+        if frozen:
+            self._thawed.clear()
+        else:
+            self._thawed.set()
+
+    @property
+    def frozen(self) -> bool:
+        """Whether the stand-in accepts without answering."""
+        return not self._thawed.is_set()
+
+    async def gate(self, req: web.BaseRequest) -> None:
+        """Wait for as long as nothing may be sent on a connection."""
+        if id(req.transport) in self._silenced:
+            await asyncio.Event().wait()
+        if not self._thawed.is_set():
+            await self._thawed.wait()
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        if self._runner is not None:
+            with contextlib.suppress(asyncio.TimeoutError):
+                await self._runner.cleanup()
+
+    def _connections(self) -> list[asyncio.Transport]:
+        if self._runner is None or self._runner.server is None:
+            return []
+        handlers = self._runner.server.connections
+        held = [handler.transport for handler in handlers]
+        return [conn for conn in held if isinstance(conn, asyncio.Transport)]
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/core.py
@@ -0,0 +1,165 @@
+"""State of an engine and the faults that change it."""
+
+import asyncio
+from collections.abc import Mapping
+import random
+from typing import Any
+
+from limpetwalk import clock as clocks
+from limpetwalk_bench.backend import faults
+from limpetwalk_bench.backend import listener
+from limpetwalk_bench.backend import runs
+from limpetwalk_bench.backend import warmth
+
+from . import answers
+from . import batch
+from . import orders
+from . import prefixes
+from . import reports
+from . import settings
+
+
+class ColdOverload(Exception):
+    """A cold engine was given more than it can bear."""
+
+
+class Engine:
+    """Engine without its HTTP interface.
+
+    :param cfg: settings.
+    :param clock: clock of batches and reports.
+    """
+
+    def __init__(
+        self, cfg: settings.EngineSettings, clock: clocks.Clock
+    ) -> None:
+        scale = cfg.time_scale
+        self.cfg = cfg
+        self.runs = runs.RunLog()
+        self.switches = faults.Switches()
+        self.orders = orders.Orders(cfg)
+        self.cache = prefixes.PrefixCache(
+            cfg.block_tokens,
+            cfg.cache_blocks,
+            cfg.event_lag * scale,
+            cfg.event_gap,
+            clock,
+            random.Random(cfg.seed),
+        )
+        self.batch = batch.Batch(cfg, self.cache, clock)
+        self.warmth = warmth.Warmth(
+            cfg.start_cold, cfg.cold_allowance, cfg.warm_after * scale, clock
+        )
+        self.reports = reports.Reports(self, clock)
+        self.listener: listener.Listener | None = None
+        self.crashes = 0
+        self._rng = random.Random(cfg.seed + 1)
+        self._reviving: asyncio.Task[None] | None = None
+
+    @property
+    def boot_id(self) -> str:
+        """Identifier of the current boot."""
+        return self.listener.boot_id if self.listener else ""
+
+    @property
+    def held(self) -> int:
+        """Requests in batch and queue."""
+        live = sum(1 for job in self.batch.running if not job.cancelled)
+        return live + self.batch.waiting
+
+    def submit(
+        self,
+        request_id: str,
+        attempt_id: str,
+        body: Mapping[str, Any],
+        priority: int,
+        resume_from: int,
+    ) -> batch.Job:
+        """Take a request into the queue.
+
+        :raises QueueFull: when it was not taken.
+        :raises ColdOverload: when it was too much for a cold engine.
+        """
+        version = str(body["model"])
+        bad = self._bad(version)
+        words = answers.prompt_text(body).split()
+        tokens = answers.tokens(
+            self.cfg, version, body, bad.quality if bad else None
+        )
+        run = runs.Run(request_id, attempt_id, version, boot_id=self.boot_id)
+        job = batch.Job(run, priority, words, tokens)
+        job.position = min(resume_from, len(tokens) - 1)
+        self.batch.submit(job)
+        job.run = self.runs.start(
+            request_id, attempt_id, version, boot_id=self.boot_id
+        )
+        if not self.warmth.take(self.held):
+            self._overload(job)
+        cold = self.warmth.cold
+        self.batch.slow_factor = self.cfg.cold_factor if cold else 1.0
+        return job
+
+    def fails(self, version: str) -> bool:
+        """Whether a bad version fails this request."""
+        bad = self._bad(version)
+        if bad is None or bad.one_in < 1:
+            return False
+        return self._rng.randrange(bad.one_in) == 0
+
+    def crash(self) -> None:
+        """Drop everything and refuse connections."""
+        self.crashes += 1
+        self.runs.crash()
+        self.batch.fail_all()
+        self.orders.crash()
+        self.cache.clear()
+        if self.listener is not None:
+            self.listener.crash()
+        if self.cfg.restart_delay is not None:
+            loop = asyncio.get_running_loop()
+            self._reviving = loop.create_task(self._revive())
+
+    async def restart(self) -> None:
+        """Come back cold with a new boot id and an empty cache."""
+        self.runs.crash()
+        self.batch.fail_all()
+        self.cache.clear()
+        self.batch.pause(False)
+        self.chill()
+        if self.listener is not None:
+            await self.listener.restart()
+
+    def chill(self) -> None:
+        """Turn cold again."""
+        self.warmth.chill()
+        self.batch.slow_factor = self.cfg.cold_factor
+
+    def poisoned(self, body: Mapping[str, Any]) -> bool:
+        """Whether a request crashes the engine."""
+        return self.cfg.poison_marker in answers.prompt_text(body)
+
+    async def close(self) -> None:
+        """Stop background work."""
+        if self._reviving is not None:
+            self._reviving.cancel()
+        self.reports.close()
+        await self.batch.close()
+
+    async def _revive(self) -> None:
+        delay = self.cfg.restart_delay or 0.0
+        await asyncio.sleep(delay * self.cfg.time_scale)
+        await self.restart()
+
+    def _bad(self, version: str) -> faults.FaultOrder | None:
+        bad = self.switches.peek("bad_version")
+        if bad is None or bad.version not in ("", version):
+            return None
+        return bad
+
+    def _overload(self, job: batch.Job) -> None:
+        if self.cfg.cold_overload == "crash":
+            self.crash()
+        else:
+            self.batch.cancel(job)
+            job.run.outcome = "failed"
+        raise ColdOverload
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/service/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in of a plain service."""
