--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/control.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/platform/control.py
@@ -1,5 +1,7 @@
 """Control endpoint of the platform's stand-ins."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 
 from aiohttp import web
@@ -7,12 +9,12 @@
 
 from . import faults
 from . import instances
-from . import listener
 from . import ratings
 from . import weights
 
 # The field named faults would hide the module.
 Switches = faults.Switches
+Switch = Callable[[faults.ServiceName, Switches], Awaitable[None]]
 
 
 class Control(pydantic.BaseModel):
@@ -49,19 +51,19 @@
     """Control endpoint.
 
     :param services: faults and counts by service.
-    :param listeners: listener of each service.
+    :param switch: puts the faults of a service in force.
     """
 
     def __init__(
         self,
         services: Mapping[faults.ServiceName, faults.FaultyService],
-        listeners: Mapping[faults.ServiceName, listener.Listener],
+        switch: Switch,
         listed: instances.InstanceService,
         rated: ratings.RatingStandIn,
         stored: weights.WeightService,
     ) -> None:
         self._services = services
-        self._listeners = listeners
+        self._switch = switch
         self._instances = listed
         self._ratings = rated
         self._weights = stored
@@ -79,7 +81,10 @@
         except pydantic.ValidationError as exc:
             return web.Response(status=400, text=str(exc))
         if control.service is not None and control.faults is not None:
-            await self._switch(control.service, control.faults)
+            service = self._services[control.service]
+            given = control.faults.model_dump(exclude_unset=True)
+            switches = service.switches.model_copy(update=given)
+            await self._switch(control.service, switches)
         if control.lag is not None:
             self._instances.lag = control.lag
         if control.add or control.remove:
@@ -91,17 +96,6 @@
             self._weights.rate = control.weight_rate
         return web.json_response({"ok": True})
 
-    async def _switch(
-        self, name: faults.ServiceName, switches: faults.Switches
-    ) -> None:
-        service = self._services[name]
-        given = switches.model_dump(exclude_unset=True)
-        service.switches = service.switches.model_copy(update=given)
-        if service.switches.down:
-            await self._listeners[name].stop()
-        else:
-            await self._listeners[name].start()
-
     async def _stats(self, req: web.Request) -> web.Response:
         counts = {
             name.value: service.counts
--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/faults.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/platform/faults.py
@@ -32,6 +32,7 @@
     :param apply_then_drop: share of writes that apply and whose connection
         is then cut.
     :param refuse: share of requests answered 503 without effect.
+    :param error: share of requests answered 500 after their effect.
     :param malformed: share of answers replaced by text that is none.
     """
 
@@ -42,6 +43,7 @@
     slow_answer: float = pydantic.Field(0.0, ge=0.0)
     apply_then_drop: float = pydantic.Field(0.0, ge=0.0, le=1.0)
     refuse: float = pydantic.Field(0.0, ge=0.0, le=1.0)
+    error: float = pydantic.Field(0.0, ge=0.0, le=1.0)
     malformed: float = pydantic.Field(0.0, ge=0.0, le=1.0)
 
 
@@ -49,12 +51,20 @@
     """Wraps the requests of one service in its faults and counts them.
 
     :param rng: source of the decisions for shares between 0 and 1.
+    :param refuse: makes the answer to a request that is refused.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        refuse: Callable[[], web.Response] | None = None,
+    ) -> None:
         self.switches = Switches()
+        # Awaited before each effect; tests in this process hold it.
+        self.before: Callable[[], Awaitable[None]] | None = None
         self.counts: dict[str, int] = {}
         self._rng = rng
+        self._refuse = refuse or refuse_plainly
 
     def count(self, operation: str) -> None:
         """Count one operation that reached the service."""
@@ -69,9 +79,11 @@
         """
         if self.switches.slow:
             await asyncio.sleep(self.switches.slow)
+        if self.before is not None:
+            await self.before()
         if self._hit(self.switches.refuse):
             self.count("refused")
-            return refusal()
+            return self._refuse()
         answer = await handler(req)
         if self.switches.slow_answer:
             await asyncio.sleep(self.switches.slow_answer)
@@ -79,6 +91,8 @@
             self.count("dropped")
             if req.transport is not None:
                 req.transport.abort()
+        if self._hit(self.switches.error):
+            return web.Response(status=500, text="internal error")
         if self._hit(self.switches.malformed):
             return web.Response(text="<not what was asked for")
         return answer
@@ -87,10 +101,23 @@
         return share > 0.0 and self._rng.random() < share
 
 
-def refusal() -> web.Response:
-    """Return the answer of a service that takes no work now."""
+def refuse_as_s3() -> web.Response:
+    """Return the refusal of an S3 service that takes no work now."""
     return web.Response(
         status=503,
         content_type="application/xml",
         text="<Error><Code>SlowDown</Code><Message>refused</Message></Error>",
     )
+
+
+def refuse_as_dynamodb() -> web.Response:
+    """Return the refusal of a DynamoDB service that takes no work now."""
+    return web.json_response(
+        {"__type": "com.amazon.coral.availability#ServiceUnavailable"},
+        status=503,
+    )
+
+
+def refuse_plainly() -> web.Response:
+    """Return the refusal of a service without a protocol for it."""
+    return web.Response(status=503, text="refused")
--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/standin.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/platform/standin.py
@@ -17,6 +17,11 @@
 
 CONTROL = "control"
 Name = faults.ServiceName
+REFUSALS = {
+    Name.TABLE: faults.refuse_as_dynamodb,
+    Name.OBJECTS: faults.refuse_as_s3,
+    Name.WEIGHTS: faults.refuse_as_s3,
+}
 
 
 class StandIns:
@@ -30,7 +35,9 @@
     def __init__(self, port: int = 0, seed: int = 0) -> None:
         clock = clocks.SystemClock()
         self.services = {
-            name: faults.FaultyService(random.Random(f"{seed}/{name.value}"))
+            name: faults.FaultyService(
+                random.Random(f"{seed}/{name.value}"), REFUSALS.get(name)
+            )
             for name in Name
         }
         self.table = table.TableService(self.services[Name.TABLE])
@@ -55,7 +62,7 @@
         }
         controls = control.ControlService(
             self.services,
-            self._listeners,
+            self.switch,
             self.instances,
             self.ratings,
             self.weights,
@@ -74,6 +81,14 @@
         )
         await self._control.stop()
 
+    async def switch(self, name: Name, switches: faults.Switches) -> None:
+        """Put the faults of a service in force."""
+        self.services[name].switches = switches
+        if switches.down:
+            await self._listeners[name].stop()
+        else:
+            await self._listeners[name].start()
+
     def ports(self) -> dict[str, int]:
         """Return the TCP port of each service and of the control endpoint."""
         ports = {name.value: e.port for name, e in self._listeners.items()}
--- a/packages/limpetwalk/limpetwalk/platform/http_sd.py
+++ b/packages/limpetwalk/limpetwalk/platform/http_sd.py
@@ -11,7 +11,6 @@
 from . import base
 from . import settings
 
-TIMEOUT = 2.0
 LABEL = "__meta_limpetwalk_"
 
 
@@ -86,7 +85,7 @@
 
     async def open(self) -> None:
         """Make the HTTP session; no connection is opened yet."""
-        timeout = aiohttp.ClientTimeout(total=TIMEOUT)
+        timeout = aiohttp.ClientTimeout(total=self._cfg.timeout)
         self._session = aiohttp.ClientSession(timeout=timeout)
 
     async def fetch(self) -> list[base.Instance]:
--- a/packages/limpetwalk/limpetwalk/platform/settings.py
+++ b/packages/limpetwalk/limpetwalk/platform/settings.py
@@ -49,11 +49,13 @@
     :param client: name of the instance list plug-in.
     :param url: URL of the list.
     :param interval: time between reads, in seconds.
+    :param timeout: longest wait for one read, in seconds.
     """
 
     client: str = "http_sd"
     url: str
     interval: float = 2.0
+    timeout: float = 2.0
 
 
 class RatingSettings(_Settings):
--- /dev/null
+++ b/tests/limpetwalk/platform/test_instances.py
@@ -0,0 +1,146 @@
+"""Contract of the instance list, for the fake and for the real client."""
+
+import unittest
+
+import pydantic
+
+from limpetwalk import clock
+from limpetwalk import exceptions
+from limpetwalk.platform import base
+from limpetwalk.platform import http_sd
+from limpetwalk.platform import memory
+from limpetwalk_bench.platform import faults
+from limpetwalk_bench.platform import instances
+
+from . import harness
+
+Fault = harness.Fault
+ENTRY = base.Instance(
+    "e1",
+    base.InstanceKind.ENTRY,
+    "127.0.0.1:7001",
+    "a",
+    base.InstanceState.LIVE,
+    "127.0.0.1:7002",
+)
+BACKEND = base.Instance(
+    "b1",
+    base.InstanceKind.BACKEND,
+    "127.0.0.1:7003",
+    "b",
+    base.InstanceState.LEAVING,
+)
+
+
+def entry(instance):
+    return instances.Entry.model_validate(
+        {
+            "name": instance.name,
+            "kind": instance.kind,
+            "address": instance.address,
+            "zone": instance.zone,
+            "state": instance.state,
+            "operators": instance.operators,
+        }
+    )
+
+
+class InstanceContract:
+    """Tests that every instance list passes."""
+
+    listed: base.InstanceList
+    faults: tuple[Fault, ...]
+
+    async def show(self, shown):
+        raise NotImplementedError
+
+    async def switch(self, fault):
+        raise NotImplementedError
+
+    async def test_empty_list(self):
+        self.assertEqual([], await self.listed.fetch())
+
+    async def test_instances_are_read_whole(self):
+        await self.show([ENTRY, BACKEND])
+        self.assertEqual([ENTRY, BACKEND], await self.listed.fetch())
+
+    async def test_read_during_a_fault(self):
+        await self.show([ENTRY])
+        for fault in self.faults:
+            with self.subTest(fault=fault.value):
+                await self.switch(fault)
+                with self.assertRaises(exceptions.InstanceListUnavailable):
+                    await self.listed.fetch()
+                await self.switch(None)
+                self.assertEqual([ENTRY], await self.listed.fetch())
+
+
+class MemoryInstancesTest(InstanceContract, unittest.IsolatedAsyncioTestCase):
+    faults = (Fault.DOWN,)
+
+    async def asyncSetUp(self):
+        self.listed = memory.MemoryInstances()
+
+    async def show(self, shown):
+        self.listed.instances = shown
+
+    async def switch(self, fault):
+        self.listed.unavailable = fault is not None
+
+
+class HttpInstanceListTest(InstanceContract, unittest.IsolatedAsyncioTestCase):
+    faults = tuple(
+        fault
+        for fault in Fault
+        if fault not in (Fault.ANSWER_LOST, Fault.SLOW)
+    )
+
+    async def asyncSetUp(self):
+        self.remote = harness.Remote()
+        await self.remote.start()
+        self.addAsyncCleanup(self.remote.stop)
+        cfg = self.remote.settings().instances
+        self.listed = http_sd.HttpInstanceList(cfg)
+        await self.listed.open()
+        self.addAsyncCleanup(self.listed.close)
+
+    async def show(self, shown):
+        entries = [entry(instance) for instance in shown]
+        self.remote.standins.instances.update(entries, [])
+
+    async def switch(self, fault):
+        await self.remote.switch(faults.ServiceName.INSTANCES, fault)
+
+    async def test_slow_read_is_given_up(self):
+        await self.switch(Fault.SLOW)
+        with self.assertRaises(exceptions.InstanceListUnavailable):
+            await self.listed.fetch()
+
+
+class ParseGroupsTest(unittest.TestCase):
+    def test_malformed_documents_are_refused(self):
+        for text in (
+            b"{}",
+            b'[{"targets": [], "labels": {}}]',
+            b'[{"targets": ["a:1", "a:2"], "labels": {}}]',
+            b'[{"targets": ["a:1"], "labels": {"__meta_limpetwalk_name":'
+            b' "e"}}]',
+        ):
+            with self.subTest(text=text):
+                with self.assertRaises(pydantic.ValidationError):
+                    http_sd.parse_groups(text)
+
+
+class InstanceServiceTest(unittest.TestCase):
+    def test_list_shows_changes_after_its_lag(self):
+        held = clock.ManualClock()
+        service = instances.InstanceService(None, held)
+        service.lag = 5.0
+        service.update([entry(ENTRY)], [])
+        held.advance(3.0)
+        service.update([], ["e1"])
+        self.assertEqual([], service.visible())
+        held.advance(2.0)
+        self.assertEqual([ENTRY], service.visible())
+        held.advance(3.0)
+        self.assertEqual([], service.visible())
--- /dev/null
+++ b/tests/limpetwalk/platform/test_ratings.py
@@ -0,0 +1,107 @@
+"""Contract of the rating service, for the fake and for the real client."""
+
+import dataclasses
+import unittest
+
+from limpetwalk import exceptions
+from limpetwalk.platform import base
+from limpetwalk.platform import memory
+from limpetwalk.platform import ratings
+from limpetwalk_bench.platform import faults
+from limpetwalk_bench.platform import ratings as standin
+
+from . import harness
+
+Fault = harness.Fault
+REQUEST = base.RatingRequest("r1", "quick", "small", "v1", "why?", "so")
+PATIENCE = 5.0
+
+
+class RatingContract:
+    """Tests that every rating service passes."""
+
+    rated: base.RatingService
+    faults: tuple[Fault, ...]
+
+    async def switch(self, fault):
+        raise NotImplementedError
+
+    async def test_score_lies_between_0_and_1_and_repeats(self):
+        score = await self.rated.rate(REQUEST, PATIENCE)
+        self.assertTrue(0.0 <= score <= 1.0)
+        self.assertEqual(score, await self.rated.rate(REQUEST, PATIENCE))
+
+    async def test_rating_during_a_fault(self):
+        for fault in self.faults:
+            with self.subTest(fault=fault.value):
+                await self.switch(fault)
+                with self.assertRaises(exceptions.RatingUnavailable):
+                    await self.rated.rate(REQUEST, PATIENCE)
+                await self.switch(None)
+
+
+class MemoryRatingsTest(RatingContract, unittest.IsolatedAsyncioTestCase):
+    faults = (Fault.DOWN,)
+
+    async def asyncSetUp(self):
+        self.rated = memory.MemoryRatings(lambda req: 0.5)
+
+    async def switch(self, fault):
+        self.rated.unavailable = fault is not None
+
+
+class HttpRatingsTest(RatingContract, unittest.IsolatedAsyncioTestCase):
+    faults = tuple(
+        fault
+        for fault in Fault
+        if fault not in (Fault.ANSWER_LOST, Fault.SLOW)
+    )
+
+    async def asyncSetUp(self):
+        self.remote = harness.Remote()
+        await self.remote.start()
+        self.addAsyncCleanup(self.remote.stop)
+        self.rated = ratings.HttpRatings(self.remote.settings().ratings)
+        await self.rated.open()
+        self.addAsyncCleanup(self.rated.close)
+
+    async def switch(self, fault):
+        await self.remote.switch(faults.ServiceName.RATINGS, fault)
+
+    async def test_slow_rating_is_given_up(self):
+        await self.switch(Fault.SLOW)
+        with self.assertRaises(exceptions.RatingUnavailable):
+            await self.rated.rate(REQUEST, 0.1)
+
+
+class RatingStandInTest(unittest.TestCase):
+    def setUp(self):
+        self.service = standin.RatingStandIn(None, seed=1)
+
+    def score(self, **changes):
+        question = {**dataclasses.asdict(REQUEST), **changes}
+        return self.service.score(standin.Question.model_validate(question))
+
+    def test_stated_quality_goes_before_the_table(self):
+        self.assertEqual(0.25, self.score(answer="x [quality=0.25]"))
+
+    def test_most_specific_quality_is_taken(self):
+        qualities = [
+            standin.Quality(subject=subject, request_class=held, mean=mean)
+            for subject, held, mean in (
+                ("*", "*", 0.1),
+                ("*", "quick", 0.2),
+                ("small:v1", "*", 0.3),
+                ("small:v1", "quick", 0.4),
+            )
+        ]
+        for quality in qualities:
+            quality.spread = 0.0
+        for count in range(1, 5):
+            self.service.update(qualities[:count])
+            self.assertEqual(count / 10, self.score())
+
+    def test_bias_moves_the_score_within_its_bounds(self):
+        self.service.bias = 0.5
+        self.assertEqual(0.75, self.score(answer="[quality=0.25]"))
+        self.assertEqual(1.0, self.score(answer="[quality=0.75]"))
