--- a/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
@@ -44,11 +44,11 @@
     def line(self, text: str) -> None:
         """Write a line for people."""
         if not self.as_json:
-            self._stdout.write(text + "\n")
+            self._stdout.write(findings.printable(text) + "\n")
 
     def error(self, text: str) -> None:
         """Write a line about what went wrong."""
-        self._stderr.write(f"limpetctl: {text}\n")
+        self._stderr.write(f"limpetctl: {findings.printable(text)}\n")
 
     def table(
         self, columns: Sequence[str], rows: Iterable[Sequence[object]]
@@ -60,7 +60,7 @@
         for column in columns:
             table.add_column(column, overflow="fold")
         for row in rows:
-            table.add_row(*(rich.text.Text(str(cell)) for cell in row))
+            table.add_row(*(_cell(value) for value in row))
         self._console.print(table)
 
     def findings(self, found: Sequence[findings.Finding]) -> None:
@@ -69,6 +69,11 @@
             self.line(str(finding))
 
 
+def _cell(value: object) -> rich.text.Text:
+    # Text, not str: brackets in a value are no markup.
+    return rich.text.Text(findings.printable(str(value)))
+
+
 def finding_json(finding: findings.Finding) -> dict[str, Any]:
     """Return a finding as JSON for programs."""
     place = finding.place
--- a/packages/limpetwalk/limpetwalk/conf/findings.py
+++ b/packages/limpetwalk/limpetwalk/conf/findings.py
@@ -58,7 +58,14 @@
         text = ": ".join(parts)
         if self.level is Level.WARNING:
             text = f"{text} (warning)"
-        return f"{text}; {self.hint}" if self.hint else text
+        return printable(f"{text}; {self.hint}" if self.hint else text)
+
+
+def printable(text: str) -> str:
+    """Return a text on one line, without control characters."""
+    return "".join(
+        char if char.isprintable() else ascii(char)[1:-1] for char in text
+    )
 
 
 def format_path(path: KeyPath) -> str:
--- a/packages/limpetwalk/limpetwalk/conf/loader.py
+++ b/packages/limpetwalk/limpetwalk/conf/loader.py
@@ -12,6 +12,7 @@
 from . import document
 from . import findings
 from . import marked
+from . import partial
 from . import validation
 from . import yamlfile
 
@@ -60,39 +61,45 @@
             tree = marked.merge(tree, outcome.ok_value)
         else:
             found.extend(outcome.err_value)
-    if not findings.errors(found) and not tree.value:
-        found.append(_nothing_declared(path))
-    if findings.errors(found):
-        # Sections of an unreadable file would be reported as undeclared
-        # names, so the document is only checked when all files were read.
-        return Err(findings.in_order(found))
-    return _validate(tree, operations, found)
+    whole = not findings.errors(found)
+    if whole and not tree.value:
+        found.append(_folder_error("nothing-declared", path, "empty files"))
+        return Err(found)
+    doc = _validate(tree, operations or document.Operations(), found, whole)
+    found = findings.in_order(marked.placed(item, tree) for item in found)
+    if doc is None or findings.errors(found):
+        return Err(found)
+    return Ok(LoadedFolder(doc, tree, found))
 
 
 def _validate(
     tree: marked.Marked,
-    operations: document.Operations | None,
+    operations: document.Operations,
     found: list[findings.Finding],
-) -> Result[LoadedFolder, list[findings.Finding]]:
-    if isinstance(tree.value, dict) and "operations" in tree.value:
+    whole: bool,
+) -> document.Document | None:
+    """Return the document of a tree and add all findings in it.
+
+    :param whole: whether all files were read; else names and keys may be
+        declared in those that were not, and are not reported as missing.
+    """
+    plain = tree.plain()
+    if plain.pop("operations", None) is not None:
         found.append(_operations_in_file())
-        found = [marked.placed(finding, tree) for finding in found]
-        return Err(findings.in_order(found))
     try:
-        doc = document.Document.from_tree(tree.plain())
+        doc = document.Document.from_tree(plain)
     except pydantic.ValidationError as exc:
-        found.extend(validation.from_error(exc, document.Document))
-        found = [marked.placed(finding, tree) for finding in found]
-        return Err(findings.in_order(found))
-    if operations is not None:
-        doc = doc.model_copy(update={"operations": operations})
-    found.extend(checks.run_checks(doc))
-    found = findings.in_order(
-        marked.placed(finding, tree) for finding in found
-    )
-    if findings.errors(found):
-        return Err(found)
-    return Ok(LoadedFolder(doc, tree, found))
+        invalid = validation.from_error(exc, document.Document)
+        if whole:
+            invalid += partial.check_rest(plain, invalid, operations)
+        else:
+            invalid = [item for item in invalid if item.id != "missing"]
+        found.extend(invalid)
+        return None
+    doc = doc.model_copy(update={"operations": operations})
+    if whole:
+        found.extend(checks.run_checks(doc))
+    return doc
 
 
 def _list_files(
@@ -102,16 +109,20 @@
         names = sorted(os.listdir(path))
     except OSError as exc:
         got = exc.strerror or str(exc)
-        return Err([_folder_finding("folder-unreadable", path, got)])
+        return Err([_folder_error("folder-unreadable", path, got)])
     shown = [name for name in names if not name.startswith(".")]
     files = [
         os.path.join(path, name) for name in shown if name.endswith(SUFFIXES)
     ]
     if not files:
-        return Err([_folder_finding("folder-empty", path, "no such file")])
+        return Err([_folder_error("folder-empty", path, "no such file")])
     if len(files) > MAX_FILES:
         got = f"{len(files)} files, more than {MAX_FILES}"
-        return Err([_folder_finding("folder-too-large", path, got)])
+        return Err([_folder_error("folder-too-large", path, got)])
+    size = sum(_size(file) for file in files)
+    if size > MAX_FOLDER_BYTES:
+        got = f"{size} bytes, more than {MAX_FOLDER_BYTES}"
+        return Err([_folder_error("folder-too-large", path, got)])
     ignored = [
         findings.Finding(
             "ignored",
@@ -127,7 +138,15 @@
     return Ok((files, ignored))
 
 
-def _folder_finding(ident: str, path: str, got: str) -> findings.Finding:
+def _size(path: str) -> int:
+    try:
+        return os.stat(path).st_size
+    except OSError:
+        # Reported when the file is read.
+        return 0
+
+
+def _folder_error(ident: str, path: str, got: str) -> findings.Finding:
     return findings.Finding(
         ident,
         findings.Level.ERROR,
@@ -138,17 +157,6 @@
     )
 
 
-def _nothing_declared(path: str) -> findings.Finding:
-    return findings.Finding(
-        "nothing-declared",
-        findings.Level.ERROR,
-        (),
-        "files that declare nothing",
-        "at least one section",
-        place=findings.Place(path),
-    )
-
-
 def _operations_in_file() -> findings.Finding:
     return findings.Finding(
         "operations-in-file",
--- a/packages/limpetwalk/limpetwalk/conf/validation.py
+++ b/packages/limpetwalk/limpetwalk/conf/validation.py
@@ -1,5 +1,6 @@
 """Turns pydantic's errors into findings."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import types
 import typing
@@ -23,12 +24,28 @@
     :param exc: errors of the validation.
     :param model: model that was validated.
     """
+    found = [_finding(error, model) for error in exc.errors(include_url=False)]
+    paths = [item.path for item in found]
     return [
-        _finding(error, model)
-        for error in exc.errors(include_url=False, include_context=False)
+        item
+        for item in found
+        if item.id != "too-short" or not _encloses(item.path, paths)
     ]
 
 
+def _encloses(
+    path: findings.KeyPath, paths: Iterable[findings.KeyPath]
+) -> bool:
+    """Return whether a path leads to the list around another one.
+
+    Items that do not validate make their list too short as well.
+    """
+    return any(
+        len(other) > len(path) and other[: len(path)] == path
+        for other in paths
+    )
+
+
 def _finding(error: Any, model: Any) -> findings.Finding:
     path = tuple(key for key in error["loc"] if key != "[key]")
     kind = error["type"]
@@ -63,6 +80,8 @@
 
 
 def _expected(error: Any) -> str:
+    if error["type"] == "too_short":
+        return f"at least {error['ctx']['min_length']} item"
     message = str(error["msg"])
     for prefix in _PREFIXES:
         message = message.removeprefix(prefix)
--- /dev/null
+++ b/tests/limpetwalk/conf/sites.py
@@ -0,0 +1,89 @@
+"""Folders of configuration for tests."""
+
+import pathlib
+import tempfile
+import textwrap
+import unittest
+
+from limpetwalk.conf import document
+from limpetwalk.conf import loader
+
+ROOT = pathlib.Path(__file__).parents[3]
+BERCVAR = ROOT / "examples" / "bercvar"
+NAVARRETE = ROOT / "examples" / "navarrete"
+
+SMALL = """\
+zones:
+  z1: {region: r1}
+  z2: {region: r1}
+models:
+  cheap:
+    versions: {"1": {}, "2": {}, "0": {state: withdrawn}}
+    default_version: "1"
+  strong:
+    versions: {"5": {}}
+    default_version: "5"
+servers:
+  e1:
+    kind: engine
+    protocol: openai
+    address: 127.0.0.1:9001
+    zone: z1
+    serves: {cheap: ["1", "2"], strong: ["5"]}
+  s1:
+    kind: service
+    protocol: plain
+    address: 127.0.0.1:9002
+    zone: z2
+    service: orders
+cascades:
+  ask: {policy: fixed, models: [cheap, strong], target: 0.5}
+services:
+  orders:
+    routes: [{method: POST, path: /orders, idempotent: false}]
+workspaces:
+  desk:
+    key_digests:
+      - a000000000000000000000000000000000000000000000000000000000000001
+    models: [cheap, strong]
+    cascades: [ask]
+    services: [orders]
+rollouts:
+  cheap-2:
+    model: cheap
+    base: "1"
+    candidate: "2"
+    share: 0.1
+    state: running
+    guard: window
+session_keys:
+  k1: {secret: 0123456789abcdef-secret}
+"""
+
+
+class FolderCase(unittest.TestCase):
+    """Test case with a folder of its own."""
+
+    def setUp(self) -> None:
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.folder = pathlib.Path(holder.name)
+
+    def write(self, name: str, text: str) -> pathlib.Path:
+        """Write a file of the folder."""
+        path = self.folder / name
+        path.write_text(textwrap.dedent(text))
+        return path
+
+    def findings(self) -> list[str]:
+        """Load the folder and return its findings without its path."""
+        outcome = loader.load_folder(str(self.folder))
+        prefix = f"{self.folder}/"
+        return [str(item).removeprefix(prefix) for item in outcome.err() or []]
+
+
+def small() -> document.Document:
+    """Return the small document."""
+    with tempfile.TemporaryDirectory() as folder:
+        pathlib.Path(folder, "site.yaml").write_text(SMALL)
+        return loader.load_folder(folder).unwrap()
