--- a/packages/limpetwalk-bench/limpetwalk_bench/backend/program.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/backend/program.py
@@ -46,7 +46,7 @@
     if FLAGS.settings:
         text = pathlib.Path(FLAGS.settings).read_text(encoding="utf-8")
         values.update(yaml.safe_load(text) or {})
-    for item in FLAGS["set"].value:
+    for item in FLAGS["set"].value or ():
         name, _, value = item.partition("=")
         values[name] = yaml.safe_load(value)
     return kind.model_validate(values)
--- a/packages/limpetwalk/limpetwalk/backends/base.py
+++ b/packages/limpetwalk/limpetwalk/backends/base.py
@@ -1,6 +1,6 @@
 """Protocol between an entry node and a backend server."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
@@ -119,6 +119,7 @@
     TRUNCATED = "truncated"
     CROSSED = "crossed"
     SERVER_ERROR = "server_error"
+    REJECTED = "rejected"
     DEADLINE = "deadline"
 
 
@@ -151,6 +152,7 @@
         return not self.sent or self.kind in (
             FailureKind.NOT_RUN,
             FailureKind.OVERLOADED,
+            FailureKind.REJECTED,
         )
 
 
@@ -178,9 +180,13 @@
 
     A plug-in is called with the ``snapshot.Server`` and
     ``snapshot.Tuning`` and returns the client.
+
+    :param boot_id: boot id that the server last showed, empty when unknown.
     """
 
-    def complete(self, call: EngineCall) -> AsyncIterator[EngineEvent]:
+    boot_id: str
+
+    def complete(self, call: EngineCall) -> AsyncGenerator[EngineEvent, None]:
         """Run a chat completion and yield its events as they come.
 
         The last event is ``Finished``. Closing the iterator early cancels
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/backends/openai.py
@@ -0,0 +1,234 @@
+"""Client of model engines with an OpenAI-compatible interface."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+import json
+from typing import Any
+
+import aiohttp
+
+from .. import clock as clocks
+from .. import registry
+from ..conf import snapshot
+from . import base
+from . import pool
+
+CHAT_PATH = "/v1/chat/completions"
+PRIORITY_HEADER = "X-Priority"
+RESUME_HEADER = "X-Resume-From"
+DATA_PREFIX = b"data:"
+DONE = b"[DONE]"
+LEAST_WAIT = 0.001
+
+
+@registry.register(registry.Kind.BACKEND_PROTOCOL, "openai")
+class OpenAIClient:
+    """Client of one model engine.
+
+    Answers are always streamed from the engine, also when the caller wants
+    one body, so that silence is seen between tokens.
+
+    :param server: backend server.
+    :param tuning: timeouts.
+    """
+
+    def __init__(
+        self,
+        server: snapshot.Server,
+        tuning: snapshot.Tuning,
+        clock: clocks.Clock | None = None,
+    ) -> None:
+        self._tuning = tuning
+        self._clock = clock or clocks.SystemClock()
+        self._pool = pool.Pool(server.address, tuning.connect_timeout)
+
+    @property
+    def boot_id(self) -> str:
+        """Boot id that the server last showed, empty when unknown."""
+        return self._pool.boot_id
+
+    async def complete(
+        self, call: base.EngineCall
+    ) -> AsyncGenerator[base.EngineEvent, None]:
+        """Run a chat completion and yield its events as they come.
+
+        :raises AttemptFailed: when there is no whole answer.
+        """
+        exchange = pool.Exchange(call.request_id, call.attempt_id)
+        boot_id = self._pool.boot_id
+        try:
+            async for event in self._events(call, exchange):
+                yield event
+        except (aiohttp.ClientError, OSError) as exc:
+            if self._clock.monotonic() >= call.deadline:
+                kind = base.FailureKind.DEADLINE
+                raise exchange.failed(kind, repr(exc)) from exc
+            raise await self._pool.failure(exchange, exc, boot_id) from exc
+
+    async def call_service(self, call: base.ServiceCall) -> base.ServiceAnswer:
+        """Engines serve no plain calls.
+
+        :raises AttemptFailed: always.
+        """
+        raise base.AttemptFailed(
+            base.FailureKind.REJECTED, False, detail="a model engine"
+        )
+
+    async def outcome(self, request_id: str) -> base.ServiceAnswer | None:
+        """Return None; engines keep no answers."""
+        return None
+
+    async def load(self) -> base.LoadReport:
+        """Return the server's load report.
+
+        :raises AttemptFailed: when it does not answer.
+        """
+        return await self._pool.get_load()
+
+    async def close(self) -> None:
+        """Close connections."""
+        await self._pool.close()
+
+    async def _events(
+        self, call: base.EngineCall, exchange: pool.Exchange
+    ) -> AsyncGenerator[base.EngineEvent, None]:
+        headers = {
+            "Content-Type": "application/json",
+            PRIORITY_HEADER: str(call.priority),
+        }
+        if call.resume_from:
+            headers[RESUME_HEADER] = str(call.resume_from)
+        sending = self._pool.send(
+            exchange, "POST", CHAT_PATH, headers, _body(call)
+        )
+        first = self._wait(call, self._tuning.first_token_timeout)
+        async with asyncio.timeout(first):
+            resp = await sending.__aenter__()
+        try:
+            await self._check_head(resp, exchange)
+            async for event in self._read(resp, call, exchange):
+                yield event
+        finally:
+            await sending.__aexit__(None, None, None)
+
+    async def _check_head(
+        self, resp: aiohttp.ClientResponse, exchange: pool.Exchange
+    ) -> None:
+        exchange.check_echo(
+            resp.headers.get(pool.REQUEST_ID_HEADER),
+            resp.headers.get(pool.ATTEMPT_ID_HEADER),
+        )
+        if resp.status == 200:
+            return
+        not_run = resp.headers.get(pool.RUN_STATE_HEADER) == "not_run"
+        kind = failure_kind(resp.status, not_run)
+        async with asyncio.timeout(self._tuning.token_gap_timeout):
+            text = (await resp.content.read(200)).decode(errors="replace")
+        raise exchange.failed(kind, f"status {resp.status}: {text}")
+
+    async def _read(
+        self,
+        resp: aiohttp.ClientResponse,
+        call: base.EngineCall,
+        exchange: pool.Exchange,
+    ) -> AsyncGenerator[base.EngineEvent, None]:
+        finished: base.Finished | None = None
+        silence = self._tuning.first_token_timeout
+        while True:
+            async with asyncio.timeout(self._wait(call, silence)):
+                line = await _next_line(resp, exchange)
+            if not line.startswith(DATA_PREFIX):
+                continue
+            data = line[len(DATA_PREFIX) :].strip()
+            if data == DONE:
+                break
+            chunk = _parse(data, exchange)
+            if chunk.get("usage"):
+                exchange.check_echo(
+                    chunk.get("request_id"), chunk.get("attempt_id")
+                )
+                finished = _finished(chunk, exchange)
+                continue
+            text = _text(chunk, exchange)
+            if text:
+                silence = self._tuning.token_gap_timeout
+                yield base.Delta(text)
+        if finished is None:
+            kind = base.FailureKind.TRUNCATED
+            raise exchange.failed(kind, "no terminal event")
+        # The connection is kept only when the body is read to its end.
+        async with asyncio.timeout(self._wait(call, silence)):
+            await resp.content.read()
+        yield finished
+
+    def _wait(self, call: base.EngineCall, silence: float) -> float:
+        left = call.deadline - self._clock.monotonic()
+        return max(LEAST_WAIT, min(silence, left))
+
+
+def failure_kind(status: int, not_run: bool) -> base.FailureKind:
+    """Return the failure that a status code stands for.
+
+    Without the engine's word that it did not run, it may have run.
+    """
+    if not not_run:
+        return base.FailureKind.SERVER_ERROR
+    if status == 429:
+        return base.FailureKind.OVERLOADED
+    if status in (400, 413, 422):
+        return base.FailureKind.REJECTED
+    return base.FailureKind.NOT_RUN
+
+
+def _body(call: base.EngineCall) -> bytes:
+    body = dict(call.body)
+    body["model"] = f"{call.target.model}:{call.target.version}"
+    body["stream"] = True
+    return json.dumps(body).encode()
+
+
+async def _next_line(
+    resp: aiohttp.ClientResponse, exchange: pool.Exchange
+) -> bytes:
+    try:
+        line = await resp.content.readline()
+    except ValueError as exc:
+        kind = base.FailureKind.SERVER_ERROR
+        raise exchange.failed(kind, f"event too long: {exc}") from exc
+    if not line:
+        kind = base.FailureKind.TRUNCATED
+        raise exchange.failed(kind, "no terminal event")
+    return line
+
+
+def _parse(data: bytes, exchange: pool.Exchange) -> dict[str, Any]:
+    try:
+        chunk = json.loads(data)
+    except ValueError as exc:
+        kind = base.FailureKind.SERVER_ERROR
+        raise exchange.failed(kind, f"malformed event: {exc}") from exc
+    if not isinstance(chunk, dict):
+        kind = base.FailureKind.SERVER_ERROR
+        raise exchange.failed(kind, "an event is not an object")
+    return chunk
+
+
+def _text(chunk: dict[str, Any], exchange: pool.Exchange) -> str:
+    try:
+        return chunk["choices"][0]["delta"].get("content") or ""
+    except (KeyError, IndexError, TypeError, AttributeError) as exc:
+        kind = base.FailureKind.SERVER_ERROR
+        raise exchange.failed(kind, f"malformed event: {exc!r}") from exc
+
+
+def _finished(chunk: dict[str, Any], exchange: pool.Exchange) -> base.Finished:
+    try:
+        usage = base.Usage(
+            int(chunk["usage"]["prompt_tokens"]),
+            int(chunk["usage"]["completion_tokens"]),
+        )
+        reason = str(chunk["choices"][0]["finish_reason"])
+    except (KeyError, IndexError, TypeError, ValueError) as exc:
+        kind = base.FailureKind.SERVER_ERROR
+        raise exchange.failed(kind, f"malformed end: {exc!r}") from exc
+    return base.Finished(usage, reason)
