Add the links between entry nodes: codec, hub, membership

Frames are packed Cap'n Proto behind four bytes of length. Either end of a link may dial; of two links the node with the smaller name closes the earlier, so that the ends never close both. Links carry heartbeats every second and are dropped after three seconds of silence.

--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/peers/codec.py
@@ -0,0 +1,209 @@
+"""Conversion between messages and the frames that carry them.
+
+A frame is one packed Cap'n Proto ``Envelope`` behind its length, four bytes
+in little-endian order. The schema is read when this module is imported, so
+a build needs no generated code.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from dataclasses import dataclass
+import pathlib
+import re
+import typing
+from typing import Any
+
+import capnp
+
+from .. import exceptions
+from ..ledger import base as ledger
+from . import messages
+
+PROTOCOL = 1
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+MAX_MESSAGE_WORDS = 2 * 1024 * 1024
+MS_PER_SECOND = 1000
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(pathlib.Path(__file__).with_name("limpetwalk.capnp")))
+
+
+class MalformedFrame(exceptions.LimpetwalkError):
+    """Bytes from a peer are no frame of this protocol."""
+
+
+class UnknownMessage(exceptions.LimpetwalkError):
+    """A whole frame carries a message that this version does not know.
+
+    :param sender: name of the sending node.
+    :param call_id: call that waits for a reply, or 0.
+    """
+
+    def __init__(self, sender: str, call_id: int) -> None:
+        super().__init__(f"unknown message from {sender!r}")
+        self.sender = sender
+        self.call_id = call_id
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """Message with what the link needs to deliver it.
+
+    :param sender: name of the node that made the message.
+    :param message: the message.
+    :param call_id: shared by a request and its reply; 0 is one-way.
+    :param is_reply: whether it answers a request.
+    """
+
+    sender: str
+    message: messages.Message
+    call_id: int = 0
+    is_reply: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Field:
+    name: str
+    wire: str
+    encode: Callable[[Any], Any]
+    decode: Callable[[Any], Any]
+
+
+def _same(value: Any) -> Any:
+    return value
+
+
+def _camel(name: str) -> str:
+    return re.sub("_([a-z])", lambda found: found.group(1).upper(), name)
+
+
+def _to_ms(seconds: float) -> int:
+    return round(seconds * MS_PER_SECOND)
+
+
+def _from_ms(value_ms: int) -> float:
+    return value_ms / MS_PER_SECOND
+
+
+def _field(field: dataclasses.Field[Any], kind: Any) -> _Field:
+    wire = _camel(field.name)
+    if field.name in ("age", "ttl"):
+        return _Field(field.name, f"{wire}Ms", _to_ms, _from_ms)
+    if kind is messages.Purpose:
+        return _Field(
+            field.name,
+            wire,
+            lambda purpose: purpose.value,
+            lambda text: messages.Purpose(str(text)),
+        )
+    if kind == tuple[str, ...]:
+        return _Field(field.name, wire, list, tuple)
+    if kind == tuple[ledger.BillEntry, ...]:
+        return _Field(field.name, wire, _encode_entries, _decode_entries)
+    return _Field(field.name, wire, _same, _same)
+
+
+def _fields(kind: type) -> tuple[_Field, ...]:
+    hints = typing.get_type_hints(kind)
+    return tuple(
+        _field(field, hints[field.name]) for field in dataclasses.fields(kind)
+    )
+
+
+def _to_wire(fields: tuple[_Field, ...], value: Any) -> dict[str, Any]:
+    return {
+        field.wire: field.encode(getattr(value, field.name))
+        for field in fields
+    }
+
+
+def _from_wire(fields: tuple[_Field, ...], reader: Any) -> dict[str, Any]:
+    return {
+        field.name: field.decode(getattr(reader, field.wire))
+        for field in fields
+    }
+
+
+def _encode_entries(entries: tuple[ledger.BillEntry, ...]) -> list[Any]:
+    return [_to_wire(_ENTRY_FIELDS, entry) for entry in entries]
+
+
+def _decode_entries(readers: Any) -> tuple[ledger.BillEntry, ...]:
+    return tuple(
+        ledger.BillEntry(**_from_wire(_ENTRY_FIELDS, reader))
+        for reader in readers
+    )
+
+
+_ENTRY_FIELDS = _fields(ledger.BillEntry)
+_KINDS: dict[str, type] = {
+    kind.__name__[0].lower() + kind.__name__[1:]: kind
+    for kind in typing.get_args(messages.Message)
+}
+_WIRE_NAMES = {kind: name for name, kind in _KINDS.items()}
+_FIELDS = {kind: _fields(kind) for kind in _WIRE_NAMES}
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the frame of an envelope, with its length in front.
+
+    :raises ValueError: when a field does not fit the schema or the frame
+        would be longer than ``MAX_FRAME_BYTES``.
+    """
+    message = envelope.message
+    body: Any
+    if isinstance(message, messages.Failure):
+        body = message.text
+    else:
+        body = _to_wire(_FIELDS[type(message)], message)
+    try:
+        built = _schema.Envelope.new_message(
+            protocol=PROTOCOL,
+            sender=envelope.sender,
+            callId=envelope.call_id,
+            isReply=envelope.is_reply,
+            body={_WIRE_NAMES[type(message)]: body},
+        )
+    except capnp.KjException as exc:
+        raise ValueError(f"message does not fit the schema: {exc}") from exc
+    packed = built.to_bytes_packed()
+    if len(packed) > MAX_FRAME_BYTES:
+        raise ValueError(f"frame of {len(packed)} bytes is too long")
+    return len(packed).to_bytes(LENGTH_BYTES, "little") + packed
+
+
+def decode(packed: bytes) -> Envelope:
+    """Return the envelope in a frame, given without its length.
+
+    :raises MalformedFrame: when the bytes hold no envelope.
+    :raises UnknownMessage: when they hold one of an unknown message.
+    """
+    try:
+        return _decode(packed)
+    except (capnp.KjException, UnicodeDecodeError, ValueError) as exc:
+        raise MalformedFrame(str(exc).partition("\n")[0]) from exc
+
+
+def _decode(packed: bytes) -> Envelope:
+    reader = _schema.Envelope.from_bytes_packed(
+        packed, traversal_limit_in_words=MAX_MESSAGE_WORDS
+    )
+    if reader.protocol < PROTOCOL:
+        raise MalformedFrame(f"protocol {reader.protocol} is too old")
+    try:
+        name = str(reader.body.which())
+    except capnp.KjException:
+        raise UnknownMessage(reader.sender, reader.callId) from None
+    kind = _KINDS[name]
+    value = getattr(reader.body, name)
+    if kind is messages.Failure:
+        message = messages.Failure(text=value)
+    else:
+        message = kind(**_from_wire(_FIELDS[kind], value))
+    return Envelope(
+        sender=reader.sender,
+        message=message,
+        call_id=reader.callId,
+        is_reply=reader.isReply,
+    )
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/peers/hub.py
@@ -0,0 +1,382 @@
+"""Links of a node to its peers.
+
+Either end may open a link, because either may be the first to learn of the
+other. When two links to one peer stand, the node with the smaller name
+closes the earlier one; the other node uses the one it heard from last. Only
+one end decides, so the two ends never close both.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
+import random
+from typing import Any
+import uuid
+
+from loguru import logger
+
+from .. import clock as clocks
+from .. import exceptions
+from .. import metrics as metrics_
+from ..platform import base as platform
+from . import base
+from . import calls
+from . import codec
+from . import link as link_
+from . import links
+from . import membership
+from . import messages
+
+HEARTBEAT_INTERVAL = 1.0
+SILENCE_BOUND = 3.0
+LIST_INTERVAL = 2.0
+CONNECT_TIMEOUT = 1.0
+MAX_RUNNING_HANDLERS = 1024
+UNKNOWN_MESSAGE = "unknown message"
+BUSY = "busy"
+HANDLER_FAILED = "handler failed"
+
+
+@dataclass(frozen=True, slots=True)
+class HubSettings:
+    """What a hub is told of its own node.
+
+    :param name: unique name of the node.
+    :param zone: its availability zone.
+    :param host: IP address to listen on, which peers reach it at.
+    :param port: TCP port; 0 takes a free one.
+    """
+
+    name: str
+    zone: str
+    host: str
+    port: int
+
+
+class Hub:
+    """Links to all live peers, one task for each.
+
+    :param settings: name and place of this node.
+    :param instances: the platform's instance list.
+    :param clock: source of time.
+    :param rng: source of random numbers.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self,
+        settings: HubSettings,
+        instances: platform.InstanceList,
+        clock: clocks.Clock,
+        rng: random.Random,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self.name = settings.name
+        self.zone = settings.zone
+        self.boot_id = uuid.UUID(int=rng.getrandbits(128)).hex
+        self.members = membership.Membership(settings.name, clock, metrics)
+        self._settings = settings
+        self._instances = instances
+        self._clock = clock
+        self._rng = rng
+        self._links = links.Links(settings.name)
+        self._calls = calls.Calls()
+        self._handlers: dict[type[messages.Message], base.Handler] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._running: set[asyncio.Task[None]] = set()
+        self._dialling: set[str] = set()
+        self._server: asyncio.Server | None = None
+        self._sequence = 0
+        self._generation = 0
+        self._digest = ""
+        self._leaving = False
+        self.address = ""
+        self._dropped = metrics.counter(
+            "limpetwalk_peer_dropped_messages",
+            "Messages to peers that were dropped.",
+            ("reason",),
+        )
+        self._unknown = metrics.counter(
+            "limpetwalk_peer_unknown_messages",
+            "Messages of a kind that this version does not know.",
+        )
+        self._closed = metrics.counter(
+            "limpetwalk_peer_closed_links",
+            "Links to peers that were closed.",
+            ("reason",),
+        )
+        self._late = metrics.counter(
+            "limpetwalk_peer_late_replies",
+            "Replies that nobody waited for any more.",
+        )
+        self._handler_errors = metrics.counter(
+            "limpetwalk_peer_handler_errors",
+            "Messages whose handler raised an exception.",
+            ("kind",),
+        )
+        self._list_errors = metrics.counter(
+            "limpetwalk_instance_list_errors",
+            "Reads of the instance list that failed.",
+        )
+
+    async def start(self) -> None:
+        """Listen for peers and open links to those of the list."""
+        self._server = await asyncio.start_server(
+            self._accept, self._settings.host, self._settings.port
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self._spawn(self._read_list())
+        self._spawn(self._tend())
+
+    async def stop(self) -> None:
+        """Close all links and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks | self._running:
+            task.cancel()
+        for link in self._links.all():
+            link.close()
+        await asyncio.gather(
+            *self._tasks, *self._running, return_exceptions=True
+        )
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def live(self) -> list[base.Peer]:
+        """Return the live peers, without this node, sorted by name."""
+        return self.members.live()
+
+    def subscribe(
+        self, kind: type[messages.Message], handler: base.Handler
+    ) -> None:
+        """Call a handler with the sender's name and each such message."""
+        self._handlers[kind] = handler
+
+    def in_force(self, generation: int, digest: str) -> None:
+        """Tell peers, with the heartbeats, which configuration is in force."""
+        self._generation = generation
+        self._digest = digest
+
+    def leave(self) -> None:
+        """Tell peers at once that this node takes no new work."""
+        self._leaving = True
+        self.broadcast(self._heartbeat())
+
+    def broadcast(self, message: messages.Message) -> None:
+        """Queue a message for every linked peer."""
+        frame = codec.encode(codec.Envelope(self.name, message))
+        for peer in self._links.peers():
+            self._write(peer, frame)
+
+    def send(self, peer: str, message: messages.Message) -> None:
+        """Queue a message for one peer; lost when the link is down."""
+        self._write(peer, codec.encode(codec.Envelope(self.name, message)))
+
+    async def request(
+        self, peer: str, message: messages.Message, timeout: float
+    ) -> messages.Message:
+        """Send a message and return the reply.
+
+        :param timeout: longest wait, in seconds.
+        :raises PeerUnavailable: when no reply came in time.
+        """
+        call_id, fut = self._calls.open(peer)
+        try:
+            frame = codec.encode(
+                codec.Envelope(self.name, message, call_id=call_id)
+            )
+            if not self._write(peer, frame):
+                raise exceptions.PeerUnavailable(f"no link to {peer}")
+            async with asyncio.timeout(timeout):
+                return await fut
+        except TimeoutError:
+            raise exceptions.PeerUnavailable(
+                f"{peer} did not reply within {timeout} s"
+            ) from None
+        finally:
+            self._calls.close(call_id)
+
+    def _write(self, peer: str, frame: bytes) -> bool:
+        link = self._links.best(peer)
+        if link is None:
+            self._dropped.labels("no_link").inc()
+            return False
+        if not link.write(frame):
+            self._dropped.labels("queue_full").inc()
+            return False
+        return True
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        self._sequence += 1
+        return messages.Heartbeat(
+            zone=self.zone,
+            address=self.address,
+            boot_id=self.boot_id,
+            sequence=self._sequence,
+            generation=self._generation,
+            digest=self._digest,
+            leaving=self._leaving,
+        )
+
+    async def _read_list(self) -> None:
+        while True:
+            try:
+                self.members.listed(await self._instances.fetch())
+            except exceptions.InstanceListUnavailable:
+                self._list_errors.inc()
+            self._dial_missing()
+            await asyncio.sleep(LIST_INTERVAL * self._rng.uniform(0.9, 1.1))
+
+    async def _tend(self) -> None:
+        while True:
+            self.members.expire()
+            self._close_silent()
+            frame = codec.encode(codec.Envelope(self.name, self._heartbeat()))
+            for link in self._links.all():
+                link.write(frame)
+            self._dial_missing()
+            await asyncio.sleep(HEARTBEAT_INTERVAL)
+
+    def _close_silent(self) -> None:
+        bound = self._clock.monotonic() - SILENCE_BOUND
+        for link in self._links.all():
+            if link.heard_at < bound:
+                self._close(link, "silent")
+
+    def _close(self, link: link_.Link, reason: str) -> None:
+        self._closed.labels(reason).inc()
+        link.close()
+
+    def _dial_missing(self) -> None:
+        linked = set(self._links.peers())
+        for name, peer in self.members.known().items():
+            if name not in linked and name not in self._dialling:
+                self._dialling.add(name)
+                self._spawn(self._dial(peer))
+
+    async def _dial(self, peer: base.Peer) -> None:
+        host, _, port = peer.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, ValueError):
+            self._dialling.discard(peer.name)
+            return
+        link = link_.Link(reader, writer, True, self._clock)
+        link.peer = peer.name
+        await self._serve(link)
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._spawn(
+            self._serve(link_.Link(reader, writer, False, self._clock))
+        )
+
+    async def _serve(self, link: link_.Link) -> None:
+        dialled = link.peer
+        hello = codec.Envelope(self.name, self._heartbeat())
+        link.write(codec.encode(hello))
+        reason = "ended"
+        try:
+            async with asyncio.timeout(SILENCE_BOUND):
+                await self._greet(link)
+            self._dialling.discard(dialled)
+            while True:
+                self._receive(link, await link.read())
+        except codec.MalformedFrame as exc:
+            logger.warning("link to {} closed: {}", link.peer, exc)
+            reason = "malformed"
+        except TimeoutError:
+            reason = "silent"
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._dialling.discard(dialled)
+            self._close(link, reason)
+            if self._links.remove(link):
+                self._calls.fail(link.peer)
+
+    async def _greet(self, link: link_.Link) -> None:
+        envelope = codec.decode(await link.read())
+        beat = envelope.message
+        if not isinstance(beat, messages.Heartbeat):
+            raise codec.MalformedFrame("first frame is no heartbeat")
+        if link.dialled and envelope.sender != link.peer:
+            raise codec.MalformedFrame(f"{envelope.sender} answered instead")
+        if envelope.sender == self.name:
+            raise codec.MalformedFrame("peer has the name of this node")
+        link.peer = envelope.sender
+        if not self.members.beat(link.peer, beat):
+            raise codec.MalformedFrame("a later boot has replaced the peer")
+        for earlier in self._links.add(link):
+            self._close(earlier, "replaced")
+
+    def _receive(self, link: link_.Link, packed: bytes) -> None:
+        try:
+            envelope = codec.decode(packed)
+        except codec.UnknownMessage as exc:
+            self._unknown.inc()
+            self._fail(link, exc.call_id, UNKNOWN_MESSAGE)
+            return
+        if envelope.sender != link.peer:
+            raise codec.MalformedFrame(f"sender changed to {envelope.sender}")
+        message = envelope.message
+        if isinstance(message, messages.Heartbeat):
+            if not self.members.beat(link.peer, message):
+                raise codec.MalformedFrame("a later boot replaced the peer")
+        if envelope.is_reply:
+            if not self._calls.resolve(link.peer, envelope.call_id, message):
+                self._late.inc()
+            return
+        self._handle(link, envelope)
+
+    def _handle(self, link: link_.Link, envelope: codec.Envelope) -> None:
+        handler = self._handlers.get(type(envelope.message))
+        if handler is None:
+            if not isinstance(envelope.message, messages.Heartbeat):
+                self._unknown.inc()
+                self._fail(link, envelope.call_id, UNKNOWN_MESSAGE)
+            return
+        if len(self._running) >= MAX_RUNNING_HANDLERS:
+            self._dropped.labels("busy").inc()
+            self._fail(link, envelope.call_id, BUSY)
+            return
+        task = asyncio.create_task(self._run(handler, link, envelope))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    def _fail(self, link: link_.Link, call_id: int, text: str) -> None:
+        if call_id:
+            self._reply(link, call_id, messages.Failure(text))
+
+    async def _run(
+        self,
+        handler: base.Handler,
+        link: link_.Link,
+        envelope: codec.Envelope,
+    ) -> None:
+        try:
+            reply = await handler(envelope.sender, envelope.message)
+        except Exception as exc:
+            kind = type(envelope.message).__name__
+            self._handler_errors.labels(kind).inc()
+            logger.warning("handler of {} failed: {}", kind, exc)
+            reply = messages.Failure(HANDLER_FAILED)
+        if envelope.call_id:
+            self._reply(
+                link, envelope.call_id, reply or messages.Failure("no reply")
+            )
+
+    def _reply(
+        self, link: link_.Link, call_id: int, message: messages.Message
+    ) -> None:
+        frame = codec.encode(
+            codec.Envelope(self.name, message, call_id=call_id, is_reply=True)
+        )
+        if not link.write(frame):
+            self._write(link.peer, frame)
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/peers/links.py
@@ -0,0 +1,53 @@
+"""Open links of a node, by peer."""
+
+from . import link as link_
+
+
+class Links:
+    """Open links; more than one to a peer only for a short while.
+
+    :param name: name of this node.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._links: dict[str, list[link_.Link]] = {}
+
+    def add(self, link: link_.Link) -> list[link_.Link]:
+        """Take a link whose peer is known by now.
+
+        :returns: earlier links that this node has to close.
+        """
+        held = self._links.setdefault(link.peer, [])
+        earlier = list(held)
+        held.append(link)
+        return earlier if self._name < link.peer else []
+
+    def remove(self, link: link_.Link) -> bool:
+        """Forget a closed link.
+
+        :returns: whether it was the last link to its peer.
+        """
+        held = self._links.get(link.peer, [])
+        if link not in held:
+            return False
+        held.remove(link)
+        if held:
+            return False
+        del self._links[link.peer]
+        return True
+
+    def best(self, peer: str) -> link_.Link | None:
+        """Return the link to a peer that was heard from last."""
+        held = self._links.get(peer)
+        if not held:
+            return None
+        return max(held, key=lambda link: link.heard_at)
+
+    def peers(self) -> list[str]:
+        """Return the names of linked peers."""
+        return list(self._links)
+
+    def all(self) -> list[link_.Link]:
+        """Return every open link."""
+        return [link for held in self._links.values() for link in held]
--- /dev/null
+++ b/tests/limpetwalk/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the links between entry nodes."""
--- /dev/null
+++ b/tests/limpetwalk/peers/fakes.py
@@ -0,0 +1,70 @@
+"""Fakes and helpers for tests of hubs."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import metrics
+from limpetwalk.peers import hub as hubs
+from limpetwalk.platform import base as platform
+
+POLL_INTERVAL = 0.01
+WAIT_TIMEOUT = 10.0
+
+
+class FakeInstances:
+    """Instance list that a test fills."""
+
+    def __init__(self) -> None:
+        self.instances: list[platform.Instance] = []
+        self.down = False
+
+    async def fetch(self) -> list[platform.Instance]:
+        """Return the list."""
+        if self.down:
+            raise exceptions.InstanceListUnavailable("down")
+        return list(self.instances)
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    def add(self, hub: hubs.Hub) -> None:
+        """Show a started hub in the list."""
+        self.instances.append(
+            platform.Instance(
+                name=hub.name,
+                kind=platform.InstanceKind.ENTRY,
+                address=hub.address,
+                zone=hub.zone,
+                state=platform.InstanceState.LIVE,
+            )
+        )
+
+
+def make_hub(
+    name: str,
+    instances: platform.InstanceList,
+    zone: str = "z1",
+    clock: clocks.Clock | None = None,
+    seed: int = 1,
+) -> hubs.Hub:
+    """Return a hub on a free loopback port, not started."""
+    return hubs.Hub(
+        hubs.HubSettings(name=name, zone=zone, host="127.0.0.1", port=0),
+        instances,
+        clock or clocks.SystemClock(),
+        random.Random(f"{seed}{name}"),
+        metrics.Metrics(),
+    )
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Return when a condition holds.
+
+    :raises TimeoutError: when it does not hold in time.
+    """
+    async with asyncio.timeout(WAIT_TIMEOUT):
+        while not condition():
+            await asyncio.sleep(POLL_INTERVAL)
