Lay out a whole site on one machine for the demo

The shell starts every process, since a process of ours starts none; the layout only writes settings, configuration overrides and the list of commands.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,6 @@
 
 clean:
 	rm -rf $(VENV) build run
+
+demo: $(STAMP)
+	bash scripts/demo.sh
--- a/packages/limpetwalk-bench/limpetwalk_bench/load/caller.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/load/caller.py
@@ -122,7 +122,7 @@
         started: float,
     ) -> None:
         headers = self._headers(found.plan)
-        body = {"tag": tag_of(found.plan), "amount": rng.randint(1, 900)}
+        body = {"reference": tag_of(found.plan), "amount": rng.randint(1, 900)}
         path = f"/services/{cfg.service}{cfg.path}"
 
         async def attempt(base: str) -> None:
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/site/__init__.py
@@ -0,0 +1,1 @@
+"""Lays out a site on this machine: settings, configuration and commands."""
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/site/__main__.py
@@ -0,0 +1,59 @@
+"""Command line: lay out a site, or register its instances.
+
+``python -m limpetwalk_bench.site lay-out`` writes a site's folder;
+``python -m limpetwalk_bench.site register`` tells the platform's stand-in
+which instances there are.
+"""
+
+import json
+import pathlib
+import shutil
+import sys
+import urllib.request
+
+from absl import app
+from absl import flags
+import yaml
+
+from . import layout
+
+_EXAMPLE = flags.DEFINE_string("example", "examples/bercvar", "configuration")
+_NODES = flags.DEFINE_integer("nodes", 3, "number of entry nodes")
+_OUT = flags.DEFINE_string("out", "run/demo", "folder of the site")
+_SCALE = flags.DEFINE_float("time_scale", 1.0, "factor on stand-ins' times")
+REGISTER_TIMEOUT = 5.0
+
+
+def _lay_out(out: pathlib.Path) -> None:
+    shutil.rmtree(out, ignore_errors=True)
+    example = pathlib.Path(_EXAMPLE.value)
+    options = layout.Options(example, _NODES.value, out, _SCALE.value)
+    layout.write(layout.lay_out(options), out)
+    for path in sorted(example.glob("*.yaml")):
+        shutil.copy(path, out / "config" / path.name)
+
+
+def _register(out: pathlib.Path) -> None:
+    site = yaml.safe_load((out / "site.yaml").read_text("utf-8"))
+    entries = yaml.safe_load((out / "instances.yaml").read_text("utf-8"))
+    req = urllib.request.Request(
+        f"{site['platform']['url']}/_control",
+        data=json.dumps(entries).encode(),
+        headers={"Content-Type": "application/json"},
+    )
+    with urllib.request.urlopen(req, timeout=REGISTER_TIMEOUT) as resp:
+        resp.read()
+
+
+def main(argv: list[str]) -> int:
+    """Run one of the two commands."""
+    out = pathlib.Path(_OUT.value)
+    commands = {"lay-out": _lay_out, "register": _register}
+    if len(argv) != 2 or argv[1] not in commands:
+        raise app.UsageError("expected one of: lay-out, register")
+    commands[argv[1]](out)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(app.run(main))
