--- a/packages/limpetwalk-bench/limpetwalk_bench/backend/runs.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/backend/runs.py
@@ -58,9 +58,13 @@
         run = Run(
             request_id, attempt_id, subject, key, boot_id, started=time.time()
         )
-        self.runs.append(run)
+        self.add(run)
         return run
 
+    def add(self, run: Run) -> None:
+        """Record a run that took effect."""
+        self.runs.append(run)
+
     def crash(self) -> None:
         """Close all open runs as crashed."""
         for run in self.runs:
--- a/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
@@ -188,8 +188,9 @@
             return answer.error(500, "cold_overload")
         try:
             return await answer.send(job)
-        except batch.EngineFailed:
-            return answer.error(500, "crashed")
+        except ConnectionError:
+            # The caller has left; there is nobody to answer.
+            return answer.error(499, "client_left")
         finally:
             if not job.cancelled:
                 self.engine.batch.cancel(job)
@@ -283,7 +284,6 @@
         if self._owner.engine.poisoned(self._chat.body):
             await job.out.get()
             self._owner.engine.crash()
-            raise batch.EngineFailed("poisoned")
         if self._chat.stream:
             return await self._stream(job, truncate)
         return await self._whole(job, truncate)
@@ -352,10 +352,7 @@
         return resp
 
     async def _next(self, job: batch.Job) -> str | None:
-        got = await job.out.get()
-        if isinstance(got, Exception):
-            raise got
-        return got
+        return await job.out.get()
 
     def _cross(self, where: str) -> None:
         other = faults.crossed(*self._ids)
@@ -381,7 +378,7 @@
     ) -> dict[str, Any]:
         choice = {"index": 0, "delta": delta, "finish_reason": finish}
         return {
-            "id": f"chatcmpl-{self._chat.request_id}",
+            "id": f"chatcmpl-{self._event_ids[0]}",
             "object": "chat.completion.chunk",
             "created": int(time.time()),
             "model": self._chat.model,
--- a/packages/limpetwalk-bench/limpetwalk_bench/engine/batch.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/batch.py
@@ -20,10 +20,6 @@
     """The engine holds as many requests as it may."""
 
 
-class EngineFailed(Exception):
-    """The engine gave a request up."""
-
-
 @dataclass(slots=True)
 class Job:
     """Request at the engine.
@@ -43,9 +39,7 @@
     blocks: list[str] = field(default_factory=list)
     prompt_left: int = 0
     cancelled: bool = False
-    out: asyncio.Queue[str | None | Exception] = field(
-        default_factory=asyncio.Queue
-    )
+    out: asyncio.Queue[str | None] = field(default_factory=asyncio.Queue)
 
 
 class Batch:
@@ -104,6 +98,11 @@
         """
         if self.waiting >= self._cfg.max_queue:
             raise QueueFull
+        if job.position >= len(job.tokens):
+            job.out.put_nowait(None)
+            job.cancelled = True
+            job.run.finish("finished")
+            return
         heapq.heappush(self._waiting, (job.priority, next(self._order), job))
         self._wake.set()
 
@@ -116,7 +115,6 @@
         """Drop all requests, as a crash does."""
         for job in [*self.running, *(item[2] for item in self._waiting)]:
             job.cancelled = True
-            job.out.put_nowait(EngineFailed("crashed"))
         self.running.clear()
         self._waiting.clear()
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/engine/core.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/core.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 import random
+import time
 from typing import Any
 
 from limpetwalk import clock as clocks
@@ -86,13 +87,17 @@
         tokens = answers.tokens(
             self.cfg, version, body, bad.quality if bad else None
         )
-        run = runs.Run(request_id, attempt_id, version, boot_id=self.boot_id)
+        run = runs.Run(
+            request_id,
+            attempt_id,
+            version,
+            boot_id=self.boot_id,
+            started=time.time(),
+        )
         job = batch.Job(run, priority, words, tokens)
-        job.position = min(resume_from, len(tokens) - 1)
+        job.position = min(resume_from, len(tokens))
         self.batch.submit(job)
-        job.run = self.runs.start(
-            request_id, attempt_id, version, boot_id=self.boot_id
-        )
+        self.runs.add(run)
         if not self.warmth.take(self.held):
             self._overload(job)
         cold = self.warmth.cold
@@ -159,7 +164,7 @@
     def _overload(self, job: batch.Job) -> None:
         if self.cfg.cold_overload == "crash":
             self.crash()
-        else:
-            self.batch.cancel(job)
-            job.run.outcome = "failed"
+            return
+        self.batch.cancel(job)
+        job.run.outcome = "failed"
         raise ColdOverload
--- a/packages/limpetwalk/limpetwalk/backends/openai.py
+++ b/packages/limpetwalk/limpetwalk/backends/openai.py
@@ -17,6 +17,7 @@
 PRIORITY_HEADER = "X-Priority"
 RESUME_HEADER = "X-Resume-From"
 DATA_PREFIX = b"data:"
+ID_PREFIX = "chatcmpl-"
 DONE = b"[DONE]"
 LEAST_WAIT = 0.001
 
@@ -133,6 +134,7 @@
         exchange: pool.Exchange,
     ) -> AsyncGenerator[base.EngineEvent, None]:
         finished: base.Finished | None = None
+        expected_id = f"{ID_PREFIX}{call.request_id}"
         silence = self._tuning.first_token_timeout
         while True:
             async with asyncio.timeout(self._wait(call, silence)):
@@ -143,6 +145,9 @@
             if data == DONE:
                 break
             chunk = _parse(data, exchange)
+            if chunk.get("id") != expected_id:
+                kind = base.FailureKind.CROSSED
+                raise exchange.failed(kind, f"event of {chunk.get('id')}")
             if chunk.get("usage"):
                 exchange.check_echo(
                     chunk.get("request_id"), chunk.get("attempt_id")
