Cut connections under uvloop too

uvloop's transports are no asyncio.Transport, so a crash and a silence of the stand-in touched none; a poisoned request timed out instead of losing its connection.

--- a/packages/limpetwalk-bench/limpetwalk_bench/backend/listener.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/backend/listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from typing import Any
 import uuid
 
 from aiohttp import web
@@ -104,9 +105,9 @@
             with contextlib.suppress(asyncio.TimeoutError):
                 await self._runner.cleanup()
 
-    def _connections(self) -> list[asyncio.Transport]:
+    def _connections(self) -> list[Any]:
         if self._runner is None or self._runner.server is None:
             return []
         handlers = self._runner.server.connections
         held = [handler.transport for handler in handlers]
-        return [conn for conn in held if isinstance(conn, asyncio.Transport)]
+        return [conn for conn in held if conn is not None]
