--- a/packages/limpetwalk-bench/limpetwalk_bench/engine/answers.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/answers.py
@@ -58,10 +58,17 @@
     body: Mapping[str, Any],
     mean: float | None = None,
 ) -> list[str]:
-    """Return the tokens of an answer; equal for equal seed and request."""
-    rng = _rng(cfg.seed, "tokens", version, prompt_text(body))
+    """Return the tokens of an answer; equal for equal seed and request.
+
+    The first token repeats the last word of the prompt, so that a caller
+    can tell its own answer from another's.
+    """
+    prompt = prompt_text(body)
+    rng = _rng(cfg.seed, "tokens", version, prompt)
     length = _length(cfg, body, rng)
     words = [f"{rng.choice(WORDS)} " for _ in range(length - 1)]
+    if words:
+        words[0] = f"{prompt.split()[-1]} " if prompt.split() else words[0]
     words.append(f"[q={quality(cfg, version, body, mean):.2f}]")
     return words
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -17,5 +17,5 @@
 "$PY" -m limpetwalk_bench.load --workload="$WORKLOAD" \
     --site="$SITE/site.yaml" --json="$SITE/result.json"
 code=$?
-"$PY" -m limpetwalk_ctl.main --settings="$SITE/ctl.yaml" status
+"$(dirname "$PY")/limpetctl" --settings="$SITE/ctl.yaml" status
 exit $code
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -58,7 +58,7 @@
     "$PY" -m limpetwalk_bench.site lay-out --out="$SITE" "$@" || return 1
     start_stage 0 || return 1
     "$PY" -m limpetwalk_bench.site register --out="$SITE" || return 1
-    "$PY" -m limpetwalk_ctl.main --settings="$SITE/ctl.yaml" \
+    "$(dirname "$PY")/limpetctl" --settings="$SITE/ctl.yaml" \
         apply "$SITE/config" || return 1
     start_stage 1
 }
