--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: policies side by side on the same seeds."""
--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -112,4 +112,5 @@
   failures @4 :UInt32;
   total @5 :Float64;        # sum of ratings
   squares @6 :Float64;      # sum of squared ratings
+  rated @7 :UInt32;
 }
--- a/packages/limpetwalk/limpetwalk/peers/messages.py
+++ b/packages/limpetwalk/limpetwalk/peers/messages.py
@@ -140,6 +140,7 @@
     :param window: number of the sender's window; a repeat replaces.
     :param successes: answers that met the target.
     :param failures: answers that failed or missed it.
+    :param rated: answers with a rating.
     :param total: sum of the ratings.
     :param squares: sum of the squared ratings.
     """
@@ -149,6 +150,7 @@
     window: int
     successes: int
     failures: int
+    rated: int
     total: float
     squares: float
 
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs: evidence of versions and the guards that halt bad ones."""
