--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/app.py
@@ -0,0 +1,129 @@
+"""Composition of the node from its parts."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+import random
+from typing import Any
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics as measures
+from limpetwalk.conf import snapshot
+from limpetwalk.ledger import base as ledger
+from limpetwalk.platform import base as platform
+from limpetwalk.records import base as records
+from limpetwalk.routing import climb
+
+from . import bills
+from . import callers
+from . import chat
+from . import lifecycle
+from . import operators
+from . import parts
+from . import record_flow
+from . import record_notes
+from . import services
+from . import sessions
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """Parts that the callers' API and operators' interface are built on.
+
+    :param name: name of the node.
+    :param holder: name under which it claims records.
+    :param config: configuration in force.
+    :param offer: takes the snapshot of an accepted generation.
+    :param engines: runs steps at model engines.
+    :param services: calls plain services.
+    :param ratings: rating service, or None without one.
+    :param records: durable records.
+    :param biller: writes bill entries.
+    :param is_live: tells whether a holder of records is still at work.
+    :param status: returns what ``/status`` shows.
+    """
+
+    name: str
+    holder: str
+    config: parts.ConfigSource
+    offer: Callable[[int, bytes], Awaitable[bool]]
+    engines: climb.Engines
+    services: parts.Services
+    ratings: platform.RatingService | None
+    records: records.RecordStore
+    biller: ledger.Biller
+    is_live: Callable[[str], bool]
+    status: Callable[[], dict[str, Any]]
+    clock: clocks.Clock
+    metrics: measures.Metrics
+    rng: random.Random
+
+
+@dataclass(frozen=True, slots=True)
+class Interfaces:
+    """Both interfaces of a node with the state that they share."""
+
+    life: lifecycle.Lifecycle
+    callers: callers.Callers
+    operators: operators.Operators
+
+
+def compose(held: Parts) -> Interfaces:
+    """Return the interfaces of a node that has these parts."""
+    life = lifecycle.Lifecycle()
+    api = callers.Callers(
+        held.config, life, held.clock, held.metrics, held.rng
+    )
+    bills_ = bills.Bills(
+        held.name, held.biller, life, held.clock, held.metrics
+    )
+    api.add("POST", "/v1/chat/completions", _chat(held, bills_))
+    api.add("GET", "/v1/models", sessions.list_models)
+    api.add("POST", "/v1/sessions", sessions.OpenSession(held.rng))
+    api.add_prefix(services.SERVICES_PREFIX, _services(held, bills_, life))
+    api.add_prefix(services.OUTCOMES_PREFIX, services.Outcomes(held.records))
+    interface = operators.Operators(
+        held.config, life, held.metrics, held.status, held.offer
+    )
+    return Interfaces(life, api, interface)
+
+
+def _chat(held: Parts, bills_: bills.Bills) -> chat.ChatCompletions:
+    climber = climb.Climber(
+        _in_force(held.config),
+        held.engines,
+        held.ratings,
+        held.clock,
+        held.metrics,
+        held.rng,
+    )
+    return chat.ChatCompletions(climber, bills_, held.clock, held.metrics)
+
+
+def _services(
+    held: Parts, bills_: bills.Bills, life: lifecycle.Lifecycle
+) -> services.PlainServices:
+    flow = record_flow.RecordFlow(
+        held.holder,
+        held.records,
+        held.services,
+        record_notes.RecordNotes(held.records, life, held.metrics),
+        bills_,
+        life,
+        held.is_live,
+    )
+    return services.PlainServices(
+        held.services, flow, bills_, held.clock, held.metrics
+    )
+
+
+def _in_force(
+    config: parts.ConfigSource,
+) -> Callable[[], snapshot.Applied]:
+    def current() -> snapshot.Applied:
+        applied = config.current()
+        # Requests are only taken in while there is a configuration.
+        assert applied is not None
+        return applied
+
+    return current
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/authentication.py
@@ -0,0 +1,74 @@
+"""Authentication of callers by the bearer key of their workspace."""
+
+from dataclasses import dataclass
+import hashlib
+import hmac
+
+from limpetwalk import refusals
+from limpetwalk.conf import snapshot
+
+SCHEME = "bearer "
+# Keys are found by the start of their digest; the whole digest is then
+# compared in constant time.
+PREFIX_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldKey:
+    digest: bytes
+    workspace: str
+
+
+class KeyDirectory:
+    """Finds the workspace of a key; rebuilt when the configuration changes."""
+
+    def __init__(self) -> None:
+        self._applied: snapshot.Applied | None = None
+        self._held: dict[bytes, _HeldKey] = {}
+
+    def authenticate(
+        self, applied: snapshot.Applied, header: str | None
+    ) -> snapshot.Workspace:
+        """Return the workspace whose key an Authorization header carries.
+
+        :raises Refused: when the key is missing or belongs to no workspace.
+        """
+        if applied is not self._applied:
+            self._rebuild(applied)
+        if header is None or not header.lower().startswith(SCHEME):
+            raise _refused(
+                refusals.Reason.MISSING_KEY,
+                "Send the workspace's key as 'Authorization: Bearer <key>'.",
+            )
+        key = header[len(SCHEME) :].strip()
+        # Surrogates stand for the bytes of a header that is not UTF-8.
+        raw = key.encode("utf-8", "surrogateescape")
+        digest = hashlib.sha256(raw).digest()
+        name = self._find(digest)
+        if name is None:
+            raise _refused(
+                refusals.Reason.WRONG_KEY, "The key belongs to no workspace."
+            )
+        return applied.snapshot.workspaces[name]
+
+    def _find(self, digest: bytes) -> str | None:
+        held = self._held.get(digest[:PREFIX_BYTES])
+        if held is None or not hmac.compare_digest(held.digest, digest):
+            return None
+        return held.workspace
+
+    def _rebuild(self, applied: snapshot.Applied) -> None:
+        self._held = {
+            bytes.fromhex(digest)[:PREFIX_BYTES]: _HeldKey(
+                bytes.fromhex(digest), workspace.name
+            )
+            for workspace in applied.snapshot.workspaces.values()
+            for digest in workspace.key_digests
+        }
+        self._applied = applied
+
+
+def _refused(reason: refusals.Reason, message: str) -> refusals.Refused:
+    return refusals.Refused(
+        refusals.Refusal(reason, refusals.RunState.NOT_RUN, 401, message)
+    )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/bodies.py
@@ -0,0 +1,58 @@
+"""Bounded reading of callers' bodies."""
+
+import asyncio
+
+from aiohttp import web
+from aiohttp import web_protocol
+
+from limpetwalk import refusals
+
+# A caller that sends nothing for this long has stopped half-way.
+STALL_TIMEOUT = 15.0
+
+
+async def read_body(req: web.BaseRequest, limit_bytes: int) -> bytes:
+    """Return the whole body of a request.
+
+    :raises Refused: when it is larger than the limit, stops half-way or
+        can't be decoded.
+    """
+    if (req.content_length or 0) > limit_bytes:
+        raise _too_large(limit_bytes)
+    parts: list[bytes] = []
+    size = 0
+    try:
+        while True:
+            async with asyncio.timeout(STALL_TIMEOUT):
+                part = await req.content.readany()
+            if not part:
+                return b"".join(parts)
+            parts.append(part)
+            size += len(part)
+            if size > limit_bytes:
+                raise _too_large(limit_bytes)
+    except (TimeoutError, web_protocol.RequestPayloadError) as exc:
+        raise _incomplete(exc) from exc
+
+
+def _too_large(limit_bytes: int) -> refusals.Refused:
+    return refusals.Refused(
+        refusals.Refusal(
+            refusals.Reason.BODY_TOO_LARGE,
+            refusals.RunState.NOT_RUN,
+            413,
+            f"The body is larger than {limit_bytes} bytes.",
+        )
+    )
+
+
+def _incomplete(exc: Exception) -> refusals.Refused:
+    stalled = isinstance(exc, TimeoutError)
+    return refusals.Refused(
+        refusals.Refusal(
+            refusals.Reason.BODY_INCOMPLETE,
+            refusals.RunState.NOT_RUN,
+            408 if stalled else 400,
+            "The body stopped half-way or could not be decoded.",
+        )
+    )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/callers.py
@@ -0,0 +1,168 @@
+"""Callers' API: the path of each request, written straight down."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+
+from aiohttp import web
+from loguru import logger
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics as measures
+from limpetwalk import refusals
+from limpetwalk.conf import snapshot
+
+from . import admission
+from . import authentication
+from . import calls
+from . import errors
+from . import lifecycle
+from . import parts
+
+REQUEST_ID_BITS = 96
+SHUTDOWN_RETRY_AFTER = 1.0
+
+Endpoint = Callable[[calls.Call], Awaitable[web.StreamResponse]]
+
+
+class Callers:
+    """Takes each request in and answers each refusal, in one place.
+
+    :param name: name of the node.
+    :param config: configuration in force.
+    :param life: phase of the node.
+    :param clock: clock of latencies and limits.
+    :param metrics: metrics of the process.
+    :param rng: source of request identifiers.
+    """
+
+    def __init__(
+        self,
+        config: parts.ConfigSource,
+        life: lifecycle.Lifecycle,
+        clock: clocks.Clock,
+        metrics: measures.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._config = config
+        self._life = life
+        self._clock = clock
+        self._rng = rng
+        self._keys = authentication.KeyDirectory()
+        self._admission = admission.Admission(clock)
+        self._refusals = errors.RefusalCounter(metrics)
+        self._exact: dict[tuple[str, str], Endpoint] = {}
+        self._prefixed: list[tuple[str, Endpoint]] = []
+        self._latency = metrics.latency(
+            "limpetwalk_request",
+            "Time from a request's headers to the end of its response.",
+        )
+        self._left = metrics.counter(
+            "limpetwalk_callers_left",
+            "Requests whose caller left before the answer was whole.",
+        )
+
+    def add(self, method: str, path: str, endpoint: Endpoint) -> None:
+        """Serve a path by an endpoint."""
+        self._exact[(method, path)] = endpoint
+
+    def add_prefix(self, prefix: str, endpoint: Endpoint) -> None:
+        """Serve all paths and methods below a prefix by an endpoint."""
+        self._prefixed.append((prefix, endpoint))
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        request_id = f"{self._rng.getrandbits(REQUEST_ID_BITS):024x}"
+        began = self._clock.monotonic()
+        self._life.enter()
+        try:
+            resp = await self._serve(req, request_id)
+        except refusals.Refused as exc:
+            resp = self._refuse(exc.refusal, request_id)
+        except asyncio.CancelledError:
+            self._left.inc()
+            raise
+        except ConnectionResetError:
+            self._left.inc()
+            raise
+        except Exception:
+            logger.exception("request {} failed", request_id)
+            resp = self._refuse(errors.internal_error(), request_id)
+        finally:
+            self._life.leave()
+            self._latency.record(self._clock.monotonic() - began)
+        if self._life.phase is lifecycle.Phase.DRAINING:
+            resp.force_close()
+        return resp
+
+    def refuse_unreadable(self, refusal: refusals.Refusal) -> web.Response:
+        """Return the response to a request that can't be parsed."""
+        request_id = f"{self._rng.getrandbits(REQUEST_ID_BITS):024x}"
+        return self._refuse(refusal, request_id)
+
+    async def _serve(
+        self, req: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
+        applied = self._admissible()
+        header = req.headers.get("Authorization")
+        workspace = self._keys.authenticate(applied, header)
+        endpoint = self._endpoint(req)
+        with self._admission.admit(workspace):
+            call = calls.Call(req, request_id, applied, workspace)
+            return await endpoint(call)
+
+    def _admissible(self) -> snapshot.Applied:
+        """Return the configuration in force while new work is taken."""
+        if self._life.phase is lifecycle.Phase.DRAINING:
+            raise _unavailable(
+                refusals.Reason.SHUTTING_DOWN,
+                "This node is shutting down; another one takes the request.",
+            )
+        applied = self._config.current()
+        if applied is None:
+            raise _unavailable(
+                refusals.Reason.NOT_READY,
+                "This node has no configuration yet.",
+            )
+        if not self._config.fresh():
+            raise _unavailable(
+                refusals.Reason.CONFIGURATION_STALE,
+                "This node can't confirm that its configuration is in force.",
+            )
+        return applied
+
+    def _endpoint(self, req: web.BaseRequest) -> Endpoint:
+        path = req.rel_url.raw_path
+        endpoint = self._exact.get((req.method, path))
+        if endpoint is not None:
+            return endpoint
+        for prefix, below in self._prefixed:
+            if path.startswith(prefix):
+                return below
+        raise refusals.Refused(
+            refusals.Refusal(
+                refusals.Reason.UNKNOWN_ROUTE,
+                refusals.RunState.NOT_RUN,
+                404,
+                f"Nothing is served under {req.method} {path[:200]!r}.",
+            )
+        )
+
+    def _refuse(
+        self, refusal: refusals.Refusal, request_id: str
+    ) -> web.Response:
+        self._refusals.count(refusal)
+        return errors.response(refusal, request_id)
+
+
+def _unavailable(reason: refusals.Reason, message: str) -> refusals.Refused:
+    return refusals.Refused(
+        refusals.Refusal(
+            reason,
+            refusals.RunState.NOT_RUN,
+            503,
+            message,
+            retry_after=SHUTDOWN_RETRY_AFTER,
+        )
+    )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/calls.py
@@ -0,0 +1,96 @@
+"""One request of a caller on its way through the node."""
+
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from limpetwalk import refusals
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import sessions
+
+from . import bodies
+
+SESSION_HEADER = "X-Session"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+CLASS_HEADER = "X-Request-Class"
+TIMEOUT_HEADER = "X-Request-Timeout"
+IDEMPOTENCY_KEY_LIMIT = 255
+
+
+@dataclass(slots=True)
+class Call:
+    """Request that was authenticated and admitted.
+
+    :param req: HTTP request.
+    :param request_id: identifier given by this node.
+    :param applied: configuration in force when it came.
+    :param workspace: workspace of the caller.
+    """
+
+    req: web.BaseRequest
+    request_id: str
+    applied: snapshot.Applied
+    workspace: snapshot.Workspace
+
+    async def body(self) -> bytes:
+        """Return the whole body.
+
+        :raises Refused: when it is too large or incomplete.
+        """
+        limit_bytes = self.applied.snapshot.tuning.body_limit_bytes
+        return await bodies.read_body(self.req, limit_bytes)
+
+    def session(self) -> sessions.Session | None:
+        """Return the session that the request belongs to, if any.
+
+        :raises Refused: when the token is not valid for this workspace.
+        """
+        token = self.req.headers.get(SESSION_HEADER)
+        if token is None:
+            return None
+        keys = self.applied.snapshot.session_keys
+        return sessions.verify(keys, token, self.workspace.name)
+
+    def idempotency_key(self) -> str | None:
+        """Return the caller's idempotency key, if any.
+
+        :raises Refused: when it is empty, too long or not printable.
+        """
+        key = self.req.headers.get(IDEMPOTENCY_HEADER)
+        if key is None:
+            return None
+        usable = key.isascii() and key.isprintable() and key
+        if not usable or len(key) > IDEMPOTENCY_KEY_LIMIT:
+            raise _bad_header(
+                f"{IDEMPOTENCY_HEADER} takes 1 to {IDEMPOTENCY_KEY_LIMIT}"
+                " printable ASCII characters."
+            )
+        return key
+
+    def timeout(self, longest: float) -> float:
+        """Return the caller's timeout in seconds, bounded.
+
+        :param longest: timeout of a request that names none.
+        :raises Refused: when the header is no positive number.
+        """
+        text = self.req.headers.get(TIMEOUT_HEADER)
+        if text is None:
+            return longest
+        try:
+            seconds = float(text)
+        except ValueError:
+            seconds = 0.0
+        if not seconds > 0:
+            raise _bad_header(f"{TIMEOUT_HEADER} takes seconds above 0.")
+        return min(seconds, longest)
+
+
+def _bad_header(message: str) -> refusals.Refused:
+    return refusals.Refused(
+        refusals.Refusal(
+            refusals.Reason.MALFORMED_BODY,
+            refusals.RunState.NOT_RUN,
+            400,
+            message,
+        )
+    )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/chat.py
@@ -0,0 +1,212 @@
+"""``POST /v1/chat/completions``, whole and streamed."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+from dataclasses import dataclass
+
+from aiohttp import web
+from loguru import logger
+import xxhash
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics as measures
+from limpetwalk import refusals
+from limpetwalk.backends import base as backends
+from limpetwalk.routing import access
+from limpetwalk.routing import climb
+
+from . import bills
+from . import border
+from . import calls
+from . import errors
+from . import streams
+
+STREAM_HEADERS = {
+    "Content-Type": "text/event-stream",
+    "Cache-Control": "no-cache",
+}
+# A caller that takes no byte for this long is given up.
+READER_TIMEOUT = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    job: climb.Job
+    key: str
+    shape: streams.Shape
+    usage: bool
+
+
+class ChatCompletions:
+    """Endpoint that answers chat completions.
+
+    :param climber: runs cascades.
+    :param bills_: writes the bill entry of each answer.
+    :param clock: clock of deadlines.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self,
+        climber: climb.Climber,
+        bills_: bills.Bills,
+        clock: clocks.Clock,
+        metrics: measures.Metrics,
+    ) -> None:
+        self._climber = climber
+        self._bills = bills_
+        self._clock = clock
+        self._refusals = errors.RefusalCounter(metrics)
+        self._answers = metrics.counter(
+            "limpetwalk_answers",
+            "Whole answers by the kind of request.",
+            ("kind",),
+        )
+        self._first = metrics.latency(
+            "limpetwalk_first_token",
+            "Time from a streamed request's body to its first token.",
+        )
+
+    async def __call__(self, call: calls.Call) -> web.StreamResponse:
+        """Answer one chat completion.
+
+        :raises Refused: when there is no answer.
+        """
+        body = await call.body()
+        data = border.parse_json(body)
+        chat = border.parse(border.ChatRequest, data)
+        cfg = call.applied.snapshot
+        access.get_cascade(cfg, call.workspace, chat.model)
+        timeout = call.timeout(cfg.tuning.request_timeout)
+        job = climb.Job(
+            request_id=call.request_id,
+            workspace=call.workspace.name,
+            cascade=chat.model,
+            request_class=chat.request_class(
+                call.req.headers.get(calls.CLASS_HEADER)
+            ),
+            body=data,
+            question=chat.question,
+            session=call.session(),
+            deadline=self._clock.monotonic() + timeout,
+        )
+        created = int(self._clock.wall())
+        options = chat.stream_options
+        req = _Request(
+            job,
+            billing_key(call, body),
+            streams.Shape(call.request_id, chat.model, created),
+            usage=options is not None and options.include_usage,
+        )
+        if chat.stream:
+            return await self._stream(call, req)
+        return await self._whole(req)
+
+    async def _whole(self, req: _Request) -> web.Response:
+        texts: list[str] = []
+        async with contextlib.aclosing(
+            self._climber.answer(req.job)
+        ) as events:
+            async for event in events:
+                if isinstance(event, backends.Delta):
+                    texts.append(event.text)
+                    continue
+                await self._bill(req, event)
+                self._answers.labels("whole").inc()
+                return web.Response(
+                    body=req.shape.whole("".join(texts), event),
+                    content_type="application/json",
+                    headers={errors.REQUEST_ID_HEADER: req.job.request_id},
+                )
+        raise AssertionError("a cascade's events ended without Answered")
+
+    async def _stream(
+        self, call: calls.Call, req: _Request
+    ) -> web.StreamResponse:
+        began = self._clock.monotonic()
+        async with contextlib.aclosing(
+            self._climber.answer(req.job)
+        ) as events:
+            # Until the first event a refusal still has its HTTP status.
+            first = await anext(events)
+            self._first.record(self._clock.monotonic() - began)
+            resp = web.StreamResponse(headers=STREAM_HEADERS)
+            resp.headers[errors.REQUEST_ID_HEADER] = req.job.request_id
+            await resp.prepare(call.req)
+            writer = _Writer(resp)
+            await writer.write(req.shape.role())
+            try:
+                await self._pass_on(writer, req, first, events)
+            except refusals.Refused as exc:
+                self._refusals.count(exc.refusal)
+                await writer.write(req.shape.error(exc.refusal))
+            except (OSError, asyncio.CancelledError):
+                raise
+            except Exception:
+                logger.exception("stream {} failed", req.job.request_id)
+                refusal = errors.internal_error()
+                self._refusals.count(refusal)
+                await writer.write(req.shape.error(refusal))
+        await resp.write_eof()
+        return resp
+
+    async def _pass_on(
+        self,
+        writer: "_Writer",
+        req: _Request,
+        first: climb.AnswerEvent,
+        events: AsyncIterator[climb.AnswerEvent],
+    ) -> None:
+        event = first
+        while isinstance(event, backends.Delta):
+            await writer.write(req.shape.delta(event.text))
+            event = await anext(events)
+        await self._bill(req, event)
+        self._answers.labels("streamed").inc()
+        await writer.write(req.shape.terminal(event, req.usage))
+
+    async def _bill(self, req: _Request, answered: climb.Answered) -> None:
+        await self._bills.write(
+            req.job.workspace,
+            req.key,
+            req.job.request_id,
+            req.job.cascade,
+            tuple(f"{s.model}@{s.version}" for s in answered.steps),
+            answered.usage.input_tokens,
+            answered.usage.output_tokens,
+            answered.price,
+        )
+
+
+class _Writer:
+    """Writes to a caller, which may read slowly but not stop.
+
+    :param resp: prepared response.
+    """
+
+    def __init__(self, resp: web.StreamResponse) -> None:
+        self._resp = resp
+
+    async def write(self, data: bytes) -> None:
+        """Write data.
+
+        :raises ConnectionResetError: when the caller left or reads nothing.
+        """
+        try:
+            async with asyncio.timeout(READER_TIMEOUT):
+                await self._resp.write(data)
+        except TimeoutError:
+            self._resp.force_close()
+            raise ConnectionResetError("the caller reads nothing") from None
+
+
+def billing_key(call: calls.Call, body: bytes) -> str:
+    """Return the key under which a request is billed once.
+
+    The body is part of it, so that one key can't make other requests free.
+    """
+    key = call.idempotency_key()
+    if key is None:
+        return call.request_id
+    return f"{key}:{xxhash.xxh3_128_hexdigest(body)}"
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/listeners.py
@@ -0,0 +1,60 @@
+"""HTTP listeners of the node, as aiomisc services."""
+
+import socket
+from typing import Any
+
+from aiohttp import web
+import aiomisc
+from aiomisc.service import aiohttp as aiomisc_aiohttp
+
+from . import callers
+from . import operators
+from . import server
+from . import settings
+
+BACKLOG = 1024
+CLOSE_TIMEOUT = 2.0
+
+
+def bind(listener: settings.Listener) -> socket.socket:
+    """Return a socket bound to a listener's address."""
+    return aiomisc.bind_socket(
+        address=str(listener.host), port=listener.port, reuse_port=False
+    )
+
+
+class CallersListener(aiomisc.Service):
+    """Serves the callers' API."""
+
+    __required__ = ("sock", "api")
+
+    sock: socket.socket
+    api: callers.Callers
+
+    async def start(self) -> None:
+        """Start to take connections."""
+        web_server = server.TypedServer(
+            self.api.handle, self.api.refuse_unreadable
+        )
+        self._runner = web.ServerRunner(
+            web_server, shutdown_timeout=CLOSE_TIMEOUT
+        )
+        await self._runner.setup()
+        site = web.SockSite(self._runner, self.sock, backlog=BACKLOG)
+        await site.start()
+
+    async def stop(self, exception: Exception | None = None) -> Any:
+        """Close the listener and what is left of its connections."""
+        await self._runner.cleanup()
+
+
+class OperatorsListener(aiomisc_aiohttp.AIOHTTPService):
+    """Serves the operators' interface."""
+
+    __required__ = ("interface",)
+
+    interface: operators.Operators
+
+    async def create_application(self) -> web.Application:
+        """Return the application of the interface."""
+        return self.interface.application()
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/record_notes.py
@@ -0,0 +1,129 @@
+"""Notes of how runs ended, kept up while the store is away."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Result
+
+from limpetwalk import exceptions
+from limpetwalk import metrics as measures
+from limpetwalk.backends import base as backends
+from limpetwalk.records import base as records
+
+from . import lifecycle
+
+Move = Callable[
+    [records.Record], Awaitable[Result[records.Record, records.LostClaim]]
+]
+
+_OPEN = (records.RecordState.CLAIMED, records.RecordState.DISPATCHED)
+
+
+@dataclass(frozen=True, slots=True)
+class Retries:
+    """Bound of the tries to note an end while the store is away.
+
+    :param attempts: most tries.
+    :param interval: time between tries, in seconds.
+    """
+
+    attempts: int = 60
+    interval: float = 0.5
+
+
+class RecordNotes:
+    """Writes answers and ends to records.
+
+    The first try is awaited; when the store is away, the note is tried
+    again in the background and the caller gets what is known at once.
+
+    :param store: durable records.
+    :param life: in-flight count, which covers notes being written.
+    :param metrics: metrics of the process.
+    :param retries: bound of the tries.
+    """
+
+    def __init__(
+        self,
+        store: records.RecordStore,
+        life: lifecycle.Lifecycle,
+        metrics: measures.Metrics,
+        retries: Retries = Retries(),  # noqa: B008
+    ) -> None:
+        self._store = store
+        self._life = life
+        self._retries = retries
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._notes = metrics.counter(
+            "limpetwalk_record_notes",
+            "Ends of records by whether they could be noted.",
+            ("outcome",),
+        )
+
+    async def answer(
+        self, record: records.Record, answer: backends.ServiceAnswer
+    ) -> None:
+        """Note the answer of a run."""
+        await self._note(
+            record, lambda current: self._store.answer(current, answer)
+        )
+
+    async def finish(
+        self, record: records.Record, state: records.RecordState
+    ) -> None:
+        """Note that a run ended without an answer."""
+        await self._note(
+            record, lambda current: self._store.finish(current, state)
+        )
+
+    async def _note(self, record: records.Record, move: Move) -> None:
+        if await self._try(record, move):
+            return
+        self._notes.labels("delayed").inc()
+        task = asyncio.create_task(self._keep_trying(record, move))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _keep_trying(self, record: records.Record, move: Move) -> None:
+        self._life.enter()
+        try:
+            for _ in range(self._retries.attempts):
+                await asyncio.sleep(self._retries.interval)
+                if await self._try(record, move):
+                    return
+            self._notes.labels("given_up").inc()
+        finally:
+            self._life.leave()
+
+    async def _try(self, record: records.Record, move: Move) -> bool:
+        """Make one try; return whether no other one is needed."""
+        try:
+            moved = await move(record)
+            if moved.is_err():
+                moved = await self._from_own(record, moved, move)
+        except exceptions.StoreError:
+            return False
+        self._notes.labels("lost" if moved.is_err() else "written").inc()
+        return True
+
+    async def _from_own(
+        self,
+        record: records.Record,
+        moved: Result[records.Record, records.LostClaim],
+        move: Move,
+    ) -> Result[records.Record, records.LostClaim]:
+        """Try from the row as it stands when this run wrote it itself.
+
+        A write whose answer was lost leaves the row one version ahead.
+        """
+        held = moved.unwrap_err().record
+        if held is None or held.state not in _OPEN:
+            return moved
+        if (held.holder, held.request_id) != (
+            record.holder,
+            record.request_id,
+        ):
+            return moved
+        return await move(held)
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/record_refusals.py
@@ -0,0 +1,111 @@
+"""Refusals of non-idempotent requests."""
+
+from limpetwalk import refusals
+from limpetwalk.records import base as records
+
+RETRY_AFTER = 1.0
+
+
+def store_down() -> refusals.Refused:
+    """Return the refusal when no record could be made before a dispatch."""
+    return _refused(
+        refusals.Reason.STORE_UNAVAILABLE,
+        refusals.RunState.NOT_RUN,
+        503,
+        "The record of the request could not be made, so it was not sent."
+        " Send it again with the same Idempotency-Key.",
+        RETRY_AFTER,
+    )
+
+
+def key_missing() -> refusals.Refused:
+    """Return the refusal of a non-idempotent request without a key."""
+    return _refused(
+        refusals.Reason.IDEMPOTENCY_KEY_MISSING,
+        refusals.RunState.NOT_RUN,
+        400,
+        "This route is not idempotent: send an Idempotency-Key that is new"
+        " for each request and the same for each repeat.",
+    )
+
+
+def key_reused() -> refusals.Refused:
+    """Return the refusal of a key that stands for another request."""
+    return _refused(
+        refusals.Reason.IDEMPOTENCY_KEY_REUSED,
+        refusals.RunState.NOT_RUN,
+        422,
+        "The Idempotency-Key was sent before with another method, path or"
+        " body. This request was not run.",
+    )
+
+
+def in_progress() -> refusals.Refused:
+    """Return the refusal of a repeat while the first is under way."""
+    return _refused(
+        refusals.Reason.REQUEST_IN_PROGRESS,
+        refusals.RunState.UNKNOWN,
+        409,
+        "A request with this Idempotency-Key is under way. Ask again later"
+        " with the same key; it runs at most once.",
+        RETRY_AFTER,
+    )
+
+
+def lost_claim() -> refusals.Refused:
+    """Return the refusal when another node took the record over."""
+    return _refused(
+        refusals.Reason.REQUEST_IN_PROGRESS,
+        refusals.RunState.UNKNOWN,
+        409,
+        "Another node took over this Idempotency-Key; this one sent nothing."
+        " Ask again with the same key.",
+        RETRY_AFTER,
+    )
+
+
+def abandoned() -> refusals.Refused:
+    """Return the refusal after a claim that was never dispatched."""
+    return _refused(
+        refusals.Reason.REQUEST_IN_PROGRESS,
+        refusals.RunState.NOT_RUN,
+        409,
+        "The node that held this Idempotency-Key is gone and sent nothing."
+        " Send the request again with the same key.",
+        RETRY_AFTER,
+    )
+
+
+def unknown(ident: records.RecordIdent) -> refusals.Refused:
+    """Return the refusal of a request that may have run."""
+    return _refused(
+        refusals.Reason.OUTCOME_UNKNOWN,
+        refusals.RunState.UNKNOWN,
+        502,
+        "The request was sent and may have run, but no answer came back. It"
+        f" is not sent again. GET /outcomes/{ident.key} tells more once it"
+        " is known.",
+    )
+
+
+def told(
+    refusal: refusals.Refusal, ident: records.RecordIdent
+) -> refusals.Refused:
+    """Return the refusal of a run as its caller is told of it."""
+    if refusal.run is refusals.RunState.NOT_RUN:
+        return refusals.Refused(refusal)
+    if refusal.reason is refusals.Reason.REQUEST_IN_PROGRESS:
+        return refusals.Refused(refusal)
+    return unknown(ident)
+
+
+def _refused(
+    reason: refusals.Reason,
+    run: refusals.RunState,
+    status: int,
+    message: str,
+    retry_after: float | None = None,
+) -> refusals.Refused:
+    return refusals.Refused(
+        refusals.Refusal(reason, run, status, message, retry_after)
+    )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/server.py
@@ -0,0 +1,88 @@
+"""HTTP server whose protocol errors are typed like all other refusals."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+
+from aiohttp import http_exceptions
+from aiohttp import web
+
+from limpetwalk import refusals
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+ErrorHandler = Callable[[refusals.Refusal], web.Response]
+
+HEADER_LIMIT_BYTES = 8190
+HEADERS_LIMIT = 100
+KEEPALIVE_TIMEOUT = 75.0
+
+# Counters tell of requests; aiohttp skips a log that is not enabled.
+_NO_ACCESS_LOG = logging.getLogger("limpetwalk.access")
+_NO_ACCESS_LOG.setLevel(logging.CRITICAL)
+
+
+class _Connection(web.RequestHandler):
+    """One connection of a caller.
+
+    ``handle_error`` is aiohttp's hook for requests that its parser refuses.
+    """
+
+    on_error: ErrorHandler
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that can't be parsed, then close."""
+        resp = self.on_error(_refusal(status, exc))
+        resp.force_close()
+        return resp
+
+
+class TypedServer(web.Server):
+    """Server that answers even unreadable requests with typed errors.
+
+    :param handler: handles each request.
+    :param on_error: makes the response to a request that can't be parsed.
+    """
+
+    def __init__(self, handler: Handler, on_error: ErrorHandler) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self._on_error = on_error
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        conn = _Connection(
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=_NO_ACCESS_LOG,
+            keepalive_timeout=KEEPALIVE_TIMEOUT,
+            max_line_size=HEADER_LIMIT_BYTES,
+            max_field_size=HEADER_LIMIT_BYTES,
+            max_headers=HEADERS_LIMIT,
+        )
+        conn.on_error = self._on_error
+        return conn
+
+
+def _refusal(status: int, exc: BaseException | None) -> refusals.Refusal:
+    if status >= 500:
+        reason, status = refusals.Reason.INTERNAL_ERROR, 500
+        text = "The router failed on this request."
+        return refusals.Refusal(
+            reason, refusals.RunState.UNKNOWN, status, text
+        )
+    if isinstance(exc, http_exceptions.LineTooLong):
+        reason, status = refusals.Reason.HEADERS_TOO_LARGE, 431
+        text = f"A header is longer than {HEADER_LIMIT_BYTES} bytes."
+    elif exc is not None and "many headers" in str(exc):
+        reason, status = refusals.Reason.HEADERS_TOO_LARGE, 431
+        text = f"The request has more than {HEADERS_LIMIT} headers."
+    else:
+        reason = refusals.Reason.MALFORMED_BODY
+        text = "The request is not readable HTTP."
+    return refusals.Refusal(reason, refusals.RunState.NOT_RUN, status, text)
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/services.py
@@ -0,0 +1,219 @@
+"""``/services/{name}/{path}`` and ``GET /outcomes/{key}``."""
+
+import base64
+import hashlib
+from typing import Any
+
+from aiohttp import web
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import metrics as measures
+from limpetwalk import refusals
+from limpetwalk.backends import base as backends
+from limpetwalk.records import base as records
+from limpetwalk.routing import access
+from limpetwalk.routing import service_routes
+from limpetwalk.routing import work
+
+from . import bills
+from . import calls
+from . import chat
+from . import errors
+from . import parts
+from . import record_flow
+from . import record_refusals
+
+SERVICES_PREFIX = "/services/"
+OUTCOMES_PREFIX = "/outcomes/"
+REPLAYED_HEADER = "Idempotent-Replayed"
+PASSED_ON = ("Content-Type", "Accept", "Accept-Language")
+# Headers that belong to one hop and are not passed back.
+ONE_HOP = frozenset(
+    (
+        "connection",
+        "content-encoding",
+        "content-length",
+        "date",
+        "keep-alive",
+        "server",
+        "transfer-encoding",
+    )
+)
+
+
+class PlainServices:
+    """Endpoint that calls plain services.
+
+    :param services: calls plain services.
+    :param flow: runs non-idempotent calls.
+    :param bills_: writes bill entries.
+    :param clock: clock of deadlines.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self,
+        services: parts.Services,
+        flow: record_flow.RecordFlow,
+        bills_: bills.Bills,
+        clock: clocks.Clock,
+        metrics: measures.Metrics,
+    ) -> None:
+        self._services = services
+        self._flow = flow
+        self._bills = bills_
+        self._clock = clock
+        self._answers = metrics.counter(
+            "limpetwalk_answers",
+            "Whole answers by the kind of request.",
+            ("kind",),
+        )
+
+    async def __call__(self, call: calls.Call) -> web.StreamResponse:
+        """Answer one call of a plain service.
+
+        :raises Refused: when there is no answer.
+        """
+        path = call.req.rel_url.raw_path[len(SERVICES_PREFIX) :]
+        name, _, below = path.partition("/")
+        cfg = call.applied.snapshot
+        service = access.get_service(cfg, call.workspace, name)
+        route = service_routes.match_route(service, call.req.method, below)
+        key = call.idempotency_key()
+        if not route.idempotent and key is None:
+            raise record_refusals.key_missing()
+        item = await self._work(call, service.name, below, service.timeout)
+        if route.idempotent:
+            return await self._idempotent(call, item)
+        return await self._once(call, item, key or "")
+
+    async def _work(
+        self, call: calls.Call, service: str, below: str, timeout: float
+    ) -> work.ServiceWork:
+        body = await call.body()
+        query = call.req.rel_url.raw_query_string
+        headers = call.req.headers
+        return work.ServiceWork(
+            request_id=call.request_id,
+            service=service,
+            method=call.req.method,
+            path=f"/{below}?{query}" if query else f"/{below}",
+            headers={n: headers[n] for n in PASSED_ON if n in headers},
+            body=body,
+            priority=call.workspace.priority,
+            deadline=self._clock.monotonic() + call.timeout(timeout),
+        )
+
+    async def _idempotent(
+        self, call: calls.Call, item: work.ServiceWork
+    ) -> web.Response:
+        answer = await self._services.call(item)
+        await self._bills.write(
+            call.workspace.name,
+            chat.billing_key(call, item.body),
+            item.request_id,
+            item.service,
+            (item.service,),
+        )
+        self._answers.labels("idempotent").inc()
+        return _response(answer, item.request_id, replayed=False)
+
+    async def _once(
+        self, call: calls.Call, item: work.ServiceWork, key: str
+    ) -> web.Response:
+        ident = records.RecordIdent(call.workspace.name, key, _digest(item))
+        outcome = await self._flow.run(ident, item)
+        self._answers.labels(
+            "replayed" if outcome.replayed else "non_idempotent"
+        ).inc()
+        return _response(outcome.answer, outcome.request_id, outcome.replayed)
+
+
+class Outcomes:
+    """Endpoint that tells the outcome of an idempotency key.
+
+    :param store: durable records.
+    """
+
+    def __init__(self, store: records.RecordStore) -> None:
+        self._store = store
+
+    async def __call__(self, call: calls.Call) -> web.StreamResponse:
+        """Tell what is known of a key of the caller's workspace.
+
+        :raises Refused: when nothing is recorded or the store is away.
+        """
+        key = call.req.rel_url.path[len(OUTCOMES_PREFIX) :]
+        try:
+            record = await self._store.read(call.workspace.name, key)
+        except exceptions.StoreError:
+            raise _refused(
+                refusals.Reason.STORE_UNAVAILABLE,
+                503,
+                "The record can't be read now.",
+            ) from None
+        if record is None:
+            raise _refused(
+                refusals.Reason.UNKNOWN_OUTCOME_KEY,
+                404,
+                "Nothing is recorded under this Idempotency-Key.",
+            )
+        return web.json_response(_describe(record))
+
+
+def _refused(
+    reason: refusals.Reason, status: int, message: str
+) -> refusals.Refused:
+    return refusals.Refused(
+        refusals.Refusal(reason, refusals.RunState.UNKNOWN, status, message)
+    )
+
+
+def _describe(record: records.Record) -> dict[str, Any]:
+    told: dict[str, Any] = {
+        "key": record.ident.key,
+        "state": record.state.value,
+        "run": _run_state(record.state).value,
+        "request_id": record.request_id,
+    }
+    if record.answer is not None:
+        told["answer"] = {
+            "status": record.answer.status,
+            "headers": _end_to_end(record.answer),
+            "body_base64": base64.b64encode(record.answer.body).decode(),
+        }
+    return told
+
+
+def _run_state(state: records.RecordState) -> refusals.RunState:
+    if state is records.RecordState.ANSWERED:
+        return refusals.RunState.RUN
+    if state is records.RecordState.NOT_RUN:
+        return refusals.RunState.NOT_RUN
+    return refusals.RunState.UNKNOWN
+
+
+def _digest(item: work.ServiceWork) -> str:
+    head = f"{item.method}\n{item.service}{item.path}\n".encode()
+    return hashlib.sha256(head + item.body).hexdigest()
+
+
+def _end_to_end(answer: backends.ServiceAnswer) -> dict[str, str]:
+    return {
+        name: value
+        for name, value in answer.headers.items()
+        if name.lower() not in ONE_HOP
+    }
+
+
+def _response(
+    answer: backends.ServiceAnswer, request_id: str, replayed: bool
+) -> web.Response:
+    headers = _end_to_end(answer)
+    headers[errors.REQUEST_ID_HEADER] = request_id
+    if replayed:
+        headers[REPLAYED_HEADER] = "true"
+    return web.Response(
+        status=answer.status, body=answer.body, headers=headers
+    )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/sessions.py
@@ -0,0 +1,82 @@
+"""``POST /v1/sessions`` and ``GET /v1/models``."""
+
+import random
+
+from aiohttp import web
+
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import access
+from limpetwalk.routing import rollout_share
+from limpetwalk.routing import sessions
+
+from . import border
+from . import calls
+
+SESSION_ID_BITS = 96
+
+
+class OpenSession:
+    """Endpoint that opens a session, whose versions stay as they are.
+
+    :param rng: source of session identifiers.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    async def __call__(self, call: calls.Call) -> web.StreamResponse:
+        """Open a session for one public model or for all.
+
+        :raises Refused: when the workspace may not use the model.
+        """
+        body = await call.body()
+        data = border.parse_json(body) if body.strip() else {}
+        asked = border.parse(border.SessionRequest, data)
+        cfg = call.applied.snapshot
+        session_id = f"{self._rng.getrandbits(SESSION_ID_BITS):024x}"
+        session = sessions.Session(
+            id=session_id,
+            workspace=call.workspace.name,
+            generation=call.applied.generation,
+            versions={
+                name: rollout_share.choose_version(
+                    cfg, cfg.models[name], session_id
+                )
+                for name in self._models(call, asked.model)
+            },
+        )
+        answer = {
+            "id": session.id,
+            "object": "session",
+            "token": sessions.mint(cfg.session_keys, session),
+            "versions": session.versions,
+            "generation": session.generation,
+        }
+        return web.json_response(answer, status=201)
+
+    def _models(self, call: calls.Call, name: str | None) -> list[str]:
+        cfg, workspace = call.applied.snapshot, call.workspace
+        if name is None:
+            return sorted(workspace.models)
+        cascade = access.get_cascade(cfg, workspace, name)
+        return list(access.allowed_models(workspace, cascade))
+
+
+async def list_models(call: calls.Call) -> web.StreamResponse:
+    """List the public model names that the workspace may ask for."""
+    cfg = call.applied.snapshot
+    data = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "limpetwalk"}
+        for name in sorted(call.workspace.cascades)
+        if _is_usable(cfg, call.workspace, name)
+    ]
+    return web.json_response({"object": "list", "data": data})
+
+
+def _is_usable(
+    cfg: snapshot.Snapshot, workspace: snapshot.Workspace, name: str
+) -> bool:
+    cascade = cfg.cascades.get(name)
+    if cascade is None:
+        return False
+    return any(model in workspace.models for model in cascade.models)
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/streams.py
@@ -0,0 +1,108 @@
+"""Shape of chat completions, whole and as server-sent events."""
+
+import json
+from typing import Any
+
+from limpetwalk import refusals
+from limpetwalk.backends import base as backends
+from limpetwalk.routing import climb
+
+from . import errors
+
+DONE = b"data: [DONE]\n\n"
+
+
+class Shape:
+    """Builds the bodies of one answer.
+
+    :param request_id: identifier of the request.
+    :param model: public model name that was asked for.
+    :param created: Unix time in seconds.
+    """
+
+    def __init__(self, request_id: str, model: str, created: int) -> None:
+        self._request_id = request_id
+        self._model = model
+        self._created = created
+
+    def whole(self, text: str, answered: climb.Answered) -> bytes:
+        """Return the body of a whole answer."""
+        body = self._base("chat.completion")
+        message = {"role": "assistant", "content": text}
+        body["choices"] = [
+            {
+                "index": 0,
+                "message": message,
+                "finish_reason": answered.reason,
+            }
+        ]
+        body["usage"] = _usage(answered.usage)
+        body["limpetwalk"] = _origin(answered)
+        return json.dumps(body).encode()
+
+    def role(self) -> bytes:
+        """Return the first event of a stream."""
+        return self._chunk({"role": "assistant", "content": ""}, None)
+
+    def delta(self, text: str) -> bytes:
+        """Return the event of a piece of text."""
+        return self._chunk({"content": text}, None)
+
+    def terminal(self, answered: climb.Answered, usage: bool) -> bytes:
+        """Return the events that end a whole answer.
+
+        :param usage: whether the caller asked for token counts.
+        """
+        events = self._chunk({}, answered.reason, _origin(answered))
+        if usage:
+            body = self._base("chat.completion.chunk")
+            body["choices"] = []
+            body["usage"] = _usage(answered.usage)
+            events += _event(body)
+        return events + DONE
+
+    def error(self, refusal: refusals.Refusal) -> bytes:
+        """Return the event that tells that the stream is not whole."""
+        return _event(errors.describe(refusal, self._request_id))
+
+    def _base(self, kind: str) -> dict[str, Any]:
+        return {
+            "id": f"chatcmpl-{self._request_id}",
+            "object": kind,
+            "created": self._created,
+            "model": self._model,
+        }
+
+    def _chunk(
+        self,
+        delta: dict[str, str],
+        reason: str | None,
+        origin: dict[str, Any] | None = None,
+    ) -> bytes:
+        body = self._base("chat.completion.chunk")
+        body["choices"] = [
+            {"index": 0, "delta": delta, "finish_reason": reason}
+        ]
+        if origin is not None:
+            body["limpetwalk"] = origin
+        return _event(body)
+
+
+def _event(body: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(body).encode() + b"\n\n"
+
+
+def _usage(usage: backends.Usage) -> dict[str, int]:
+    return {
+        "prompt_tokens": usage.input_tokens,
+        "completion_tokens": usage.output_tokens,
+        "total_tokens": usage.input_tokens + usage.output_tokens,
+    }
+
+
+def _origin(answered: climb.Answered) -> dict[str, Any]:
+    return {
+        "model": answered.target.model,
+        "version": answered.target.version,
+        "steps": [f"{s.model}@{s.version}" for s in answered.steps],
+    }
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/routing/sessions.py
@@ -0,0 +1,128 @@
+"""Session tokens, which carry the versions that a session is pinned to.
+
+A token is ``<key name>.<payload>.<MAC>``: any node that has the
+configuration can verify it, and opening a session writes nothing.
+"""
+
+import base64
+import binascii
+from collections.abc import Sequence
+import hashlib
+import hmac
+
+import pydantic
+
+from .. import refusals
+from ..conf import snapshot
+
+TOKEN_LIMIT_BYTES = 6144
+
+
+class Session(pydantic.BaseModel):
+    """Session as its token carries it.
+
+    :param id: identifier of the session.
+    :param workspace: workspace that opened it.
+    :param generation: configuration generation that it was opened under.
+    :param versions: version of each model, fixed when it was opened.
+    """
+
+    model_config = pydantic.ConfigDict(frozen=True, extra="forbid")
+
+    id: str
+    workspace: str
+    generation: int
+    versions: dict[str, str]
+
+    def version(self, model: str) -> str:
+        """Return the version of a model that the session is pinned to.
+
+        :raises Refused: when the session was opened before the workspace
+            could use the model.
+        """
+        version = self.versions.get(model)
+        if version is None:
+            raise _unknown(
+                f"The session pins no version of model {model}, which came"
+                " later. Open a new session with POST /v1/sessions."
+            )
+        return version
+
+
+def mint(keys: Sequence[snapshot.SessionKey], session: Session) -> str:
+    """Return the token of a session, signed with the first key.
+
+    :raises Refused: when no key is configured or the token grows too long.
+    """
+    if not keys:
+        raise refusals.Refused(
+            refusals.Refusal(
+                refusals.Reason.NOT_READY,
+                refusals.RunState.NOT_RUN,
+                503,
+                "Sessions can't be opened: no session key is configured.",
+            )
+        )
+    payload = _encode(session.model_dump_json().encode())
+    signed = f"{keys[0].name}.{payload}"
+    return f"{signed}.{_encode(_mac(keys[0], signed))}"
+
+
+def verify(
+    keys: Sequence[snapshot.SessionKey], token: str, workspace: str
+) -> Session:
+    """Return the session of a token.
+
+    :param workspace: workspace of the caller, which must have opened it.
+    :raises Refused: when the token is not authentic, its key is no longer
+        configured, or another workspace opened the session.
+    """
+    if len(token) > TOKEN_LIMIT_BYTES:
+        raise _unknown("The session token is too long.")
+    signed, _, mac = token.rpartition(".")
+    name, _, payload = signed.rpartition(".")
+    key = next((k for k in keys if k.name == name), None)
+    if key is None or not _is_authentic(key, signed, mac):
+        raise _unknown("The session token is not one of this router's.")
+    try:
+        session = Session.model_validate_json(_decode(payload))
+    except ValueError:
+        raise _unknown("The session token can't be read.") from None
+    if session.workspace != workspace:
+        raise _unknown("The session belongs to another workspace.")
+    return session
+
+
+def _is_authentic(key: snapshot.SessionKey, signed: str, mac: str) -> bool:
+    try:
+        return hmac.compare_digest(_decode(mac), _mac(key, signed))
+    except ValueError:
+        return False
+
+
+def _mac(key: snapshot.SessionKey, signed: str) -> bytes:
+    secret = key.secret.encode()
+    return hmac.digest(secret, signed.encode(), hashlib.sha256)
+
+
+def _encode(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).decode().rstrip("=")
+
+
+def _decode(text: str) -> bytes:
+    padded = text + "=" * (-len(text) % 4)
+    try:
+        return base64.b64decode(padded, altchars=b"-_", validate=True)
+    except binascii.Error as exc:
+        raise ValueError(str(exc)) from exc
+
+
+def _unknown(message: str) -> refusals.Refused:
+    return refusals.Refused(
+        refusals.Refusal(
+            refusals.Reason.UNKNOWN_SESSION,
+            refusals.RunState.NOT_RUN,
+            400,
+            message,
+        )
+    )
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/routing/work.py
@@ -0,0 +1,52 @@
+"""Work that the request path hands to the dispatchers."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from ..conf import snapshot
+
+
+@dataclass(frozen=True, slots=True)
+class EngineWork:
+    """Chat completion to be run on one version.
+
+    :param request_id: identifier of the request.
+    :param target: version that must answer.
+    :param body: chat completion body as the caller sent it.
+    :param priority: 0 is served first.
+    :param deadline: monotonic instant by which the answer must be whole.
+    :param affinity: key whose requests go to the same replica when it has
+        room, such as a session or the head of a prompt; empty for none.
+    """
+
+    request_id: str
+    target: snapshot.ModelVersion
+    body: Mapping[str, Any]
+    priority: int
+    deadline: float
+    affinity: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceWork:
+    """Call of a plain service.
+
+    :param request_id: identifier of the request.
+    :param service: name of the service.
+    :param method: HTTP method.
+    :param path: path and query below the service.
+    :param headers: headers to pass on.
+    :param body: body as the caller sent it.
+    :param priority: 0 is served first.
+    :param deadline: monotonic instant by which the answer must be whole.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    priority: int
+    deadline: float
--- /dev/null
+++ b/tests/limpetwalk_node/fakes.py
@@ -0,0 +1,256 @@
+"""Fakes of the node's parts and a node of them that listens on loopback."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import hashlib
+import random
+
+import aiohttp
+from aiohttp import web
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import metrics as measures
+from limpetwalk.backends import base as backends
+from limpetwalk.conf import snapshot
+from limpetwalk_node import app
+from limpetwalk_node import lifecycle
+from limpetwalk_node import server
+
+KEY = "key-of-bercvar"
+OTHER_KEY = "key-of-navarrete"
+
+
+def make_snapshot(**changes) -> snapshot.Snapshot:
+    """Return a configuration with two workspaces and two models."""
+    live = snapshot.VersionState.LIVE
+    cfg = snapshot.Snapshot(
+        digest="d1",
+        models={
+            name: snapshot.Model(name, {"v1": live, "v2": live}, "v1", *prices)
+            for name, prices in (
+                ("small", (100, 200)),
+                ("large", (1000, 2000)),
+            )
+        },
+        servers={},
+        cascades={
+            "assistant": snapshot.Cascade(
+                "assistant", "fixed", ("small", "large"), 0.7
+            ),
+            "strong": snapshot.Cascade(
+                "strong", "always_strong", ("large",), 0.7
+            ),
+        },
+        services={
+            "registry": snapshot.Service(
+                "registry",
+                (
+                    snapshot.ServiceRoute("GET", "/filings/*", True),
+                    snapshot.ServiceRoute("POST", "/payments", False),
+                ),
+                10.0,
+            )
+        },
+        workspaces={
+            "bercvar": _workspace("bercvar", KEY, {"small", "large"}),
+            "navarrete": dataclasses.replace(
+                _workspace("navarrete", OTHER_KEY, {"small"}),
+                services=frozenset(),
+            ),
+        },
+        rollouts={},
+        zones={},
+        session_keys=(snapshot.SessionKey("k1", "secret"),),
+        tuning=snapshot.Tuning(body_limit_bytes=100_000),
+    )
+    return dataclasses.replace(cfg, **changes)
+
+
+def _workspace(name, key, models) -> snapshot.Workspace:
+    return snapshot.Workspace(
+        name=name,
+        key_digests=(hashlib.sha256(key.encode()).hexdigest(),),
+        cascades=frozenset({"assistant", "strong"}),
+        models=frozenset(models),
+        services=frozenset({"registry"}),
+        rate=1000.0,
+        concurrency=100,
+        priority=1,
+    )
+
+
+class FakeConfig:
+    """Configuration that a test changes."""
+
+    def __init__(self, cfg=None) -> None:
+        self.applied = snapshot.Applied(1, cfg or make_snapshot())
+        self.is_fresh = True
+
+    def current(self):
+        return self.applied
+
+    def fresh(self):
+        return self.is_fresh
+
+    def change(self, **changes) -> None:
+        held = self.applied
+        self.applied = snapshot.Applied(
+            held.generation + 1,
+            dataclasses.replace(held.snapshot, **changes),
+        )
+
+
+class FakeEngines:
+    """Engines that answer with scripted events."""
+
+    def __init__(self) -> None:
+        self.works = []
+        self.answers = {"small": ["cheap ", "words"], "large": ["strong"]}
+        self.failure = None
+        self.fail_after = 0
+        self.gate = None
+        self.reached = asyncio.Event()
+        self.cancelled = asyncio.Event()
+
+    async def complete(self, item) -> AsyncIterator[backends.EngineEvent]:
+        self.works.append(item)
+        count = 0
+        try:
+            for text in self.answers[item.target.model]:
+                if self.failure and count >= self.fail_after:
+                    raise self.failure
+                yield backends.Delta(text)
+                count += 1
+                if self.gate is not None:
+                    self.reached.set()
+                    await self.gate.wait()
+            if self.failure:
+                raise self.failure
+            yield backends.Finished(backends.Usage(10, count), "stop")
+        except (asyncio.CancelledError, GeneratorExit):
+            self.cancelled.set()
+            raise
+
+
+class FakeRatings:
+    """Rating service with a score for each model."""
+
+    def __init__(self) -> None:
+        self.scores = {"small": 0.9, "large": 0.95}
+        self.up = True
+
+    async def rate(self, req, timeout):
+        if not self.up:
+            raise exceptions.RatingUnavailable("down")
+        return self.scores[req.model]
+
+    async def close(self):
+        pass
+
+
+class FakeServices:
+    """Plain services that count their runs."""
+
+    def __init__(self) -> None:
+        self.runs = []
+        self.failure = None
+        self.gate = None
+        self.reached = asyncio.Event()
+        self.answer = backends.ServiceAnswer(
+            201, b'{"ok": true}', {"Content-Type": "application/json"}
+        )
+
+    async def call(self, item):
+        return await self._run(item)
+
+    async def call_once(self, item, before_send, unsent):
+        await before_send("registry-1", f"{item.request_id}-1")
+        return await self._run(item)
+
+    async def _run(self, item):
+        self.runs.append(item)
+        self.reached.set()
+        if self.gate is not None:
+            await self.gate.wait()
+        if self.failure:
+            raise self.failure
+        return self.answer
+
+
+class FakeBiller:
+    """Biller that keeps entries in a list."""
+
+    def __init__(self) -> None:
+        self.entries = []
+        self.up = True
+
+    async def bill(self, entry):
+        self.entries.append(entry)
+        if not self.up:
+            raise exceptions.StoreUnavailable("down")
+
+    async def flush(self, timeout):
+        return 0
+
+
+class FakeNode:
+    """Node of fakes that serves its callers' API on loopback."""
+
+    def __init__(self, records) -> None:
+        self.config = FakeConfig()
+        self.engines = FakeEngines()
+        self.ratings = FakeRatings()
+        self.services = FakeServices()
+        self.records = records
+        self.biller = FakeBiller()
+        self.metrics = measures.Metrics()
+        self.interfaces = app.compose(self.parts())
+        self.life = self.interfaces.life
+        self.life.phase = lifecycle.Phase.SERVING
+
+    def parts(self) -> app.Parts:
+        return app.Parts(
+            name="node-1",
+            holder="node-1/1",
+            config=self.config,
+            offer=self._offer,
+            engines=self.engines,
+            services=self.services,
+            ratings=self.ratings,
+            records=self.records,
+            biller=self.biller,
+            is_live=lambda holder: True,
+            status=lambda: {"name": "node-1"},
+            clock=clocks.SystemClock(),
+            metrics=self.metrics,
+            rng=random.Random(7),
+        )
+
+    async def _offer(self, generation, data):
+        return generation > self.config.applied.generation
+
+    async def start(self) -> None:
+        api = self.interfaces.callers
+        self._runner = web.ServerRunner(
+            server.TypedServer(api.handle, api.refuse_unreadable),
+            shutdown_timeout=0.1,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        self.port = self._runner.addresses[0][1]
+        self.url = f"http://127.0.0.1:{self.port}"
+        self.http = aiohttp.ClientSession(
+            self.url, headers={"Authorization": f"Bearer {KEY}"}
+        )
+
+    async def stop(self) -> None:
+        await self.http.close()
+        await self._runner.cleanup()
+
+    def refused(self, reason: str, run: str = "not_run") -> float:
+        """Return the counter of a refusal."""
+        return self.metrics.value(
+            "limpetwalk_refusals_total", {"reason": reason, "run": run}
+        )
--- /dev/null
+++ b/tests/limpetwalk_node/test_chat.py
@@ -0,0 +1,173 @@
+import asyncio
+import json
+import unittest
+
+from limpetwalk import refusals
+
+from . import fakes
+
+CHAT = "/v1/chat/completions"
+
+
+def question(**changes):
+    body = {
+        "model": "assistant",
+        "messages": [{"role": "user", "content": "what is the rule?"}],
+    }
+    return {**body, **changes}
+
+
+async def read_events(resp):
+    """Return the data of a whole stream's events."""
+    text = (await resp.read()).decode()
+    return [part.removeprefix("data: ") for part in text.split("\n\n") if part]
+
+
+class WholeAnswer(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.node = fakes.FakeNode(None)
+        await self.node.start()
+        self.addAsyncCleanup(self.node.stop)
+
+    async def ask(self, body=None, headers=None):
+        async with self.node.http.post(
+            CHAT, json=body or question(), headers=headers
+        ) as resp:
+            return resp.status, await resp.json()
+
+    async def test_cheap_answer_that_meets_the_target_is_released(self):
+        status, body = await self.ask()
+        self.assertEqual(200, status)
+        choice = body["choices"][0]
+        self.assertEqual("cheap words", choice["message"]["content"])
+        self.assertEqual("stop", choice["finish_reason"])
+        self.assertEqual(["small@v1"], body["limpetwalk"]["steps"])
+        self.assertEqual(12, body["usage"]["total_tokens"])
+
+    async def test_climbs_when_the_rating_misses_the_target(self):
+        self.node.ratings.scores["small"] = 0.1
+        _, body = await self.ask()
+        self.assertEqual("strong", body["choices"][0]["message"]["content"])
+        self.assertEqual(["small@v1", "large@v1"], body["limpetwalk"]["steps"])
+
+    async def test_a_cascade_is_billed_once_at_the_released_price(self):
+        self.node.ratings.scores["small"] = 0.1
+        _, body = await self.ask()
+        (entry,) = self.node.biller.entries
+        self.assertEqual(body["id"], f"chatcmpl-{entry.request_id}")
+        self.assertEqual(entry.request_id, entry.request_key)
+        self.assertEqual(("small@v1", "large@v1"), entry.steps)
+        self.assertEqual(12, entry.cost)
+
+    async def test_unknown_fields_go_to_the_engine(self):
+        await self.ask(question(temperature=0.1, seed=3))
+        (item,) = self.node.engines.works
+        self.assertEqual(0.1, item.body["temperature"])
+
+    async def test_withdrawal_between_two_steps_acts(self):
+        self.node.ratings.scores["small"] = 0.1
+        rate = self.node.ratings.rate
+
+        async def withdraw(req, timeout):
+            self.node.config.change(workspaces={})
+            return await rate(req, timeout)
+
+        self.node.ratings.rate = withdraw
+        status, body = await self.ask()
+        self.assertEqual(401, status)
+        self.assertEqual("run", body["error"]["run"])
+        self.assertEqual([], self.node.biller.entries)
+
+    async def test_refusal_after_a_step_that_ran_does_not_deny_it(self):
+        self.node.ratings.scores["small"] = 0.1
+        complete = self.node.engines.complete
+
+        def fail_large(item):
+            if item.target.model == "large":
+                self.node.engines.failure = refusals.Refused(
+                    refusals.Refusal(
+                        refusals.Reason.NO_BACKEND_SERVER,
+                        refusals.RunState.NOT_RUN,
+                        503,
+                        "none",
+                    )
+                )
+            return complete(item)
+
+        self.node.engines.complete = fail_large
+        status, body = await self.ask()
+        self.assertEqual(503, status)
+        self.assertEqual("run", body["error"]["run"])
+
+
+class StreamedAnswer(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.node = fakes.FakeNode(None)
+        await self.node.start()
+        self.addAsyncCleanup(self.node.stop)
+
+    def ask(self, **changes):
+        return self.node.http.post(CHAT, json=question(stream=True, **changes))
+
+    async def test_whole_stream_ends_with_done(self):
+        async with self.ask(
+            model="strong", stream_options={"include_usage": True}
+        ) as resp:
+            events = await read_events(resp)
+        self.assertEqual("[DONE]", events[-1])
+        chunks = [json.loads(event) for event in events[:-1]]
+        text = "".join(
+            chunk["choices"][0]["delta"].get("content", "")
+            for chunk in chunks
+            if chunk["choices"]
+        )
+        self.assertEqual("strong", text)
+        self.assertEqual(11, chunks[-1]["usage"]["total_tokens"])
+        self.assertEqual(1, len(self.node.biller.entries))
+
+    async def test_failure_in_a_stream_is_a_typed_event_without_done(self):
+        self.node.engines.answers["large"] = ["one", "two"]
+        self.node.engines.fail_after = 1
+        self.node.engines.failure = refusals.Refused(
+            refusals.Refusal(
+                refusals.Reason.BACKEND_SERVER_FAILED,
+                refusals.RunState.RUN,
+                502,
+                "cut",
+            )
+        )
+        async with self.ask(model="strong") as resp:
+            self.assertEqual(200, resp.status)
+            events = await read_events(resp)
+        self.assertNotIn("[DONE]", events)
+        error = json.loads(events[-1])["error"]
+        self.assertEqual("backend_server_failed", error["reason"])
+        self.assertEqual([], self.node.biller.entries)
+        self.assertEqual(1, self.node.refused("backend_server_failed", "run"))
+
+    async def test_refusal_before_the_first_token_has_its_status(self):
+        self.node.engines.failure = refusals.Refused(
+            refusals.Refusal(
+                refusals.Reason.QUEUE_FULL,
+                refusals.RunState.NOT_RUN,
+                503,
+                "full",
+                retry_after=2.0,
+            )
+        )
+        async with self.ask(model="strong") as resp:
+            self.assertEqual(503, resp.status)
+            self.assertEqual("2", resp.headers["Retry-After"])
+
+    async def test_work_is_cancelled_when_the_caller_leaves(self):
+        self.node.engines.gate = asyncio.Event()
+        async with self.ask(model="strong") as resp:
+            await self.node.engines.reached.wait()
+            resp.close()
+        async with asyncio.timeout(5):
+            await self.node.engines.cancelled.wait()
+            self.assertTrue(await self.node.life.wait_idle(5))
+        self.assertEqual([], self.node.biller.entries)
+        self.assertEqual(
+            1, self.node.metrics.value("limpetwalk_callers_left_total")
+        )
