--- a/packages/limpetwalk-node/limpetwalk_node/app.py
+++ b/packages/limpetwalk-node/limpetwalk_node/app.py
@@ -41,6 +41,8 @@
     :param biller: writes bill entries.
     :param is_live: tells whether a holder of records is still at work.
     :param status: returns what ``/status`` shows.
+    :param waits: bounds of a repeat's wait for the run under way.
+    :param retries: bound of the tries to note the end of a run.
     """
 
     name: str
@@ -57,6 +59,8 @@
     clock: clocks.Clock
     metrics: measures.Metrics
     rng: random.Random
+    waits: record_flow.Waits = record_flow.Waits()
+    retries: record_notes.Retries = record_notes.Retries()
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,10 +111,13 @@
         held.holder,
         held.records,
         held.services,
-        record_notes.RecordNotes(held.records, life, held.metrics),
+        record_notes.RecordNotes(
+            held.records, life, held.metrics, held.retries
+        ),
         bills_,
         life,
         held.is_live,
+        held.waits,
     )
     return services.PlainServices(
         held.services, flow, bills_, held.clock, held.metrics
--- a/packages/limpetwalk-node/limpetwalk_node/record_flow.py
+++ b/packages/limpetwalk-node/limpetwalk_node/record_flow.py
@@ -75,7 +75,7 @@
         bills_: bills.Bills,
         life: lifecycle.Lifecycle,
         is_live: Callable[[str], bool],
-        waits: Waits = Waits(),  # noqa: B008
+        waits: Waits,
     ) -> None:
         self._holder = holder
         self._store = store
--- a/packages/limpetwalk-node/limpetwalk_node/record_notes.py
+++ b/packages/limpetwalk-node/limpetwalk_node/record_notes.py
@@ -50,7 +50,7 @@
         store: records.RecordStore,
         life: lifecycle.Lifecycle,
         metrics: measures.Metrics,
-        retries: Retries = Retries(),  # noqa: B008
+        retries: Retries,
     ) -> None:
         self._store = store
         self._life = life
--- a/packages/limpetwalk-node/limpetwalk_node/services.py
+++ b/packages/limpetwalk-node/limpetwalk_node/services.py
@@ -122,7 +122,10 @@
     async def _once(
         self, call: calls.Call, item: work.ServiceWork, key: str
     ) -> web.Response:
-        ident = records.RecordIdent(call.workspace.name, key, _digest(item))
+        digest = request_digest(
+            item.method, item.service, item.path, item.body
+        )
+        ident = records.RecordIdent(call.workspace.name, key, digest)
         outcome = await self._flow.run(ident, item)
         self._answers.labels(
             "replayed" if outcome.replayed else "non_idempotent"
@@ -194,9 +197,10 @@
     return refusals.RunState.UNKNOWN
 
 
-def _digest(item: work.ServiceWork) -> str:
-    head = f"{item.method}\n{item.service}{item.path}\n".encode()
-    return hashlib.sha256(head + item.body).hexdigest()
+def request_digest(method: str, service: str, path: str, body: bytes) -> str:
+    """Return the digest by which a repeat of a request is known."""
+    head = f"{method}\n{service}{path}\n".encode()
+    return hashlib.sha256(head + body).hexdigest()
 
 
 def _end_to_end(answer: backends.ServiceAnswer) -> dict[str, str]:
--- a/tests/limpetwalk_node/fakes.py
+++ b/tests/limpetwalk_node/fakes.py
@@ -16,6 +16,8 @@
 from limpetwalk.conf import snapshot
 from limpetwalk_node import app
 from limpetwalk_node import lifecycle
+from limpetwalk_node import record_flow
+from limpetwalk_node import record_notes
 from limpetwalk_node import server
 
 KEY = "key-of-bercvar"
@@ -205,6 +207,7 @@
         self.services = FakeServices()
         self.records = records
         self.biller = FakeBiller()
+        self.lost_holders = set()
         self.metrics = measures.Metrics()
         self.interfaces = app.compose(self.parts())
         self.life = self.interfaces.life
@@ -221,11 +224,13 @@
             ratings=self.ratings,
             records=self.records,
             biller=self.biller,
-            is_live=lambda holder: True,
+            is_live=lambda holder: holder not in self.lost_holders,
             status=lambda: {"name": "node-1"},
             clock=clocks.SystemClock(),
             metrics=self.metrics,
             rng=random.Random(7),
+            waits=record_flow.Waits(0.1, 0.02),
+            retries=record_notes.Retries(100, 0.02),
         )
 
     async def _offer(self, generation, data):
