Deepen dispatch: choice, queue, circuits, cold start, quarantine, hedges

The configuration is read for each choice. A choice draws two replicas and an affine one, so it does not scan all of them; cold replicas need a permit; a request that may have crashed a server runs apart from other suspects and an answer clears it.

--- a/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
@@ -35,6 +35,9 @@
     :param request_id: identifier to echo.
     :param attempt_id: identifier to echo.
     :param body: parsed body.
+    :param priority: 0 is served first.
+    :param resume_from: tokens to skip.
+    :param timeout: seconds until the caller gives up; None for never.
     """
 
     request_id: str
@@ -42,6 +45,7 @@
     body: dict[str, Any]
     priority: int
     resume_from: int
+    timeout: float | None
 
     @property
     def model(self) -> str:
@@ -63,6 +67,7 @@
         body = await req.json()
         priority = int(req.headers.get("X-Priority", DEFAULT_PRIORITY))
         resume_from = int(req.headers.get("X-Resume-From", "0"))
+        timeout_ms = float(req.headers.get("X-Timeout-Ms", "inf"))
     except ValueError as exc:
         raise BadRequest(str(exc)) from exc
     if not isinstance(body, dict) or not body.get("messages"):
@@ -73,6 +78,7 @@
         body,
         priority,
         resume_from,
+        None if timeout_ms == float("inf") else timeout_ms / 1000,
     )
 
 
@@ -187,7 +193,12 @@
         except core.ColdOverload:
             return answer.error(500, "cold_overload")
         try:
-            return await answer.send(job)
+            async with asyncio.timeout(chat.timeout):
+                return await answer.send(job)
+        except TimeoutError:
+            # The caller no longer waits, so the work is given up.
+            answer.drop()
+            return answer.error(504, "timeout")
         except ConnectionError:
             # The caller has left; there is nobody to answer.
             return answer.error(499, "client_left")
@@ -271,6 +282,11 @@
             headers.update(faults.NOT_RUN_HEADERS)
         return web.json_response(body, status=status, headers=headers)
 
+    def drop(self) -> None:
+        """Close the connection."""
+        if self._req.transport is not None:
+            self._req.transport.close()
+
     async def send(self, job: batch.Job) -> web.StreamResponse:
         """Send the answer, streamed or whole."""
         late = self._owner.switches.take("late")
--- a/packages/limpetwalk/limpetwalk/backends/openai.py
+++ b/packages/limpetwalk/limpetwalk/backends/openai.py
@@ -96,6 +96,9 @@
         headers = {
             "Content-Type": "application/json",
             PRIORITY_HEADER: str(call.priority),
+            pool.TIMEOUT_HEADER: pool.timeout_ms(
+                call.deadline - self._clock.monotonic()
+            ),
         }
         if call.resume_from:
             headers[RESUME_HEADER] = str(call.resume_from)
--- a/packages/limpetwalk/limpetwalk/backends/pool.py
+++ b/packages/limpetwalk/limpetwalk/backends/pool.py
@@ -16,6 +16,7 @@
 ATTEMPT_ID_HEADER = "X-Attempt-Id"
 BOOT_ID_HEADER = "X-Boot-Id"
 RUN_STATE_HEADER = "X-Run-State"
+TIMEOUT_HEADER = "X-Timeout-Ms"
 IDLE_TIMEOUT = 15.0
 LOAD_PATH = "/load"
 AUTO_HEADERS = ("Accept-Encoding", "Content-Type", "User-Agent")
@@ -271,6 +272,11 @@
         self.boot_id = resp.headers.get(BOOT_ID_HEADER, self.boot_id)
 
 
+def timeout_ms(seconds: float) -> str:
+    """Return the header text of the time left for a request."""
+    return str(max(1, int(seconds * 1000)))
+
+
 def _load_report(body: object) -> base.LoadReport:
     if not isinstance(body, dict):
         raise ValueError("expected an object")
--- a/packages/limpetwalk/limpetwalk/refusals.py
+++ b/packages/limpetwalk/limpetwalk/refusals.py
@@ -61,6 +61,7 @@
     SERVER_ERROR = "server_error"
     OVERLOADED = "overloaded"
     STREAM_RESUMED = "stream_resumed"
+    PERMIT_EXPIRED = "permit_expired"
     HEDGED = "hedged"
 
 
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/routing/core.py
@@ -0,0 +1,171 @@
+"""Parts that the dispatchers of a node share."""
+
+from collections.abc import Callable
+from collections.abc import Hashable
+import random
+
+from .. import clock as clocks
+from .. import metrics as metrics_module
+from .. import refusals
+from ..backends import base as backends
+from ..conf import snapshot
+from . import admission
+from . import attempts as attempts_module
+from . import balancer as balancers
+from . import hedging
+from . import outcomes
+from . import quarantine as quarantines
+from . import refuse
+from . import replicas
+from . import retry_budget
+from . import warmup
+
+Config = Callable[[], snapshot.Applied]
+
+
+class Core:
+    """Replicas, admission, retries and quarantine of a node.
+
+    The configuration is read anew for each choice, so a drain, a zone taken
+    out or a withdrawal acts on new work and on retries at once, while work
+    in flight finishes.
+
+    :param config: returns the snapshot in force.
+    :param permits: permits for cold servers.
+    :param quarantine: requests that crash servers.
+    :param around: what the node knows of where it runs.
+    :param balancer: choice among usable replicas; None takes the lesser
+        loaded of two.
+    :param factory: makes the client of a server.
+    """
+
+    def __init__(
+        self,
+        config: Config,
+        permits: warmup.PermitSource,
+        quarantine: quarantines.Quarantine,
+        clock: clocks.Clock,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+        around: replicas.Surroundings | None = None,
+        balancer: balancers.Balancer | None = None,
+        factory: replicas.ClientFactory = replicas.build_client,
+    ) -> None:
+        self.clock = clock
+        self.quarantine = quarantine
+        self.directory = replicas.Directory(
+            config, clock, rng, around, factory
+        )
+        self.outcomes = outcomes.Outcomes(clock, metrics)
+        self.retries = attempts_module.Retries(
+            retry_budget.RetryBudget(), clock, metrics
+        )
+        self.hedger = hedging.Hedger(self.retries, clock)
+        zone = self.directory.around.zone
+        self.admission = admission.Admission(
+            self.directory,
+            balancer or balancers.LeastOfTwo(clock, rng, zone),
+            permits,
+            lambda: config().snapshot.tuning.queue_length,
+            clock,
+            metrics,
+        )
+        self._config = config
+        self._refused = metrics.counter(
+            "limpetwalk_dispatch_refusals",
+            "Requests that the dispatcher refused.",
+            ("reason", "run"),
+        )
+
+    @property
+    def tuning(self) -> snapshot.Tuning:
+        """Limits and timeouts in force."""
+        return self._config().snapshot.tuning
+
+    async def close(self) -> None:
+        """Close the clients."""
+        await self.directory.close()
+
+    def begin(
+        self, request_id: str, deadline: float
+    ) -> attempts_module.Attempts:
+        """Note the first try of a request."""
+        self.retries.budget.first_try(self.tuning.retry_share)
+        return attempts_module.Attempts(request_id, deadline)
+
+    def count_refusal(self, exc: refusals.Refused) -> None:
+        """Count a refusal by its reason and run state."""
+        refusal = exc.refusal
+        labels = (refusal.reason.value, refusal.run.value)
+        self._refused.labels(*labels).inc()
+
+    async def acquire(
+        self,
+        attempts: attempts_module.Attempts,
+        subject: Hashable,
+        priority: int,
+        affinity: str,
+        fingerprint: str,
+    ) -> admission.Slot:
+        """Return a slot for the next attempt of a request.
+
+        :raises Refused: when there is none, or the request is quarantined.
+        """
+        crashed = self.quarantine.servers(fingerprint)
+        try:
+            self._refuse_quarantined(len(crashed))
+            return await self.admission.acquire(
+                admission.Need(
+                    subject,
+                    priority,
+                    attempts.deadline,
+                    affinity,
+                    attempts.tried | crashed,
+                    bool(crashed),
+                )
+            )
+        except refusals.Refused as exc:
+            raise attempts.restate(exc) from None
+
+    def answered(self, slot: admission.Slot, fingerprint: str) -> None:
+        """Note the whole answer to an attempt."""
+        self.outcomes.answered(slot.replica, slot.started)
+        if slot.suspect:
+            self.quarantine.acquit(fingerprint)
+
+    def failed(
+        self,
+        slot: admission.Slot,
+        fingerprint: str,
+        exc: backends.AttemptFailed,
+    ) -> None:
+        """Note an attempt that failed."""
+        boot_id = slot.replica.boot.boot_id
+        self.outcomes.failed(slot.replica, slot.started, exc)
+        if exc.crashed:
+            name = slot.replica.name
+            self.quarantine.record(fingerprint, name, boot_id)
+
+    def refuse_withdrawn(self, target: snapshot.ModelVersion) -> None:
+        """Check that a version may receive new work.
+
+        :raises Refused: when it was withdrawn.
+        """
+        model = self._config().snapshot.models.get(target.model)
+        state = model.versions.get(target.version) if model else None
+        if state is snapshot.VersionState.LIVE:
+            return
+        raise refuse.refused(
+            refusals.Reason.VERSION_WITHDRAWN,
+            refusals.RunState.NOT_RUN,
+            f"version {target.version} of {target.model} was withdrawn",
+        )
+
+    def _refuse_quarantined(self, crashes: int) -> None:
+        if crashes < self.tuning.crash_limit:
+            return
+        raise refuse.refused(
+            refusals.Reason.QUARANTINED,
+            refusals.RunState.NOT_RUN,
+            "this request has crashed the backend servers that ran it",
+        )
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/routing/outcomes.py
@@ -0,0 +1,73 @@
+"""What the end of an attempt tells about its replica."""
+
+from loguru import logger
+
+from .. import clock as clocks
+from .. import metrics as metrics_module
+from ..backends import base as backends
+from . import replicas
+
+# Failures that say nothing about the health of the server.
+NEUTRAL = frozenset(
+    (backends.FailureKind.REJECTED, backends.FailureKind.DEADLINE)
+)
+
+
+class Outcomes:
+    """Updates replicas by the end of their attempts."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._clock = clock
+        self._failures = metrics.counter(
+            "limpetwalk_attempt_failures",
+            "Attempts without a whole answer.",
+            ("kind",),
+        )
+        self._opened = metrics.counter(
+            "limpetwalk_circuits_opened", "Times that a circuit opened."
+        )
+        self._boots = metrics.counter(
+            "limpetwalk_boots_seen", "New boots of backend servers seen."
+        )
+
+    def answered(self, replica: replicas.Replica, started: float) -> None:
+        """Note a whole answer.
+
+        :param started: monotonic instant at which the attempt was sent.
+        """
+        if replica.circuit.succeed():
+            logger.info("circuit of {} closed", replica.name)
+        replica.limiter.answered()
+        self._learn(replica, started)
+
+    def failed(
+        self,
+        replica: replicas.Replica,
+        started: float,
+        exc: backends.AttemptFailed,
+    ) -> None:
+        """Note an attempt that failed."""
+        self._failures.labels(exc.kind.value).inc()
+        self._learn(replica, started)
+        if exc.crashed or exc.kind is backends.FailureKind.CONNECT_FAILED:
+            replica.boot.doubt()
+        if exc.kind is backends.FailureKind.OVERLOADED:
+            replica.limiter.overloaded()
+            replica.circuit.abandon()
+            return
+        if exc.kind in NEUTRAL:
+            replica.circuit.abandon()
+            return
+        if replica.circuit.fail(self._clock.monotonic()):
+            self._opened.inc()
+            logger.warning("circuit of {} opened: {}", replica.name, exc)
+
+    def _learn(self, replica: replicas.Replica, started: float) -> None:
+        if replica.boot.learn(
+            replica.client.boot_id, self._clock.monotonic(), started
+        ):
+            self._boots.inc()
--- a/packages/limpetwalk/limpetwalk/routing/quarantine.py
+++ b/packages/limpetwalk/limpetwalk/routing/quarantine.py
@@ -1,19 +1,31 @@
-"""Requests that crash the backend servers that run them."""
+"""Requests that crash the backend servers that run them.
+
+When a server crashes, each request that it ran is a suspect, since nobody
+can tell which one did it. A suspect is run again apart from the others; an
+answer clears it, and crashes of enough servers quarantine it.
+"""
 
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
 import json
 from typing import Any
 
+from loguru import logger
 import xxhash
 
+from .. import clock as clocks
+
 KEPT = 4096
+LIFETIME = 3600.0
+IGNORED_FIELDS = ("stream", "stream_options")
 
 
 def engine_fingerprint(body: Mapping[str, Any]) -> str:
     """Return the fingerprint of a chat completion, equal for a repeat."""
-    kept = {key: body[key] for key in sorted(body) if key != "stream"}
+    kept = {key: body[key] for key in body if key not in IGNORED_FIELDS}
     text = json.dumps(kept, sort_keys=True, default=str)
     return xxhash.xxh3_128_hexdigest(text.encode())
 
@@ -23,38 +35,70 @@
     return xxhash.xxh3_128_hexdigest(f"{method} {path}\n".encode() + body)
 
 
+@dataclass(slots=True)
+class _Suspicion:
+    until: float
+    servers: set[str] = field(default_factory=set)
+
+
 class Quarantine:
-    """Counts of crashed backend servers by request fingerprint.
+    """Servers that crashed, by the fingerprint of what they ran.
 
     :param share: called with fingerprint, server and boot id of each crash
         that this node saw, to tell the peers.
     :param kept: most fingerprints held; the oldest are forgotten.
+    :param lifetime: seconds after which a fingerprint is forgotten.
     """
 
     def __init__(
         self,
         share: Callable[[str, str, str], None] | None = None,
         kept: int = KEPT,
+        lifetime: float = LIFETIME,
+        clock: clocks.Clock | None = None,
     ) -> None:
-        self._share = share
+        self.share = share
         self._kept = kept
-        self._crashed: collections.OrderedDict[str, set[str]] = (
+        self._lifetime = lifetime
+        self._clock = clock or clocks.SystemClock()
+        self._held: collections.OrderedDict[str, _Suspicion] = (
             collections.OrderedDict()
         )
 
+    def servers(self, fingerprint: str) -> frozenset[str]:
+        """Return the servers that crashed while they ran a request."""
+        found = self._held.get(fingerprint)
+        if found is None:
+            return frozenset()
+        if found.until <= self._clock.monotonic():
+            del self._held[fingerprint]
+            return frozenset()
+        return frozenset(found.servers)
+
     def blocks(self, fingerprint: str, limit: int) -> bool:
         """Whether a request has crashed as many servers as are allowed."""
-        return len(self._crashed.get(fingerprint, ())) >= limit
+        return len(self.servers(fingerprint)) >= limit
 
     def record(self, fingerprint: str, server: str, boot_id: str) -> None:
         """Count a crash that this node saw, and share it."""
-        self.merge(fingerprint, server)
-        if self._share is not None:
-            self._share(fingerprint, server, boot_id)
+        self.merge(fingerprint, server, boot_id)
+        if self.share is not None:
+            self.share(fingerprint, server, boot_id)
 
-    def merge(self, fingerprint: str, server: str) -> None:
+    def merge(self, fingerprint: str, server: str, boot_id: str = "") -> None:
         """Count a crash that a peer saw."""
-        self._crashed.setdefault(fingerprint, set()).add(server)
-        self._crashed.move_to_end(fingerprint)
-        while len(self._crashed) > self._kept:
-            self._crashed.popitem(last=False)
+        until = self._clock.monotonic() + self._lifetime
+        found = self._held.setdefault(fingerprint, _Suspicion(until))
+        found.until = until
+        if server not in found.servers:
+            found.servers.add(server)
+            logger.warning(
+                "{} crashed while it ran request {}", server, fingerprint
+            )
+        self._held.move_to_end(fingerprint)
+        while len(self._held) > self._kept:
+            self._held.popitem(last=False)
+
+    def acquit(self, fingerprint: str) -> None:
+        """Forget the suspicion of a request that was answered."""
+        self._held.pop(fingerprint, None)
--- a/packages/limpetwalk/limpetwalk/routing/replicas.py
+++ b/packages/limpetwalk/limpetwalk/routing/replicas.py
@@ -1,13 +1,25 @@
 """Backend servers as this node sees them, indexed for a choice."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Hashable
 from dataclasses import dataclass
-from dataclasses import field
+import random
 
+import xxhash
+
+from .. import clock as clocks
 from .. import registry
 from ..backends import base as backends
 from ..conf import snapshot
+from . import boots
+from . import circuit
+from . import limiter
+
+FRESH = 3.0
+GROUP_SIZE = 32
+RAMP = 10.0
+RAMP_LEAST = 0.1
 
 ClientFactory = Callable[
     [snapshot.Server, snapshot.Tuning], backends.BackendClient
@@ -22,24 +34,141 @@
     return factory(server, tuning)
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a node knows of where it runs.
+
+    :param zone: its availability zone.
+    :param live_nodes: number of entry nodes, this one included.
+    :param leaving: addresses of the instances that take no new work.
+    """
+
+    zone: str = ""
+    live_nodes: Callable[[], int] = lambda: 1
+    leaving: Callable[[], frozenset[str]] = frozenset
+
+
 class Replica:
     """Backend server with what this node knows of it.
 
     :param server: its declaration in the snapshot in force.
     :param client: its client.
-    :param in_flight: requests of this node at it.
     """
 
-    server: snapshot.Server
-    client: backends.BackendClient
-    in_flight: int = 0
+    def __init__(
+        self,
+        server: snapshot.Server,
+        client: backends.BackendClient,
+        rng: random.Random,
+    ) -> None:
+        self.server = server
+        self.client = client
+        self.seed = xxhash.xxh32_intdigest(server.name.encode())
+        self.in_flight = 0
+        self.boot = boots.Boot()
+        self.circuit = circuit.Circuit(rng)
+        self.limiter = limiter.Limiter()
+        self.ramp_from: float | None = None
+        self.suspects = 0
+        self._reported = 0
+        self._sampled_at = float("-inf")
+        self._sent: collections.deque[float] = collections.deque()
 
     @property
     def name(self) -> str:
         """Name of the server."""
         return self.server.name
 
+    def is_cold(self, now: float) -> bool:
+        """Whether it may only be sent what it has permits for."""
+        return self.boot.is_cold(self.server.warmup, now)
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the load report is recent enough to be believed."""
+        return now - self._sampled_at < FRESH
+
+    def load(self, now: float) -> float:
+        """Return the estimated requests at the server, of all nodes.
+
+        This is the lagging report and what this node has sent since.
+        """
+        if not self.is_fresh(now):
+            return float(self.in_flight)
+        return float(max(self.in_flight, self._reported + len(self._sent)))
+
+    def has_room(self, now: float, nodes: int) -> bool:
+        """Whether this node may send one more request.
+
+        Its share of the concurrency is always its own; beyond it, up to
+        twice the share, it may use what a fresh report shows as free.
+        """
+        share = max(1, self.server.concurrency // nodes)
+        allowed = share * self.limiter.factor * self._ramp(now)
+        if self.in_flight < max(1.0, allowed):
+            return True
+        if self.in_flight >= 2 * allowed or not self.is_fresh(now):
+            return False
+        return self.load(now) < self.server.concurrency
+
+    def start(self, now: float) -> None:
+        """Note that a request is sent."""
+        self.in_flight += 1
+        self._sent.append(now)
+        if len(self._sent) > 2 * self.server.concurrency:
+            self._sent.popleft()
+        self.boot.note_sent(now)
+        self.circuit.start()
+
+    def note_report(self, report: backends.LoadReport, now: float) -> bool:
+        """Take a load report, of this node or of a peer.
+
+        :returns: whether the server has started anew.
+        """
+        sampled_at = now - report.age
+        if sampled_at > self._sampled_at:
+            self._reported = report.running + report.waiting
+            self._sampled_at = sampled_at
+            while self._sent and self._sent[0] <= sampled_at:
+                self._sent.popleft()
+        return self.boot.learn(report.boot_id, sampled_at)
+
+    def _ramp(self, now: float) -> float:
+        if self.ramp_from is None:
+            return 1.0
+        passed = (now - self.ramp_from) / RAMP
+        return min(1.0, max(RAMP_LEAST, passed))
+
+
+class Tier:
+    """Replicas of one version or service at one distance.
+
+    They are also split into groups by the hash of their names, so that a
+    key finds its replica in two steps and a replica that comes or goes
+    moves keys of its own group only.
+    """
+
+    def __init__(self, held: list[Replica]) -> None:
+        self.replicas = held
+        number = 1
+        while number * GROUP_SIZE < len(held):
+            number *= 2
+        groups: list[list[Replica]] = [[] for _ in range(number)]
+        for replica in held:
+            groups[replica.seed % number].append(replica)
+        self.groups = groups
+
+
+@dataclass(frozen=True, slots=True)
+class Candidates:
+    """Replicas of one version or service.
+
+    :param near: those in the node's own region.
+    :param far: those in other regions.
+    """
+
+    near: Tier
+    far: Tier
+
 
 @dataclass(slots=True)
 class Index:
@@ -51,25 +180,35 @@
 
     snap: snapshot.Snapshot
     by_name: dict[str, Replica]
-    by_subject: dict[Hashable, list[Replica]] = field(default_factory=dict)
+    by_subject: dict[Hashable, Candidates]
+    near_zones: frozenset[str]
 
 
 class Directory:
     """Replicas of the snapshot in force.
 
     :param config: returns the snapshot in force.
+    :param clock: clock of the node.
+    :param rng: random source of the circuits.
+    :param around: what the node knows of where it runs.
     :param factory: makes the client of a server.
     """
 
     def __init__(
         self,
         config: Callable[[], snapshot.Applied],
+        clock: clocks.Clock,
+        rng: random.Random,
+        around: Surroundings | None = None,
         factory: ClientFactory = build_client,
     ) -> None:
+        self.around = around or Surroundings()
         self._config = config
+        self._clock = clock
+        self._rng = rng
         self._factory = factory
         self._index: Index | None = None
-        self.retired: list[Replica] = []
+        self._retired: list[Replica] = []
 
     def current(self) -> Index:
         """Return the index of the snapshot in force."""
@@ -78,25 +217,41 @@
             self._index = self._build(snap)
         return self._index
 
+    def replica(self, name: str) -> Replica | None:
+        """Return a replica by the name of its server."""
+        return self.current().by_name.get(name)
+
     async def close(self) -> None:
         """Close all clients."""
-        held = list(self.retired)
+        held = list(self._retired)
         if self._index is not None:
             held.extend(self._index.by_name.values())
+        self._retired.clear()
         for replica in held:
             await replica.client.close()
 
+    async def close_retired(self) -> None:
+        """Close the clients of servers that were removed, once idle."""
+        idle = [held for held in self._retired if not held.in_flight]
+        self._retired = [held for held in self._retired if held.in_flight]
+        for replica in idle:
+            await replica.client.close()
+
     def _build(self, snap: snapshot.Snapshot) -> Index:
         old = self._index.by_name if self._index else {}
-        index = Index(snap, {})
+        index = Index(snap, {}, {}, self._near_zones(snap))
+        chosen: dict[Hashable, list[Replica]] = {}
         for server in snap.servers.values():
             replica = self._keep(old.get(server.name), server, snap.tuning)
             index.by_name[server.name] = replica
-            if _is_in(server, snap):
-                _add(index, replica)
+            if is_in(server, snap):
+                for subject in subjects(server):
+                    chosen.setdefault(subject, []).append(replica)
+        for subject, held in chosen.items():
+            index.by_subject[subject] = _candidates(held, index.near_zones)
         for name, replica in old.items():
             if index.by_name.get(name) is not replica:
-                self.retired.append(replica)
+                self._retired.append(replica)
         return index
 
     def _keep(
@@ -105,21 +260,49 @@
         server: snapshot.Server,
         tuning: snapshot.Tuning,
     ) -> Replica:
-        if old is not None and old.server.address == server.address:
-            old.server = server
-            return old
-        return Replica(server, self._factory(server, tuning))
+        if old is None or _is_other(old.server, server):
+            return Replica(server, self._factory(server, tuning), self._rng)
+        self._note_return(old, server)
+        old.server = server
+        return old
+
+    def _note_return(self, old: Replica, server: snapshot.Server) -> None:
+        assert self._index is not None
+        was_in = is_in(old.server, self._index.snap)
+        comes_in = is_in(server, self._config().snapshot)
+        if comes_in and not was_in:
+            old.ramp_from = self._clock.monotonic()
 
+    def _near_zones(self, snap: snapshot.Snapshot) -> frozenset[str]:
+        own = snap.zones.get(self.around.zone)
+        return frozenset(
+            name
+            for name, zone in snap.zones.items()
+            if own is None or zone.region == own.region
+        )
 
-def _is_in(server: snapshot.Server, snap: snapshot.Snapshot) -> bool:
+
+def is_in(server: snapshot.Server, snap: snapshot.Snapshot) -> bool:
+    """Whether operators let a backend server receive new work."""
     zone = snap.zones.get(server.zone)
-    zone_out = zone is None or zone.state is snapshot.PlacementState.OUT
-    return server.state is snapshot.PlacementState.IN and not zone_out
+    if zone is None or zone.state is snapshot.PlacementState.OUT:
+        return False
+    return server.state is snapshot.PlacementState.IN
+
+
+def _is_other(old: snapshot.Server, new: snapshot.Server) -> bool:
+    return (old.address, old.protocol) != (new.address, new.protocol)
+
+
+def subjects(server: snapshot.Server) -> list[Hashable]:
+    """Return the versions and the service that a server is a replica of."""
+    found: list[Hashable] = list(server.serves)
+    if server.service:
+        found.append(server.service)
+    return found
 
 
-def _add(index: Index, replica: Replica) -> None:
-    subjects: list[Hashable] = list(replica.server.serves)
-    if replica.server.service:
-        subjects.append(replica.server.service)
-    for subject in subjects:
-        index.by_subject.setdefault(subject, []).append(replica)
+def _candidates(held: list[Replica], near_zones: frozenset[str]) -> Candidates:
+    near = [item for item in held if item.server.zone in near_zones]
+    far = [item for item in held if item.server.zone not in near_zones]
+    return Candidates(Tier(near), Tier(far))
