--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/config.py
@@ -0,0 +1,414 @@
+"""Configuration in force at this node.
+
+The head row in the table service says which generation is accepted. A node
+polls it, tells its peers of a newer one at once, and fetches the bytes from
+the object store or from peers. The generation in force only grows.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+import hashlib
+import math
+import random
+from typing import Protocol
+
+from loguru import logger
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import metrics as metrics_
+from limpetwalk.conf import snapshot
+from limpetwalk.peers import hub as hubs
+from limpetwalk.peers import messages
+
+POLL_INTERVAL = 2.0
+TICK_INTERVAL = 0.5
+FETCH_TIMEOUT = 2.0
+FETCH_PEERS = 3
+
+
+class Head(Protocol):
+    """Accepted generation as the table service tells it."""
+
+    @property
+    def generation(self) -> int:
+        """Number of the generation; 0 before the first."""
+        ...
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 of its bytes, in hexadecimal."""
+        ...
+
+
+class HeadSource(Protocol):
+    """Where the accepted configuration is read."""
+
+    async def read(self) -> Head:
+        """Return the head.
+
+        :raises StoreUnavailable: when the table service does not answer.
+        """
+        ...
+
+    async def load(self, digest: str) -> bytes | None:
+        """Return the bytes of a digest, or None when they are absent.
+
+        :raises StoreUnavailable: when the object store does not answer.
+        """
+        ...
+
+
+Compile = Callable[[bytes], snapshot.Snapshot]
+
+
+@dataclass(frozen=True, slots=True)
+class _InForce:
+    applied: snapshot.Applied
+    digest: str
+    data: bytes
+
+
+class ConfigKeeper:
+    """Keeps the accepted configuration in force.
+
+    :param hub: links to the peers.
+    :param store: the accepted configuration in the platform's stores.
+    :param compile_: makes a snapshot of bytes; what it raises makes the node
+        keep the configuration that it has.
+    :param clock: source of time.
+    :param rng: source of random numbers.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self,
+        hub: hubs.Hub,
+        store: HeadSource,
+        compile_: Compile,
+        clock: clocks.Clock,
+        rng: random.Random,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self._hub = hub
+        self._store = store
+        self._compile = compile_
+        self._clock = clock
+        self._rng = rng
+        self._in_force: _InForce | None = None
+        self._rejected = ""
+        self._subscribers: list[Callable[[snapshot.Applied], None]] = []
+        self._fetches: dict[str, asyncio.Task[bytes | None]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        # Monotonic instants: of the last sign that this generation is the
+        # newest, of the last read in the table service that said so, and of
+        # the end of the last pause that no sign has followed yet.
+        self._fresh_at = -math.inf
+        self._read_at = -math.inf
+        self._paused_at: float | None = None
+        self._errors = metrics.counter(
+            "limpetwalk_config_errors",
+            "Steps towards a newer configuration that failed.",
+            ("reason",),
+        )
+        self._applied = metrics.counter(
+            "limpetwalk_config_applied",
+            "Configurations that came into force, by where they came from.",
+            ("source",),
+        )
+        self._generation = metrics.gauge(
+            "limpetwalk_config_generation",
+            "Configuration generation in force.",
+        )
+        hub.report(self._report)
+        hub.pauses.subscribe(self._paused)
+        hub.subscribe(messages.ConfigHead, self._on_head)
+        hub.subscribe(messages.SnapshotRequest, self._on_request)
+
+    async def start(self) -> None:
+        """Begin to follow the accepted configuration."""
+        self._tasks = [
+            asyncio.create_task(self._poll_forever()),
+            asyncio.create_task(self._follow_peers()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def current(self) -> snapshot.Applied | None:
+        """Return the configuration in force, None before the first."""
+        return self._in_force.applied if self._in_force else None
+
+    def fresh(self) -> bool:
+        """Tell whether the configuration may be used for new work.
+
+        It may when it was confirmed within ``tuning.stale_after``, and
+        again since the process was paused, if it was.
+        """
+        self._hub.pauses.check()
+        if self._in_force is None or self._paused_at is not None:
+            return False
+        bound = self._in_force.applied.snapshot.tuning.stale_after
+        return self._clock.monotonic() - self._fresh_at <= bound
+
+    def subscribe(self, callback: Callable[[snapshot.Applied], None]) -> None:
+        """Call back with each configuration that comes into force."""
+        self._subscribers.append(callback)
+
+    async def offer(self, generation: int, data: bytes) -> bool:
+        """Take an accepted configuration that an operator hands over.
+
+        :param generation: generation that it was accepted as.
+        :param data: its bytes.
+        :returns: whether it is in force now.
+        """
+        digest = hashlib.sha256(data).hexdigest()
+        if self._stands(generation, digest):
+            return True
+        if generation <= self._number():
+            return False
+        try:
+            head = await self._store.read()
+        except exceptions.StoreError:
+            # The hand-over exists for this case: the store failed after it
+            # had accepted the change. The operator's word must do.
+            pass
+        else:
+            if (head.generation, head.digest) != (generation, digest):
+                self._errors.labels("offer_not_accepted").inc()
+                return False
+        return self._put_in_force(generation, digest, data, "operator")
+
+    async def poll(self) -> None:
+        """Read the head once and put a newer one in force."""
+        asked_at = self._clock.monotonic()
+        try:
+            head = await self._store.read()
+        except exceptions.LimpetwalkError:
+            self._errors.labels("head_unavailable").inc()
+            return
+        if head.generation == 0:
+            return
+        if head.generation < self._number():
+            self._errors.labels("head_behind").inc()
+            return
+        if await self._reach(head.generation, head.digest, "store", ""):
+            self._read_at = max(self._read_at, asked_at)
+            self._confirm(asked_at)
+
+    async def _poll_forever(self) -> None:
+        while True:
+            await self._guarded(self.poll)
+            await asyncio.sleep(POLL_INTERVAL * self._rng.uniform(0.9, 1.1))
+
+    async def _follow_peers(self) -> None:
+        while True:
+            self._hub.pauses.check()
+            await self._guarded(self.follow_peers)
+            await asyncio.sleep(TICK_INTERVAL)
+
+    async def _guarded(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Run a step of a loop that must go on whatever a step raises."""
+        try:
+            await step()
+        except Exception as exc:
+            self._errors.labels("unexpected").inc()
+            logger.exception("configuration could not be followed: {}", exc)
+
+    async def follow_peers(self) -> None:
+        """Catch up with peers, or let them confirm what is in force."""
+        beats = self._hub.members.live_beats()
+        ahead = {
+            name: beat
+            for name, beat in beats.items()
+            if beat.generation > self._number()
+            and beat.digest != self._rejected
+        }
+        if ahead:
+            name = max(ahead, key=lambda name: ahead[name].generation)
+            beat = ahead[name]
+            await self._reach(beat.generation, beat.digest, "peer", name)
+            return
+        for name, beat in beats.items():
+            await self._compare(name, beat)
+        if self._in_force is not None and self._peers_suffice():
+            self._confirm(self._clock.monotonic())
+
+    async def _compare(self, name: str, beat: messages.Heartbeat) -> None:
+        if beat.generation != self._number() or self._in_force is None:
+            return
+        read_at = self._clock.monotonic() - beat.confirmed_age
+        if beat.digest == self._in_force.digest:
+            self._read_at = max(self._read_at, read_at)
+            self._confirm(read_at)
+        elif math.isfinite(read_at) and not math.isfinite(self._read_at):
+            # This node was handed a configuration that the store never
+            # accepted; the peer has the accepted one of that generation.
+            await self._reach(beat.generation, beat.digest, "peer", name)
+
+    def _peers_suffice(self) -> bool:
+        """Tell whether the reachable peers stand for the whole system.
+
+        When the table service is down for all, no change can be accepted
+        and the system goes on. A group that is cut off must not take its
+        own members' word for it, so more than half of the nodes have to be
+        reachable, with one in another zone if there is any.
+        """
+        known = self._hub.members.known().values()
+        live = self._hub.live()
+        if not live or 2 * (len(live) + 1) <= len(known) + 1:
+            return False
+        elsewhere = any(peer.zone != self._hub.zone for peer in known)
+        return not elsewhere or any(
+            peer.zone != self._hub.zone for peer in live
+        )
+
+    def _number(self) -> int:
+        return self._in_force.applied.generation if self._in_force else 0
+
+    def _stands(self, generation: int, digest: str) -> bool:
+        return (
+            self._in_force is not None
+            and generation == self._in_force.applied.generation
+            and digest == self._in_force.digest
+        )
+
+    def _confirm(self, seen_at: float) -> None:
+        self._fresh_at = max(self._fresh_at, seen_at)
+        if self._paused_at is not None and seen_at >= self._paused_at:
+            self._paused_at = None
+
+    def _paused(self) -> None:
+        self._paused_at = self._clock.monotonic()
+
+    def _report(self) -> hubs.InForce:
+        if self._in_force is None:
+            return hubs.InForce()
+        return hubs.InForce(
+            generation=self._in_force.applied.generation,
+            digest=self._in_force.digest,
+            confirmed_age=self._clock.monotonic() - self._read_at,
+        )
+
+    async def _on_head(
+        self, sender: str, message: messages.Message
+    ) -> messages.Message | None:
+        assert isinstance(message, messages.ConfigHead)
+        if message.generation > self._number():
+            await self._reach(
+                message.generation, message.digest, "peer", sender
+            )
+        return None
+
+    async def _on_request(
+        self, sender: str, message: messages.Message
+    ) -> messages.Message | None:
+        assert isinstance(message, messages.SnapshotRequest)
+        data = b""
+        if self._in_force and message.digest == self._in_force.digest:
+            data = self._in_force.data
+        return messages.SnapshotReply(digest=message.digest, data=data)
+
+    async def _reach(
+        self, generation: int, digest: str, source: str, peer: str
+    ) -> bool:
+        """Put a generation in force.
+
+        :returns: whether no newer generation is known that could be in
+            force: this one is, or it is known not to compile.
+        """
+        if self._stands(generation, digest) or digest == self._rejected:
+            return True
+        data = await self._fetch_once(digest, peer)
+        if data is None:
+            self._errors.labels("fetch_failed").inc()
+            return False
+        in_force = self._put_in_force(generation, digest, data, source)
+        return in_force or digest == self._rejected
+
+    async def _fetch_once(self, digest: str, peer: str) -> bytes | None:
+        task = self._fetches.get(digest)
+        if task is None:
+            task = asyncio.create_task(self._fetch(digest, peer))
+            self._fetches[digest] = task
+            task.add_done_callback(lambda _: self._fetches.pop(digest, None))
+        return await asyncio.shield(task)
+
+    async def _fetch(self, digest: str, peer: str) -> bytes | None:
+        if peer:
+            data = await self._fetch_from_peer(digest, peer)
+            if data is not None:
+                return data
+        data = await self._fetch_from_store(digest)
+        if data is not None:
+            return data
+        others = [
+            name
+            for name, beat in self._hub.members.live_beats().items()
+            if beat.digest == digest and name != peer
+        ]
+        self._rng.shuffle(others)
+        for name in others[:FETCH_PEERS]:
+            data = await self._fetch_from_peer(digest, name)
+            if data is not None:
+                return data
+        return None
+
+    async def _fetch_from_store(self, digest: str) -> bytes | None:
+        try:
+            data = await self._store.load(digest)
+        except exceptions.LimpetwalkError:
+            self._errors.labels("objects_unavailable").inc()
+            return None
+        return self._checked(digest, data or b"")
+
+    async def _fetch_from_peer(self, digest: str, peer: str) -> bytes | None:
+        try:
+            reply = await self._hub.request(
+                peer, messages.SnapshotRequest(digest), FETCH_TIMEOUT
+            )
+        except exceptions.PeerUnavailable:
+            self._errors.labels("peer_unavailable").inc()
+            return None
+        if not isinstance(reply, messages.SnapshotReply):
+            return None
+        return self._checked(digest, reply.data)
+
+    def _checked(self, digest: str, data: bytes) -> bytes | None:
+        if not data:
+            return None
+        if hashlib.sha256(data).hexdigest() != digest:
+            self._errors.labels("wrong_digest").inc()
+            return None
+        return data
+
+    def _put_in_force(
+        self, generation: int, digest: str, data: bytes, source: str
+    ) -> bool:
+        if self._stands(generation, digest):
+            return True
+        if generation < self._number():
+            return False
+        try:
+            compiled = self._compile(data)
+        except Exception as exc:
+            self._errors.labels("compile_failed").inc()
+            self._rejected = digest
+            logger.error("generation {} does not compile: {}", generation, exc)
+            return False
+        applied = snapshot.Applied(generation=generation, snapshot=compiled)
+        self._in_force = _InForce(applied, digest, data)
+        self._read_at = -math.inf
+        self._fresh_at = max(self._fresh_at, self._clock.monotonic())
+        self._generation.set(generation)
+        self._applied.labels(source).inc()
+        logger.info("generation {} is in force, by {}", generation, source)
+        self._hub.broadcast(messages.ConfigHead(generation, digest))
+        for callback in self._subscribers:
+            callback(applied)
+        return True
--- a/packages/limpetwalk/limpetwalk/peers/codec.py
+++ b/packages/limpetwalk/limpetwalk/peers/codec.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 from dataclasses import dataclass
+import math
 import pathlib
 import re
 import typing
@@ -24,6 +25,8 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_MESSAGE_WORDS = 2 * 1024 * 1024
 MS_PER_SECOND = 1000
+NEVER_MS = 2**32 - 1
+SECONDS_FIELDS = ("age", "confirmed_age", "ttl")
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("limpetwalk.capnp")))
@@ -79,16 +82,20 @@
 
 
 def _to_ms(seconds: float) -> int:
-    return round(seconds * MS_PER_SECOND)
+    if seconds * MS_PER_SECOND >= NEVER_MS:
+        return NEVER_MS
+    return max(0, round(seconds * MS_PER_SECOND))
 
 
 def _from_ms(value_ms: int) -> float:
+    if value_ms == NEVER_MS:
+        return math.inf
     return value_ms / MS_PER_SECOND
 
 
 def _field(field: dataclasses.Field[Any], kind: Any) -> _Field:
     wire = _camel(field.name)
-    if field.name in ("age", "ttl"):
+    if field.name in SECONDS_FIELDS:
         return _Field(field.name, f"{wire}Ms", _to_ms, _from_ms)
     if kind is messages.Purpose:
         return _Field(
--- a/packages/limpetwalk/limpetwalk/peers/hub.py
+++ b/packages/limpetwalk/limpetwalk/peers/hub.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from dataclasses import dataclass
+import math
 import random
 from typing import Any
 import uuid
@@ -26,6 +28,7 @@
 from . import links
 from . import membership
 from . import messages
+from . import pauses
 
 HEARTBEAT_INTERVAL = 1.0
 SILENCE_BOUND = 3.0
@@ -37,6 +40,21 @@
 HANDLER_FAILED = "handler failed"
 
 
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """Configuration that a node tells its peers of in its heartbeats.
+
+    :param generation: generation in force; 0 before the first.
+    :param digest: its digest.
+    :param confirmed_age: seconds since some node read in the table service
+        that it is the newest.
+    """
+
+    generation: int = 0
+    digest: str = ""
+    confirmed_age: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class HubSettings:
     """What a hub is told of its own node.
@@ -75,6 +93,8 @@
         self.zone = settings.zone
         self.boot_id = uuid.UUID(int=rng.getrandbits(128)).hex
         self.members = membership.Membership(settings.name, clock, metrics)
+        self.pauses = pauses.PauseWatch(clock, metrics)
+        self.pauses.subscribe(self._doubt_links)
         self._settings = settings
         self._instances = instances
         self._clock = clock
@@ -87,8 +107,7 @@
         self._dialling: set[str] = set()
         self._server: asyncio.Server | None = None
         self._sequence = 0
-        self._generation = 0
-        self._digest = ""
+        self._in_force: Callable[[], InForce] = InForce
         self._leaving = False
         self.address = ""
         self._dropped = metrics.counter(
@@ -156,15 +175,18 @@
         """Call a handler with the sender's name and each such message."""
         self._handlers[kind] = handler
 
-    def in_force(self, generation: int, digest: str) -> None:
-        """Tell peers, with the heartbeats, which configuration is in force."""
-        self._generation = generation
-        self._digest = digest
+    def report(self, in_force: Callable[[], InForce]) -> None:
+        """Put the configuration in force into each heartbeat."""
+        self._in_force = in_force
+
+    def announce(self) -> None:
+        """Send a heartbeat to all peers now."""
+        self.broadcast(self._heartbeat())
 
     def leave(self) -> None:
         """Tell peers at once that this node takes no new work."""
         self._leaving = True
-        self.broadcast(self._heartbeat())
+        self.announce()
 
     def broadcast(self, message: messages.Message) -> None:
         """Queue a message for every linked peer."""
@@ -212,14 +234,16 @@
 
     def _heartbeat(self) -> messages.Heartbeat:
         self._sequence += 1
+        in_force = self._in_force()
         return messages.Heartbeat(
             zone=self.zone,
             address=self.address,
             boot_id=self.boot_id,
             sequence=self._sequence,
-            generation=self._generation,
-            digest=self._digest,
+            generation=in_force.generation,
+            digest=in_force.digest,
             leaving=self._leaving,
+            confirmed_age=in_force.confirmed_age,
         )
 
     async def _read_list(self) -> None:
@@ -233,6 +257,7 @@
 
     async def _tend(self) -> None:
         while True:
+            self.pauses.check()
             self.members.expire()
             self._close_silent()
             frame = codec.encode(codec.Envelope(self.name, self._heartbeat()))
@@ -241,6 +266,12 @@
             self._dial_missing()
             await asyncio.sleep(HEARTBEAT_INTERVAL)
 
+    def _doubt_links(self) -> None:
+        """Drop all links: what waits in them was sent before a pause."""
+        self.members.doubt()
+        for link in self._links.all():
+            self._close(link, "paused")
+
     def _close_silent(self) -> None:
         bound = self._clock.monotonic() - SILENCE_BOUND
         for link in self._links.all():
@@ -287,7 +318,11 @@
                 await self._greet(link)
             self._dialling.discard(dialled)
             while True:
-                self._receive(link, await link.read())
+                packed = await link.read()
+                self.pauses.check()
+                if link.closed:
+                    return
+                self._receive(link, packed)
         except codec.MalformedFrame as exc:
             logger.warning("link to {} closed: {}", link.peer, exc)
             reason = "malformed"
@@ -297,7 +332,8 @@
             pass
         finally:
             self._dialling.discard(dialled)
-            self._close(link, reason)
+            if not link.closed:
+                self._close(link, reason)
             if self._links.remove(link):
                 self._calls.fail(link.peer)
 
--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -31,6 +31,7 @@
   generation @4 :UInt64;
   digest @5 :Text;
   leaving @6 :Bool;
+  confirmedAgeMs @7 :UInt32 = 4294967295;  # the default stands for never
 }
 
 struct ConfigHead {
--- a/packages/limpetwalk/limpetwalk/peers/link.py
+++ b/packages/limpetwalk/limpetwalk/peers/link.py
@@ -32,7 +32,7 @@
         self._clock = clock
         self.dialled = dialled
         self.peer = ""
-        self.boot_id = ""
+        self.closed = False
         self.heard_at = clock.monotonic()
         self.bytes_in = 0
         self.bytes_out = 0
@@ -70,4 +70,5 @@
 
     def close(self) -> None:
         """Drop the connection and what is queued on it."""
+        self.closed = True
         self._writer.transport.abort()
--- a/packages/limpetwalk/limpetwalk/peers/links.py
+++ b/packages/limpetwalk/limpetwalk/peers/links.py
@@ -39,10 +39,8 @@
 
     def best(self, peer: str) -> link_.Link | None:
         """Return the link to a peer that was heard from last."""
-        held = self._links.get(peer)
-        if not held:
-            return None
-        return max(held, key=lambda link: link.heard_at)
+        held = [link for link in self._links.get(peer, ()) if not link.closed]
+        return max(held, key=lambda link: link.heard_at, default=None)
 
     def peers(self) -> list[str]:
         """Return the names of linked peers."""
--- a/packages/limpetwalk/limpetwalk/peers/membership.py
+++ b/packages/limpetwalk/limpetwalk/peers/membership.py
@@ -106,13 +106,25 @@
 
     def live(self) -> list[base.Peer]:
         """Return the live peers, sorted by name."""
-        now = self._clock.monotonic()
         return [
-            self._peer(name, member.beat)
-            for name, member in sorted(self._members.items())
-            if now - member.beat_at <= LIVE_BOUND
+            self._peer(name, beat)
+            for name, beat in sorted(self.live_beats().items())
         ]
 
+    def live_beats(self) -> dict[str, messages.Heartbeat]:
+        """Return the last heartbeats of the live peers by name."""
+        bound = self._clock.monotonic() - LIVE_BOUND
+        return {
+            name: member.beat
+            for name, member in self._members.items()
+            if member.live and member.beat_at >= bound
+        }
+
+    def doubt(self) -> None:
+        """Take no peer for live until its next heartbeat."""
+        for member in self._members.values():
+            member.live = False
+
     def _peer(self, name: str, beat: messages.Heartbeat) -> base.Peer:
         listed = self._listed.get(name)
         leaving = listed is not None and (
--- a/packages/limpetwalk/limpetwalk/peers/messages.py
+++ b/packages/limpetwalk/limpetwalk/peers/messages.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 import enum
+import math
 
 from ..ledger import base as ledger
 
@@ -17,6 +18,9 @@
     :param generation: configuration generation in force at the sender.
     :param digest: digest of that configuration.
     :param leaving: whether the sender takes no new work.
+    :param confirmed_age: seconds since some node read in the table service
+        that this generation is the newest; infinite when the sender knows
+        of no such read.
     """
 
     zone: str
@@ -26,6 +30,7 @@
     generation: int
     digest: str
     leaving: bool
+    confirmed_age: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
