--- a/packages/limpetwalk-ctl/limpetwalk_ctl/base.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/base.py
@@ -1,8 +1,10 @@
 """Interface of limpetctl's commands, and what a command works with."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
+from typing import TypeVar
 
 from absl import flags
 
@@ -14,6 +16,8 @@
 from . import output
 from . import settings
 
+T = TypeVar("T")
+
 
 class UsageError(Exception):
     """The command line is not one that the command takes."""
@@ -64,6 +68,17 @@
         return self.args
 
 
+def choice(word: str, choices: Mapping[str, T]) -> T:
+    """Return what a word stands for.
+
+    :raises UsageError: when it is not among the choices.
+    """
+    if word not in choices:
+        expected = ", ".join(choices)
+        raise UsageError(f"got {word!r}, expected one of {expected}")
+    return choices[word]
+
+
 class Command(Protocol):
     """Command of limpetctl; plug-ins of kind COMMAND.
 
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/commands/check.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/check.py
@@ -7,6 +7,7 @@
 from .. import base
 from .. import exits
 from .. import folders
+from .. import output
 
 
 @registry.register(registry.Kind.COMMAND, "check")
@@ -24,10 +25,11 @@
     async def handle(self, ctx: base.Context) -> exits.ExitCode:
         """Check the folder."""
         (path,) = ctx.arguments("DIR")
-        loaded = await folders.read(ctx, path, None)
+        loaded = await folders.read(ctx, path)
         if loaded is None:
             return exits.ExitCode.FINDINGS
         ctx.out.findings(loaded.warnings)
-        ctx.out.line(f"{path}: no errors, {len(loaded.warnings)} warnings")
+        count = output.counted(len(loaded.warnings), "warning")
+        ctx.out.line(f"{path}: no errors, {count}")
         ctx.out.json(folders.findings_json(loaded.warnings))
         return exits.ExitCode.OK
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/commands/diff.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/diff.py
@@ -4,6 +4,7 @@
 
 from limpetwalk import registry
 from limpetwalk.conf import diff
+from limpetwalk.conf import edits
 
 from .. import base
 from .. import exits
@@ -16,25 +17,29 @@
     """Compares a folder with the configuration in force."""
 
     help = "show what applying a folder would change"
-    usage = "diff DIR"
+    usage = "diff DIR [--clear-operations]"
     examples = ("--settings ctl.yaml diff site/",)
     needs_platform = True
 
     def define_flags(self, values: flags.FlagValues) -> None:
-        """Define no flags."""
+        """Define the flag that drops operators' changes."""
+        folders.define_clear_flag(values)
 
     async def handle(self, ctx: base.Context) -> exits.ExitCode:
         """Compare the folder."""
         (path,) = ctx.arguments("DIR")
-        held = await ctx.heads.read()
-        old = await ctx.heads.document(held)
-        loaded = await folders.read(ctx, path, old.operations)
+        loaded = await folders.read(ctx, path)
         if loaded is None:
             return exits.ExitCode.FINDINGS
-        changes = diff.diff_documents(old, loaded.document)
+        held = await ctx.heads.read()
+        old = await ctx.heads.document(held)
+        clear = bool(ctx.flags["clear-operations"].value)
+        edit = edits.ReplaceFiles(loaded.document, path, clear)
+        changes = diff.diff_documents(old, edit.replaced(old))
         for change in changes:
             ctx.out.line(str(change))
-        ctx.out.line(f"{len(changes)} changes to generation {held.generation}")
+        count = output.counted(len(changes), "change")
+        ctx.out.line(f"{count} to generation {held.generation}")
         ctx.out.json(
             {
                 "generation": held.generation,
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/commands/history.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/history.py
@@ -40,16 +40,7 @@
         heads = await ctx.heads.history(limit)
         ctx.out.table(
             ("GENERATION", "ACCEPTED", "OPERATOR", "DIGEST", "CHANGE"),
-            [
-                (
-                    item.generation,
-                    output.moment(item.at),
-                    item.author,
-                    item.digest[: output.DIGEST_DIGITS],
-                    item.summary,
-                )
-                for item in heads
-            ],
+            [output.head_row(item) for item in heads],
         )
         ctx.out.json(
             {"generations": [dataclasses.asdict(item) for item in heads]}
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/commands/show.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/show.py
@@ -32,7 +32,7 @@
     async def handle(self, ctx: base.Context) -> exits.ExitCode:
         """Show the folder."""
         (path,) = ctx.arguments("DIR")
-        loaded = await folders.read(ctx, path, None)
+        loaded = await folders.read(ctx, path)
         if loaded is None:
             return exits.ExitCode.FINDINGS
         values = list(_leaves(diff.masked(loaded.document), ()))
--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/version.py
@@ -0,0 +1,60 @@
+"""Withdraws versions, restores them and chooses the default one."""
+
+from absl import flags
+
+from limpetwalk import registry
+from limpetwalk.conf import edits
+from limpetwalk.conf import snapshot
+
+from .. import base
+from .. import changes
+from .. import exits
+
+ACTIONS = {
+    "withdraw": snapshot.VersionState.WITHDRAWN,
+    "restore": snapshot.VersionState.LIVE,
+    "default": None,
+}
+
+
+@registry.register(registry.Kind.COMMAND, "version")
+class Version:
+    """Withdraws a version, makes it live again or the default."""
+
+    help = "withdraw a version, restore it or make it the default"
+    usage = (
+        "version withdraw|restore|default MODEL VERSION "
+        "[--default VERSION] [--wait] [--expect N]"
+    )
+    examples = (
+        "--settings ctl.yaml version withdraw clerk 2026-05 --wait",
+        "--settings ctl.yaml version withdraw clerk 2026-03 --default 2026-05",
+        "--settings ctl.yaml version default clerk 2026-05",
+    )
+    needs_platform = True
+
+    def define_flags(self, values: flags.FlagValues) -> None:
+        """Define the flags of a change."""
+        changes.define_flags(values)
+        flags.DEFINE_string(
+            "default",
+            "",
+            "version that becomes the default in the same change",
+            values,
+        )
+
+    async def handle(self, ctx: base.Context) -> exits.ExitCode:
+        """Make the change."""
+        action, model, version = ctx.arguments(
+            "withdraw|restore|default", "MODEL", "VERSION"
+        )
+        state = base.choice(action, ACTIONS)
+        chosen = ctx.flags["default"].value or ""
+        edit: edits.Edit
+        if state is not None:
+            edit = edits.SetVersion(model, version, state, chosen)
+        elif chosen:
+            raise base.UsageError("got --default, expected it with withdraw")
+        else:
+            edit = edits.SetDefault(model, version)
+        return await changes.make(ctx, edit)
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/folders.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/folders.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 from typing import Any
 
+from absl import flags
 from result import Err
 
-from limpetwalk.conf import document
 from limpetwalk.conf import findings
 from limpetwalk.conf import loader
 
@@ -14,14 +14,9 @@
 from . import output
 
 
-async def read(
-    ctx: base.Context, path: str, operations: document.Operations | None
-) -> loader.LoadedFolder | None:
-    """Return a folder's document, or None after its findings were told.
-
-    :param operations: operators' changes that the document carries.
-    """
-    outcome = await asyncio.to_thread(loader.read_folder, path, operations)
+async def read(ctx: base.Context, path: str) -> loader.LoadedFolder | None:
+    """Return a folder's document, or None after its findings were told."""
+    outcome = await asyncio.to_thread(loader.read_folder, path)
     if isinstance(outcome, Err):
         tell(ctx, outcome.err_value)
         return None
@@ -31,7 +26,8 @@
 def tell(ctx: base.Context, found: Sequence[findings.Finding]) -> None:
     """Write findings that keep a configuration out."""
     ctx.out.findings(found)
-    ctx.out.line(f"{len(findings.errors(found))} errors, nothing is applied")
+    count = len(findings.errors(found))
+    ctx.out.line(f"{output.counted(count, 'error')}, nothing is applied")
     ctx.out.json(findings_json(found))
 
 
@@ -41,3 +37,14 @@
         "ok": not findings.errors(found),
         "findings": [output.finding_json(item) for item in found],
     }
+
+
+def define_clear_flag(values: flags.FlagValues) -> None:
+    """Define the flag that drops operators' changes since the files."""
+    flags.DEFINE_bool(
+        "clear-operations",
+        False,
+        "drop operators' changes: zones and servers out, versions "
+        "withdrawn, roll-outs moved",
+        values,
+    )
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
@@ -24,8 +24,12 @@
     "limpetwalk_ctl.commands.check",
     "limpetwalk_ctl.commands.diff",
     "limpetwalk_ctl.commands.history",
+    "limpetwalk_ctl.commands.rollout",
+    "limpetwalk_ctl.commands.server",
     "limpetwalk_ctl.commands.show",
     "limpetwalk_ctl.commands.status",
+    "limpetwalk_ctl.commands.version",
+    "limpetwalk_ctl.commands.zone",
 ]
 PROGRAM = "limpetctl"
 
--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/nodes.py
@@ -0,0 +1,150 @@
+"""Talks to the operators' interface of entry nodes."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import TypeVar
+
+import aiohttp
+import pydantic
+
+from limpetwalk import exceptions
+from limpetwalk.platform import base as platform
+
+T = TypeVar("T")
+
+MAX_CONCURRENCY = 32
+ANSWER_LIMIT_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class NodeReport:
+    """What an entry node says of itself.
+
+    :param name: name of the node.
+    :param zone: its availability zone.
+    :param operators: ``host:port`` of its operators' interface.
+    :param generation: generation that it serves; None when it has none or
+        did not answer.
+    :param ready: whether it takes new work.
+    :param error: why there is no report, or empty.
+    """
+
+    name: str
+    zone: str
+    operators: str
+    generation: int | None = None
+    ready: bool = False
+    error: str = ""
+
+
+class _Status(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    generation: int | None = None
+    ready: bool = False
+
+
+async def live_nodes(
+    instances: platform.InstanceList,
+) -> list[platform.Instance]:
+    """Return the live entry nodes that have an operators' interface.
+
+    :raises InstanceListUnavailable: when the list can't be read.
+    """
+    return [
+        item
+        for item in await instances.fetch()
+        if item.kind is platform.InstanceKind.ENTRY
+        and item.state is platform.InstanceState.LIVE
+        and item.operators
+    ]
+
+
+class NodeClient:
+    """Client of many nodes, a bounded number of them at a time.
+
+    :param session: HTTP session.
+    :param timeout: longest wait for one answer, in seconds.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, timeout: float) -> None:
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._slots = asyncio.Semaphore(MAX_CONCURRENCY)
+
+    async def reports(
+        self, nodes: Sequence[platform.Instance]
+    ) -> list[NodeReport]:
+        """Return what each node says of itself, in the order given."""
+        return await asyncio.gather(*(self._report(node) for node in nodes))
+
+    async def hand_over(
+        self,
+        nodes: Sequence[platform.Instance],
+        generation: int,
+        data: bytes,
+    ) -> int:
+        """Give the document of an accepted generation to nodes.
+
+        :returns: number of nodes that took it.
+        """
+        taken = await asyncio.gather(
+            *(self._put(node, generation, data) for node in nodes)
+        )
+        return sum(taken)
+
+    async def _report(self, node: platform.Instance) -> NodeReport:
+        async def fetch() -> NodeReport:
+            url = f"http://{node.operators}/status"
+            async with self._session.get(url, timeout=self._timeout) as resp:
+                resp.raise_for_status()
+                body = await resp.content.read(ANSWER_LIMIT_BYTES)
+            status = _Status.model_validate_json(body)
+            return NodeReport(
+                node.name,
+                node.zone,
+                node.operators,
+                status.generation,
+                status.ready,
+            )
+
+        return await self._bounded(
+            fetch,
+            lambda text: NodeReport(
+                node.name, node.zone, node.operators, error=text
+            ),
+        )
+
+    async def _put(
+        self, node: platform.Instance, generation: int, data: bytes
+    ) -> bool:
+        async def put() -> bool:
+            url = f"http://{node.operators}/config/{generation}"
+            async with self._session.put(
+                url, data=data, timeout=self._timeout
+            ) as resp:
+                return resp.status < 300
+
+        return await self._bounded(put, lambda text: False)
+
+    async def _bounded(
+        self, call: Callable[[], Awaitable[T]], failed: Callable[[str], T]
+    ) -> T:
+        async with self._slots:
+            try:
+                return await call()
+            except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+                return failed(str(exc) or type(exc).__name__)
+
+
+async def try_live_nodes(
+    instances: platform.InstanceList,
+) -> list[platform.Instance] | None:
+    """Return the live entry nodes, or None when the list can't be read."""
+    try:
+        return await live_nodes(instances)
+    except exceptions.InstanceListUnavailable:
+        return None
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
@@ -13,6 +13,7 @@
 
 from limpetwalk.conf import diff
 from limpetwalk.conf import findings
+from limpetwalk.conf import head as heads
 
 DIGEST_DIGITS = 12
 PIPE_COLUMNS = 2000
@@ -99,9 +100,25 @@
     }
 
 
+def head_row(head: heads.Head) -> tuple[object, ...]:
+    """Return the cells of a table that show a generation."""
+    return (
+        head.generation,
+        moment(head.at),
+        head.author,
+        head.digest[:DIGEST_DIGITS],
+        head.summary,
+    )
+
+
 def moment(seconds: float) -> str:
     """Return an instant of the Unix clock as text in UTC."""
     if not seconds:
         return "never"
     at = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
     return at.strftime("%Y-%m-%d %H:%M:%S")
+
+
+def counted(number: int, noun: str) -> str:
+    """Return a number with its noun, in the plural where it is not one."""
+    return f"{number} {noun}" if number == 1 else f"{number} {noun}s"
--- a/packages/limpetwalk/limpetwalk/conf/checks_operations.py
+++ b/packages/limpetwalk/limpetwalk/conf/checks_operations.py
@@ -30,3 +30,19 @@
                 checks.one_of(declared),
                 "it has no effect until a file declares it again",
             )
+
+
+@registry.register(registry.Kind.CONFIG_CHECK, "operations.defaults")
+def check_defaults(subject: checks.Subject) -> Iterator[findings.Finding]:
+    """Tell of files whose default version is not the one in force."""
+    for name, model in subject.written.models.items():
+        held = subject.effective.models[name].default_version
+        if held != model.default_version:
+            yield checks.warning(
+                "default-overruled",
+                ("models", name, "default_version"),
+                f"{model.default_version!r}, overruled by {held!r}",
+                "the version in force",
+                "a finished roll-out or an operator chose it; write it "
+                "into the files",
+            )
--- a/packages/limpetwalk/limpetwalk/conf/checks_plugins.py
+++ b/packages/limpetwalk/limpetwalk/conf/checks_plugins.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from .. import plugins
 from .. import registry
 from . import checks
 from . import document
@@ -13,6 +14,7 @@
 @registry.register(registry.Kind.CONFIG_CHECK, "plugins.names")
 def check_plugins(subject: checks.Subject) -> Iterator[findings.Finding]:
     """Protocols, policies and guards are plug-ins that are loaded."""
+    plugins.load()
     unchecked: set[registry.Kind] = set()
     for path, name, kind in _uses(subject.effective):
         known = registry.names(kind)
--- a/packages/limpetwalk/limpetwalk/conf/checks_rollouts.py
+++ b/packages/limpetwalk/limpetwalk/conf/checks_rollouts.py
@@ -54,6 +54,24 @@
                 )
 
 
+@registry.register(registry.Kind.CONFIG_CHECK, "rollouts.running")
+def check_running(subject: checks.Subject) -> Iterator[findings.Finding]:
+    """One roll-out of a model runs at a time, so evidence is not mixed."""
+    for model, active in _active_by_model(subject.effective).items():
+        running = [
+            name
+            for name, rollout in active
+            if rollout.state is snapshot.RolloutState.RUNNING
+        ]
+        for name in running[1:]:
+            yield checks.error(
+                "two-running",
+                ("rollouts", name, "state"),
+                f"running, as {running[0]!r} of model {model!r} is",
+                "one running roll-out of a model",
+            )
+
+
 @registry.register(registry.Kind.CONFIG_CHECK, "rollouts.base")
 def check_base(subject: checks.Subject) -> Iterator[findings.Finding]:
     """An active roll-out starts from the version in force."""
--- a/packages/limpetwalk/limpetwalk/conf/compile.py
+++ b/packages/limpetwalk/limpetwalk/conf/compile.py
@@ -8,11 +8,21 @@
 from . import document
 from . import operations
 from . import snapshot
+from . import validation
 
 
 class InvalidDocument(exceptions.LimpetwalkError):
     """The bytes of a configuration are not a document of this release."""
 
+    @classmethod
+    def of(cls, exc: pydantic.ValidationError) -> "InvalidDocument":
+        """Return the exception for the errors of a validation."""
+        first = validation.from_error(exc, document.Document)[0]
+        return cls(
+            f"got a document with {exc.error_count()} errors, expected one "
+            f"of this release; the first: {first}"
+        )
+
 
 def digest_of(data: bytes) -> str:
     """Return the SHA-256 of a document's canonical bytes, in hexadecimal."""
@@ -28,10 +38,7 @@
     try:
         doc = document.Document.from_bytes(data)
     except pydantic.ValidationError as exc:
-        raise InvalidDocument(
-            f"got {exc.error_count()} errors, expected a valid document; "
-            f"the first: {exc.errors()[0]['loc']} {exc.errors()[0]['msg']}"
-        ) from None
+        raise InvalidDocument.of(exc) from None
     doc = operations.effective(doc)
     return snapshot.Snapshot(
         digest=digest_of(data),
@@ -42,10 +49,7 @@
         workspaces={
             name: _workspace(name, s) for name, s in doc.workspaces.items()
         },
-        rollouts={
-            name: snapshot.Rollout(name=name, **dict(s))
-            for name, s in doc.rollouts.items()
-        },
+        rollouts={name: _rollout(name, s) for name, s in doc.rollouts.items()},
         zones={
             name: snapshot.Zone(name=name, **dict(s))
             for name, s in doc.zones.items()
@@ -113,6 +117,20 @@
     )
 
 
+def _rollout(name: str, section: document.RolloutSection) -> snapshot.Rollout:
+    """Return a roll-out with the share that is in force.
+
+    The document keeps the share of a paused or halted roll-out, so that it
+    can go on from there.
+    """
+    shares = {
+        snapshot.RolloutState.RUNNING: section.share,
+        snapshot.RolloutState.DONE: 1.0,
+    }
+    values = dict(section) | {"share": shares.get(section.state, 0.0)}
+    return snapshot.Rollout(name=name, **values)
+
+
 def _session_keys(
     doc: document.Document,
 ) -> tuple[snapshot.SessionKey, ...]:
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/conf/edits.py
@@ -0,0 +1,272 @@
+"""Operators' edits of a document, kept as overlays over its files.
+
+An edit is applied to a document and gives the next one or findings. The
+same edit can be applied again to a newer document when another operator's
+change came first.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+import enum
+from typing import Protocol
+
+import pydantic
+from result import Err
+from result import Ok
+from result import Result
+
+from . import checks
+from . import diff
+from . import document
+from . import findings
+from . import operations
+from . import snapshot
+
+Edited = Result[document.Document, list[findings.Finding]]
+
+_OPERATIONS = "operations"
+
+
+class Edit(Protocol):
+    """Change that an operator wants."""
+
+    @property
+    def summary(self) -> str:
+        """The change in a few words, for the history."""
+        ...
+
+    def apply(self, doc: document.Document) -> Edited:
+        """Return the changed document, or why it can't be changed."""
+        ...
+
+    def clashes(
+        self, ours: Sequence[diff.Change], theirs: Sequence[diff.Change]
+    ) -> bool:
+        """Return whether another's changes are to be told, not built upon.
+
+        :param ours: what this edit changed in the document it was made on.
+        :param theirs: what another operator changed in it meanwhile.
+        """
+        ...
+
+
+class Overlay:
+    """Edit of single values, which others' edits of other values allow."""
+
+    def clashes(
+        self, ours: Sequence[diff.Change], theirs: Sequence[diff.Change]
+    ) -> bool:
+        """Return whether both changed one value."""
+        return any(
+            _encloses(mine.path, other.path)
+            or _encloses(other.path, mine.path)
+            for mine in ours
+            for other in theirs
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceFiles:
+    """Puts the sections of a folder in the place of the accepted ones.
+
+    :param files: document of the folder, without operators' changes.
+    :param source: path of the folder.
+    :param clear: whether to drop operators' changes as well.
+    """
+
+    files: document.Document
+    source: str
+    clear: bool = False
+
+    @property
+    def summary(self) -> str:
+        """The change in a few words."""
+        cleared = ", operations cleared" if self.clear else ""
+        return f"apply {self.source}{cleared}"
+
+    def apply(self, doc: document.Document) -> Edited:
+        """Return the folder's sections with the operators' changes."""
+        return Ok(self.replaced(doc))
+
+    def replaced(self, doc: document.Document) -> document.Document:
+        """Return what the document becomes, checked or not."""
+        kept = document.Operations() if self.clear else doc.operations
+        return self.files.model_copy(update={_OPERATIONS: kept})
+
+    def clashes(
+        self, ours: Sequence[diff.Change], theirs: Sequence[diff.Change]
+    ) -> bool:
+        """Return whether files changed, or operations that we clear.
+
+        A folder holds all sections, so building on another folder's change
+        would take it back.
+        """
+        return self.clear or any(
+            change.path[0] != _OPERATIONS for change in theirs
+        )
+
+
+class Placed(enum.Enum):
+    """What operators take out and bring back."""
+
+    ZONE = "zones"
+    SERVER = "servers"
+
+
+@dataclass(frozen=True, slots=True)
+class Place(Overlay):
+    """Takes a zone or a backend server out, or brings it back.
+
+    :param what: zone or backend server.
+    :param name: its name.
+    :param state: state that it gets.
+    """
+
+    what: Placed
+    name: str
+    state: snapshot.PlacementState
+
+    @property
+    def summary(self) -> str:
+        """The change in a few words."""
+        return f"{self.what.value} {self.name} {self.state.value}"
+
+    def apply(self, doc: document.Document) -> Edited:
+        """Return the document with the state."""
+        sections = getattr(doc, self.what.value)
+        if self.name not in sections:
+            return undeclared((self.what.value,), self.name, sections)
+        overlays = dict(getattr(doc.operations, self.what.value))
+        declared = sections[self.name].state
+        back = snapshot.PlacementState.IN
+        if self.state is back and declared is back:
+            overlays.pop(self.name, None)
+        else:
+            # Out is recorded even when the files say so too: a later folder
+            # does not bring back what an operator took out.
+            overlays[self.name] = self.state
+        return Ok(with_operations(doc, {self.what.value: overlays}))
+
+
+@dataclass(frozen=True, slots=True)
+class SetVersion(Overlay):
+    """Withdraws a version or makes it live again.
+
+    Active roll-outs from or to a withdrawn version are halted with it.
+
+    :param model: name of the model.
+    :param version: name of the version.
+    :param state: state that it gets.
+    :param default: version that becomes the default; empty leaves it.
+    """
+
+    model: str
+    version: str
+    state: snapshot.VersionState
+    default: str = ""
+
+    @property
+    def summary(self) -> str:
+        """The change in a few words."""
+        chosen = f", default {self.default}" if self.default else ""
+        return (
+            f"version {self.model} {self.version} {self.state.value}{chosen}"
+        )
+
+    def apply(self, doc: document.Document) -> Edited:
+        """Return the document with the state."""
+        if self.model not in doc.models:
+            return undeclared(("models",), self.model, doc.models)
+        declared = doc.models[self.model].versions
+        if self.version not in declared:
+            path = ("models", self.model, "versions")
+            return undeclared(path, self.version, declared)
+        live = snapshot.VersionState.LIVE
+        states = dict(doc.operations.versions.get(self.model, {}))
+        if self.state is live and declared[self.version].state is live:
+            states.pop(self.version, None)
+        else:
+            states[self.version] = self.state
+        versions = {**doc.operations.versions, self.model: states}
+        if not states:
+            del versions[self.model]
+        update: dict[str, object] = {"versions": versions}
+        if self.state is not live:
+            update["rollouts"] = self._halted(doc)
+        changed = with_operations(doc, update)
+        if not self.default:
+            return Ok(changed)
+        return SetDefault(self.model, self.default).apply(changed)
+
+    def _halted(
+        self, doc: document.Document
+    ) -> dict[str, document.RolloutOverlay]:
+        overlays = dict(doc.operations.rollouts)
+        for name, held in operations.effective(doc).rollouts.items():
+            named = self.version in (held.base, held.candidate)
+            if held.model == self.model and named and is_active(held.state):
+                overlays[name] = document.RolloutOverlay(
+                    state=snapshot.RolloutState.HALTED, share=held.share
+                )
+        return overlays
+
+
+@dataclass(frozen=True, slots=True)
+class SetDefault(Overlay):
+    """Chooses the version for new sessions of a model.
+
+    :param model: name of the model.
+    :param version: name of the version.
+    """
+
+    model: str
+    version: str
+
+    @property
+    def summary(self) -> str:
+        """The change in a few words."""
+        return f"version {self.model} {self.version} default"
+
+    def apply(self, doc: document.Document) -> Edited:
+        """Return the document with the default version."""
+        if self.model not in doc.models:
+            return undeclared(("models",), self.model, doc.models)
+        model = doc.models[self.model]
+        if self.version not in model.versions:
+            path = ("models", self.model, "versions")
+            return undeclared(path, self.version, model.versions)
+        defaults = dict(doc.operations.default_versions)
+        defaults.pop(self.model, None)
+        plain = with_operations(doc, {"default_versions": defaults})
+        held = operations.effective(plain).models[self.model]
+        if held.default_version == self.version:
+            return Ok(plain)
+        defaults[self.model] = self.version
+        return Ok(with_operations(doc, {"default_versions": defaults}))
+
+
+def is_active(state: snapshot.RolloutState) -> bool:
+    """Return whether a roll-out may still give its candidate sessions."""
+    return state in (
+        snapshot.RolloutState.RUNNING,
+        snapshot.RolloutState.PAUSED,
+    )
+
+
+def _encloses(outer: findings.KeyPath, inner: findings.KeyPath) -> bool:
+    return inner[: len(outer)] == outer
+
+
+def with_operations(
+    doc: document.Document, update: dict[str, object]
+) -> document.Document:
+    changed: pydantic.BaseModel = doc.operations.model_copy(update=update)
+    return doc.model_copy(update={_OPERATIONS: changed})
+
+
+def undeclared(
+    path: findings.KeyPath, name: str, known: object
+) -> Err[list[findings.Finding]]:
+    names = list(known) if isinstance(known, dict) else []
+    found = checks.error("undeclared", path, repr(name), checks.one_of(names))
+    return Err([found])
--- a/packages/limpetwalk/limpetwalk/conf/head.py
+++ b/packages/limpetwalk/limpetwalk/conf/head.py
@@ -165,7 +165,7 @@
         await self._store(digest, data)
         held, row_version = await self._read_row()
         if held.generation != expected_generation:
-            return Err(await self._conflict(expected_generation, held))
+            return Err(await self.conflict(expected_generation, held))
         head = Head(
             generation=held.generation + 1,
             digest=digest,
@@ -183,9 +183,42 @@
         )
         if isinstance(outcome, Ok):
             return Ok(head)
-        return Err(
-            await self._conflict(expected_generation, await self.read())
-        )
+        return Err(await self.conflict(expected_generation, await self.read()))
+
+    async def document(self, head: Head | None) -> document.Document:
+        """Return the document of a generation; empty for generation 0.
+
+        :raises StoreUnavailable: when the object store does not answer.
+        :raises CorruptObject: when its bytes are missing or others.
+        :raises InvalidDocument: when this release can't read them.
+        """
+        if head is None or not head.generation:
+            return document.Document()
+        data = await self.load(head.digest)
+        if data is None:
+            raise CorruptObject(
+                f"got nothing, expected the bytes of digest {head.digest}"
+            )
+        try:
+            return document.Document.from_bytes(data)
+        except pydantic.ValidationError as exc:
+            raise compiler.InvalidDocument.of(exc) from None
+
+    async def conflict(self, expected: int, head: Head) -> HeadConflict:
+        """Return a conflict with what changed since a generation.
+
+        :param expected: generation that a change was made from.
+        :param head: generation in force.
+        """
+        changes: tuple[diff.Change, ...] = ()
+        try:
+            old = await self.document(await self.generation(expected))
+            new = await self.document(head)
+            changes = tuple(diff.diff_documents(old, new))
+        except exceptions.LimpetwalkError:
+            # The conflict is told even when its contents can't be read.
+            pass
+        return HeadConflict(expected, head, changes)
 
     async def _read_row(self) -> tuple[Head, int]:
         row = await self._table.get(HEAD_KEY)
@@ -211,32 +244,6 @@
             f"the object store gave no answer to {PUT_ATTEMPTS} puts"
         )
 
-    async def _conflict(self, expected: int, head: Head) -> HeadConflict:
-        changes: tuple[diff.Change, ...] = ()
-        try:
-            old = await self.document(await self.generation(expected))
-            new = await self.document(head)
-            changes = tuple(diff.diff_documents(old, new))
-        except (exceptions.LimpetwalkError, pydantic.ValidationError):
-            # The conflict is told even when its contents can't be read.
-            pass
-        return HeadConflict(expected, head, changes)
-
-    async def document(self, head: Head | None) -> document.Document:
-        """Return the document of a generation; empty for generation 0.
-
-        :raises StoreUnavailable: when the object store does not answer.
-        :raises CorruptObject: when its bytes are missing or others.
-        """
-        if head is None or not head.generation:
-            return document.Document()
-        data = await self.load(head.digest)
-        if data is None:
-            raise CorruptObject(
-                f"got nothing, expected the bytes of digest {head.digest}"
-            )
-        return document.Document.from_bytes(data)
-
 
 def _sort_name(generation: int) -> str:
     return f"{generation:0{GENERATION_DIGITS}d}"
--- a/packages/limpetwalk/limpetwalk/conf/loader.py
+++ b/packages/limpetwalk/limpetwalk/conf/loader.py
@@ -42,13 +42,10 @@
     return read_folder(path).map(lambda loaded: loaded.document)
 
 
-def read_folder(
-    path: str, operations: document.Operations | None = None
-) -> Result[LoadedFolder, list[findings.Finding]]:
+def read_folder(path: str) -> Result[LoadedFolder, list[findings.Finding]]:
     """Return the document of a folder with its places, or all findings.
 
     :param path: folder of ``*.yaml`` files.
-    :param operations: operators' changes that the document carries.
     """
     listed = _list_files(path)
     if isinstance(listed, Err):
@@ -65,7 +62,7 @@
     if whole and not tree.value:
         found.append(_folder_error("nothing-declared", path, "empty files"))
         return Err(found)
-    doc = _validate(tree, operations or document.Operations(), found, whole)
+    doc = _validate(tree, found, whole)
     found = findings.in_order(marked.placed(item, tree) for item in found)
     if doc is None or findings.errors(found):
         return Err(found)
@@ -74,7 +71,6 @@
 
 def _validate(
     tree: marked.Marked,
-    operations: document.Operations,
     found: list[findings.Finding],
     whole: bool,
 ) -> document.Document | None:
@@ -91,12 +87,11 @@
     except pydantic.ValidationError as exc:
         invalid = validation.from_error(exc, document.Document)
         if whole:
-            invalid += partial.check_rest(plain, invalid, operations)
+            invalid += partial.check_rest(plain, invalid)
         else:
             invalid = [item for item in invalid if item.id != "missing"]
         found.extend(invalid)
         return None
-    doc = doc.model_copy(update={"operations": operations})
     if whole:
         found.extend(checks.run_checks(doc))
     return doc
--- a/packages/limpetwalk/limpetwalk/conf/operations.py
+++ b/packages/limpetwalk/limpetwalk/conf/operations.py
@@ -50,13 +50,9 @@
 def _rollout(
     section: document.RolloutSection, overlay: document.RolloutOverlay | None
 ) -> document.RolloutSection:
-    state = overlay.state if overlay else section.state
-    share = overlay.share if overlay else section.share
-    if state is snapshot.RolloutState.HALTED:
-        share = 0.0
-    elif state is snapshot.RolloutState.DONE:
-        share = 1.0
-    return section.model_copy(update={"state": state, "share": share})
+    if overlay is None:
+        return section
+    return section.model_copy(update=dict(overlay))
 
 
 def _model(
--- a/packages/limpetwalk/limpetwalk/conf/partial.py
+++ b/packages/limpetwalk/limpetwalk/conf/partial.py
@@ -20,13 +20,11 @@
 def check_rest(
     tree: dict[str, Any],
     found: Sequence[findings.Finding],
-    operations: document.Operations,
 ) -> list[findings.Finding]:
     """Return what the checks find in the sound part of a tree.
 
     :param tree: plain data that did not validate; it is changed.
     :param found: findings of its validation.
-    :param operations: operators' changes that the document carries.
     """
     cuts = [_cut(tree, finding) for finding in found]
     if any(len(cut) < ENTRY_DEPTH for cut in cuts):
@@ -36,7 +34,6 @@
         doc = document.Document.from_tree(tree)
     except pydantic.ValidationError:
         return []
-    doc = doc.model_copy(update={"operations": operations})
     missing = {repr(cut[1]) for cut in cuts}
     return [
         finding
