Load the built-in plug-ins before names of plug-ins are checked

The examples failed their own check: 'adaptive' was unknown, since no program had imported the policy. The checks now load what the kernel brings.

--- a/packages/limpetwalk/limpetwalk/conf/checks.py
+++ b/packages/limpetwalk/limpetwalk/conf/checks.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from .. import plugins
 from .. import registry
 from . import document
 from . import findings
@@ -47,6 +48,7 @@
     :param tags: only checks of these tags; None runs all.
     """
     registry.load_plugins(_BUILT_IN)
+    plugins.load()
     subject = Subject(doc, operations.effective(doc))
     found: list[findings.Finding] = []
     for name in registry.names(registry.Kind.CONFIG_CHECK):
--- a/packages/limpetwalk/limpetwalk/plugins.py
+++ b/packages/limpetwalk/limpetwalk/plugins.py
@@ -5,6 +5,10 @@
 BUILT_IN = [
     "limpetwalk.backends.openai",
     "limpetwalk.backends.plain",
+    "limpetwalk.rollouts.guard",
+    "limpetwalk.routing.adaptive",
+    "limpetwalk.routing.balancer",
+    "limpetwalk.routing.cascade",
 ]
 
 
