--- a/packages/limpetwalk-node/limpetwalk_node/config.py
+++ b/packages/limpetwalk-node/limpetwalk_node/config.py
@@ -9,10 +9,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
-import hashlib
 import math
 import random
-from typing import Protocol
 
 from loguru import logger
 
@@ -23,42 +21,10 @@
 from limpetwalk.peers import hub as hubs
 from limpetwalk.peers import messages
 
+from . import config_fetch
+
 POLL_INTERVAL = 2.0
 TICK_INTERVAL = 0.5
-FETCH_TIMEOUT = 2.0
-FETCH_PEERS = 3
-
-
-class Head(Protocol):
-    """Accepted generation as the table service tells it."""
-
-    @property
-    def generation(self) -> int:
-        """Number of the generation; 0 before the first."""
-        ...
-
-    @property
-    def digest(self) -> str:
-        """SHA-256 of its bytes, in hexadecimal."""
-        ...
-
-
-class HeadSource(Protocol):
-    """Where the accepted configuration is read."""
-
-    async def read(self) -> Head:
-        """Return the head.
-
-        :raises StoreUnavailable: when the table service does not answer.
-        """
-        ...
-
-    async def load(self, digest: str) -> bytes | None:
-        """Return the bytes of a digest, or None when they are absent.
-
-        :raises StoreUnavailable: when the object store does not answer.
-        """
-        ...
 
 
 Compile = Callable[[bytes], snapshot.Snapshot]
@@ -86,7 +52,7 @@
     def __init__(
         self,
         hub: hubs.Hub,
-        store: HeadSource,
+        store: config_fetch.HeadSource,
         compile_: Compile,
         clock: clocks.Clock,
         rng: random.Random,
@@ -100,7 +66,6 @@
         self._in_force: _InForce | None = None
         self._rejected = ""
         self._subscribers: list[Callable[[snapshot.Applied], None]] = []
-        self._fetches: dict[str, asyncio.Task[bytes | None]] = {}
         self._tasks: list[asyncio.Task[None]] = []
         # Monotonic instants: of the last sign that this generation is the
         # newest, of the last read in the table service that said so, and of
@@ -113,6 +78,9 @@
             "Steps towards a newer configuration that failed.",
             ("reason",),
         )
+        self._fetcher = config_fetch.SnapshotFetcher(
+            hub, store, rng, self._errors
+        )
         self._applied = metrics.counter(
             "limpetwalk_config_applied",
             "Configurations that came into force, by where they came from.",
@@ -167,7 +135,7 @@
         :param data: its bytes.
         :returns: whether it is in force now.
         """
-        digest = hashlib.sha256(data).hexdigest()
+        digest = config_fetch.digest_of(data)
         if self._stands(generation, digest):
             return True
         if generation <= self._number():
@@ -324,69 +292,13 @@
         """
         if self._stands(generation, digest) or digest == self._rejected:
             return True
-        data = await self._fetch_once(digest, peer)
+        data = await self._fetcher.fetch(digest, peer)
         if data is None:
             self._errors.labels("fetch_failed").inc()
             return False
         in_force = self._put_in_force(generation, digest, data, source)
         return in_force or digest == self._rejected
 
-    async def _fetch_once(self, digest: str, peer: str) -> bytes | None:
-        task = self._fetches.get(digest)
-        if task is None:
-            task = asyncio.create_task(self._fetch(digest, peer))
-            self._fetches[digest] = task
-            task.add_done_callback(lambda _: self._fetches.pop(digest, None))
-        return await asyncio.shield(task)
-
-    async def _fetch(self, digest: str, peer: str) -> bytes | None:
-        if peer:
-            data = await self._fetch_from_peer(digest, peer)
-            if data is not None:
-                return data
-        data = await self._fetch_from_store(digest)
-        if data is not None:
-            return data
-        others = [
-            name
-            for name, beat in self._hub.members.live_beats().items()
-            if beat.digest == digest and name != peer
-        ]
-        self._rng.shuffle(others)
-        for name in others[:FETCH_PEERS]:
-            data = await self._fetch_from_peer(digest, name)
-            if data is not None:
-                return data
-        return None
-
-    async def _fetch_from_store(self, digest: str) -> bytes | None:
-        try:
-            data = await self._store.load(digest)
-        except exceptions.LimpetwalkError:
-            self._errors.labels("objects_unavailable").inc()
-            return None
-        return self._checked(digest, data or b"")
-
-    async def _fetch_from_peer(self, digest: str, peer: str) -> bytes | None:
-        try:
-            reply = await self._hub.request(
-                peer, messages.SnapshotRequest(digest), FETCH_TIMEOUT
-            )
-        except exceptions.PeerUnavailable:
-            self._errors.labels("peer_unavailable").inc()
-            return None
-        if not isinstance(reply, messages.SnapshotReply):
-            return None
-        return self._checked(digest, reply.data)
-
-    def _checked(self, digest: str, data: bytes) -> bytes | None:
-        if not data:
-            return None
-        if hashlib.sha256(data).hexdigest() != digest:
-            self._errors.labels("wrong_digest").inc()
-            return None
-        return data
-
     def _put_in_force(
         self, generation: int, digest: str, data: bytes, source: str
     ) -> bool:
--- a/tests/limpetwalk/peers/fakes.py
+++ b/tests/limpetwalk/peers/fakes.py
@@ -7,8 +7,10 @@
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk import metrics
+from limpetwalk.ledger import rows as ledger_rows
 from limpetwalk.peers import hub as hubs
 from limpetwalk.platform import base as platform
+from limpetwalk.platform import memory
 
 POLL_INTERVAL = 0.01
 WAIT_TIMEOUT = 10.0
@@ -68,3 +70,12 @@
     async with asyncio.timeout(WAIT_TIMEOUT):
         while not condition():
             await asyncio.sleep(POLL_INTERVAL)
+
+
+async def read_partition(rows: memory.Rows, number: int) -> list[str]:
+    """Return the request keys in a partition of the ledger."""
+    return [
+        entry.request_key
+        for row in rows.query(ledger_rows.partition_name(number))
+        for entry in ledger_rows.decode_batch(row)
+    ]
