--- a/packages/limpetwalk-node/limpetwalk_node/app.py
+++ b/packages/limpetwalk-node/limpetwalk_node/app.py
@@ -55,7 +55,7 @@
     records: records.RecordStore
     biller: ledger.Biller
     is_live: Callable[[str], bool]
-    status: Callable[[], dict[str, Any]]
+    status: Callable[[lifecycle.Lifecycle], dict[str, Any]]
     clock: clocks.Clock
     metrics: measures.Metrics
     rng: random.Random
@@ -87,7 +87,11 @@
     api.add_prefix(services.SERVICES_PREFIX, _services(held, bills_, life))
     api.add_prefix(services.OUTCOMES_PREFIX, services.Outcomes(held.records))
     interface = operators.Operators(
-        held.config, life, held.metrics, held.status, held.offer
+        held.config,
+        life,
+        held.metrics,
+        lambda: held.status(life),
+        held.offer,
     )
     return Interfaces(life, api, interface)
 
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/holders.py
@@ -0,0 +1,25 @@
+"""Names under which starts of nodes hold records and leases."""
+
+from limpetwalk.peers import hub as hubs
+
+
+class Holders:
+    """Tells which holders are still at work.
+
+    A holder is one start of a node, so that a node that was started anew
+    does not pass for the one before it.
+
+    :param hub: links to the peers.
+    """
+
+    def __init__(self, hub: hubs.Hub) -> None:
+        self._hub = hub
+        self.own = f"{hub.name}/{hub.boot_id}"
+
+    def is_live(self, holder: str) -> bool:
+        """Tell whether a holder is this process or a live peer."""
+        if holder == self.own:
+            return True
+        name, _, boot_id = holder.rpartition("/")
+        beat = self._hub.members.live_beats().get(name)
+        return beat is not None and beat.boot_id == boot_id
--- a/packages/limpetwalk-node/limpetwalk_node/main.py
+++ b/packages/limpetwalk-node/limpetwalk_node/main.py
@@ -1,14 +1,27 @@
 """Program ``limpetwalk``: an entry node."""
 
+import asyncio
+import json
+import signal
+import socket
 import sys
 
 from absl import app as absl_app
 from absl import flags
+import aiomisc
+from limpetwalk.platform import factory
+from loguru import logger
 from result import Err
+import uvloop
 
+from . import lifecycle
+from . import listeners
 from . import logs
 from . import settings
+from . import shutdown
+from . import wiring
 
+EXIT_OK = 0
 EXIT_SETTINGS = 1
 
 _SETTINGS = flags.DEFINE_string("settings", "", "YAML file of settings.")
@@ -21,13 +34,67 @@
 
 
 def _main(argv: list[str]) -> int:
+    if len(argv) > 1:
+        raise absl_app.UsageError(f"unexpected argument {argv[1]!r}")
     loaded = settings.load(_SETTINGS.value or "")
     if isinstance(loaded, Err):
         for finding in loaded.err_value:
             print(finding, file=sys.stderr)
         return EXIT_SETTINGS
-    logs.configure(loaded.ok_value.log)
-    return 0
+    cfg = loaded.ok_value
+    logs.configure(cfg.log)
+    try:
+        socks = [listeners.bind(each) for each in (cfg.callers, cfg.operators)]
+    except OSError as exc:
+        print(f"{_SETTINGS.value}: can't listen: {exc}", file=sys.stderr)
+        return EXIT_SETTINGS
+    uvloop.run(serve(cfg, *socks))
+    return EXIT_OK
+
+
+async def serve(
+    cfg: settings.NodeSettings,
+    callers_sock: socket.socket,
+    operators_sock: socket.socket,
+) -> None:
+    """Run a node until it is told to stop, then shut down gracefully."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    platform = await factory.open_platform(cfg.platform)
+    entry = aiomisc.entrypoint(log_config=False, catch_signals=())
+    async with entry as services:
+        node = wiring.Node(cfg=cfg, platform=platform)
+        interfaces = node.interfaces
+        await services.start_services(
+            node,
+            listeners.CallersListener(
+                sock=callers_sock, api=interfaces.callers
+            ),
+            listeners.OperatorsListener(
+                sock=operators_sock, interface=interfaces.operators
+            ),
+        )
+        interfaces.life.phase = lifecycle.Phase.SERVING
+        _announce(node, callers_sock, operators_sock)
+        await stop.wait()
+        await shutdown.drain(
+            interfaces.life, cfg.shutdown, node.hub, node.biller
+        )
+
+
+def _announce(
+    node: wiring.Node, callers: socket.socket, operators: socket.socket
+) -> None:
+    """Print the ports, of which some may have been chosen by the system."""
+    ports = {
+        "callers": callers.getsockname()[1],
+        "operators": operators.getsockname()[1],
+        "peers": int(node.hub.address.rpartition(":")[2]),
+    }
+    print(json.dumps({"ready": True, "ports": ports}), flush=True)
+    logger.info("serving as {} on {}", node.cfg.name, ports)
 
 
 if __name__ == "__main__":
--- a/packages/limpetwalk-node/limpetwalk_node/shutdown.py
+++ b/packages/limpetwalk-node/limpetwalk_node/shutdown.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from dataclasses import dataclass
-
-from loguru import logger
+from typing import Protocol
 
 from limpetwalk.ledger import base as ledger
+from loguru import logger
 
 from . import lifecycle
 from . import settings
@@ -13,6 +13,14 @@
 FLUSH_TIMEOUT = 10.0
 
 
+class Leaver(Protocol):
+    """Hub of a node that tells its peers that it leaves."""
+
+    def leave(self) -> None:
+        """Tell peers that this node takes no new work."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Report:
     """How a shutdown went.
@@ -28,16 +36,18 @@
 async def drain(
     life: lifecycle.Lifecycle,
     cfg: settings.ShutdownSettings,
+    hub: Leaver,
     biller: ledger.Biller,
 ) -> Report:
     """Leave the balancer, finish what is in flight and flush the ledger."""
     life.phase = lifecycle.Phase.LEAVING
-    logger.info("leaving", balancer_wait=cfg.balancer_wait)
+    logger.info("leaving, waits {} s for the balancer", cfg.balancer_wait)
+    hub.leave()
     await asyncio.sleep(cfg.balancer_wait)
     life.phase = lifecycle.Phase.DRAINING
-    logger.info("draining", in_flight=life.in_flight)
+    logger.info("draining {} requests", life.in_flight)
     await life.wait_idle(cfg.drain_timeout)
     unflushed = await biller.flush(FLUSH_TIMEOUT)
     report = Report(life.in_flight, unflushed)
-    logger.info("drained", cut=report.cut, unflushed=report.unflushed)
+    logger.info("drained, {} cut, {} unflushed", report.cut, report.unflushed)
     return report
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/status.py
@@ -0,0 +1,52 @@
+"""What ``/status`` shows of a node."""
+
+from collections.abc import Callable
+from typing import Any
+
+from limpetwalk.peers import base as peers
+
+from . import lifecycle
+from . import parts
+from . import settings
+
+
+class Status:
+    """State of a node, as JSON data.
+
+    :param cfg: settings of the node.
+    :param config: configuration in force.
+    :param peers_: returns the live peers.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.NodeSettings,
+        config: parts.ConfigSource,
+        peers_: Callable[[], list[peers.Peer]],
+    ) -> None:
+        self._cfg = cfg
+        self._config = config
+        self._peers = peers_
+
+    def __call__(self, life: lifecycle.Lifecycle) -> dict[str, Any]:
+        """Return the state now."""
+        applied = self._config.current()
+        return {
+            "name": self._cfg.name,
+            "zone": self._cfg.zone,
+            "region": self._cfg.region,
+            "phase": life.phase.value,
+            "in_flight": life.in_flight,
+            "generation": 0 if applied is None else applied.generation,
+            "digest": "" if applied is None else applied.snapshot.digest,
+            "fresh": self._config.fresh(),
+            "peers": [
+                {
+                    "name": peer.name,
+                    "zone": peer.zone,
+                    "generation": peer.generation,
+                    "leaving": peer.leaving,
+                }
+                for peer in self._peers()
+            ],
+        }
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -0,0 +1,174 @@
+"""The parts of a serving node, made of its settings."""
+
+import random
+from typing import Any
+
+import aiomisc
+from limpetwalk import clock as clocks
+from limpetwalk import metrics as measures
+from limpetwalk import registry
+from limpetwalk.conf import compile as compiler
+from limpetwalk.conf import head as heads
+from limpetwalk.conf import snapshot
+from limpetwalk.ledger import partition
+from limpetwalk.peers import hub as hubs
+from limpetwalk.platform import factory
+from limpetwalk.records import store as record_stores
+from limpetwalk.routing import core as cores
+from limpetwalk.routing import dispatch
+from limpetwalk.routing import quarantine
+from limpetwalk.routing import replicas
+from limpetwalk.routing import warmup
+
+from . import app
+from . import billing
+from . import config
+from . import holders
+from . import instances
+from . import settings
+from . import status
+
+PLUGINS = [
+    "limpetwalk.backends.openai",
+    "limpetwalk.backends.plain",
+    "limpetwalk.routing.adaptive",
+    "limpetwalk.routing.cascade",
+]
+
+
+class Node(aiomisc.Service):
+    """All parts of a node behind its HTTP interfaces.
+
+    :param cfg: settings of the node.
+    :param platform: clients of the platform's services.
+    """
+
+    __required__ = ("cfg", "platform")
+
+    cfg: settings.NodeSettings
+    platform: factory.Platform
+
+    def __init__(self, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        registry.load_plugins(PLUGINS)
+        self.clock = clocks.SystemClock()
+        self.metrics = measures.Metrics()
+        self.rng = random.Random()
+        self._instances = instances.WatchedInstances(self.platform.instances)
+        self.hub = hubs.Hub(
+            hubs.HubSettings(
+                self.cfg.name,
+                self.cfg.zone,
+                str(self.cfg.peers.host),
+                self.cfg.peers.port,
+            ),
+            self._instances,
+            self.clock,
+            self.rng,
+            self.metrics,
+        )
+        self.keeper = config.ConfigKeeper(
+            self.hub,
+            heads.HeadStore(
+                self.platform.table, self.platform.objects, self.clock
+            ),
+            compiler.compile_document,
+            self.clock,
+            self.rng,
+            self.metrics,
+        )
+        self.biller = self._make_biller()
+        self._core = self._make_core()
+        self.interfaces = app.compose(self._make_parts())
+
+    async def start(self) -> None:
+        """Join the peers and follow the accepted configuration."""
+        await self.hub.start()
+        await self.keeper.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Leave the peers and close all connections."""
+        await self.keeper.stop()
+        await self.hub.stop()
+        await self._core.close()
+        await self.platform.close()
+
+    def _in_force(self) -> snapshot.Applied:
+        applied = self.keeper.current()
+        # Parts that ask are only at work once there is a configuration.
+        assert applied is not None
+        return applied
+
+    def _make_biller(self) -> billing.LedgerBiller:
+        return billing.LedgerBiller(
+            self.hub,
+            lambda number: partition.LedgerPartition(
+                self.platform.table, number, self.clock
+            ),
+            self._tuning,
+            self.clock,
+            self.rng,
+            self.metrics,
+        )
+
+    def _tuning(self) -> snapshot.Tuning:
+        applied = self.keeper.current()
+        return applied.snapshot.tuning if applied else snapshot.Tuning()
+
+    def _live_nodes(self) -> int:
+        """Return the number of entry nodes, live or not.
+
+        A node that is cut off must not take the others' part of a shared
+        allowance, so all that are known count.
+        """
+        return len(self.hub.members.known().keys() | {self.cfg.name})
+
+    def _make_core(self) -> cores.Core:
+        around = replicas.Surroundings(
+            self.cfg.zone, self._live_nodes, self._instances.leaving
+        )
+        return cores.Core(
+            self._in_force,
+            warmup.LocalPermits(self._live_nodes),
+            quarantine.Quarantine(clock=self.clock),
+            self.clock,
+            self.metrics,
+            self.rng,
+            around,
+        )
+
+    def _make_parts(self) -> app.Parts:
+        core = self._core
+        shared = (
+            self._in_force,
+            core.admission.permits,
+            core.quarantine,
+            self.clock,
+            self.metrics,
+            self.rng,
+            core,
+        )
+        held = holders.Holders(self.hub)
+        return app.Parts(
+            name=self.cfg.name,
+            holder=held.own,
+            config=self.keeper,
+            offer=self.keeper.offer,
+            engines=dispatch.EngineDispatcher(*shared),
+            services=dispatch.ServiceDispatcher(*shared),
+            ratings=self.platform.ratings,
+            records=record_stores.TableRecordStore(
+                self.platform.table,
+                self.clock,
+                held.own,
+                held.is_live,
+                snapshot.Tuning().record_ttl,
+                self.platform.objects,
+            ),
+            biller=self.biller,
+            is_live=held.is_live,
+            status=status.Status(self.cfg, self.keeper, self.hub.live),
+            clock=self.clock,
+            metrics=self.metrics,
+            rng=self.rng,
+        )
--- a/tests/limpetwalk_node/fakes.py
+++ b/tests/limpetwalk_node/fakes.py
@@ -225,7 +225,7 @@
             records=self.records,
             biller=self.biller,
             is_live=lambda holder: holder not in self.lost_holders,
-            status=lambda: {"name": "node-1"},
+            status=lambda life: {"name": "node-1"},
             clock=clocks.SystemClock(),
             metrics=self.metrics,
             rng=random.Random(7),
