--- a/packages/limpetwalk/limpetwalk/routing/circuit.py
+++ b/packages/limpetwalk/limpetwalk/routing/circuit.py
@@ -76,6 +76,16 @@
         self._pause = min(LONGEST_PAUSE, self._pause * 2)
         return opened
 
+    def probe_answered(self) -> None:
+        """Note that a probe was answered: a trial may be sent at once."""
+        if self._open_until is not None:
+            self._open_until = float("-inf")
+
+    def probe_failed(self, now: float) -> None:
+        """Note that a probe got no answer: an open circuit stays open."""
+        if self._open_until is not None:
+            self._open_until = max(self._open_until, now + FIRST_PAUSE)
+
     def abandon(self) -> None:
         """Note that a request ended without telling about the server."""
         self._trial = False
--- a/packages/limpetwalk/limpetwalk/routing/outcomes.py
+++ b/packages/limpetwalk/limpetwalk/routing/outcomes.py
@@ -66,8 +66,12 @@
             self._opened.inc()
             logger.warning("circuit of {} opened: {}", replica.name, exc)
 
+    def note_boot(self, replica: replicas.Replica) -> None:
+        """Note that a server was seen to have started anew."""
+        self._boots.inc()
+        logger.info("{} has started anew and counts as cold", replica.name)
+
     def _learn(self, replica: replicas.Replica, started: float) -> None:
-        if replica.boot.learn(
-            replica.client.boot_id, self._clock.monotonic(), started
-        ):
-            self._boots.inc()
+        now = self._clock.monotonic()
+        if replica.boot.learn(replica.client.boot_id, now, started):
+            self.note_boot(replica)
