--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -31,6 +31,7 @@
   generation @4 :UInt64;
   digest @5 :Text;
   leaving @6 :Bool;
+  confirmedAgeMs @7 :UInt32 = 4294967295;  # the default stands for never
 }
 
 struct ConfigHead {
@@ -112,4 +113,5 @@
   failures @4 :UInt32;
   total @5 :Float64;        # sum of ratings
   squares @6 :Float64;      # sum of squared ratings
+  rated @7 :UInt32;
 }
