--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/crashes.py
@@ -0,0 +1,149 @@
+"""Crash reports shared by the nodes.
+
+A node that sees a request crash a backend server tells its peers, and keeps
+a row so that a node that starts later knows as well.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+import hashlib
+from typing import Any
+
+from loguru import logger
+import pydantic
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import metrics as metrics_
+from limpetwalk.peers import hub as hubs
+from limpetwalk.peers import messages
+from limpetwalk.platform import base as platform
+from limpetwalk.routing import quarantine as quarantines
+
+PARTITION = "crash"
+ROW_LIFETIME = 3600
+MAX_ROWS = 4096
+WRITE_TRIES = 5
+RETRY_DELAY = 1.0
+MAX_WRITES = 64
+
+
+class _Value(pydantic.BaseModel):
+    """Contents of the row of a crash."""
+
+    fingerprint: str
+    server: str
+    boot_id: str
+
+
+class CrashSharing:
+    """Shares the crashes of a node's quarantine.
+
+    :param hub: links to the peers.
+    :param quarantine: counts of this node.
+    :param table: table service.
+    :param clock: source of time.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self,
+        hub: hubs.Hub,
+        quarantine: quarantines.Quarantine,
+        table: platform.TableStore,
+        clock: clocks.Clock,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self._hub = hub
+        self._quarantine = quarantine
+        self._table = table
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._reports = metrics.counter(
+            "limpetwalk_crash_reports",
+            "Crash reports, by where they came from or went.",
+            ("way",),
+        )
+        quarantine.share = self.share
+        hub.subscribe(messages.CrashReport, self._on_report)
+
+    async def start(self) -> None:
+        """Load the crashes that are kept, again and again until it works."""
+        self._spawn(self._load())
+
+    async def stop(self) -> None:
+        """Stop writing."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def share(self, fingerprint: str, server: str, boot_id: str) -> None:
+        """Tell the peers of a crash and keep it."""
+        report = messages.CrashReport(fingerprint, server, boot_id)
+        self._reports.labels("sent").inc()
+        self._hub.broadcast(report)
+        if len(self._tasks) >= MAX_WRITES:
+            # The peers know; only a node that starts later may not.
+            self._reports.labels("not_kept").inc()
+            return
+        self._spawn(self._keep(report))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _on_report(
+        self, sender: str, message: messages.Message
+    ) -> messages.Message | None:
+        assert isinstance(message, messages.CrashReport)
+        self._reports.labels("received").inc()
+        self._merge(message.fingerprint, message.server, message.boot_id)
+        return None
+
+    def _merge(self, fingerprint: str, server: str, boot_id: str) -> None:
+        self._quarantine.merge(fingerprint, server, boot_id)
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                rows = await self._table.query(PARTITION, limit=MAX_ROWS)
+            except exceptions.StoreError:
+                await asyncio.sleep(RETRY_DELAY)
+                continue
+            break
+        now = self._clock.wall()
+        for row in rows:
+            if row.expires_at is not None and row.expires_at <= now:
+                continue
+            value = _Value.model_validate_json(row.value)
+            self._reports.labels("loaded").inc()
+            self._merge(value.fingerprint, value.server, value.boot_id)
+
+    async def _keep(self, report: messages.CrashReport) -> None:
+        """Put the row; one that another node has put is as good."""
+        value = _Value(
+            fingerprint=report.fingerprint,
+            server=report.server,
+            boot_id=report.boot_id,
+        )
+        put = platform.Put(
+            platform.RowKey(PARTITION, _sort_name(report)),
+            value.model_dump_json(),
+            expect_version=0,
+            expires_at=int(self._clock.wall()) + ROW_LIFETIME,
+        )
+        for _ in range(WRITE_TRIES):
+            try:
+                await self._table.transact([put], self._hub.boot_id)
+                return
+            except exceptions.StoreError:
+                await asyncio.sleep(RETRY_DELAY)
+        self._reports.labels("not_kept").inc()
+        logger.warning("crash of {} could not be kept", report.server)
+
+
+def _sort_name(report: messages.CrashReport) -> str:
+    text = f"{report.server}\0{report.boot_id}"
+    digest = hashlib.sha256(text.encode()).hexdigest()
+    return f"{report.fingerprint}/{digest[:16]}"
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/permit_grantor.py
@@ -0,0 +1,258 @@
+"""Grantor of permits for cold backend servers.
+
+The grantor of a server holds a lease. A new one first asks every node what
+it holds; while a known node has not answered, all that its predecessor may
+have granted is taken for granted still, until it must have ended.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import math
+
+from loguru import logger
+from result import Err
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import leases
+from limpetwalk import metrics as metrics_
+from limpetwalk.conf import snapshot
+from limpetwalk.peers import hub as hubs
+from limpetwalk.peers import messages
+
+LEASE_TTL = 10.0
+# The grantor stops this long before its lease ends, so that a reply under
+# way has come or timed out by then.
+LEASE_MARGIN = 1.0
+RENEW_BELOW = 5.0
+REPORT_TIMEOUT = 0.5
+NO_LEASE = "no lease"
+UNKNOWN_SERVER = "unknown server"
+
+
+def share_of_node(allowance: int, nodes: int) -> int:
+    """Return how many requests each node may send without a grantor."""
+    return allowance // nodes
+
+
+def pool_size(allowance: int, nodes: int) -> int:
+    """Return how many permits the grantor has for all nodes."""
+    return allowance - nodes * share_of_node(allowance, nodes)
+
+
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    node: str
+    expires_at: float
+
+
+@dataclass(slots=True)
+class _Pool:
+    """Permits granted for one server.
+
+    ``fencing`` is the number of this node's last lease: when the next one
+    follows it, nobody else has granted in between. ``valid_until`` is the monotonic instant up to which the lease stands,
+    ``blocked_until`` the one before which unknown permits may be held.
+    """
+
+    lease: leases.Lease | None = None
+    fencing: int = 0
+    valid_until: float = -math.inf
+    blocked_until: float = -math.inf
+    grants: list[_Grant] = field(default_factory=list)
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+class PermitGrantor:
+    """Grants permits of the servers whose lease this node holds.
+
+    :param hub: links to the peers.
+    :param keeper: keeper of leases.
+    :param config: returns the configuration in force.
+    :param clock: source of time.
+    :param metrics: metrics of the process.
+    """
+
+    def __init__(
+        self,
+        hub: hubs.Hub,
+        keeper: leases.LeaseKeeper,
+        config: Callable[[], snapshot.Applied | None],
+        clock: clocks.Clock,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self._hub = hub
+        self._keeper = keeper
+        self._config = config
+        self._clock = clock
+        self._pools: dict[str, _Pool] = {}
+        self._report_own: Callable[[str], messages.PermitReply] | None = None
+        self._granted = metrics.counter(
+            "limpetwalk_permits_granted", "Warm-up permits granted."
+        )
+        self._denied = metrics.counter(
+            "limpetwalk_permits_denied",
+            "Requests for warm-up permits that got none.",
+            ("reason",),
+        )
+        self._takeovers = metrics.counter(
+            "limpetwalk_permit_takeovers",
+            "Times that this node became the grantor of a server.",
+        )
+
+    def report_own(
+        self, report: Callable[[str], messages.PermitReply]
+    ) -> None:
+        """Set what tells the permits that this node holds itself."""
+        self._report_own = report
+
+    async def stop(self) -> None:
+        """Release the leases."""
+        for pool in self._pools.values():
+            lease, pool.lease = pool.lease, None
+            pool.valid_until = -math.inf
+            if lease is None:
+                continue
+            try:
+                await self._keeper.release(lease)
+            except exceptions.StoreError:
+                logger.warning("lease {} was not released", lease.role)
+
+    async def grant(
+        self, node: str, req: messages.PermitRequest
+    ) -> messages.Message:
+        """Answer a request for permits, or their return.
+
+        :param node: node that asks.
+        :returns: a ``PermitReply``, or a ``Failure`` when this node may not
+            grant.
+        """
+        applied = self._config()
+        if applied is None or req.server not in applied.snapshot.servers:
+            return messages.Failure(UNKNOWN_SERVER)
+        pool = self._pools.setdefault(req.server, _Pool())
+        if req.release:
+            return self._take_back(pool, node, req)
+        if not await self._ensure_lease(req.server, pool, applied.snapshot):
+            self._denied.labels("no_lease").inc()
+            return messages.Failure(NO_LEASE)
+        return self._grant(pool, node, req, applied.snapshot)
+
+    def _take_back(
+        self, pool: _Pool, node: str, req: messages.PermitRequest
+    ) -> messages.Message:
+        if not self._stands(pool):
+            return messages.Failure(NO_LEASE)
+        for grant in [g for g in pool.grants if g.node == node][: req.count]:
+            pool.grants.remove(grant)
+        return messages.PermitReply(req.server, 0, 0, 0.0)
+
+    def _grant(
+        self,
+        pool: _Pool,
+        node: str,
+        req: messages.PermitRequest,
+        config: snapshot.Snapshot,
+    ) -> messages.Message:
+        # Without an await from here on, the check of the lease holds.
+        if pool.lease is None or not self._stands(pool):
+            self._denied.labels("no_lease").inc()
+            return messages.Failure(NO_LEASE)
+        now = self._clock.monotonic()
+        pool.grants = [g for g in pool.grants if g.expires_at > now]
+        size = pool_size(
+            config.servers[req.server].warmup.concurrency, self._nodes()
+        )
+        count = max(0, min(req.count, size - len(pool.grants)))
+        if now < pool.blocked_until:
+            self._denied.labels("takeover").inc()
+            count = 0
+        elif not count:
+            self._denied.labels("allowance").inc()
+        ttl = config.tuning.request_timeout
+        pool.grants += [_Grant(node, now + ttl)] * count
+        self._granted.inc(count)
+        return messages.PermitReply(req.server, count, pool.lease.fencing, ttl)
+
+    def _nodes(self) -> int:
+        return len(self._hub.members.known()) + 1
+
+    def _stands(self, pool: _Pool) -> bool:
+        self._hub.pauses.check()
+        return self._clock.monotonic() < pool.valid_until
+
+    async def _ensure_lease(
+        self, server: str, pool: _Pool, config: snapshot.Snapshot
+    ) -> bool:
+        async with pool.lock:
+            left = pool.valid_until - self._clock.monotonic()
+            if left > RENEW_BELOW:
+                return True
+            try:
+                if left > 0 and pool.lease is not None:
+                    return await self._renew(pool, pool.lease)
+                return await self._acquire(server, pool, config)
+            except exceptions.StoreError:
+                return self._stands(pool)
+
+    async def _renew(self, pool: _Pool, lease: leases.Lease) -> bool:
+        began = self._clock.monotonic()
+        outcome = await self._keeper.renew(lease)
+        if isinstance(outcome, Err):
+            pool.lease = None
+            pool.valid_until = -math.inf
+            return False
+        pool.lease = outcome.ok_value
+        pool.valid_until = began + LEASE_TTL - LEASE_MARGIN
+        return True
+
+    async def _acquire(
+        self, server: str, pool: _Pool, config: snapshot.Snapshot
+    ) -> bool:
+        began = self._clock.monotonic()
+        outcome = await self._keeper.acquire(f"permits/{server}", LEASE_TTL)
+        if isinstance(outcome, Err):
+            return False
+        lease = outcome.ok_value
+        if lease.fencing != pool.fencing + 1:
+            self._takeovers.inc()
+            logger.info("this node grants permits of {}", server)
+            await self._collect(server, pool, config)
+        pool.lease = lease
+        pool.fencing = lease.fencing
+        pool.valid_until = began + LEASE_TTL - LEASE_MARGIN
+        return True
+
+    async def _collect(
+        self, server: str, pool: _Pool, config: snapshot.Snapshot
+    ) -> None:
+        """Learn what the nodes hold of the predecessor's permits."""
+        asked_at = self._clock.monotonic()
+        names = list(self._hub.members.known())
+        reports = await asyncio.gather(
+            *(self._report_of(name, server) for name in names)
+        )
+        pool.grants = []
+        pool.blocked_until = -math.inf
+        if self._report_own is not None:
+            names.append(self._hub.name)
+            reports.append(self._report_own(server))
+        now = self._clock.monotonic()
+        for name, report in zip(names, reports, strict=True):
+            if report is None:
+                pool.blocked_until = asked_at + config.tuning.request_timeout
+                continue
+            grant = _Grant(name, now + report.ttl)
+            pool.grants += [grant] * report.granted
+
+    async def _report_of(
+        self, name: str, server: str
+    ) -> messages.PermitReply | None:
+        req = messages.PermitRequest(server, "", 0, release=False)
+        try:
+            reply = await self._hub.request(name, req, REPORT_TIMEOUT)
+        except exceptions.PeerUnavailable:
+            return None
+        return reply if isinstance(reply, messages.PermitReply) else None
