--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/node_links.py
@@ -0,0 +1,55 @@
+"""Hubs of several nodes in one process, for measurements."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics as metrics_
+from limpetwalk.peers import hub as hubs
+from limpetwalk.platform import base as platform
+from limpetwalk.platform import memory
+
+POLL_INTERVAL = 0.02
+MEET_TIMEOUT = 60.0
+
+
+def make_hub(
+    name: str,
+    zone: str,
+    instances: memory.MemoryInstances,
+    metrics: metrics_.Metrics,
+) -> hubs.Hub:
+    """Return a hub on a free loopback port, not started."""
+    return hubs.Hub(
+        hubs.HubSettings(name=name, zone=zone, host="127.0.0.1", port=0),
+        instances,
+        clocks.SystemClock(),
+        random.Random(name),
+        metrics,
+    )
+
+
+def show(hub: hubs.Hub, instances: memory.MemoryInstances) -> None:
+    """Add a started hub to the instance list."""
+    instances.instances.append(
+        platform.Instance(
+            name=hub.name,
+            kind=platform.InstanceKind.ENTRY,
+            address=hub.address,
+            zone=hub.zone,
+            state=platform.InstanceState.LIVE,
+        )
+    )
+
+
+async def until(
+    condition: Callable[[], bool], timeout: float = MEET_TIMEOUT
+) -> None:
+    """Return when a condition holds.
+
+    :raises TimeoutError: when it does not hold in time.
+    """
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await asyncio.sleep(POLL_INTERVAL)
--- a/packages/limpetwalk-node/limpetwalk_node/permit_grantor.py
+++ b/packages/limpetwalk-node/limpetwalk_node/permit_grantor.py
@@ -53,8 +53,9 @@
     """Permits granted for one server.
 
     ``fencing`` is the number of this node's last lease: when the next one
-    follows it, nobody else has granted in between. ``valid_until`` is the monotonic instant up to which the lease stands,
-    ``blocked_until`` the one before which unknown permits may be held.
+    follows it, nobody else has granted in between. ``valid_until`` is the
+    monotonic instant up to which the lease stands, ``blocked_until`` the one
+    before which unknown permits may be held.
     """
 
     lease: leases.Lease | None = None
--- a/tests/limpetwalk/peers/fakes.py
+++ b/tests/limpetwalk/peers/fakes.py
@@ -16,6 +16,19 @@
 WAIT_TIMEOUT = 10.0
 
 
+def instance(
+    name: str, zone: str, address: str = "127.0.0.1:1"
+) -> platform.Instance:
+    """Return a live entry node as the list shows it."""
+    return platform.Instance(
+        name=name,
+        kind=platform.InstanceKind.ENTRY,
+        address=address,
+        zone=zone,
+        state=platform.InstanceState.LIVE,
+    )
+
+
 class FakeInstances:
     """Instance list that a test fills."""
 
@@ -34,15 +47,7 @@
 
     def add(self, hub: hubs.Hub) -> None:
         """Show a started hub in the list."""
-        self.instances.append(
-            platform.Instance(
-                name=hub.name,
-                kind=platform.InstanceKind.ENTRY,
-                address=hub.address,
-                zone=hub.zone,
-                state=platform.InstanceState.LIVE,
-            )
-        )
+        self.instances.append(instance(hub.name, hub.zone, hub.address))
 
 
 def make_hub(
--- a/tests/limpetwalk_node/test_config.py
+++ b/tests/limpetwalk_node/test_config.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 import hashlib
 import json
+import math
 import random
 import unittest
 
@@ -10,6 +11,7 @@
 from limpetwalk import exceptions
 from limpetwalk import metrics
 from limpetwalk.conf import snapshot
+from limpetwalk.peers import messages
 from limpetwalk_node import config
 from tests.limpetwalk.peers import fakes
 
@@ -148,3 +150,215 @@
         self.assertFalse(self.node.keeper.fresh())
         await self.node.keeper.poll()
         self.assertTrue(self.node.keeper.fresh())
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    """Three nodes in three zones; each step is called by the test."""
+
+    async def asyncSetUp(self):
+        self.instances = fakes.FakeInstances()
+        self.nodes = {}
+        for name in "abc":
+            await self.start(name)
+        await self.meet()
+
+    async def asyncTearDown(self):
+        for node in self.nodes.values():
+            await node.hub.stop()
+
+    async def start(self, name):
+        node = Node(name, self.instances, f"z-{name}")
+        self.nodes[name] = node
+        await node.hub.start()
+        self.instances.add(node.hub)
+
+    async def meet(self):
+        others = len(self.nodes) - 1
+        await fakes.until(
+            lambda: all(
+                len(node.hub.live()) == others for node in self.nodes.values()
+            )
+        )
+
+    async def everywhere(self, generation):
+        await fakes.until(
+            lambda: all(
+                node.generation == generation for node in self.nodes.values()
+            )
+        )
+
+    def errors(self, name, reason):
+        return self.nodes[name].metrics.value(
+            "limpetwalk_config_errors_total", {"reason": reason}
+        )
+
+    def cut_stores(self):
+        for node in self.nodes.values():
+            node.store.head_down = True
+            node.store.objects_down = True
+
+    async def test_one_poll_brings_it_to_all(self):
+        self.nodes["a"].store.accept(1, document("one"))
+        await self.nodes["a"].keeper.poll()
+        await self.everywhere(1)
+
+    async def test_a_hand_over_reaches_all_while_the_store_is_down(self):
+        self.cut_stores()
+        self.assertTrue(await self.nodes["b"].keeper.offer(1, document("one")))
+        await self.everywhere(1)
+
+    async def test_a_hand_over_that_the_head_contradicts_is_refused(self):
+        store = self.nodes["a"].store
+        store.accept(1, document("one"))
+        offered = await self.nodes["a"].keeper.offer(1, document("other"))
+        self.assertFalse(offered)
+        self.assertEqual(0, self.nodes["a"].generation)
+        self.assertEqual(1, self.errors("a", "offer_not_accepted"))
+
+    async def test_an_older_hand_over_is_refused(self):
+        self.cut_stores()
+        keeper = self.nodes["a"].keeper
+        self.assertTrue(await keeper.offer(2, document("two")))
+        self.assertFalse(await keeper.offer(1, document("one")))
+        self.assertEqual(2, self.nodes["a"].generation)
+
+    async def test_the_store_wins_over_a_hand_over_it_never_accepted(self):
+        self.cut_stores()
+        await self.nodes["a"].keeper.offer(1, document("lost"))
+        await self.everywhere(1)
+        accepted = document("accepted")
+        store = self.nodes["c"].store
+        store.head_down = store.objects_down = False
+        store.accept(1, accepted)
+        await self.nodes["c"].keeper.poll()
+        for name in "ab":
+            node = self.nodes[name]
+            await fakes.until(
+                lambda: (
+                    node.hub.members.live_beats()["c"].digest
+                    == digest_of(accepted)
+                )
+            )
+            await node.keeper.follow_peers()
+            self.assertEqual(
+                digest_of(accepted), node.keeper.current().snapshot.digest
+            )
+
+    async def test_a_node_that_starts_in_an_outage_asks_its_peers(self):
+        self.cut_stores()
+        await self.nodes["a"].keeper.offer(1, document("one"))
+        await self.everywhere(1)
+        await self.start("d")
+        self.nodes["d"].store.head_down = True
+        self.nodes["d"].store.objects_down = True
+        await self.meet()
+        self.assertIsNone(self.nodes["d"].keeper.current())
+        await self.nodes["d"].keeper.follow_peers()
+        self.assertEqual(1, self.nodes["d"].generation)
+        self.assertTrue(self.nodes["d"].keeper.fresh())
+
+    async def test_peers_with_other_bytes_are_not_believed(self):
+        digest = digest_of(document("one"))
+
+        async def lie(sender, message):
+            return messages.SnapshotReply(message.digest, document("lie"))
+
+        self.nodes["a"].hub.subscribe(messages.SnapshotRequest, lie)
+        self.nodes["a"].hub.send("b", messages.ConfigHead(1, digest))
+        await fakes.until(lambda: self.errors("b", "fetch_failed") > 0)
+        self.assertEqual(1, self.errors("b", "wrong_digest"))
+        self.assertEqual(0, self.nodes["b"].generation)
+
+
+class ConfirmationTest(unittest.IsolatedAsyncioTestCase):
+    """What may confirm the generation in force when the store is cut.
+
+    The hub is not started: its membership is fed by hand.
+    """
+
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.instances = fakes.FakeInstances()
+        self.node = Node("a", self.instances, clock=self.clock)
+        self.sequence = 0
+
+    async def asyncSetUp(self):
+        self.node.store.accept(1, document("one", stale_after=60.0))
+        await self.node.keeper.poll()
+        self.node.store.head_down = True
+
+    def list_peers(self, **zones):
+        self.node.hub.members.listed(
+            [fakes.instance(name, zone) for name, zone in zones.items()]
+        )
+
+    def beat(self, name, zone, age=math.inf, generation=1):
+        self.sequence += 1
+        self.node.hub.members.beat(
+            name,
+            messages.Heartbeat(
+                zone=zone,
+                address="127.0.0.1:1",
+                boot_id=f"boot-{name}",
+                sequence=self.sequence,
+                generation=generation,
+                digest=self.node.keeper.current().snapshot.digest,
+                leaving=False,
+                confirmed_age=age,
+            ),
+        )
+
+    async def pass_time(self, seconds, *beats):
+        for _ in range(seconds):
+            self.clock.advance(1.0)
+            for arguments in beats:
+                self.beat(*arguments)
+            await self.node.keeper.follow_peers()
+            self.node.keeper.fresh()
+
+    async def test_cases(self):
+        near, far = ("b", "z1"), ("c", "z2")
+        cases = (
+            ("cut from all", dict(b="z1", c="z2"), (), False),
+            ("alone without a list", {}, (), False),
+            ("all peers live", dict(b="z1", c="z2"), (near, far), True),
+            ("no other zone", dict(b="z1", c="z2"), (near,), False),
+            ("minority", dict(b="z1", c="z2", d="z2", e="z3"), (far,), False),
+            (
+                "minority with a peer that reads the store",
+                dict(b="z1", c="z2", d="z2", e="z3"),
+                (("c", "z2", 1.0),),
+                True,
+            ),
+            ("one zone in all", dict(b="z1"), (near,), True),
+        )
+        for name, listed, beats, fresh in cases:
+            with self.subTest(name):
+                self.setUp()
+                await self.asyncSetUp()
+                self.list_peers(**listed)
+                await self.pass_time(61, *beats)
+                self.assertEqual(fresh, self.node.keeper.fresh())
+
+    async def test_after_a_pause_only_later_signs_count(self):
+        self.list_peers(b="z2")
+        self.beat("b", "z2")
+        self.clock.advance(5.0)
+        self.assertFalse(self.node.keeper.fresh())
+        await self.node.keeper.follow_peers()
+        self.assertFalse(self.node.keeper.fresh())
+        self.beat("b", "z2")
+        await self.node.keeper.follow_peers()
+        self.assertTrue(self.node.keeper.fresh())
+
+    async def test_a_read_begun_before_a_pause_does_not_count(self):
+        self.node.store.head_down = False
+
+        async def pause():
+            self.clock.advance(5.0)
+            self.node.hub.pauses.check()
+            return self.node.store.head
+
+        self.node.store.read = pause
+        await self.node.keeper.poll()
+        self.assertFalse(self.node.keeper.fresh())
