--- a/packages/limpetwalk-bench/limpetwalk_bench/load/checks.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/load/checks.py
@@ -80,12 +80,20 @@
     return _verdict("refusals that say not_run are true", len(refused), bad)
 
 
+def idempotency_key(entry: ledger.BillEntry) -> str:
+    """Return the key of a load request that a bill entry stands for.
+
+    A node that keeps no record of a request adds the body's digest.
+    """
+    return entry.request_key.partition(":")[0]
+
+
 def check_bills(
     outcomes: Iterable[outcome.Outcome],
     entries: Iterable[ledger.BillEntry],
 ) -> Verdict:
     """Every answered request has one bill entry and none has two."""
-    counts = Counter(entry.request_key for entry in entries)
+    counts = Counter(idempotency_key(entry) for entry in entries)
     answered = [o for o in outcomes if o.answered]
     bad = [
         f"{o.plan.key}: {counts[o.plan.key]} entries"
--- a/packages/limpetwalk-bench/limpetwalk_bench/load/runner.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/load/runner.py
@@ -102,7 +102,7 @@
     give_up = time.monotonic() + cfg.settle
     while True:
         entries = await witnesses.bill_entries(cfg, platform)
-        missing = wanted - {entry.request_key for entry in entries}
+        missing = wanted - {checks.idempotency_key(e) for e in entries}
         if not missing or time.monotonic() >= give_up:
             return entries
         await asyncio.sleep(BILL_POLL)
--- a/packages/limpetwalk-node/limpetwalk_node/chat.py
+++ b/packages/limpetwalk-node/limpetwalk_node/chat.py
@@ -15,13 +15,16 @@
 from limpetwalk.backends import base as backends
 from limpetwalk.routing import access
 from limpetwalk.routing import climb
+from limpetwalk.routing import sessions as routing_sessions
 
 from . import bills
 from . import border
 from . import calls
 from . import errors
+from . import sessions
 from . import streams
 
+VERSION_HEADER = "X-Model-Version"
 STREAM_HEADERS = {
     "Content-Type": "text/event-stream",
     "Cache-Control": "no-cache",
@@ -101,10 +104,11 @@
         )
         if chat.stream:
             return await self._stream(call, req)
-        return await self._whole(req)
+        return await self._whole(call, req)
 
-    async def _whole(self, req: _Request) -> web.Response:
+    async def _whole(self, call: calls.Call, req: _Request) -> web.Response:
         texts: list[str] = []
+        headers: dict[str, str] = {}
         async with contextlib.aclosing(
             self._climber.answer(req.job)
         ) as events:
@@ -112,12 +116,15 @@
                 if isinstance(event, backends.Delta):
                     texts.append(event.text)
                     continue
+                if isinstance(event, climb.Started):
+                    headers = self._headers(call, req, event)
+                    continue
                 await self._bill(req, event)
                 self._answers.labels("whole").inc()
                 return web.Response(
                     body=req.shape.whole("".join(texts), event),
                     content_type="application/json",
-                    headers={errors.REQUEST_ID_HEADER: req.job.request_id},
+                    headers=headers,
                 )
         raise AssertionError("a cascade's events ended without Answered")
 
@@ -129,15 +136,17 @@
             self._climber.answer(req.job)
         ) as events:
             # Until the first event a refusal still has its HTTP status.
-            first = await anext(events)
+            started = await anext(events)
+            assert isinstance(started, climb.Started)
             self._first.record(self._clock.monotonic() - began)
-            resp = web.StreamResponse(headers=STREAM_HEADERS)
-            resp.headers[errors.REQUEST_ID_HEADER] = req.job.request_id
+            resp = web.StreamResponse(
+                headers=STREAM_HEADERS | self._headers(call, req, started)
+            )
             await resp.prepare(call.req)
             writer = _Writer(resp)
             await writer.write(req.shape.role())
             try:
-                await self._pass_on(writer, req, first, events)
+                await self._pass_on(writer, req, events)
             except refusals.Refused as exc:
                 self._refusals.count(exc.refusal)
                 await writer.write(req.shape.error(exc.refusal))
@@ -155,16 +164,37 @@
         self,
         writer: "_Writer",
         req: _Request,
-        first: climb.AnswerEvent,
         events: AsyncIterator[climb.AnswerEvent],
     ) -> None:
-        event = first
-        while isinstance(event, backends.Delta):
-            await writer.write(req.shape.delta(event.text))
-            event = await anext(events)
-        await self._bill(req, event)
-        self._answers.labels("streamed").inc()
-        await writer.write(req.shape.terminal(event, req.usage))
+        async for event in events:
+            if isinstance(event, backends.Delta):
+                await writer.write(req.shape.delta(event.text))
+            elif isinstance(event, climb.Answered):
+                await self._bill(req, event)
+                self._answers.labels("streamed").inc()
+                await writer.write(req.shape.terminal(event, req.usage))
+
+    def _headers(
+        self, call: calls.Call, req: _Request, started: climb.Started
+    ) -> dict[str, str]:
+        """Return the headers of an answer.
+
+        A request without a session gets the token of one that it may go on
+        with, so that a conversation needs no request of its own to open it.
+        """
+        target = started.target
+        headers = {
+            errors.REQUEST_ID_HEADER: req.job.request_id,
+            VERSION_HEADER: f"{target.model}:{target.version}",
+        }
+        cfg = call.applied.snapshot
+        if req.job.session is None and cfg.session_keys:
+            session = sessions.open_session(
+                call, req.job.request_id, req.job.cascade, target
+            )
+            token = routing_sessions.mint(cfg.session_keys, session)
+            headers[calls.SESSION_HEADER] = token
+        return headers
 
     async def _bill(self, req: _Request, answered: climb.Answered) -> None:
         await self._bills.write(
@@ -172,7 +202,7 @@
             req.key,
             req.job.request_id,
             req.job.cascade,
-            tuple(f"{s.model}@{s.version}" for s in answered.steps),
+            tuple(f"{s.model}:{s.version}" for s in answered.steps),
             answered.usage.input_tokens,
             answered.usage.output_tokens,
             answered.price,
--- a/packages/limpetwalk-node/limpetwalk_node/lifecycle.py
+++ b/packages/limpetwalk-node/limpetwalk_node/lifecycle.py
@@ -3,6 +3,8 @@
 import asyncio
 import enum
 
+from . import parts
+
 
 class Phase(enum.Enum):
     """Phase of a node.
@@ -26,6 +28,14 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
+    def is_ready(self, config: parts.ConfigSource) -> bool:
+        """Tell whether the balancer may send new work.
+
+        :param config: configuration in force.
+        """
+        serving = self.phase is Phase.SERVING
+        return serving and config.current() is not None and config.fresh()
+
     def enter(self) -> None:
         """Count a request in."""
         self.in_flight += 1
--- a/packages/limpetwalk-node/limpetwalk_node/main.py
+++ b/packages/limpetwalk-node/limpetwalk_node/main.py
@@ -9,11 +9,12 @@
 from absl import app as absl_app
 from absl import flags
 import aiomisc
-from limpetwalk.platform import factory
 from loguru import logger
 from result import Err
 import uvloop
 
+from limpetwalk.platform import factory
+
 from . import lifecycle
 from . import listeners
 from . import logs
--- a/packages/limpetwalk-node/limpetwalk_node/operators.py
+++ b/packages/limpetwalk-node/limpetwalk_node/operators.py
@@ -58,21 +58,12 @@
         return web.json_response({"live": True})
 
     async def _ready(self, req: web.Request) -> web.Response:
-        ready = self.is_ready()
+        ready = self._life.is_ready(self._config)
         return web.json_response(
             {"ready": ready, "phase": self._life.phase.value},
             status=200 if ready else 503,
         )
 
-    def is_ready(self) -> bool:
-        """Tell whether the balancer may send new work."""
-        serving = self._life.phase is lifecycle.Phase.SERVING
-        return (
-            serving
-            and self._config.current() is not None
-            and self._config.fresh()
-        )
-
     async def _show_metrics(self, req: web.Request) -> web.Response:
         return web.Response(
             body=self._metrics.expose(),
--- a/packages/limpetwalk-node/limpetwalk_node/sessions.py
+++ b/packages/limpetwalk-node/limpetwalk_node/sessions.py
@@ -32,19 +32,9 @@
         body = await call.body()
         data = border.parse_json(body) if body.strip() else {}
         asked = border.parse(border.SessionRequest, data)
-        cfg = call.applied.snapshot
         session_id = f"{self._rng.getrandbits(SESSION_ID_BITS):024x}"
-        session = sessions.Session(
-            id=session_id,
-            workspace=call.workspace.name,
-            generation=call.applied.generation,
-            versions={
-                name: rollout_share.choose_version(
-                    cfg, cfg.models[name], session_id
-                )
-                for name in self._models(call, asked.model)
-            },
-        )
+        session = open_session(call, session_id, asked.model)
+        cfg = call.applied.snapshot
         answer = {
             "id": session.id,
             "object": "session",
@@ -54,12 +44,40 @@
         }
         return web.json_response(answer, status=201)
 
-    def _models(self, call: calls.Call, name: str | None) -> list[str]:
-        cfg, workspace = call.applied.snapshot, call.workspace
-        if name is None:
-            return sorted(workspace.models)
-        cascade = access.get_cascade(cfg, workspace, name)
-        return list(access.allowed_models(workspace, cascade))
+
+def open_session(
+    call: calls.Call,
+    session_id: str,
+    name: str | None,
+    answered: snapshot.ModelVersion | None = None,
+) -> sessions.Session:
+    """Return a new session of the caller's workspace.
+
+    :param name: public model name, or None for all models.
+    :param answered: version that has answered already and is kept.
+    :raises Refused: when the workspace may not use the model.
+    """
+    cfg = call.applied.snapshot
+    versions = {
+        model: rollout_share.choose_version(cfg, cfg.models[model], session_id)
+        for model in _models(call, name)
+    }
+    if answered is not None:
+        versions[answered.model] = answered.version
+    return sessions.Session(
+        id=session_id,
+        workspace=call.workspace.name,
+        generation=call.applied.generation,
+        versions=versions,
+    )
+
+
+def _models(call: calls.Call, name: str | None) -> list[str]:
+    cfg, workspace = call.applied.snapshot, call.workspace
+    if name is None:
+        return sorted(workspace.models)
+    cascade = access.get_cascade(cfg, workspace, name)
+    return list(access.allowed_models(workspace, cascade))
 
 
 async def list_models(call: calls.Call) -> web.StreamResponse:
--- a/packages/limpetwalk-node/limpetwalk_node/shutdown.py
+++ b/packages/limpetwalk-node/limpetwalk_node/shutdown.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from limpetwalk.ledger import base as ledger
 from loguru import logger
 
+from limpetwalk.ledger import base as ledger
+
 from . import lifecycle
 from . import settings
 
--- a/packages/limpetwalk-node/limpetwalk_node/status.py
+++ b/packages/limpetwalk-node/limpetwalk_node/status.py
@@ -39,6 +39,7 @@
             "in_flight": life.in_flight,
             "generation": 0 if applied is None else applied.generation,
             "digest": "" if applied is None else applied.snapshot.digest,
+            "ready": life.is_ready(self._config),
             "fresh": self._config.fresh(),
             "peers": [
                 {
--- a/packages/limpetwalk-node/limpetwalk_node/streams.py
+++ b/packages/limpetwalk-node/limpetwalk_node/streams.py
@@ -104,5 +104,5 @@
     return {
         "model": answered.target.model,
         "version": answered.target.version,
-        "steps": [f"{s.model}@{s.version}" for s in answered.steps],
+        "steps": [f"{s.model}:{s.version}" for s in answered.steps],
     }
--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import aiomisc
+
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as measures
 from limpetwalk import registry
@@ -78,6 +79,7 @@
             self.metrics,
         )
         self.biller = self._make_biller()
+        self._permits = warmup.LocalPermits(self._live_nodes)
         self._core = self._make_core()
         self.interfaces = app.compose(self._make_parts())
 
@@ -85,9 +87,11 @@
         """Join the peers and follow the accepted configuration."""
         await self.hub.start()
         await self.keeper.start()
+        await self.biller.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Leave the peers and close all connections."""
+        await self.biller.stop()
         await self.keeper.stop()
         await self.hub.stop()
         await self._core.close()
@@ -129,7 +133,7 @@
         )
         return cores.Core(
             self._in_force,
-            warmup.LocalPermits(self._live_nodes),
+            self._permits,
             quarantine.Quarantine(clock=self.clock),
             self.clock,
             self.metrics,
@@ -141,7 +145,7 @@
         core = self._core
         shared = (
             self._in_force,
-            core.admission.permits,
+            self._permits,
             core.quarantine,
             self.clock,
             self.metrics,
--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -71,6 +71,16 @@
         return "" if self.session is None else self.session.id
 
 
+@dataclass(frozen=True, slots=True)
+class Started:
+    """First event: the answer that follows is released.
+
+    :param target: version that gives it.
+    """
+
+    target: snapshot.ModelVersion
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
     """Terminal event: the answer is whole and is released.
@@ -89,7 +99,7 @@
     price: int
 
 
-AnswerEvent = backends.Delta | Answered
+AnswerEvent = Started | backends.Delta | Answered
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +152,7 @@
     async def answer(self, job: Job) -> AsyncGenerator[AnswerEvent, None]:
         """Run a job and yield the events of its answer.
 
-        The last event is ``Answered``. Closing the iterator early cancels
+        The first event is ``Started``, the last ``Answered``. Closing the iterator early cancels
         the work at the engine.
 
         :raises Refused: when there is no answer.
@@ -159,6 +169,7 @@
             following = await self._judge(job, question, policy, step, draft)
             if following is None:
                 self._count(job, target, "released")
+                yield Started(target)
                 for delta in draft.deltas:
                     yield delta
                 yield self._answered(target, steps, draft.finished)
@@ -166,9 +177,14 @@
             self._count(job, target, "climbed")
             step = following
         target = self._target(job, question.options[step.index])
-        events = self._run(job, target, steps)
-        async with contextlib.aclosing(events):
+        is_started = False
+        async with contextlib.aclosing(
+            self._run(job, target, steps)
+        ) as events:
             async for event in events:
+                if not is_started:
+                    is_started = True
+                    yield Started(target)
                 if isinstance(event, backends.Delta):
                     yield event
                     continue
--- a/tests/limpetwalk_node/test_chat.py
+++ b/tests/limpetwalk_node/test_chat.py
@@ -41,14 +41,14 @@
         choice = body["choices"][0]
         self.assertEqual("cheap words", choice["message"]["content"])
         self.assertEqual("stop", choice["finish_reason"])
-        self.assertEqual(["small@v1"], body["limpetwalk"]["steps"])
+        self.assertEqual(["small:v1"], body["limpetwalk"]["steps"])
         self.assertEqual(12, body["usage"]["total_tokens"])
 
     async def test_climbs_when_the_rating_misses_the_target(self):
         self.node.ratings.scores["small"] = 0.1
         _, body = await self.ask()
         self.assertEqual("strong", body["choices"][0]["message"]["content"])
-        self.assertEqual(["small@v1", "large@v1"], body["limpetwalk"]["steps"])
+        self.assertEqual(["small:v1", "large:v1"], body["limpetwalk"]["steps"])
 
     async def test_a_cascade_is_billed_once_at_the_released_price(self):
         self.node.ratings.scores["small"] = 0.1
@@ -56,7 +56,7 @@
         (entry,) = self.node.biller.entries
         self.assertEqual(body["id"], f"chatcmpl-{entry.request_id}")
         self.assertEqual(entry.request_id, entry.request_key)
-        self.assertEqual(("small@v1", "large@v1"), entry.steps)
+        self.assertEqual(("small:v1", "large:v1"), entry.steps)
         self.assertEqual(12, entry.cost)
 
     async def test_unknown_fields_go_to_the_engine(self):
