--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -87,9 +87,11 @@
         """Join the peers and follow the accepted configuration."""
         await self.hub.start()
         await self.keeper.start()
+        await self.biller.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Leave the peers and close all connections."""
+        await self.biller.stop()
         await self.keeper.stop()
         await self.hub.stop()
         await self._core.close()
