--- a/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
@@ -169,7 +169,10 @@
         try:
             chat = await read_chat(req)
         except BadRequest as exc:
-            return self._error(400, "malformed", str(exc), not_run=True)
+            resp = self._error(400, "malformed", str(exc), not_run=True)
+            for name in faults.ECHO_HEADERS:
+                resp.headers[name] = req.headers.get(name, "")
+            return resp
         answer = Answer(self, req, chat)
         if self.switches.take("refuse"):
             return answer.error(503, "refused", not_run=True)
--- a/packages/limpetwalk/limpetwalk/backends/openai.py
+++ b/packages/limpetwalk/limpetwalk/backends/openai.py
@@ -56,7 +56,6 @@
         :raises AttemptFailed: when there is no whole answer.
         """
         exchange = pool.Exchange(call.request_id, call.attempt_id)
-        boot_id = self._pool.boot_id
         try:
             async for event in self._events(call, exchange):
                 yield event
@@ -64,7 +63,7 @@
             if self._clock.monotonic() >= call.deadline:
                 kind = base.FailureKind.DEADLINE
                 raise exchange.failed(kind, repr(exc)) from exc
-            raise await self._pool.failure(exchange, exc, boot_id) from exc
+            raise await self._pool.failure(exchange, exc) from exc
 
     async def call_service(self, call: base.ServiceCall) -> base.ServiceAnswer:
         """Engines serve no plain calls.
--- a/packages/limpetwalk/limpetwalk/backends/plain.py
+++ b/packages/limpetwalk/limpetwalk/backends/plain.py
@@ -78,13 +78,12 @@
         :raises AttemptFailed: when there is no whole answer.
         """
         exchange = pool.Exchange(call.request_id, call.attempt_id)
-        boot_id = self._pool.boot_id
         wait = max(LEAST_WAIT, call.deadline - self._clock.monotonic())
         try:
             async with asyncio.timeout(wait):
                 return await self._exchange(call, exchange)
         except (aiohttp.ClientError, OSError) as exc:
-            raise await self._pool.failure(exchange, exc, boot_id) from exc
+            raise await self._pool.failure(exchange, exc) from exc
 
     async def outcome(self, request_id: str) -> base.ServiceAnswer | None:
         """Return the answer that the server keeps for a request, if any.
@@ -100,7 +99,7 @@
                 ) as resp:
                     body = await resp.read()
         except (aiohttp.ClientError, OSError) as exc:
-            raise await self._pool.failure(exchange, exc, "") from exc
+            raise await self._pool.failure(exchange, exc) from exc
         if resp.status == 404:
             return None
         if resp.status != 200:
--- a/packages/limpetwalk/limpetwalk/backends/pool.py
+++ b/packages/limpetwalk/limpetwalk/backends/pool.py
@@ -42,11 +42,14 @@
     :param request_id: identifier that the answer must echo.
     :param attempt_id: identifier that the answer must echo.
     :param sent: whether any byte may have left.
+    :param boot_id: boot of the server that took the request, or the last
+        one known; empty when unknown.
     """
 
     request_id: str
     attempt_id: str
     sent: bool = False
+    boot_id: str = ""
 
     def headers(self) -> dict[str, str]:
         """Return the headers that carry the identifiers."""
@@ -139,6 +142,7 @@
         :raises aiohttp.ClientError: see ``failure``.
         """
         session = self._current()
+        exchange.boot_id = self.boot_id
         self._in_use[session] = self._in_use.get(session, 0) + 1
         try:
             resp = await session.request(
@@ -151,6 +155,7 @@
             )
             try:
                 self._note_boot(resp)
+                exchange.boot_id = self.boot_id
                 yield resp
             finally:
                 # Closes the connection unless the body was read whole.
@@ -159,19 +164,16 @@
             await self._leave(session)
 
     async def failure(
-        self, exchange: Exchange, exc: Exception, boot_id: str
+        self, exchange: Exchange, exc: Exception
     ) -> base.AttemptFailed:
-        """Return the failure that an exception of the library stands for.
-
-        :param boot_id: boot of the server when the attempt was sent.
-        """
+        """Return the failure that an exception of the library stands for."""
         detail = f"{type(exc).__name__}: {exc}"
         if not exchange.sent:
             return exchange.failed(base.FailureKind.CONNECT_FAILED, detail)
         if isinstance(exc, TimeoutError):
             self.renew()
             return exchange.failed(base.FailureKind.SILENT, detail)
-        found = await self.probe(boot_id)
+        found = await self.probe(exchange.boot_id)
         crashed = found in (Probe.REFUSES, Probe.NEW_BOOT)
         kind = base.FailureKind.CONNECTION_LOST
         return exchange.failed(kind, detail, crashed)
