--- a/packages/limpetwalk-bench/limpetwalk_bench/site/__main__.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/site/__main__.py
@@ -2,7 +2,7 @@
 
 ``python -m limpetwalk_bench.site lay-out`` writes a site's folder;
 ``python -m limpetwalk_bench.site register`` tells the platform's stand-in
-which instances there are.
+which instances there are; ``show servers.NAME`` prints the URL of a process.
 """
 
 import json
@@ -16,6 +16,7 @@
 import yaml
 
 from . import layout
+from . import ports
 
 _EXAMPLE = flags.DEFINE_string("example", "examples/bercvar", "configuration")
 _NODES = flags.DEFINE_integer("nodes", 3, "number of entry nodes")
@@ -45,12 +46,27 @@
         resp.read()
 
 
+def _show(out: pathlib.Path, place: str) -> None:
+    group, _, name = place.partition(".")
+    if group == "servers":
+        settings = yaml.safe_load(
+            (out / "servers" / f"{name}.yaml").read_text("utf-8")
+        )
+        print(f"http://{ports.HOST}:{settings['port']}")
+        return
+    site = yaml.safe_load((out / "site.yaml").read_text("utf-8"))
+    print(site[group][name]["url"])
+
+
 def main(argv: list[str]) -> int:
-    """Run one of the two commands."""
+    """Run one of the commands."""
     out = pathlib.Path(_OUT.value)
+    if len(argv) == 3 and argv[1] == "show":
+        _show(out, argv[2])
+        return 0
     commands = {"lay-out": _lay_out, "register": _register}
     if len(argv) != 2 or argv[1] not in commands:
-        raise app.UsageError("expected one of: lay-out, register")
+        raise app.UsageError("expected: lay-out, register or show GROUP.NAME")
     commands[argv[1]](out)
     return 0
 
