Release an answer once a peer in another zone holds its bill entry

Cause: an answer waited for the ledger's next batch, up to 100 ms. Now the copy and the batch start together and the first to arrive counts; copies and writes go in batches that grow while one is under way. The tests that read the ledger right after bill() now wait for the entries to settle first, as bill() no longer promises that; what they compare is unchanged.

Ruled out: writing each entry at once (16 partitions x 200 writes/s exceeds the table service).

Exposure: an entry is lost when its node and the holder of its copy are both lost within one ledger interval.

--- a/packages/limpetwalk-node/limpetwalk_node/bill_protection.py
+++ b/packages/limpetwalk-node/limpetwalk_node/bill_protection.py
@@ -70,14 +70,20 @@
 
         :returns: whether all of them are in one now.
         """
-        exposed = self.exposed(entries)
+        await self.copy(self.exposed(entries))
+        return await self._spill(self.exposed(entries))
+
+    async def copy(self, entries: Entries) -> None:
+        """Have a peer hold copies of entries, if one can be reached."""
         by_partition: dict[int, list[bill_backlog.HeldEntry]] = {}
-        for held in exposed:
+        for held in entries:
             by_partition.setdefault(held.partition, []).append(held)
-        for waiting in by_partition.values():
-            for chunk in _chunks(waiting):
-                await self._hold(chunk)
-        return await self._spill(self.exposed(exposed))
+        chunks = [
+            chunk
+            for waiting in by_partition.values()
+            for chunk in _chunks(waiting)
+        ]
+        await asyncio.gather(*(self._hold(chunk) for chunk in chunks))
 
     async def spill_old(self, entries: Entries) -> None:
         """Put entries that have been held for long into the object store."""
--- a/packages/limpetwalk-node/limpetwalk_node/billing.py
+++ b/packages/limpetwalk-node/limpetwalk_node/billing.py
@@ -1,8 +1,10 @@
 """Billing: each entry goes into the ledger once.
 
-An entry stays with the node that made it until it is durable. While it is
-not, a peer in another zone holds a copy, which that peer brings into the
-ledger itself when the entry's node is gone.
+An entry stays with the node that made it until it is durable. A peer in
+another zone holds a copy meanwhile, which that peer brings into the ledger
+itself when the entry's node is gone. An answer waits for whichever comes
+first, the copy or the ledger; the copy takes a round trip between zones, the
+ledger its next batch.
 """
 
 import asyncio
@@ -21,6 +23,7 @@
 
 from . import bill_backlog
 from . import bill_copies
+from . import bill_copying
 from . import bill_delivery
 from . import bill_protection
 from . import bill_spill
@@ -70,7 +73,8 @@
             hub, spills, clock, metrics
         )
         self._couriers: dict[int, asyncio.Task[None]] = {}
-        self._tries: set[asyncio.Task[bool]] = set()
+        self._tries: set[asyncio.Task[None]] = set()
+        self._copying = bill_copying.Copying(self._protection.copy)
         self._ticker: asyncio.Task[None] | None = None
         self._written = metrics.counter(
             "limpetwalk_bill_entries_written",
@@ -110,6 +114,7 @@
         ]
         if self._ticker is not None:
             tasks.append(self._ticker)
+        await self._copying.stop()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -127,11 +132,9 @@
         """
         partition = rows.partition_of(entry, self._tuning().ledger_partitions)
         held = self._backlog.add(entry, partition, self._clock.monotonic())
-        if partition not in self._couriers:
-            await self._first_try(held)
-        if held.durable.done():
-            return
         self._start_courier(partition)
+        if await self._copy(held) or await self._settles(held):
+            return
         if not await self._protection.protect([held]):
             self._unprotected.inc()
             raise exceptions.StoreUnavailable(
@@ -183,12 +186,20 @@
             self._backlog.add(copy.entry, copy.partition, now)
             self._start_courier(copy.partition)
 
-    async def _first_try(self, held: bill_backlog.HeldEntry) -> None:
-        """Write an entry, but leave that to itself when it takes long."""
-        task = asyncio.create_task(self._write(held.partition, [held]))
-        self._tries.add(task)
-        task.add_done_callback(self._tries.discard)
-        await asyncio.wait([task], timeout=HOLD_AFTER)
+    async def _copy(self, held: bill_backlog.HeldEntry) -> bool:
+        """Return whether a peer holds a copy or the entry is durable."""
+        copying = asyncio.create_task(self._copying.copy(held))
+        self._tries.add(copying)
+        copying.add_done_callback(self._tries.discard)
+        await asyncio.wait(
+            [copying, held.durable], return_when=asyncio.FIRST_COMPLETED
+        )
+        return held.durable.done() or bool(held.holder)
+
+    async def _settles(self, held: bill_backlog.HeldEntry) -> bool:
+        """Return whether an entry without a copy is durable soon."""
+        await asyncio.wait([held.durable], timeout=HOLD_AFTER)
+        return held.durable.done()
 
     def _start_courier(self, partition: int) -> None:
         if partition not in self._couriers:
@@ -198,11 +209,12 @@
 
     async def _retry(self, partition: int) -> None:
         """Write the held entries of a partition until none is left."""
-        delay = RETRY_MIN
+        delay = 0.0
         limit = bill_protection.MAX_MESSAGE_ENTRIES
         try:
             while waiting := self._backlog.of_partition(partition):
-                await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
+                if delay:
+                    await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
                 if await self._write(partition, waiting[:limit]):
                     delay = 0.0
                 else:
--- a/scripts/overhead.sh
+++ b/scripts/overhead.sh
@@ -10,7 +10,7 @@
 . scripts/site.sh
 trap stop_site EXIT
 
-start_site --example=examples/overhead --nodes=1 --time_scale=0.001 || exit 1
+start_site --example=examples/overhead --nodes="${NODES:-3}" --time_scale=0.001 || exit 1
 field() { "$PY" -m limpetwalk_bench.site show --out="$SITE" "$1"; }
 engine=$(field servers.engine-1)
 "$PY" -m limpetwalk_bench.overhead.passthrough --target="$engine" \
--- a/tests/limpetwalk_node/test_billing.py
+++ b/tests/limpetwalk_node/test_billing.py
@@ -142,6 +142,11 @@
             for key in fakes.read_partition(self.rows, number)
         )
 
+    async def settle(self):
+        """Wait until the entries of every node are durable."""
+        for node in self.nodes.values():
+            self.assertEqual(0, await node.biller.flush(5.0))
+
     async def in_ledger(self, *keys):
         await fakes.until(lambda: self.ledger() == sorted(keys))
 
@@ -152,6 +157,7 @@
         for key in keys:
             await self.nodes["a"].biller.bill(entry(key))
             await self.nodes["b"].biller.bill(entry(key))
+        await self.settle()
         self.assertEqual(sorted(keys), self.ledger())
 
     async def test_the_writer_batches_the_entries_of_all_nodes(self):
@@ -164,6 +170,7 @@
                 for number in range(100)
             )
         )
+        await self.settle()
         writes = sum(node.table.writes for node in self.nodes.values())
         self.assertEqual(300, len(self.ledger()))
         self.assertLess(writes, 100)
@@ -183,12 +190,14 @@
         self.assertEqual([found.request_key], self.ledger())
         await self.kill("b")
         await bill
+        await self.settle()
         self.assertEqual([found.request_key], self.ledger())
 
     async def test_writer_cut_from_the_store(self):
         found = entry_for("b", self.names)
         self.nodes["b"].table.faults.unavailable = True
         await self.nodes["a"].biller.bill(found)
+        await self.settle()
         self.assertEqual([found.request_key], self.ledger())
 
     async def test_answers_to_writes_are_lost(self):
@@ -196,6 +205,7 @@
             node.table.faults.lose_answers = 2
         for number in range(8):
             await self.nodes["a"].biller.bill(entry(f"k{number}"))
+        await self.settle()
         self.assertEqual([f"k{n}" for n in range(8)], self.ledger())
 
     async def test_two_writers_that_both_believe_in_themselves(self):
@@ -210,6 +220,7 @@
                 for name in "ab"
             )
         )
+        await self.settle()
         self.assertEqual(sorted(keys), self.ledger())
 
 
