Test records under every order of two nodes' steps

A node that dispatched a record is now the only one that may say not_run of it or release it: another node can't know that its bytes were not about to leave. An answer that comes after another node gave the attempt up is kept.

--- a/packages/limpetwalk/limpetwalk/records/store.py
+++ b/packages/limpetwalk/limpetwalk/records/store.py
@@ -99,7 +99,11 @@
     async def release(
         self, record: base.Record
     ) -> Result[base.Record, base.LostClaim]:
-        """Move a dispatched record whose attempt proved unsent back."""
+        """Move a dispatched record whose attempt proved unsent back.
+
+        :raises ValueError: when another node dispatched it.
+        """
+        self._require_own(record)
         moved = dataclasses.replace(
             record, state=State.CLAIMED, attempt_id="", server=""
         )
@@ -108,16 +112,35 @@
     async def answer(
         self, record: base.Record, answer: backends.ServiceAnswer
     ) -> Result[base.Record, base.LostClaim]:
-        """Store the answer."""
+        """Store the answer, also when another node gave the attempt up."""
         moved = dataclasses.replace(
             record, state=State.ANSWERED, answer=answer
         )
-        return await self._move(record, moved, State.DISPATCHED, State.UNKNOWN)
+        outcome = await self._move(
+            record, moved, State.DISPATCHED, State.UNKNOWN
+        )
+        if isinstance(outcome, Ok):
+            return outcome
+        found = outcome.err_value.record
+        if (
+            found is None
+            or found.state is not State.UNKNOWN
+            or found.attempt_id != record.attempt_id
+        ):
+            return outcome
+        moved = dataclasses.replace(found, state=State.ANSWERED, answer=answer)
+        return await self._move(found, moved, State.UNKNOWN)
 
     async def finish(
         self, record: base.Record, state: base.RecordState
     ) -> Result[base.Record, base.LostClaim]:
-        """Close a record as ``not_run`` or ``unknown``."""
+        """Close a record as ``not_run`` or ``unknown``.
+
+        :raises ValueError: when ``not_run`` is asked for a record that
+            another node dispatched: it may be about to send.
+        """
+        if state is State.NOT_RUN and record.state is State.DISPATCHED:
+            self._require_own(record)
         if state not in (State.NOT_RUN, State.UNKNOWN):
             raise ValueError(f"a record can't be finished as {state.value}")
         moved = dataclasses.replace(record, state=state)
@@ -128,6 +151,13 @@
         row = await self._table.get(rows.row_key(workspace, key))
         return None if row is None else await self._decode(workspace, row)
 
+    def _require_own(self, record: base.Record) -> None:
+        if record.holder != self._holder:
+            raise ValueError(
+                f"the record was dispatched by {record.holder}, not by "
+                f"{self._holder}"
+            )
+
     def _may_claim(self, row: platform.Row, ident: base.RecordIdent) -> bool:
         if row.expires_at is not None and row.expires_at < self._clock.wall():
             # The service deletes expired rows late.
--- /dev/null
+++ b/tests/limpetwalk/records/test_store.py
@@ -0,0 +1,357 @@
+"""Tests of the records of non-idempotent requests."""
+
+import itertools
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+from result import Err
+
+from limpetwalk import clock
+from limpetwalk import exceptions
+from limpetwalk.backends import base as backends
+from limpetwalk.platform import memory
+from limpetwalk.records import base
+from limpetwalk.records import store
+
+from .. import stepped
+
+State = base.RecordState
+IDENT = base.RecordIdent("lodge", "key-1", "digest")
+ANSWER = backends.ServiceAnswer(201, b"\x00done", {"Content-Type": "text/x"})
+TTL = 3600.0
+
+
+class TableRecordStoreTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = clock.ManualClock()
+        self.table = memory.MemoryTable()
+        self.objects = memory.MemoryObjects()
+        self.gone = set()
+        self.first = self.store("n1")
+        self.second = self.store("n2")
+
+    def store(self, holder):
+        return store.TableRecordStore(
+            self.table,
+            self.clock,
+            holder,
+            lambda name: name not in self.gone,
+            TTL,
+            self.objects,
+        )
+
+    async def claimed(self, held, request_id="r1"):
+        outcome = await held.claim(IDENT, request_id)
+        self.assertIsInstance(outcome, base.Claimed)
+        return outcome.record
+
+    async def dispatched(self, held):
+        record = await self.claimed(held)
+        return (await held.dispatch(record, "a1", "s1")).unwrap()
+
+    async def read(self):
+        return await self.first.read(IDENT.workspace, IDENT.key)
+
+    async def test_record_goes_from_claim_to_answer(self):
+        record = await self.dispatched(self.first)
+        record = (await self.first.answer(record, ANSWER)).unwrap()
+        read = await self.second.read(IDENT.workspace, IDENT.key)
+        self.assertEqual(record, read)
+        self.assertEqual(
+            (State.ANSWERED, "r1", "a1", "s1", ANSWER),
+            (
+                read.state,
+                read.request_id,
+                read.attempt_id,
+                read.server,
+                read.answer,
+            ),
+        )
+
+    async def test_key_in_use_is_shown_as_it_stands(self):
+        record = await self.claimed(self.first)
+        outcome = await self.second.claim(IDENT, "r2")
+        self.assertEqual(base.Existing(record), outcome)
+        record = (await self.first.dispatch(record, "a1", "s1")).unwrap()
+        outcome = await self.second.claim(IDENT, "r2")
+        self.assertEqual(base.Existing(record), outcome)
+
+    async def test_another_body_under_the_key_is_refused(self):
+        await self.claimed(self.first)
+        other = base.RecordIdent(IDENT.workspace, IDENT.key, "other")
+        self.gone.add("n1")
+        outcome = await self.second.claim(other, "r2")
+        self.assertEqual(base.KeyReused(), outcome)
+
+    async def test_workspaces_do_not_share_keys(self):
+        await self.claimed(self.first)
+        other = base.RecordIdent("nuts", IDENT.key, "other")
+        outcome = await self.second.claim(other, "r2")
+        self.assertIsInstance(outcome, base.Claimed)
+
+    async def test_claim_of_a_lost_node_is_taken_over(self):
+        record = await self.claimed(self.first)
+        self.gone.add("n1")
+        taken = await self.claimed(self.second, "r2")
+        lost = (await self.first.dispatch(record, "a1", "s1")).unwrap_err()
+        self.assertEqual(taken, lost.record)
+
+    async def test_claim_left_by_a_live_node_is_taken_over_late(self):
+        await self.claimed(self.first)
+        self.clock.advance(store.CLAIM_TTL - 1)
+        outcome = await self.second.claim(IDENT, "r2")
+        self.assertIsInstance(outcome, base.Existing)
+        self.clock.advance(1)
+        await self.claimed(self.second, "r2")
+
+    async def test_dispatched_record_of_a_lost_node_is_never_claimed(self):
+        await self.dispatched(self.first)
+        self.gone.add("n1")
+        self.clock.advance(TTL / 2)
+        outcome = await self.second.claim(IDENT, "r2")
+        self.assertEqual(State.DISPATCHED, outcome.record.state)
+        await self.second.finish(outcome.record, State.UNKNOWN)
+        outcome = await self.second.claim(IDENT, "r2")
+        self.assertEqual(State.UNKNOWN, outcome.record.state)
+
+    async def test_only_the_dispatching_node_can_say_not_run(self):
+        record = await self.dispatched(self.first)
+        for move in (
+            self.second.release(record),
+            self.second.finish(record, State.NOT_RUN),
+        ):
+            with self.assertRaises(ValueError):
+                await move
+
+    async def test_answer_after_another_node_gave_up_is_kept(self):
+        record = await self.dispatched(self.first)
+        await self.second.finish(record, State.UNKNOWN)
+        self.assertTrue((await self.first.answer(record, ANSWER)).is_ok())
+        self.assertEqual(ANSWER, (await self.read()).answer)
+
+    async def test_lost_dispatch_is_answered_from_the_server_outcome(self):
+        await self.dispatched(self.first)
+        found = await self.second.read(IDENT.workspace, IDENT.key)
+        self.assertTrue((await self.second.answer(found, ANSWER)).is_ok())
+        self.assertEqual(State.ANSWERED, (await self.read()).state)
+
+    async def test_unsent_attempt_is_released_and_dispatched_again(self):
+        record = await self.dispatched(self.first)
+        record = (await self.first.release(record)).unwrap()
+        self.assertEqual((State.CLAIMED, ""), (record.state, record.server))
+        record = (await self.first.dispatch(record, "a2", "s2")).unwrap()
+        self.assertEqual("a2", record.attempt_id)
+
+    async def test_request_that_did_not_run_may_be_claimed_anew(self):
+        record = await self.dispatched(self.first)
+        await self.first.finish(record, State.NOT_RUN)
+        await self.claimed(self.second, "r2")
+
+    async def test_moves_out_of_turn_are_errors(self):
+        record = await self.claimed(self.first)
+        for move in (
+            self.first.answer(record, ANSWER),
+            self.first.release(record),
+            self.first.finish(record, State.ANSWERED),
+        ):
+            with self.assertRaises(ValueError):
+                await move
+
+    async def test_expired_record_is_claimed_anew(self):
+        await self.dispatched(self.first)
+        self.clock.advance(TTL + 1)
+        await self.claimed(self.second, "r2")
+
+    async def test_lost_answers_are_settled(self):
+        self.table.faults.lose_answers = 1
+        record = await self.claimed(self.first)
+        self.table.faults.lose_answers = 1
+        record = (await self.first.dispatch(record, "a1", "s1")).unwrap()
+        self.table.faults.lose_answers = 1
+        self.assertTrue((await self.first.answer(record, ANSWER)).is_ok())
+
+    async def test_store_down_stops_each_move(self):
+        record = await self.claimed(self.first)
+        self.table.faults.unavailable = True
+        for move in (
+            self.first.claim(IDENT, "r2"),
+            self.first.dispatch(record, "a1", "s1"),
+            self.first.finish(record, State.NOT_RUN),
+            self.first.read(IDENT.workspace, IDENT.key),
+        ):
+            with self.assertRaises(exceptions.StoreUnavailable):
+                await move
+        self.table.faults.unavailable = False
+        self.assertEqual(State.CLAIMED, (await self.read()).state)
+
+    async def test_unknown_key_has_no_record(self):
+        self.assertIsNone(await self.read())
+
+    async def test_large_answer_lies_in_the_object_store(self):
+        body = b"x" * (store.INLINE_LIMIT_BYTES + 1)
+        large = backends.ServiceAnswer(200, body)
+        record = await self.dispatched(self.first)
+        await self.first.answer(record, large)
+        self.assertEqual(large, (await self.read()).answer)
+        self.assertEqual(1, len(self.objects.blobs))
+
+    async def test_large_answer_can_be_stored_after_an_outage(self):
+        record = await self.dispatched(self.first)
+        self.objects.faults.unavailable = True
+        large = backends.ServiceAnswer(200, b"x" * 300_000)
+        with self.assertRaises(exceptions.StoreUnavailable):
+            await self.first.answer(record, large)
+        self.objects.faults.unavailable = False
+        self.assertTrue((await self.first.answer(record, large)).is_ok())
+
+
+class RecordMachine(stateful.RuleBasedStateMachine):
+    """Nodes that serve copies of one request while anything goes wrong.
+
+    The test is the backend server as well: after a dispatch it answers,
+    proves that nothing was sent, or leaves the outcome unknown.
+    """
+
+    NODES = 2
+
+    def __init__(self):
+        super().__init__()
+        self.rows = memory.Rows()
+        self.late = []
+        self.clock = clock.ManualClock()
+        self.live = set()
+        self.holders = [""] * self.NODES
+        self.processes = [stepped.Process() for _ in range(self.NODES)]
+        self.names = 0
+        # Attempts of which a byte may have left and that may have run.
+        self.sent = []
+
+    def name(self, prefix):
+        self.names += 1
+        return f"{prefix}.{self.names}"
+
+    def store(self, holder):
+        return store.TableRecordStore(
+            stepped.SteppedTable(self.rows, self.late),
+            self.clock,
+            holder,
+            lambda name: name in self.live,
+            TTL,
+        )
+
+    async def serve(self, holder):
+        held = self.store(holder)
+        outcome = await held.claim(IDENT, f"r-{holder}")
+        if not isinstance(outcome, base.Claimed):
+            return
+        record = outcome.record
+        while True:
+            attempt = self.name("a")
+            moved = await held.dispatch(record, attempt, "s1")
+            if isinstance(moved, Err):
+                return
+            self.sent.append(attempt)
+            fate = await stepped.pause("backend")
+            if fate is not stepped.Fate.REFUSED:
+                break
+            self.sent.remove(attempt)
+            released = await held.release(moved.ok_value)
+            if isinstance(released, Err):
+                return
+            record = released.ok_value
+        if fate is stepped.Fate.DELIVERED:
+            await held.answer(moved.ok_value, ANSWER)
+        else:
+            await held.finish(moved.ok_value, State.UNKNOWN)
+
+    @stateful.rule(
+        node=strategies.integers(0, NODES - 1),
+        steps=strategies.sampled_from([3, 2, 1, 0]),
+    )
+    def start(self, node, steps):
+        """Start a node; two steps bring it to its dispatch."""
+        if not self.processes[node].idle:
+            return
+        self.live.discard(self.holders[node])
+        self.holders[node] = self.name(f"n{node}")
+        self.live.add(self.holders[node])
+        self.processes[node].start(self.serve(self.holders[node]))
+        self.step(node, [stepped.Fate.DELIVERED] * steps)
+
+    @stateful.rule(node=strategies.integers(0, NODES - 1), fates=stepped.FATES)
+    def step(self, node, fates):
+        for fate in fates:
+            if not self.processes[node].idle:
+                self.processes[node].step(fate)
+
+    @stateful.rule(
+        node=strategies.integers(0, NODES - 1), gone=strategies.booleans()
+    )
+    def lose(self, node, gone):
+        """Take a node for gone, which it is or is only paused."""
+        if gone:
+            self.processes[node].crash()
+        self.live.discard(self.holders[node])
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule(index=strategies.integers(0, 9))
+    def deliver_late(self, index):
+        stepped.deliver(self.rows, self.late, index)
+
+    @stateful.rule()
+    def advance(self):
+        self.clock.advance(store.CLAIM_TTL)
+
+    @stateful.invariant()
+    def request_is_sent_at_most_once(self):
+        assert len(self.sent) <= 1, self.sent
+
+    @stateful.invariant()
+    def sent_request_is_not_shown_as_unsent(self):
+        reading = self.store("reader").read(IDENT.workspace, IDENT.key)
+        record = stepped.run(reading)
+        if self.sent:
+            assert record.state not in (State.CLAIMED, State.NOT_RUN)
+
+
+RecordMachineTest = RecordMachine.TestCase
+RecordMachineTest.settings = hypothesis.settings(
+    max_examples=200,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+)
+
+
+class InterleavingTest(unittest.TestCase):
+    """Every order of the steps of two nodes, with a fault at every step."""
+
+    STEPS = 8
+
+    def cases(self):
+        # The nodes are alike, so one of them goes first.
+        for rest in itertools.product((0, 1), repeat=self.STEPS - 1):
+            order = (0, *rest)
+            yield order, 0, stepped.Fate.DELIVERED
+            for at in range(self.STEPS):
+                for fate in stepped.Fate:
+                    if fate is not stepped.Fate.DELIVERED:
+                        yield order, at, fate
+
+    def test_request_is_sent_at_most_once(self):
+        for order, at, fault in self.cases():
+            world = RecordMachine()
+            for node in (0, 1):
+                # Each takes the other for gone.
+                world.start(node, 0)
+                world.lose(node, False)
+            for number, node in enumerate(order + (0, 1) * self.STEPS):
+                fate = fault if number == at else stepped.Fate.DELIVERED
+                world.step(node, [fate])
+                world.deliver_late(0)
+                if len(world.sent) > 1:
+                    self.fail(f"sent twice: {order} {at} {fault}")
+            self.assertTrue(all(each.idle for each in world.processes))
+            world.sent_request_is_not_shown_as_unsent()
