--- /dev/null
+++ b/tests/limpetwalk_node/test_callers.py
@@ -0,0 +1,372 @@
+"""Tests of the callers' border: bad input, limits and connections."""
+
+import asyncio
+import json
+import unittest
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from limpetwalk import refusals
+from limpetwalk.conf import snapshot
+from limpetwalk_node import bodies
+from limpetwalk_node import lifecycle
+from limpetwalk_node import server
+
+from . import fakes
+
+CHAT = "/v1/chat/completions"
+REASONS = {reason.value for reason in refusals.Reason}
+GOOD = json.dumps(
+    {"model": "strong", "messages": [{"role": "user", "content": "x"}]}
+).encode()
+
+
+def head(
+    method="POST", path=CHAT, key=fakes.KEY, length=None, extra=b""
+) -> bytes:
+    """Return the head of a request, ended by an empty line."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: node"]
+    if key is not None:
+        lines.append(f"Authorization: Bearer {key}")
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return "\r\n".join(lines).encode() + b"\r\n" + extra + b"\r\n"
+
+
+class Base(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.node = fakes.FakeNode(None)
+        await self.node.start()
+        self.addAsyncCleanup(self.node.stop)
+
+    async def send(self, data, path=CHAT, **headers):
+        async with self.node.http.post(
+            path, data=data, headers=headers
+        ) as resp:
+            return resp.status, await resp.json()
+
+    async def raw(self, *chunks, end=False):
+        """Send chunks on one connection; return status and whole body."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.node.port
+        )
+        try:
+            for chunk in chunks:
+                writer.write(chunk)
+                await writer.drain()
+            if end:
+                writer.write_eof()
+            async with asyncio.timeout(10):
+                return await read_response(reader)
+        finally:
+            writer.close()
+
+    async def assert_healthy(self):
+        status, _ = await self.send(GOOD)
+        self.assertEqual(200, status)
+        self.assertTrue(self.node.life.is_ready(self.node.config))
+        self.assertEqual(0, self.node.life.in_flight)
+
+
+async def read_response(reader):
+    """Return status and JSON body of the next response, or None."""
+    line = await reader.readline()
+    if not line:
+        return None
+    length = 0
+    while (header := await reader.readline()) not in (b"\r\n", b""):
+        name, _, value = header.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    body = await reader.readexactly(length)
+    return int(line.split()[1]), json.loads(body)
+
+
+class BadBody(Base):
+    async def test_table(self):
+        message = [{"role": "user", "content": "x"}]
+        cases = [
+            (b"", "malformed_body"),
+            (b"{", "malformed_body"),
+            (b"\xff\xfe", "malformed_body"),
+            (b"[]", "malformed_body"),
+            (b"[" * 100_00, "malformed_body"),
+            (b'{"a":' + b"9" * 5000 + b"}", "malformed_body"),
+            (b'{"model": "strong"}', "malformed_body"),
+            (b'{"model": 3, "messages": []}', "malformed_body"),
+            (
+                {"model": "strong", "messages": message, "n": 2},
+                "malformed_body",
+            ),
+            (
+                {"model": "strong", "messages": message, "max_tokens": 0},
+                "malformed_body",
+            ),
+            ({"model": "none", "messages": message}, "unknown_model"),
+            (b"x" * 100_001, "body_too_large"),
+        ]
+        for body, reason in cases:
+            data = body if isinstance(body, bytes) else json.dumps(body)
+            with self.subTest(body=str(body)[:60]):
+                status, told = await self.send(data)
+                self.assertEqual(reason, told["error"]["reason"])
+                self.assertEqual("not_run", told["error"]["run"])
+                self.assertIn(status, (400, 404, 413))
+        self.assertEqual([], self.node.engines.works)
+        await self.assert_healthy()
+
+    async def test_all_findings_are_told_together(self):
+        _, told = await self.send(b'{"model": 3, "messages": "x"}')
+        self.assertIn("model:", told["error"]["message"])
+        self.assertIn("messages:", told["error"]["message"])
+
+    async def test_chunked_body_over_the_limit(self):
+        chunk = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+        status, told = await self.raw(
+            head(extra=b"Transfer-Encoding: chunked\r\n"), chunk, chunk
+        )
+        self.assertEqual(413, status)
+        self.assertEqual("body_too_large", told["error"]["reason"])
+        await self.assert_healthy()
+
+    async def test_compressed_body_that_is_not(self):
+        _, told = await self.raw(
+            head(length=4, extra=b"Content-Encoding: gzip\r\n"), b"abcd"
+        )
+        self.assertIn(
+            told["error"]["reason"], ("body_incomplete", "malformed_body")
+        )
+        await self.assert_healthy()
+
+    async def test_body_that_stalls(self):
+        with mock.patch.object(bodies, "STALL_TIMEOUT", 0.05):
+            status, told = await self.raw(head(length=500), b'{"model"')
+        self.assertEqual(408, status)
+        self.assertEqual("body_incomplete", told["error"]["reason"])
+        await self.assert_healthy()
+
+    async def test_body_that_stops_half_way(self):
+        cases = [
+            (head(length=500), b'{"model"'),
+            (head(extra=b"Transfer-Encoding: chunked\r\n"), b"5\r\nab"),
+        ]
+        for start, part in cases:
+            with self.subTest(start=start[-40:]):
+                self.assertIsNone(await self.raw(start, part, end=True))
+        self.assertTrue(await self.node.life.wait_idle(5))
+        self.assertEqual([], self.node.engines.works)
+        await self.assert_healthy()
+
+
+class BadHead(Base):
+    async def test_header_over_the_limit(self):
+        long = b"X-A: " + b"a" * (server.HEADER_LIMIT_BYTES + 1) + b"\r\n"
+        many = b"X-A: a\r\n" * (server.HEADERS_LIMIT + 1)
+        for extra in (long, many):
+            with self.subTest(size=len(extra)):
+                status, told = await self.raw(head(length=0, extra=extra))
+                self.assertEqual(431, status)
+                self.assertEqual("headers_too_large", told["error"]["reason"])
+        self.assertEqual(2, self.node.refused("headers_too_large"))
+        await self.assert_healthy()
+
+    async def test_what_is_no_http(self):
+        for data in (b"\x16\x03\x01\x02\r\n\r\n", b"GET\r\n\r\n"):
+            with self.subTest(data=data):
+                status, told = await self.raw(data)
+                self.assertEqual(400, status)
+                self.assertIn(told["error"]["reason"], REASONS)
+        await self.assert_healthy()
+
+    async def test_key(self):
+        cases = [(None, "missing_key"), ("wrong", "wrong_key")]
+        for key, reason in cases:
+            with self.subTest(key=key):
+                status, told = await self.raw(
+                    head(key=key, length=len(GOOD)), GOOD
+                )
+                self.assertEqual(401, status)
+                self.assertEqual(reason, told["error"]["reason"])
+                self.assertEqual(1, self.node.refused(reason))
+
+    async def test_idempotency_key_and_timeout(self):
+        cases = [
+            {"Idempotency-Key": ""},
+            {"Idempotency-Key": "k" * 300},
+            {"X-Request-Timeout": "soon"},
+            {"X-Request-Timeout": "-1"},
+            {"X-Request-Timeout": "nan"},
+        ]
+        for headers in cases:
+            with self.subTest(headers=headers):
+                status, told = await self.send(GOOD, **headers)
+                self.assertEqual(400, status)
+                self.assertEqual("malformed_body", told["error"]["reason"])
+
+    async def test_unknown_path(self):
+        status, told = await self.send(b"", path="/v2/other")
+        self.assertEqual(404, status)
+        self.assertEqual("unknown_route", told["error"]["reason"])
+
+
+class Limits(Base):
+    def limit(self, **changes):
+        cfg = self.node.config.applied.snapshot
+        workspace = cfg.workspaces["bercvar"]
+        limited = {
+            field: getattr(workspace, field)
+            for field in snapshot.Workspace.__slots__
+        } | changes
+        self.node.config.change(
+            workspaces={"bercvar": snapshot.Workspace(**limited)}
+        )
+
+    async def test_rate(self):
+        self.limit(rate=0.001)
+        self.assertEqual(200, (await self.send(GOOD))[0])
+        status, told = await self.send(GOOD)
+        self.assertEqual(429, status)
+        self.assertEqual("rate_limited", told["error"]["reason"])
+        self.assertGreater(told["error"]["retry_after"], 900)
+
+    async def test_concurrency(self):
+        self.limit(concurrency=1)
+        self.node.engines.gate = asyncio.Event()
+        first = asyncio.create_task(self.send(GOOD))
+        await self.node.engines.reached.wait()
+        status, told = await self.send(GOOD)
+        self.node.engines.gate.set()
+        self.assertEqual(429, status)
+        self.assertEqual("concurrency_limited", told["error"]["reason"])
+        self.assertEqual(200, (await first)[0])
+        await self.assert_healthy()
+
+
+class Phases(Base):
+    async def test_refusals_of_the_node(self):
+        async def told():
+            return (await self.send(GOOD))[1]["error"]["reason"]
+
+        self.node.config.is_fresh = False
+        self.assertEqual("configuration_stale", await told())
+        applied, self.node.config.applied = self.node.config.applied, None
+        self.assertEqual("not_ready", await told())
+        self.node.config.applied = applied
+        self.node.config.is_fresh = True
+        self.node.life.phase = lifecycle.Phase.DRAINING
+        self.assertEqual("shutting_down", await told())
+
+    async def test_draining_node_closes_connections(self):
+        self.node.life.phase = lifecycle.Phase.DRAINING
+        async with self.node.http.post(CHAT, data=GOOD) as resp:
+            self.assertEqual("close", resp.headers["Connection"])
+
+    async def test_fault_of_the_router_is_typed(self):
+        self.node.engines.failure = ZeroDivisionError("fault")
+        status, told = await self.send(GOOD)
+        self.assertEqual(500, status)
+        self.assertEqual("internal_error", told["error"]["reason"])
+        self.assertEqual("unknown", told["error"]["run"])
+
+
+HEADER_NAMES = st.sampled_from(
+    [
+        "X-Session",
+        "X-Request-Class",
+        "X-Request-Timeout",
+        "Idempotency-Key",
+        "Content-Type",
+        "Content-Encoding",
+        "Expect",
+        "Connection",
+        "X-Other",
+    ]
+)
+HEADER_VALUES = st.one_of(
+    st.sampled_from(["gzip", "100-continue", "1", "keep-alive", "k1.a.b"]),
+    st.text(st.characters(min_codepoint=33, max_codepoint=255), max_size=40),
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["model", "messages", "role", "content", "n"]),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+CHATS = st.fixed_dictionaries(
+    {},
+    optional={
+        "model": st.sampled_from(["strong", "assistant", "x"]) | JSON,
+        "messages": st.lists(
+            st.fixed_dictionaries(
+                {"role": st.just("user"), "content": st.text() | JSON}
+            ),
+            max_size=2,
+        )
+        | JSON,
+        "stream": st.just(False) | JSON,
+        "metadata": JSON,
+        "stream_options": JSON,
+        "max_tokens": JSON,
+    },
+)
+BODIES = st.one_of(
+    st.binary(max_size=200),
+    (CHATS | JSON).map(lambda x: json.dumps(x).encode()),
+)
+PATHS = st.sampled_from(
+    [CHAT, "/v1/sessions", "/v1/models", "/services/registry/filings/1"]
+)
+
+
+class Fuzz(unittest.TestCase):
+    """Whatever comes, the answer is typed and the node stays healthy."""
+
+    def setUp(self):
+        self.loop = asyncio.new_event_loop()
+        self.addCleanup(self.loop.close)
+        self.case = Base()
+        self.node = self.case.node = self.run_(self.make())
+        self.addCleanup(lambda: self.run_(self.node.stop()))
+
+    def run_(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    async def make(self):
+        node = fakes.FakeNode(None)
+        await node.start()
+        return node
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(
+        st.sampled_from(["GET", "POST", "PUT"]),
+        PATHS,
+        BODIES,
+        st.lists(st.tuples(HEADER_NAMES, HEADER_VALUES), max_size=3),
+        st.lists(st.integers(1, 400), max_size=3),
+    )
+    def test_any_request(self, method, path, body, headers, cuts):
+        self.run_(self.check(method, path, body, headers, cuts))
+
+    async def check(self, method, path, body, headers, cuts):
+        extra = b"".join(
+            f"{name}: {value}\r\n".encode("latin-1") for name, value in headers
+        )
+        data = head(method, path, length=len(body), extra=extra) + body
+        places = [0, *sorted(cuts), len(data)]
+        chunks = [data[a:b] for a, b in zip(places, places[1:], strict=False)]
+        found = await self.case.raw(*chunks)
+        self.assertIsNotNone(found)
+        status, told = found
+        if status >= 400:
+            self.assertIn(told["error"]["reason"], REASONS)
+            self.assertNotEqual("internal_error", told["error"]["reason"])
+        self.assertTrue(self.node.life.is_ready(self.node.config))
