--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -152,8 +152,8 @@
     async def answer(self, job: Job) -> AsyncGenerator[AnswerEvent, None]:
         """Run a job and yield the events of its answer.
 
-        The first event is ``Started``, the last ``Answered``. Closing the iterator early cancels
-        the work at the engine.
+        The first event is ``Started``, the last ``Answered``. Closing the
+        iterator early cancels the work at the engine.
 
         :raises Refused: when there is no answer.
         """
--- /dev/null
+++ b/tests/limpetwalk_node/test_main.py
@@ -0,0 +1,199 @@
+"""Tests of the program, with real processes on loopback."""
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+import unittest
+
+import aiohttp
+
+from . import processes
+
+CHAT = "/v1/chat/completions"
+
+
+def chat(model="assistant", **changes):
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": "which rule applies here?"}],
+        "max_tokens": 8,
+    }
+    return {**body, **changes}
+
+
+def setUpModule():
+    global SITE
+    SITE = processes.Site()
+
+
+def tearDownModule():
+    SITE.close()
+
+
+class Base(unittest.IsolatedAsyncioTestCase):
+    def start(self, **shutdown):
+        node = SITE.start_node(**shutdown)
+        self.addCleanup(node.stop)
+        return node
+
+    async def asyncSetUp(self):
+        self.node = await asyncio.to_thread(self.start)
+        self.http = aiohttp.ClientSession(
+            headers={"Authorization": f"Bearer {processes.KEY}"},
+            timeout=aiohttp.ClientTimeout(processes.TIMEOUT),
+        )
+        self.addAsyncCleanup(self.http.close)
+        await self.await_status("/ready", 200)
+
+    async def await_status(self, path, status):
+        """Poll the operators' interface until it answers so."""
+        async with asyncio.timeout(processes.TIMEOUT):
+            while True:
+                async with self.http.get(self.node.operators + path) as resp:
+                    if resp.status == status:
+                        return await resp.read()
+                await asyncio.sleep(0.02)
+
+    async def ask(self, body, path=CHAT, **headers):
+        async with self.http.post(
+            self.node.url + path, json=body, headers=headers
+        ) as resp:
+            return resp, await resp.json()
+
+
+class Serving(Base):
+    async def test_path_of_a_request(self):
+        resp, body = await self.ask(chat())
+        self.assertEqual(200, resp.status)
+        self.assertEqual(["small:v1"], body["limpetwalk"]["steps"])
+        self.assertEqual(8, body["usage"]["completion_tokens"])
+        await self.check_climb()
+        await self.check_denied_model()
+        await self.check_session()
+        await self.check_service()
+        await self.check_bills()
+
+    async def check_climb(self):
+        hard = {"request_class": "hard"}
+        _, body = await self.ask(chat(metadata=hard))
+        self.assertEqual(["small:v1", "large:v1"], body["limpetwalk"]["steps"])
+
+    async def check_denied_model(self):
+        resp, body = await self.ask(
+            chat("strong"), Authorization=f"Bearer {processes.OTHER_KEY}"
+        )
+        self.assertEqual(403, resp.status)
+        self.assertEqual("model_not_allowed", body["error"]["reason"])
+
+    async def check_session(self):
+        _, session = await self.ask({}, "/v1/sessions")
+        rollout = {
+            "model": "small",
+            "base": "v1",
+            "candidate": "v2",
+            "share": 1.0,
+            "state": "running",
+            "guard": "sequential",
+        }
+        await asyncio.to_thread(SITE.apply, rollouts={"r": rollout})
+        await self.await_generation(SITE.generation)
+        _, fresh = await self.ask(chat())
+        self.assertEqual("v2", fresh["limpetwalk"]["version"])
+        token = {"X-Session": session["token"]}
+        _, pinned = await self.ask(chat(), **token)
+        self.assertEqual("v1", pinned["limpetwalk"]["version"])
+
+    async def await_generation(self, generation):
+        async with asyncio.timeout(processes.TIMEOUT):
+            while True:
+                status = json.loads(await self.await_status("/status", 200))
+                if status["generation"] == generation:
+                    return
+                await asyncio.sleep(0.05)
+
+    async def check_service(self):
+        body = {"reference": "pay-1", "amount": 5}
+        path = "/services/registry/payments"
+        key = {"Idempotency-Key": "pay-1"}
+        first, one = await self.ask(body, path, **key)
+        second, two = await self.ask(body, path, **key)
+        self.assertEqual((200, 200), (first.status, second.status))
+        self.assertEqual(one, two)
+        self.assertEqual("true", second.headers["Idempotent-Replayed"])
+        url = f"http://127.0.0.1:{SITE.service_ports['control']}/_runs"
+        async with self.http.get(url) as resp:
+            self.assertEqual(1, len(await resp.json()))
+
+    async def check_bills(self):
+        entries = await asyncio.to_thread(SITE.bills)
+        subjects = sorted(entry.subject for entry in entries)
+        self.assertEqual(
+            ["assistant", "assistant", "assistant", "assistant", "registry"],
+            subjects,
+        )
+
+
+class Stopping(Base):
+    def terminate(self):
+        self.node.popen.send_signal(signal.SIGTERM)
+
+    async def read_stream(self, resp):
+        return (await resp.read()).decode()
+
+    async def test_streams_in_flight_are_finished(self):
+        async with self.http.post(
+            self.node.url + CHAT,
+            json=chat("strong", stream=True, max_tokens=150),
+        ) as resp:
+            await resp.content.readline()
+            self.terminate()
+            await self.await_status("/ready", 503)
+            self.terminate()
+            found, body = await self.ask(chat("strong"))
+            if found.status != 200:
+                self.assertEqual("shutting_down", body["error"]["reason"])
+                self.assertEqual("not_run", body["error"]["run"])
+                self.assertEqual("close", found.headers["Connection"])
+            text = await self.read_stream(resp)
+        self.assertIn("data: [DONE]", text)
+        self.assertEqual(0, await asyncio.to_thread(self.node.wait))
+        self.assertIn("0 cut, 0 unflushed", self.node.log())
+
+    async def test_stops_while_the_store_is_down(self):
+        SITE.control({"service": "table", "faults": {"down": True}})
+        self.addCleanup(
+            SITE.control, {"service": "table", "faults": {"down": False}}
+        )
+        self.terminate()
+        self.assertEqual(0, await asyncio.to_thread(self.node.wait))
+
+
+class Settings(unittest.TestCase):
+    def run_with(self, text):
+        path = SITE.folder / "bad.yaml"
+        path.write_text(text, "utf-8")
+        return subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "limpetwalk_node.main",
+                f"--settings={path}",
+            ],
+            capture_output=True,
+            text=True,
+            timeout=processes.TIMEOUT,
+        )
+
+    def test_findings_are_reported_together(self):
+        done = self.run_with("name: ''\nextra: 1\ncallers: {host: x}\n")
+        self.assertEqual(1, done.returncode)
+        for place in ("name:", "extra:", "callers.host:", "platform:"):
+            self.assertIn(f"bad.yaml: {place}", done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
+
+    def test_what_is_no_yaml(self):
+        done = self.run_with("name: [")
+        self.assertEqual(1, done.returncode)
+        self.assertNotIn("Traceback", done.stderr)
