Mend the end-to-end test and let the rating stand-in read engine marks

The engine stand-in ends an answer with [q=0.83]; the rating stand-in only read [quality=0.83] and so scored every answer by its default of 0.8. Seen in test_main: a cascade never climbed, whatever the engine's quality. It reads both spellings now (one line in limpetwalk_bench.platform.ratings).

--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/ratings.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/platform/ratings.py
@@ -11,7 +11,7 @@
 DEFAULT_QUALITY = 0.8
 SPREAD = 0.1
 # The engine stand-in writes the hidden quality of an answer into its text.
-QUALITY = re.compile(r"\[quality=(\d+(?:\.\d+)?)\]")
+QUALITY = re.compile(r"\[q(?:uality)?=(\d+(?:\.\d+)?)\]")
 
 
 class Question(pydantic.BaseModel):
--- a/tests/limpetwalk_node/test_main.py
+++ b/tests/limpetwalk_node/test_main.py
@@ -124,7 +124,7 @@
         self.assertEqual("true", second.headers["Idempotent-Replayed"])
         url = f"http://127.0.0.1:{SITE.service_ports['control']}/_runs"
         async with self.http.get(url) as resp:
-            self.assertEqual(1, len(await resp.json()))
+            self.assertEqual(1, len((await resp.json())["runs"]))
 
     async def check_bills(self):
         entries = await asyncio.to_thread(SITE.bills)
