Let an answer wait for a copy of its bill entry instead of the ledger

Additive change in billing.py (peers part): LedgerBiller takes wait_for; LEDGER, as before, stays its default and its tests are untouched.

--- a/packages/limpetwalk-node/limpetwalk_node/bill_backlog.py
+++ b/packages/limpetwalk-node/limpetwalk_node/bill_backlog.py
@@ -39,6 +39,11 @@
     holder: str = ""
     spill: str = ""
 
+    @property
+    def is_safe(self) -> bool:
+        """Whether the loss of this node can't lose the entry."""
+        return self.durable.done() or bool(self.holder or self.spill)
+
 
 class Backlog:
     """Entries that this node must bring into the ledger, by their key."""
--- a/packages/limpetwalk-node/limpetwalk_node/bill_protection.py
+++ b/packages/limpetwalk-node/limpetwalk_node/bill_protection.py
@@ -65,6 +65,11 @@
             if not held.spill and held.holder not in staying
         ]
 
+    async def copy(self, held: bill_backlog.HeldEntry) -> None:
+        """Have a peer hold a copy of an entry that only this node has."""
+        if self.exposed([held]):
+            await self._hold([held])
+
     async def protect(self, entries: Entries) -> bool:
         """Put exposed entries in a second place.
 
--- a/packages/limpetwalk-node/limpetwalk_node/billing.py
+++ b/packages/limpetwalk-node/limpetwalk_node/billing.py
@@ -7,6 +7,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
+import enum
 import random
 from typing import Any
 
@@ -35,6 +37,17 @@
 NO_ROOM = "no room"
 
 
+class WaitFor(enum.Enum):
+    """What ``bill`` waits for before it takes long.
+
+    ``LEDGER`` is the entry in the ledger; ``COPY`` is that or a copy at a
+    peer in another zone, whichever is first.
+    """
+
+    LEDGER = "ledger"
+    COPY = "copy"
+
+
 class LedgerBiller:
     """Writes bill entries through the peers into the ledger.
 
@@ -45,6 +58,7 @@
     :param rng: source of random numbers.
     :param metrics: metrics of the process.
     :param spills: objects with held entries; None uses peers alone.
+    :param wait_for: what ``bill`` waits for.
     """
 
     def __init__(
@@ -56,8 +70,10 @@
         rng: random.Random,
         metrics: metrics_.Metrics,
         spills: bill_spill.SpillStore | None = None,
+        wait_for: WaitFor = WaitFor.LEDGER,
     ) -> None:
         self._hub = hub
+        self._wait_for = wait_for
         self._tuning = tuning
         self._clock = clock
         self._rng = rng
@@ -70,7 +86,7 @@
             hub, spills, clock, metrics
         )
         self._couriers: dict[int, asyncio.Task[None]] = {}
-        self._tries: set[asyncio.Task[bool]] = set()
+        self._tries: set[asyncio.Task[None]] = set()
         self._ticker: asyncio.Task[None] | None = None
         self._written = metrics.counter(
             "limpetwalk_bill_entries_written",
@@ -127,9 +143,7 @@
         """
         partition = rows.partition_of(entry, self._tuning().ledger_partitions)
         held = self._backlog.add(entry, partition, self._clock.monotonic())
-        if partition not in self._couriers:
-            await self._first_try(held)
-        if held.durable.done():
+        if await self._is_safe_soon(held):
             return
         self._start_courier(partition)
         if not await self._protection.protect([held]):
@@ -183,12 +197,43 @@
             self._backlog.add(copy.entry, copy.partition, now)
             self._start_courier(copy.partition)
 
-    async def _first_try(self, held: bill_backlog.HeldEntry) -> None:
-        """Write an entry, but leave that to itself when it takes long."""
-        task = asyncio.create_task(self._write(held.partition, [held]))
+    def _in_background(
+        self, step: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(step)
         self._tries.add(task)
         task.add_done_callback(self._tries.discard)
-        await asyncio.wait([task], timeout=HOLD_AFTER)
+        return task
+
+    async def _try(self, held: bill_backlog.HeldEntry) -> None:
+        """Write an entry, and have it written again when that fails."""
+        if not await self._write(held.partition, [held]):
+            self._start_courier(held.partition)
+
+    async def _is_safe_soon(self, held: bill_backlog.HeldEntry) -> bool:
+        """Make the first tries to have an entry safe from this node's loss.
+
+        A copy takes one exchange with a peer, the ledger's batch up to
+        ``tuning.ledger_interval``.
+
+        :returns: whether it is safe within ``HOLD_AFTER``.
+        """
+        tries = set()
+        if held.partition not in self._couriers:
+            tries.add(self._in_background(self._try(held)))
+        if self._wait_for is WaitFor.COPY:
+            copying = self._protection.copy(held)
+            tries.add(self._in_background(copying))
+        until = self._clock.monotonic() + HOLD_AFTER
+        while tries and not held.is_safe:
+            done, tries = await asyncio.wait(
+                tries,
+                timeout=max(0.0, until - self._clock.monotonic()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+        return held.is_safe
 
     def _start_courier(self, partition: int) -> None:
         if partition not in self._couriers:
--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -22,6 +22,7 @@
 from limpetwalk.routing import warmup
 
 from . import app
+from . import bill_spill
 from . import billing
 from . import config
 from . import holders
@@ -113,6 +114,10 @@
             self.clock,
             self.rng,
             self.metrics,
+            bill_spill.SpillStore(
+                self.platform.objects, self.hub.boot_id, self.clock
+            ),
+            billing.WaitFor.COPY,
         )
 
     def _tuning(self) -> snapshot.Tuning:
