--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -153,8 +153,7 @@
         """Run a job and yield the events of its answer.
 
         The first event is ``Started``, the last ``Answered``. Closing the
-        iterator early cancels
-        the work at the engine.
+        iterator early cancels the work at the engine.
 
         :raises Refused: when there is no answer.
         """
