--- a/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
@@ -35,6 +35,9 @@
     :param request_id: identifier to echo.
     :param attempt_id: identifier to echo.
     :param body: parsed body.
+    :param priority: 0 is served first.
+    :param resume_from: tokens to skip.
+    :param timeout: seconds until the caller gives up; None for never.
     """
 
     request_id: str
@@ -42,6 +45,7 @@
     body: dict[str, Any]
     priority: int
     resume_from: int
+    timeout: float | None
 
     @property
     def model(self) -> str:
@@ -63,6 +67,7 @@
         body = await req.json()
         priority = int(req.headers.get("X-Priority", DEFAULT_PRIORITY))
         resume_from = int(req.headers.get("X-Resume-From", "0"))
+        timeout_ms = float(req.headers.get("X-Timeout-Ms", "inf"))
     except ValueError as exc:
         raise BadRequest(str(exc)) from exc
     if not isinstance(body, dict) or not body.get("messages"):
@@ -73,6 +78,7 @@
         body,
         priority,
         resume_from,
+        None if timeout_ms == float("inf") else timeout_ms / 1000,
     )
 
 
@@ -163,7 +169,10 @@
         try:
             chat = await read_chat(req)
         except BadRequest as exc:
-            return self._error(400, "malformed", str(exc), not_run=True)
+            resp = self._error(400, "malformed", str(exc), not_run=True)
+            for name in faults.ECHO_HEADERS:
+                resp.headers[name] = req.headers.get(name, "")
+            return resp
         answer = Answer(self, req, chat)
         if self.switches.take("refuse"):
             return answer.error(503, "refused", not_run=True)
@@ -187,9 +196,15 @@
         except core.ColdOverload:
             return answer.error(500, "cold_overload")
         try:
-            return await answer.send(job)
-        except batch.EngineFailed:
-            return answer.error(500, "crashed")
+            async with asyncio.timeout(chat.timeout):
+                return await answer.send(job)
+        except TimeoutError:
+            # The caller no longer waits, so the work is given up.
+            answer.drop()
+            return answer.error(504, "timeout")
+        except ConnectionError:
+            # The caller has left; there is nobody to answer.
+            return answer.error(499, "client_left")
         finally:
             if not job.cancelled:
                 self.engine.batch.cancel(job)
@@ -270,6 +285,11 @@
             headers.update(faults.NOT_RUN_HEADERS)
         return web.json_response(body, status=status, headers=headers)
 
+    def drop(self) -> None:
+        """Close the connection."""
+        if self._req.transport is not None:
+            self._req.transport.close()
+
     async def send(self, job: batch.Job) -> web.StreamResponse:
         """Send the answer, streamed or whole."""
         late = self._owner.switches.take("late")
@@ -283,7 +303,6 @@
         if self._owner.engine.poisoned(self._chat.body):
             await job.out.get()
             self._owner.engine.crash()
-            raise batch.EngineFailed("poisoned")
         if self._chat.stream:
             return await self._stream(job, truncate)
         return await self._whole(job, truncate)
@@ -352,10 +371,7 @@
         return resp
 
     async def _next(self, job: batch.Job) -> str | None:
-        got = await job.out.get()
-        if isinstance(got, Exception):
-            raise got
-        return got
+        return await job.out.get()
 
     def _cross(self, where: str) -> None:
         other = faults.crossed(*self._ids)
@@ -381,7 +397,7 @@
     ) -> dict[str, Any]:
         choice = {"index": 0, "delta": delta, "finish_reason": finish}
         return {
-            "id": f"chatcmpl-{self._chat.request_id}",
+            "id": f"chatcmpl-{self._event_ids[0]}",
             "object": "chat.completion.chunk",
             "created": int(time.time()),
             "model": self._chat.model,
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
@@ -13,6 +13,7 @@
 
 from limpetwalk.conf import diff
 from limpetwalk.conf import findings
+from limpetwalk.conf import head as heads
 
 DIGEST_DIGITS = 12
 PIPE_COLUMNS = 2000
@@ -44,11 +45,11 @@
     def line(self, text: str) -> None:
         """Write a line for people."""
         if not self.as_json:
-            self._stdout.write(text + "\n")
+            self._stdout.write(findings.printable(text) + "\n")
 
     def error(self, text: str) -> None:
         """Write a line about what went wrong."""
-        self._stderr.write(f"limpetctl: {text}\n")
+        self._stderr.write(f"limpetctl: {findings.printable(text)}\n")
 
     def table(
         self, columns: Sequence[str], rows: Iterable[Sequence[object]]
@@ -60,7 +61,7 @@
         for column in columns:
             table.add_column(column, overflow="fold")
         for row in rows:
-            table.add_row(*(rich.text.Text(str(cell)) for cell in row))
+            table.add_row(*(_cell(value) for value in row))
         self._console.print(table)
 
     def findings(self, found: Sequence[findings.Finding]) -> None:
@@ -69,6 +70,11 @@
             self.line(str(finding))
 
 
+def _cell(value: object) -> rich.text.Text:
+    # Text, not str: brackets in a value are no markup.
+    return rich.text.Text(findings.printable(str(value)))
+
+
 def finding_json(finding: findings.Finding) -> dict[str, Any]:
     """Return a finding as JSON for programs."""
     place = finding.place
@@ -94,9 +100,25 @@
     }
 
 
+def head_row(head: heads.Head) -> tuple[object, ...]:
+    """Return the cells of a table that show a generation."""
+    return (
+        head.generation,
+        moment(head.at),
+        head.author,
+        head.digest[:DIGEST_DIGITS],
+        head.summary,
+    )
+
+
 def moment(seconds: float) -> str:
     """Return an instant of the Unix clock as text in UTC."""
     if not seconds:
         return "never"
     at = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
     return at.strftime("%Y-%m-%d %H:%M:%S")
+
+
+def counted(number: int, noun: str) -> str:
+    """Return a number with its noun, in the plural where it is not one."""
+    return f"{number} {noun}" if number == 1 else f"{number} {noun}s"
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/shutdown.py
@@ -0,0 +1,54 @@
+"""Graceful shutdown of the node."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from limpetwalk.ledger import base as ledger
+
+from . import lifecycle
+from . import settings
+
+FLUSH_TIMEOUT = 10.0
+
+
+class Leaver(Protocol):
+    """Hub of a node that tells its peers that it leaves."""
+
+    def leave(self) -> None:
+        """Tell peers that this node takes no new work."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """How a shutdown went.
+
+    :param cut: requests that were still in flight at the end.
+    :param unflushed: bill entries that this node still held.
+    """
+
+    cut: int
+    unflushed: int
+
+
+async def drain(
+    life: lifecycle.Lifecycle,
+    cfg: settings.ShutdownSettings,
+    hub: Leaver,
+    biller: ledger.Biller,
+) -> Report:
+    """Leave the balancer, finish what is in flight and flush the ledger."""
+    life.phase = lifecycle.Phase.LEAVING
+    logger.info("leaving, waits {} s for the balancer", cfg.balancer_wait)
+    hub.leave()
+    await asyncio.sleep(cfg.balancer_wait)
+    life.phase = lifecycle.Phase.DRAINING
+    logger.info("draining {} requests", life.in_flight)
+    await life.wait_idle(cfg.drain_timeout)
+    unflushed = await biller.flush(FLUSH_TIMEOUT)
+    report = Report(life.in_flight, unflushed)
+    logger.info("drained, {} cut, {} unflushed", report.cut, report.unflushed)
+    return report
--- /dev/null
+++ b/tests/limpetwalk/peers/fakes.py
@@ -0,0 +1,86 @@
+"""Fakes and helpers for tests of hubs."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import metrics
+from limpetwalk.ledger import rows as ledger_rows
+from limpetwalk.peers import hub as hubs
+from limpetwalk.platform import base as platform
+from limpetwalk.platform import memory
+
+POLL_INTERVAL = 0.01
+WAIT_TIMEOUT = 10.0
+
+
+def instance(
+    name: str, zone: str, address: str = "127.0.0.1:1"
+) -> platform.Instance:
+    """Return a live entry node as the list shows it."""
+    return platform.Instance(
+        name=name,
+        kind=platform.InstanceKind.ENTRY,
+        address=address,
+        zone=zone,
+        state=platform.InstanceState.LIVE,
+    )
+
+
+class FakeInstances:
+    """Instance list that a test fills."""
+
+    def __init__(self) -> None:
+        self.instances: list[platform.Instance] = []
+        self.down = False
+
+    async def fetch(self) -> list[platform.Instance]:
+        """Return the list."""
+        if self.down:
+            raise exceptions.InstanceListUnavailable("down")
+        return list(self.instances)
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    def add(self, hub: hubs.Hub) -> None:
+        """Show a started hub in the list."""
+        self.instances.append(instance(hub.name, hub.zone, hub.address))
+
+
+def make_hub(
+    name: str,
+    instances: platform.InstanceList,
+    zone: str = "z1",
+    clock: clocks.Clock | None = None,
+    seed: int = 1,
+) -> hubs.Hub:
+    """Return a hub on a free loopback port, not started."""
+    return hubs.Hub(
+        hubs.HubSettings(name=name, zone=zone, host="127.0.0.1", port=0),
+        instances,
+        clock or clocks.SystemClock(),
+        random.Random(f"{seed}{name}"),
+        metrics.Metrics(),
+    )
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Return when a condition holds.
+
+    :raises TimeoutError: when it does not hold in time.
+    """
+    async with asyncio.timeout(WAIT_TIMEOUT):
+        while not condition():
+            await asyncio.sleep(POLL_INTERVAL)
+
+
+def read_partition(rows: memory.Rows, number: int) -> list[str]:
+    """Return the request keys in a partition of the ledger."""
+    return [
+        entry.request_key
+        for row in rows.query(ledger_rows.partition_name(number))
+        for entry in ledger_rows.decode_batch(row)
+    ]
