Close a dispatch that applied unknown to its node as not_run

A node whose dispatch was refused as not durable tells its caller not_run, but the write may have applied all the same; the record then stood at dispatched for its whole lifetime and later calls were told 'unknown' of a request that was never sent. Closing it by the same node now finds its own unsettled dispatch and moves it to not_run. Seen failing first: the record stayed at dispatched; without the check of the holder, a second node closed a dispatch of the first, which may be sending.

--- a/packages/limpetwalk/limpetwalk/records/store.py
+++ b/packages/limpetwalk/limpetwalk/records/store.py
@@ -144,13 +144,37 @@
         if state not in (State.NOT_RUN, State.UNKNOWN):
             raise ValueError(f"a record can't be finished as {state.value}")
         moved = dataclasses.replace(record, state=state)
-        return await self._move(record, moved, State.CLAIMED, State.DISPATCHED)
+        outcome = await self._move(
+            record, moved, State.CLAIMED, State.DISPATCHED
+        )
+        if isinstance(outcome, Ok):
+            return outcome
+        found = outcome.err_value.record
+        if found is None or not self._is_own_unsettled(record, found):
+            return outcome
+        moved = dataclasses.replace(found, state=state)
+        return await self._move(found, moved, State.DISPATCHED)
 
     async def read(self, workspace: str, key: str) -> base.Record | None:
         """Return the record of a key."""
         row = await self._table.get(rows.row_key(workspace, key))
         return None if row is None else await self._decode(workspace, row)
 
+    def _is_own_unsettled(
+        self, record: base.Record, found: base.Record
+    ) -> bool:
+        """Return whether a dispatch of this node applied unknown to it.
+
+        Its caller was told that it is not durable, so nothing was sent.
+        """
+        return (
+            record.state is State.CLAIMED
+            and found.state is State.DISPATCHED
+            and found.holder == self._holder
+            and found.request_id == record.request_id
+            and found.version == record.version + 1
+        )
+
     def _require_own(self, record: base.Record) -> None:
         if record.holder != self._holder:
             raise ValueError(
--- a/tests/limpetwalk/records/test_store.py
+++ b/tests/limpetwalk/records/test_store.py
@@ -149,6 +149,28 @@
         await self.first.finish(record, State.NOT_RUN)
         await self.claimed(self.second, "r2")
 
+    async def test_dispatch_that_applied_unknown_is_closed_as_not_run(self):
+        async def go_down(_):
+            self.table.faults.unavailable = True
+
+        record = await self.claimed(self.first)
+        self.table.faults.after = go_down
+        self.table.faults.lose_answers = 1
+        with self.assertRaises(exceptions.StoreUnavailable):
+            await self.first.dispatch(record, "a1", "s1")
+        self.table.faults = memory.Faults()
+        self.assertEqual(State.DISPATCHED, (await self.read()).state)
+        outcome = await self.first.finish(record, State.NOT_RUN)
+        self.assertTrue(outcome.is_ok())
+        self.assertEqual(State.NOT_RUN, (await self.read()).state)
+
+    async def test_dispatch_of_another_node_is_not_closed_as_not_run(self):
+        record = await self.claimed(self.first)
+        await self.first.dispatch(record, "a1", "s1")
+        outcome = await self.second.finish(record, State.NOT_RUN)
+        self.assertTrue(outcome.is_err())
+        self.assertEqual(State.DISPATCHED, (await self.read()).state)
+
     async def test_moves_out_of_turn_are_errors(self):
         record = await self.claimed(self.first)
         for move in (
@@ -249,7 +271,11 @@
         record = outcome.record
         while True:
             attempt = self.name("a")
-            moved = await held.dispatch(record, attempt, "s1")
+            try:
+                moved = await held.dispatch(record, attempt, "s1")
+            except exceptions.StoreUnavailable:
+                await held.finish(record, State.NOT_RUN)
+                return
             if isinstance(moved, Err):
                 return
             self.sent.append(attempt)
