--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/client_cost.py
@@ -0,0 +1,128 @@
+"""Measures the processor time of a call of the table service.
+
+The project's client and aiobotocore's make the same calls, one after the
+other on one connection:
+``python -m limpetwalk_bench.client_cost --endpoint http://127.0.0.1:8001``.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+import json
+import time
+from typing import Any
+
+from absl import app
+from absl import flags
+from aiobotocore import config as aioconfig
+from aiobotocore import session as aiosession
+import uvloop
+
+from limpetwalk.platform import base
+from limpetwalk.platform import dynamodb
+from limpetwalk.platform import dynamodb_wire as wire
+from limpetwalk.platform import settings
+
+VALUE = "x" * 1000
+
+ENDPOINT = flags.DEFINE_string("endpoint", None, "URL of a table service.")
+CALLS = flags.DEFINE_integer("calls", 500, "Calls of each kind.")
+
+Call = Callable[[base.Put], Awaitable[Any]]
+
+
+async def cost_ms(call: Call) -> float:
+    """Return the milliseconds of processor time that one call takes."""
+    run = f"{time.time_ns()}"
+    numbers = itertools.count()
+
+    def put() -> base.Put:
+        return base.Put(base.RowKey(run, f"{next(numbers):06d}"), VALUE, 0)
+
+    await call(put())
+    since = time.process_time()
+    for _ in range(CALLS.value):
+        await call(put())
+    return (time.process_time() - since) / CALLS.value * 1e3
+
+
+async def measure_own(cfg: settings.TableSettings) -> dict[str, float]:
+    """Return the cost of the project's client by operation."""
+    table = dynamodb.DynamoTable(cfg)
+    await table.open()
+    try:
+        return {
+            "GetItem": await cost_ms(lambda put: table.get(put.key)),
+            "Query": await cost_ms(lambda put: table.query(put.key.sort)),
+            "TransactWriteItems": await cost_ms(
+                lambda put: table.transact([put], "w")
+            ),
+        }
+    finally:
+        await table.close()
+
+
+async def measure_aiobotocore(
+    cfg: settings.TableSettings,
+) -> dict[str, float]:
+    """Return the cost of aiobotocore's client by operation."""
+    session = aiosession.get_session()
+    async with session.create_client(
+        "dynamodb",
+        region_name=cfg.region,
+        endpoint_url=cfg.endpoint,
+        aws_access_key_id=cfg.access_key,
+        aws_secret_access_key=cfg.secret_key,
+        config=aioconfig.AioConfig(retries={"total_max_attempts": 1}),
+    ) as client:
+
+        def get(put: base.Put) -> Awaitable[Any]:
+            return client.get_item(
+                **json.loads(wire.get_body(cfg.table, put.key))
+            )
+
+        def query(put: base.Put) -> Awaitable[Any]:
+            body = wire.query_body(
+                cfg.table, put.key.sort, "", "", 1000, False
+            )
+            return client.query(**json.loads(body))
+
+        def transact(put: base.Put) -> Awaitable[Any]:
+            body = wire.transact_body(cfg.table, [put], "w")
+            return client.transact_write_items(**json.loads(body))
+
+        return {
+            "GetItem": await cost_ms(get),
+            "Query": await cost_ms(query),
+            "TransactWriteItems": await cost_ms(transact),
+        }
+
+
+async def run() -> str:
+    """Measure both clients and return the report as Markdown."""
+    cfg = settings.TableSettings(endpoint=ENDPOINT.value, timeout=5.0)
+    own = await measure_own(cfg)
+    other = await measure_aiobotocore(cfg)
+    lines = [
+        "# Processor time of one call of the table service\n",
+        f"{CALLS.value} calls of each kind, one connection.\n",
+        "| operation | aiohttp and botocore's signer | aiobotocore |",
+        "|---|---|---|",
+    ]
+    lines += [
+        f"| {name} | {own[name]:.2f} ms | {other[name]:.2f} ms |"
+        for name in own
+    ]
+    return "\n".join(lines)
+
+
+def main(argv: list[str]) -> None:
+    """Run the measurement."""
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected argument {argv[1]!r}")
+    print(uvloop.run(run()))
+
+
+if __name__ == "__main__":
+    flags.mark_flag_as_required("endpoint")
+    app.run(main)
--- a/packages/limpetwalk/limpetwalk/ledger/partition.py
+++ b/packages/limpetwalk/limpetwalk/ledger/partition.py
@@ -38,10 +38,9 @@
         self._order: collections.deque[bytes] = collections.deque()
         self._held: set[bytes] = set()
 
-    def add(self, entries: Iterable[base.BillEntry]) -> None:
-        """Remember entries, the newest last, and forget the oldest."""
-        for entry in entries:
-            key = rows.digest(entry)
+    def add(self, keys: Iterable[bytes]) -> None:
+        """Remember keys, the newest last, and forget the oldest."""
+        for key in keys:
             if key not in self._held:
                 self._held.add(key)
                 self._order.append(key)
@@ -104,7 +103,7 @@
                 text, count = rows.encode_batch(waiting)
                 outcome = await self._put(text)
                 if isinstance(outcome, Ok):
-                    self._recent.add(waiting[:count])
+                    self._recent.add(map(rows.digest, waiting[:count]))
                     appended += count
                 else:
                     await self._catch_up(outcome.err_value)
@@ -148,14 +147,15 @@
                 limit=PAGE_ROWS,
             )
             for row in found:
-                self._recent.add(rows.decode_batch(row))
+                self._recent.add(rows.digests(row))
                 self._last = rows.sequence_of(row.key)
             if len(found) < PAGE_ROWS:
                 return
 
     async def _load(self) -> None:
         """Read the newest batches, as far as their keys are remembered."""
-        newest: list[platform.Row] = []
+        newest: list[list[bytes]] = []
+        last = 0
         held = 0
         after = ""
         while held < self._limit:
@@ -165,13 +165,17 @@
                 limit=PAGE_ROWS,
                 descending=True,
             )
-            newest += found
-            held += sum(len(rows.decode_batch(row)) for row in found)
+            if found:
+                last = max(last, rows.sequence_of(found[0].key))
+                after = found[-1].key.sort
+            for row in found:
+                newest.append(rows.digests(row))
+                held += len(newest[-1])
+                # Large batches take milliseconds; other tasks go between.
+                await asyncio.sleep(0)
             if len(found) < PAGE_ROWS:
                 break
-            after = found[-1].key.sort
-        recent = _RecentKeys(self._limit)
-        for row in reversed(newest):
-            recent.add(rows.decode_batch(row))
-        self._recent = recent
-        self._last = rows.sequence_of(newest[0].key) if newest else 0
+        self._recent = _RecentKeys(self._limit)
+        for keys in reversed(newest):
+            self._recent.add(keys)
+        self._last = last
--- a/packages/limpetwalk/limpetwalk/ledger/rows.py
+++ b/packages/limpetwalk/limpetwalk/ledger/rows.py
@@ -55,6 +55,11 @@
     return _ENTRIES.validate_json(row.value)
 
 
+def digests(row: platform.Row) -> list[bytes]:
+    """Return the digests of a batch's entries, in their order."""
+    return [digest(entry) for entry in decode_batch(row)]
+
+
 def encode_batch(entries: Sequence[base.BillEntry]) -> tuple[str, int]:
     """Return a batch of as many of the first entries as a row takes.
 
