Divide allowances by numbers of nodes that all can reckon with

Nodes whose views of the membership differ took shares by different numbers: with an allowance of 2, a node that saw two nodes had one of its own while a grantor that saw three gave out two. Seen in a test where one node's list was newer. Nodes now tell the number they divide by, use a smaller one only after two minutes, and a grantor reckons with the least that each told lately.

--- a/packages/limpetwalk-node/limpetwalk_node/permit_grantor.py
+++ b/packages/limpetwalk-node/limpetwalk_node/permit_grantor.py
@@ -23,6 +23,9 @@
 from limpetwalk.peers import messages
 
 LEASE_TTL = 10.0
+# Shorter than ``node_counts.WINDOW``, so that what was granted by an old
+# number of nodes has ended when a new one is used.
+PERMIT_LIFETIME = 60.0
 # The grantor stops this long before its lease ends, so that a reply under
 # way has come or timed out by then.
 LEASE_MARGIN = 1.0
@@ -32,14 +35,12 @@
 UNKNOWN_SERVER = "unknown server"
 
 
-def share_of_node(allowance: int, nodes: int) -> int:
-    """Return how many requests each node may send without a grantor."""
-    return allowance // nodes
+def share_of_node(allowance: int, nodes: float) -> int:
+    """Return how many requests a node may send without a grantor.
 
-
-def pool_size(allowance: int, nodes: int) -> int:
-    """Return how many permits the grantor has for all nodes."""
-    return allowance - nodes * share_of_node(allowance, nodes)
+    :param nodes: number by which the node divides; infinite for no share.
+    """
+    return math.floor(allowance / nodes)
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +137,7 @@
         pool = self._pools.setdefault(req.server, _Pool())
         if req.release:
             return self._take_back(pool, node, req)
-        if not await self._ensure_lease(req.server, pool, applied.snapshot):
+        if not await self._ensure_lease(req.server, pool):
             self._denied.labels("no_lease").inc()
             return messages.Failure(NO_LEASE)
         return self._grant(pool, node, req, applied.snapshot)
@@ -163,30 +164,32 @@
             return messages.Failure(NO_LEASE)
         now = self._clock.monotonic()
         pool.grants = [g for g in pool.grants if g.expires_at > now]
-        size = pool_size(
-            config.servers[req.server].warmup.concurrency, self._nodes()
-        )
+        size = self._pool_size(config.servers[req.server].warmup.concurrency)
         count = max(0, min(req.count, size - len(pool.grants)))
         if now < pool.blocked_until:
             self._denied.labels("takeover").inc()
             count = 0
         elif not count:
             self._denied.labels("allowance").inc()
-        ttl = config.tuning.request_timeout
-        pool.grants += [_Grant(node, now + ttl)] * count
+        pool.grants += [_Grant(node, now + PERMIT_LIFETIME)] * count
         self._granted.inc(count)
-        return messages.PermitReply(req.server, count, pool.lease.fencing, ttl)
+        return messages.PermitReply(
+            req.server, count, pool.lease.fencing, PERMIT_LIFETIME
+        )
 
-    def _nodes(self) -> int:
-        return len(self._hub.members.known()) + 1
+    def _pool_size(self, allowance: int) -> int:
+        """Return what the shares of the nodes leave of an allowance."""
+        counts = self._hub.members.counts
+        taken = share_of_node(allowance, counts.divisor())
+        for name in self._hub.members.known():
+            taken += share_of_node(allowance, counts.divisor_of(name))
+        return allowance - taken
 
     def _stands(self, pool: _Pool) -> bool:
         self._hub.pauses.check()
         return self._clock.monotonic() < pool.valid_until
 
-    async def _ensure_lease(
-        self, server: str, pool: _Pool, config: snapshot.Snapshot
-    ) -> bool:
+    async def _ensure_lease(self, server: str, pool: _Pool) -> bool:
         async with pool.lock:
             left = pool.valid_until - self._clock.monotonic()
             if left > RENEW_BELOW:
@@ -194,7 +197,7 @@
             try:
                 if left > 0 and pool.lease is not None:
                     return await self._renew(pool, pool.lease)
-                return await self._acquire(server, pool, config)
+                return await self._acquire(server, pool)
             except exceptions.StoreError:
                 return self._stands(pool)
 
@@ -209,9 +212,7 @@
         pool.valid_until = began + LEASE_TTL - LEASE_MARGIN
         return True
 
-    async def _acquire(
-        self, server: str, pool: _Pool, config: snapshot.Snapshot
-    ) -> bool:
+    async def _acquire(self, server: str, pool: _Pool) -> bool:
         began = self._clock.monotonic()
         outcome = await self._keeper.acquire(f"permits/{server}", LEASE_TTL)
         if isinstance(outcome, Err):
@@ -220,15 +221,13 @@
         if lease.fencing != pool.fencing + 1:
             self._takeovers.inc()
             logger.info("this node grants permits of {}", server)
-            await self._collect(server, pool, config)
+            await self._collect(server, pool)
         pool.lease = lease
         pool.fencing = lease.fencing
         pool.valid_until = began + LEASE_TTL - LEASE_MARGIN
         return True
 
-    async def _collect(
-        self, server: str, pool: _Pool, config: snapshot.Snapshot
-    ) -> None:
+    async def _collect(self, server: str, pool: _Pool) -> None:
         """Learn what the nodes hold of the predecessor's permits."""
         asked_at = self._clock.monotonic()
         names = list(self._hub.members.known())
@@ -243,7 +242,7 @@
         now = self._clock.monotonic()
         for name, report in zip(names, reports, strict=True):
             if report is None:
-                pool.blocked_until = asked_at + config.tuning.request_timeout
+                pool.blocked_until = asked_at + PERMIT_LIFETIME
                 continue
             grant = _Grant(name, now + report.ttl)
             pool.grants += [grant] * report.granted
--- a/packages/limpetwalk-node/limpetwalk_node/permits.py
+++ b/packages/limpetwalk-node/limpetwalk_node/permits.py
@@ -1,9 +1,9 @@
 """Permits for cold backend servers, shared by all nodes.
 
-The allowance of a server is split for good: each node may always use
-``floor(allowance / nodes)`` of it, and what remains is the pool. Permits out
-of the pool come from one grantor, so a node that reaches no grantor still
-stays within the allowance.
+Each node may always use its share of a server's allowance,
+``floor(allowance / nodes)``, without asking. The rest is a pool, whose
+permits come from one grantor. So a node that reaches no grantor has its
+share, and all nodes together stay within the allowance.
 """
 
 import asyncio
@@ -89,18 +89,24 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def idle(self) -> None:
+        """Wait until no request for or return of permits is under way."""
+        while self._tasks:
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
     def try_acquire(
         self, server: snapshot.Server, boot_id: str
     ) -> warmup.Permit | None:
         """Return a permit if one is at hand; ask for one otherwise."""
         held = self._held.setdefault(server.name, _Held())
         share = permit_grantor.share_of_node(
-            server.warmup.concurrency, self._nodes()
+            server.warmup.concurrency, self._hub.members.counts.divisor()
         )
+        now = self._clock.monotonic()
         if held.own < share:
             held.own += 1
-            return warmup.Permit(server.name, boot_id)
-        now = self._clock.monotonic()
+            expires_at = now + permit_grantor.PERMIT_LIFETIME
+            return warmup.Permit(server.name, boot_id, expires_at=expires_at)
         held.free = [p for p in held.free if p.expires_at > now]
         if held.free:
             permit = held.free.pop()
@@ -135,9 +141,6 @@
         last = max((permit.expires_at for permit in held), default=now)
         return messages.PermitReply(server, len(held), 0, last - now)
 
-    def _nodes(self) -> int:
-        return len(self._hub.members.known()) + 1
-
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -146,8 +149,10 @@
     async def _ask(self, server: str, boot_id: str, held: _Held) -> None:
         req = messages.PermitRequest(server, boot_id, 1, release=False)
         asked_at = self._clock.monotonic()
-        reply = await self._ask_grantors(req)
-        held.asking = False
+        try:
+            reply = await self._ask_grantors(req)
+        finally:
+            held.asking = False
         if reply is None or not reply.granted:
             self._asked.labels("none").inc()
             held.ask_after = self._clock.monotonic() + ASK_INTERVAL
--- a/packages/limpetwalk/limpetwalk/peers/hub.py
+++ b/packages/limpetwalk/limpetwalk/peers/hub.py
@@ -244,6 +244,7 @@
             digest=in_force.digest,
             leaving=self._leaving,
             confirmed_age=in_force.confirmed_age,
+            nodes=self.members.counts.told(),
         )
 
     async def _read_list(self) -> None:
--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -32,6 +32,7 @@
   digest @5 :Text;
   leaving @6 :Bool;
   confirmedAgeMs @7 :UInt32 = 4294967295;  # the default stands for never
+  nodes @8 :UInt16;         # nodes that the sender sees; 0: takes no share
 }
 
 struct ConfigHead {
--- a/packages/limpetwalk/limpetwalk/peers/membership.py
+++ b/packages/limpetwalk/limpetwalk/peers/membership.py
@@ -16,6 +16,7 @@
 from ..platform import base as platform
 from . import base
 from . import messages
+from . import node_counts
 
 LIVE_BOUND = 3.0
 FORGET_AFTER = 60.0
@@ -40,6 +41,7 @@
     def __init__(
         self, name: str, clock: clocks.Clock, metrics: metrics_.Metrics
     ) -> None:
+        self.counts = node_counts.NodeCounts(clock)
         self._name = name
         self._clock = clock
         self._listed: dict[str, platform.Instance] = {}
@@ -84,6 +86,7 @@
             self._replace_boot(sender, member.beat.boot_id)
         if member is None or not member.live:
             logger.info("peer {} in zone {} is live", sender, beat.zone)
+        self.counts.note(sender, beat.nodes)
         self._members[sender] = _Member(beat, self._clock.monotonic())
         return True
 
@@ -102,7 +105,9 @@
                 logger.info("peer {} is silent", name)
             if silence > FORGET_AFTER and name not in self._listed:
                 del self._members[name]
+                self.counts.forget(name)
                 self._old_boots.pop(name, None)
+        self.counts.note_own(len(self.known()) + 1)
         self._live_gauge.set(len(self.live()))
 
     def live(self) -> list[base.Peer]:
--- a/packages/limpetwalk/limpetwalk/peers/messages.py
+++ b/packages/limpetwalk/limpetwalk/peers/messages.py
@@ -21,6 +21,8 @@
     :param confirmed_age: seconds since some node read in the table service
         that this generation is the newest; infinite when the sender knows
         of no such read.
+    :param nodes: number of nodes by which the sender divides what all
+        share, itself included; 0 while it takes no share.
     """
 
     zone: str
@@ -31,6 +33,7 @@
     digest: str
     leaving: bool
     confirmed_age: float = math.inf
+    nodes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limpetwalk/peers/fakes.py
+++ b/tests/limpetwalk/peers/fakes.py
@@ -12,7 +12,7 @@
 from limpetwalk.platform import base as platform
 from limpetwalk.platform import memory
 
-POLL_INTERVAL = 0.01
+POLL_INTERVAL = 0.001
 WAIT_TIMEOUT = 10.0
 
 
@@ -49,6 +49,12 @@
         """Show a started hub in the list."""
         self.instances.append(instance(hub.name, hub.zone, hub.address))
 
+    def remove(self, name: str) -> None:
+        """Show a node no more."""
+        self.instances = [
+            shown for shown in self.instances if shown.name != name
+        ]
+
 
 def make_hub(
     name: str,
--- /dev/null
+++ b/tests/limpetwalk_node/test_permits.py
@@ -0,0 +1,259 @@
+"""Tests of warm-up permits shared by the nodes."""
+
+import asyncio
+import unittest
+
+from limpetwalk import clock as clocks
+from limpetwalk import leases
+from limpetwalk import metrics
+from limpetwalk.conf import snapshot
+from limpetwalk.peers import messages
+from limpetwalk.peers import node_counts
+from limpetwalk.peers import rendezvous
+from limpetwalk.platform import memory
+from limpetwalk_node import permit_grantor
+from limpetwalk_node import permits
+from tests.limpetwalk.peers import fakes
+
+NAMES = "abc"
+SERVER = "s1"
+OWNER = rendezvous.owner(f"permits/{SERVER}", NAMES)
+OTHERS = [name for name in NAMES if name != OWNER]
+
+
+def server(allowance):
+    return snapshot.Server(
+        name=SERVER,
+        kind=snapshot.ServerKind.ENGINE,
+        protocol="openai",
+        address="127.0.0.1:1",
+        zone="z1",
+        state=snapshot.PlacementState.IN,
+        serves=frozenset(),
+        service="",
+        concurrency=32,
+        warmup=snapshot.WarmUp(concurrency=allowance, duration=30.0),
+        fencing=True,
+    )
+
+
+def applied(allowance):
+    return snapshot.Applied(
+        generation=1,
+        snapshot=snapshot.Snapshot(
+            digest="d",
+            models={},
+            servers={SERVER: server(allowance)},
+            cascades={},
+            services={},
+            workspaces={},
+            rollouts={},
+            zones={},
+            session_keys=(),
+            tuning=snapshot.Tuning(request_timeout=60.0),
+        ),
+    )
+
+
+class Node:
+    """Hub, grantor and permits of one node; counts what it has in use."""
+
+    def __init__(self, name, case):
+        self.case = case
+        self.hub = fakes.make_hub(name, case.instances, "z1", case.clock)
+        self.table = memory.MemoryTable(case.rows)
+        self.metrics = metrics.Metrics()
+        self.grantor = permit_grantor.PermitGrantor(
+            self.hub,
+            leases.LeaseKeeper(self.table, case.clock, self.hub.boot_id),
+            lambda: applied(case.allowance),
+            case.clock,
+            self.metrics,
+        )
+        self.permits = permits.PeerPermits(
+            self.hub, self.grantor, case.clock, self.metrics
+        )
+        self.permits.subscribe(self.take)
+        self.used = []
+        self.wanted = 0
+
+    def take(self, name=SERVER):
+        """Use permits for as many requests as want one."""
+        while self.wanted:
+            permit = self.permits.try_acquire(
+                server(self.case.allowance), "boot"
+            )
+            if permit is None:
+                return
+            self.wanted -= 1
+            self.used.append(permit)
+
+    async def want(self, count):
+        """Want permits until no more are granted."""
+        self.wanted = count
+        while True:
+            await self.case.advance(permits.ASK_INTERVAL)
+            before = len(self.used)
+            self.take()
+            await self.permits.idle()
+            if len(self.used) == before:
+                break
+        self.wanted = 0
+
+    async def finish(self, count):
+        for _ in range(count):
+            self.permits.release(self.used.pop())
+        await self.permits.idle()
+
+    async def stop(self):
+        await self.permits.stop()
+        await self.hub.stop()
+
+
+class PermitsCase(unittest.IsolatedAsyncioTestCase):
+    """Three nodes; the grantor by hash is known before."""
+
+    allowance = 8
+
+    async def asyncSetUp(self):
+        self.clock = clocks.ManualClock()
+        self.instances = fakes.FakeInstances()
+        self.rows = memory.Rows()
+        self.nodes = {}
+        for name in NAMES:
+            node = Node(name, self)
+            await node.hub.start()
+            self.instances.add(node.hub)
+            self.nodes[name] = node
+        await self.meet()
+        # Nodes take a share once they have been up for a while.
+        await self.pass_time(node_counts.WINDOW + 1.0)
+
+    async def asyncTearDown(self):
+        for node in self.nodes.values():
+            await node.stop()
+
+    async def meet(self):
+        others = len(self.nodes) - 1
+        await fakes.until(
+            lambda: all(
+                len(node.hub.live()) == others for node in self.nodes.values()
+            )
+        )
+
+    async def kill(self, name):
+        await self.nodes.pop(name).stop()
+
+    async def pass_time(self, seconds):
+        while seconds > 0:
+            step = min(seconds, 1.9)
+            seconds -= step
+            for node in self.nodes.values():
+                node.hub.members.listed(self.instances.instances)
+                node.hub.members.expire()
+            await self.advance(step)
+
+    async def advance(self, seconds):
+        """Move the clock, with heartbeats of the nodes that are left."""
+        self.clock.advance(seconds)
+        now = self.clock.monotonic()
+        for node in self.nodes.values():
+            node.hub.announce()
+        await fakes.until(
+            lambda: all(
+                node.hub.members.heard_at(name) == now
+                for node in self.nodes.values()
+                for name in self.nodes
+                if name != node.hub.name
+            )
+        )
+
+    def in_use(self):
+        return sum(len(node.used) for node in self.nodes.values())
+
+    async def all_want(self, count=20):
+        for node in self.nodes.values():
+            await node.want(count)
+
+
+class AllowanceTest(PermitsCase):
+    async def test_all_nodes_together_use_the_allowance_and_no_more(self):
+        for self.allowance in (1, 2, 3, 8, 10):
+            with self.subTest(allowance=self.allowance):
+                await self.all_want()
+                self.assertEqual(self.allowance, self.in_use())
+                for node in self.nodes.values():
+                    await node.finish(len(node.used))
+
+    async def test_returned_permits_go_to_another_node(self):
+        await self.nodes["a"].want(20)
+        held = len(self.nodes["a"].used)
+        await self.nodes["a"].finish(held)
+        await self.nodes["b"].want(20)
+        self.assertEqual(held, len(self.nodes["b"].used))
+
+    async def test_without_a_grantor_each_node_has_its_share(self):
+        for node in self.nodes.values():
+            node.table.faults.unavailable = True
+        await self.all_want()
+        self.assertEqual(
+            [self.allowance // 3] * 3,
+            [len(node.used) for node in self.nodes.values()],
+        )
+
+
+class TakeoverTest(PermitsCase):
+    allowance = 2
+
+    async def test_a_new_grantor_counts_what_the_nodes_hold(self):
+        await self.nodes[OTHERS[0]].want(1)
+        self.nodes[OWNER].hub.leave()
+        await self.pass_time(11)
+        await self.all_want()
+        self.assertEqual(self.allowance, self.in_use())
+
+    async def test_a_lost_nodes_permits_come_back_after_their_lifetime(self):
+        await self.nodes[OWNER].want(1)
+        await self.kill(OWNER)
+        await self.pass_time(15)
+        await self.all_want()
+        self.assertEqual(0, self.in_use())
+        await self.pass_time(60)
+        await self.all_want()
+        self.assertEqual(self.allowance, self.in_use())
+
+    async def test_a_lost_node_may_still_hold_what_it_was_granted(self):
+        await self.nodes[OWNER].want(1)
+        await self.nodes[OTHERS[0]].want(1)
+        await self.kill(OWNER)
+        await self.pass_time(15)
+        await self.all_want()
+        self.assertEqual(1, self.in_use())
+
+    async def test_a_paused_grantor_grants_nothing_when_it_wakes(self):
+        await self.nodes[OTHERS[0]].want(1)
+        grantor = self.nodes[OWNER].grantor
+        await self.pass_time(11)
+        # Another node has taken over since; the old one asks the table.
+        other = self.nodes[OTHERS[0]].grantor
+        req = messages.PermitRequest(SERVER, "boot", 1, release=False)
+        reply = await other.grant(OTHERS[0], req)
+        self.assertEqual(1, reply.granted)
+        reply = await grantor.grant(OWNER, req)
+        self.assertIsInstance(reply, messages.Failure)
+
+    async def test_two_that_believe_in_themselves_do_not_both_grant(self):
+        req = messages.PermitRequest(SERVER, "boot", 2, release=False)
+        replies = await asyncio.gather(
+            *(
+                node.grantor.grant(name, req)
+                for name, node in self.nodes.items()
+            )
+        )
+        granted = [
+            reply.granted
+            for reply in replies
+            if isinstance(reply, messages.PermitReply)
+        ]
+        self.assertEqual(self.allowance, sum(granted))
+        self.assertEqual(1, len(granted))
