--- a/packages/limpetwalk-node/limpetwalk_node/config.py
+++ b/packages/limpetwalk-node/limpetwalk_node/config.py
@@ -227,14 +227,13 @@
         own members' word for it, so more than half of the nodes have to be
         reachable, with one in another zone if there is any.
         """
-        known = self._hub.members.known().values()
         live = self._hub.live()
-        if not live or 2 * (len(live) + 1) <= len(known) + 1:
+        expected = self._hub.expected()
+        if not live or 2 * (len(live) + 1) <= len(expected) + 1:
             return False
-        elsewhere = any(peer.zone != self._hub.zone for peer in known)
-        return not elsewhere or any(
-            peer.zone != self._hub.zone for peer in live
-        )
+        own = self._hub.zone
+        elsewhere = any(peer.zone != own for peer in expected)
+        return not elsewhere or any(peer.zone != own for peer in live)
 
     def _number(self) -> int:
         return self._in_force.applied.generation if self._in_force else 0
--- a/packages/limpetwalk/limpetwalk/peers/hub.py
+++ b/packages/limpetwalk/limpetwalk/peers/hub.py
@@ -24,20 +24,18 @@
 from . import base
 from . import calls
 from . import codec
+from . import dialler
+from . import dispatcher
 from . import link as link_
 from . import links
 from . import membership
 from . import messages
 from . import pauses
+from . import topology
 
 HEARTBEAT_INTERVAL = 1.0
 SILENCE_BOUND = 3.0
 LIST_INTERVAL = 2.0
-CONNECT_TIMEOUT = 1.0
-MAX_RUNNING_HANDLERS = 1024
-UNKNOWN_MESSAGE = "unknown message"
-BUSY = "busy"
-HANDLER_FAILED = "handler failed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,16 +61,18 @@
     :param zone: its availability zone.
     :param host: IP address to listen on, which peers reach it at.
     :param port: TCP port; 0 takes a free one.
+    :param full_mesh_nodes: most nodes that form a full mesh.
     """
 
     name: str
     zone: str
     host: str
     port: int
+    full_mesh_nodes: int = topology.FULL_MESH_NODES
 
 
 class Hub:
-    """Links to all live peers, one task for each.
+    """Links to live peers, one task for each.
 
     :param settings: name and place of this node.
     :param instances: the platform's instance list.
@@ -101,10 +101,15 @@
         self._rng = rng
         self._links = links.Links(settings.name)
         self._calls = calls.Calls()
-        self._handlers: dict[type[messages.Message], base.Handler] = {}
+        self._topology = topology.Topology(
+            topology.Place(settings.name, settings.zone),
+            settings.full_mesh_nodes,
+        )
+        self._dialler = dialler.Dialler(
+            self.members, self._links, self._topology, self._serve, clock
+        )
+        self._dispatcher = dispatcher.Dispatcher(self._reply, metrics)
         self._tasks: set[asyncio.Task[None]] = set()
-        self._running: set[asyncio.Task[None]] = set()
-        self._dialling: set[str] = set()
         self._server: asyncio.Server | None = None
         self._sequence = 0
         self._in_force: Callable[[], InForce] = InForce
@@ -115,10 +120,6 @@
             "Messages to peers that were dropped.",
             ("reason",),
         )
-        self._unknown = metrics.counter(
-            "limpetwalk_peer_unknown_messages",
-            "Messages of a kind that this version does not know.",
-        )
         self._closed = metrics.counter(
             "limpetwalk_peer_closed_links",
             "Links to peers that were closed.",
@@ -128,11 +129,6 @@
             "limpetwalk_peer_late_replies",
             "Replies that nobody waited for any more.",
         )
-        self._handler_errors = metrics.counter(
-            "limpetwalk_peer_handler_errors",
-            "Messages whose handler raised an exception.",
-            ("kind",),
-        )
         self._list_errors = metrics.counter(
             "limpetwalk_instance_list_errors",
             "Reads of the instance list that failed.",
@@ -152,13 +148,13 @@
         """Close all links and stop listening."""
         if self._server is not None:
             self._server.close()
-        for task in self._tasks | self._running:
+        for task in self._tasks:
             task.cancel()
         for link in self._links.all():
             link.close()
-        await asyncio.gather(
-            *self._tasks, *self._running, return_exceptions=True
-        )
+        await self._dispatcher.stop()
+        await self._dialler.stop()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
@@ -173,7 +169,12 @@
         self, kind: type[messages.Message], handler: base.Handler
     ) -> None:
         """Call a handler with the sender's name and each such message."""
-        self._handlers[kind] = handler
+        self._dispatcher.subscribe(kind, handler)
+
+    def expected(self) -> list[base.Peer]:
+        """Return the peers that this node should have links to."""
+        known = self.members.known()
+        return [known[name] for name in sorted(self._dialler.chosen())]
 
     def report(self, in_force: Callable[[], InForce]) -> None:
         """Put the configuration in force into each heartbeat."""
@@ -190,9 +191,23 @@
 
     def broadcast(self, message: messages.Message) -> None:
         """Queue a message for every linked peer."""
+        self._write_all(self._links.peers(), message)
+
+    def broadcast_near(self, message: messages.Message) -> None:
+        """Queue a message for the peers of this zone.
+
+        While all nodes form a full mesh, all of them count as near.
+        """
+        near = self._links.peers()
+        if not self._topology.is_full_mesh:
+            zones = {peer.name: peer.zone for peer in self.live()}
+            near = [name for name in near if zones.get(name) == self.zone]
+        self._write_all(near, message)
+
+    def _write_all(self, names: list[str], message: messages.Message) -> None:
         frame = codec.encode(codec.Envelope(self.name, message))
-        for peer in self._links.peers():
-            self._write(peer, frame)
+        for name in names:
+            self._write(name, frame)
 
     def send(self, peer: str, message: messages.Message) -> None:
         """Queue a message for one peer; lost when the link is down."""
@@ -203,9 +218,12 @@
     ) -> messages.Message:
         """Send a message and return the reply.
 
+        A peer that this node keeps no link to is dialled.
+
         :param timeout: longest wait, in seconds.
         :raises PeerUnavailable: when no reply came in time.
         """
+        await self._dialler.reach(peer, timeout)
         call_id, fut = self._calls.open(peer)
         try:
             frame = codec.encode(
@@ -253,7 +271,7 @@
                 self.members.listed(await self._instances.fetch())
             except exceptions.InstanceListUnavailable:
                 self._list_errors.inc()
-            self._dial_missing()
+            self._dialler.dial_missing()
             await asyncio.sleep(LIST_INTERVAL * self._rng.uniform(0.9, 1.1))
 
     async def _tend(self) -> None:
@@ -264,7 +282,9 @@
             frame = codec.encode(codec.Envelope(self.name, self._heartbeat()))
             for link in self._links.all():
                 link.write(frame)
-            self._dial_missing()
+            self._dialler.dial_missing()
+            for link in self._dialler.surplus():
+                self._close(link, "surplus")
             await asyncio.sleep(HEARTBEAT_INTERVAL)
 
     def _doubt_links(self) -> None:
@@ -283,25 +303,6 @@
         self._closed.labels(reason).inc()
         link.close()
 
-    def _dial_missing(self) -> None:
-        linked = set(self._links.peers())
-        for name, peer in self.members.known().items():
-            if name not in linked and name not in self._dialling:
-                self._dialling.add(name)
-                self._spawn(self._dial(peer))
-
-    async def _dial(self, peer: base.Peer) -> None:
-        host, _, port = peer.address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                reader, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, ValueError):
-            self._dialling.discard(peer.name)
-            return
-        link = link_.Link(reader, writer, True, self._clock)
-        link.peer = peer.name
-        await self._serve(link)
-
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -310,29 +311,26 @@
         )
 
     async def _serve(self, link: link_.Link) -> None:
-        dialled = link.peer
         hello = codec.Envelope(self.name, self._heartbeat())
         link.write(codec.encode(hello))
         reason = "ended"
         try:
             async with asyncio.timeout(SILENCE_BOUND):
                 await self._greet(link)
-            self._dialling.discard(dialled)
             while True:
                 packed = await link.read()
                 self.pauses.check()
                 if link.closed:
                     return
                 self._receive(link, packed)
-        except codec.MalformedFrame as exc:
-            logger.warning("link to {} closed: {}", link.peer, exc)
+        except (codec.MalformedFrame, codec.UnknownMessage) as exc:
+            logger.debug("link to {} closed: {}", link.peer, exc)
             reason = "malformed"
         except TimeoutError:
             reason = "silent"
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            self._dialling.discard(dialled)
             if not link.closed:
                 self._close(link, reason)
             if self._links.remove(link):
@@ -352,13 +350,13 @@
             raise codec.MalformedFrame("a later boot has replaced the peer")
         for earlier in self._links.add(link):
             self._close(earlier, "replaced")
+        self._dialler.linked(link.peer)
 
     def _receive(self, link: link_.Link, packed: bytes) -> None:
         try:
             envelope = codec.decode(packed)
         except codec.UnknownMessage as exc:
-            self._unknown.inc()
-            self._fail(link, exc.call_id, UNKNOWN_MESSAGE)
+            self._dispatcher.skip(link, exc.call_id)
             return
         if envelope.sender != link.peer:
             raise codec.MalformedFrame(f"sender changed to {envelope.sender}")
@@ -370,44 +368,7 @@
             if not self._calls.resolve(link.peer, envelope.call_id, message):
                 self._late.inc()
             return
-        self._handle(link, envelope)
-
-    def _handle(self, link: link_.Link, envelope: codec.Envelope) -> None:
-        handler = self._handlers.get(type(envelope.message))
-        if handler is None:
-            if not isinstance(envelope.message, messages.Heartbeat):
-                self._unknown.inc()
-                self._fail(link, envelope.call_id, UNKNOWN_MESSAGE)
-            return
-        if len(self._running) >= MAX_RUNNING_HANDLERS:
-            self._dropped.labels("busy").inc()
-            self._fail(link, envelope.call_id, BUSY)
-            return
-        task = asyncio.create_task(self._run(handler, link, envelope))
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
-
-    def _fail(self, link: link_.Link, call_id: int, text: str) -> None:
-        if call_id:
-            self._reply(link, call_id, messages.Failure(text))
-
-    async def _run(
-        self,
-        handler: base.Handler,
-        link: link_.Link,
-        envelope: codec.Envelope,
-    ) -> None:
-        try:
-            reply = await handler(envelope.sender, envelope.message)
-        except Exception as exc:
-            kind = type(envelope.message).__name__
-            self._handler_errors.labels(kind).inc()
-            logger.warning("handler of {} failed: {}", kind, exc)
-            reply = messages.Failure(HANDLER_FAILED)
-        if envelope.call_id:
-            self._reply(
-                link, envelope.call_id, reply or messages.Failure("no reply")
-            )
+        self._dispatcher.handle(link, envelope)
 
     def _reply(
         self, link: link_.Link, call_id: int, message: messages.Message
