--- a/packages/limpetwalk-node/limpetwalk_node/billing.py
+++ b/packages/limpetwalk-node/limpetwalk_node/billing.py
@@ -226,22 +226,25 @@
         self, sender: str, message: messages.Message
     ) -> messages.Message | None:
         assert isinstance(message, messages.BillEntries)
-        if message.purpose is messages.Purpose.WRITE:
-            return await self._write_for_peer(message)
         if message.purpose is messages.Purpose.HOLD:
             beat = self._hub.members.live_beats().get(sender)
             boot_id = beat.boot_id if beat else ""
             if not self._copies.hold(sender, boot_id, message):
                 return messages.Failure(NO_ROOM)
-        else:
+        elif message.purpose is messages.Purpose.RELEASE:
             self._copies.release(sender, message.entries)
+        else:
+            return await self._write_for_peer(message)
         return messages.BillAck(len(message.entries))
 
     async def _write_for_peer(
         self, message: messages.BillEntries
     ) -> messages.Message:
+        write = self._delivery.write_here
+        if message.purpose is messages.Purpose.COLLECT:
+            write = self._delivery.collect_here
         try:
-            await self._delivery.write_here(message.partition, message.entries)
+            await write(message.partition, message.entries)
         except exceptions.StoreError:
             return messages.Failure(STORE_FAILED)
         return messages.BillAck(len(message.entries))
--- a/packages/limpetwalk-node/limpetwalk_node/crashes.py
+++ b/packages/limpetwalk-node/limpetwalk_node/crashes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Coroutine
 import hashlib
 from typing import Any
@@ -59,6 +60,10 @@
         self._table = table
         self._clock = clock
         self._tasks: set[asyncio.Task[None]] = set()
+        # Reports that were told on already, the oldest first.
+        self._seen: collections.OrderedDict[messages.CrashReport, None] = (
+            collections.OrderedDict()
+        )
         self._reports = metrics.counter(
             "limpetwalk_crash_reports",
             "Crash reports, by where they came from or went.",
@@ -80,6 +85,7 @@
     def share(self, fingerprint: str, server: str, boot_id: str) -> None:
         """Tell the peers of a crash and keep it."""
         report = messages.CrashReport(fingerprint, server, boot_id)
+        self._is_new(report)
         self._reports.labels("sent").inc()
         self._hub.broadcast(report)
         if len(self._tasks) >= MAX_WRITES:
@@ -98,9 +104,22 @@
     ) -> messages.Message | None:
         assert isinstance(message, messages.CrashReport)
         self._reports.labels("received").inc()
+        if not self._is_new(message):
+            return None
         self._merge(message.fingerprint, message.server, message.boot_id)
+        if not self._hub.is_full_mesh:
+            # Nodes that the sender has no link to learn of it from here.
+            self._hub.broadcast(message)
         return None
 
+    def _is_new(self, report: messages.CrashReport) -> bool:
+        if report in self._seen:
+            return False
+        self._seen[report] = None
+        while len(self._seen) > MAX_ROWS:
+            self._seen.popitem(last=False)
+        return True
+
     def _merge(self, fingerprint: str, server: str, boot_id: str) -> None:
         self._quarantine.merge(fingerprint, server, boot_id)
 
--- a/packages/limpetwalk/limpetwalk/peers/codec.py
+++ b/packages/limpetwalk/limpetwalk/peers/codec.py
@@ -49,6 +49,10 @@
         self.call_id = call_id
 
 
+class _UnknownValue(Exception):
+    """A field has a value that this version does not know."""
+
+
 @dataclass(frozen=True, slots=True)
 class Envelope:
     """Message with what the link needs to deliver it.
@@ -102,7 +106,7 @@
             field.name,
             wire,
             lambda purpose: purpose.value,
-            lambda text: messages.Purpose(str(text)),
+            _decode_purpose,
         )
     if kind == tuple[str, ...]:
         return _Field(field.name, wire, list, tuple)
@@ -111,6 +115,13 @@
     return _Field(field.name, wire, _same, _same)
 
 
+def _decode_purpose(value: Any) -> messages.Purpose:
+    try:
+        return messages.Purpose(str(value))
+    except ValueError:
+        raise _UnknownValue(f"unknown purpose {value}") from None
+
+
 def _fields(kind: type) -> tuple[_Field, ...]:
     hints = typing.get_type_hints(kind)
     return tuple(
@@ -199,18 +210,24 @@
     if reader.protocol < PROTOCOL:
         raise MalformedFrame(f"protocol {reader.protocol} is too old")
     try:
-        name = str(reader.body.which())
-    except capnp.KjException:
+        message = _decode_body(reader.body)
+    except _UnknownValue:
         raise UnknownMessage(reader.sender, reader.callId) from None
-    kind = _KINDS[name]
-    value = getattr(reader.body, name)
-    if kind is messages.Failure:
-        message = messages.Failure(text=value)
-    else:
-        message = kind(**_from_wire(_FIELDS[kind], value))
     return Envelope(
         sender=reader.sender,
         message=message,
         call_id=reader.callId,
         is_reply=reader.isReply,
     )
+
+
+def _decode_body(body: Any) -> messages.Message:
+    try:
+        name = str(body.which())
+    except capnp.KjException:
+        raise _UnknownValue("unknown message") from None
+    value = getattr(body, name)
+    kind = _KINDS[name]
+    if kind is messages.Failure:
+        return messages.Failure(text=value)
+    return kind(**_from_wire(_FIELDS[kind], value))
--- a/packages/limpetwalk/limpetwalk/peers/hub.py
+++ b/packages/limpetwalk/limpetwalk/peers/hub.py
@@ -176,6 +176,25 @@
         known = self.members.known()
         return [known[name] for name in sorted(self._dialler.chosen())]
 
+    @property
+    def is_full_mesh(self) -> bool:
+        """Whether this node keeps links to all nodes."""
+        return self._topology.is_full_mesh
+
+    def candidates(self) -> list[base.Peer]:
+        """Return the peers that may take on a role, linked or not.
+
+        A peer that this node keeps no link to counts as long as the
+        instance list shows it.
+        """
+        live = self.members.live_beats()
+        chosen = self._dialler.chosen()
+        return [
+            peer
+            for name, peer in self.members.known().items()
+            if not peer.leaving and (name in live or name not in chosen)
+        ]
+
     def report(self, in_force: Callable[[], InForce]) -> None:
         """Put the configuration in force into each heartbeat."""
         self._in_force = in_force
--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -70,6 +70,7 @@
     write @0;               # append to the ledger, acknowledge when durable
     hold @1;                # keep a copy until released
     release @2;             # the copies are durable in the ledger
+    collect @3;             # bring them to the partition's writer
   }
 }
 
--- a/packages/limpetwalk/limpetwalk/peers/messages.py
+++ b/packages/limpetwalk/limpetwalk/peers/messages.py
@@ -69,6 +69,7 @@
     WRITE = "write"
     HOLD = "hold"
     RELEASE = "release"
+    COLLECT = "collect"
 
 
 @dataclass(frozen=True, slots=True)
