--- a/packages/limpetwalk-bench/limpetwalk_bench/node_links.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/node_links.py
@@ -7,6 +7,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
 from limpetwalk.peers import hub as hubs
+from limpetwalk.peers import topology
 from limpetwalk.platform import base as platform
 from limpetwalk.platform import memory
 
@@ -19,10 +20,11 @@
     zone: str,
     instances: memory.MemoryInstances,
     metrics: metrics_.Metrics,
+    full_mesh_nodes: int = topology.FULL_MESH_NODES,
 ) -> hubs.Hub:
     """Return a hub on a free loopback port, not started."""
     return hubs.Hub(
-        hubs.HubSettings(name=name, zone=zone, host="127.0.0.1", port=0),
+        hubs.HubSettings(name, zone, "127.0.0.1", 0, full_mesh_nodes),
         instances,
         clocks.SystemClock(),
         random.Random(name),
--- a/packages/limpetwalk-node/limpetwalk_node/config.py
+++ b/packages/limpetwalk-node/limpetwalk_node/config.py
@@ -19,6 +19,7 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.conf import snapshot
 from limpetwalk.peers import hub as hubs
+from limpetwalk.peers import hub_status
 from limpetwalk.peers import messages
 
 from . import config_fetch
@@ -253,10 +254,10 @@
     def _paused(self) -> None:
         self._paused_at = self._clock.monotonic()
 
-    def _report(self) -> hubs.InForce:
+    def _report(self) -> hub_status.InForce:
         if self._in_force is None:
-            return hubs.InForce()
-        return hubs.InForce(
+            return hub_status.InForce()
+        return hub_status.InForce(
             generation=self._in_force.applied.generation,
             digest=self._in_force.digest,
             confirmed_age=self._clock.monotonic() - self._read_at,
--- a/packages/limpetwalk/limpetwalk/peers/hub.py
+++ b/packages/limpetwalk/limpetwalk/peers/hub.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from dataclasses import dataclass
-import math
 import random
 from typing import Any
 import uuid
@@ -26,6 +25,7 @@
 from . import codec
 from . import dialler
 from . import dispatcher
+from . import hub_status
 from . import link as link_
 from . import links
 from . import membership
@@ -38,21 +38,6 @@
 LIST_INTERVAL = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class InForce:
-    """Configuration that a node tells its peers of in its heartbeats.
-
-    :param generation: generation in force; 0 before the first.
-    :param digest: its digest.
-    :param confirmed_age: seconds since some node read in the table service
-        that it is the newest.
-    """
-
-    generation: int = 0
-    digest: str = ""
-    confirmed_age: float = math.inf
-
-
 @dataclass(frozen=True, slots=True)
 class HubSettings:
     """What a hub is told of its own node.
@@ -112,7 +97,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._sequence = 0
-        self._in_force: Callable[[], InForce] = InForce
+        self._in_force: Callable[[], hub_status.InForce] = hub_status.InForce
         self._leaving = False
         self.address = ""
         self._dropped = metrics.counter(
@@ -134,6 +119,10 @@
             "Reads of the instance list that failed.",
         )
 
+    def traffic(self) -> hub_status.Traffic:
+        """Return the bytes sent and received since the start."""
+        return self._links.traffic()
+
     async def start(self) -> None:
         """Listen for peers and open links to those of the list."""
         self._server = await asyncio.start_server(
@@ -195,7 +184,7 @@
             if not peer.leaving and (name in live or name not in chosen)
         ]
 
-    def report(self, in_force: Callable[[], InForce]) -> None:
+    def report(self, in_force: Callable[[], hub_status.InForce]) -> None:
         """Put the configuration in force into each heartbeat."""
         self._in_force = in_force
 
--- a/packages/limpetwalk/limpetwalk/peers/links.py
+++ b/packages/limpetwalk/limpetwalk/peers/links.py
@@ -1,5 +1,6 @@
 """Open links of a node, by peer."""
 
+from . import hub_status
 from . import link as link_
 
 
@@ -12,6 +13,8 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._links: dict[str, list[link_.Link]] = {}
+        self._sent = 0
+        self._received = 0
 
     def add(self, link: link_.Link) -> list[link_.Link]:
         """Take a link whose peer is known by now.
@@ -32,6 +35,8 @@
         if link not in held:
             return False
         held.remove(link)
+        self._sent += link.bytes_out
+        self._received += link.bytes_in
         if held:
             return False
         del self._links[link.peer]
@@ -46,6 +51,14 @@
         """Return the names of linked peers."""
         return list(self._links)
 
+    def traffic(self) -> hub_status.Traffic:
+        """Return the bytes of all links, those closed since included."""
+        held = self.all()
+        return hub_status.Traffic(
+            sent=self._sent + sum(link.bytes_out for link in held),
+            received=self._received + sum(link.bytes_in for link in held),
+        )
+
     def all(self) -> list[link_.Link]:
         """Return every open link."""
         return [link for held in self._links.values() for link in held]
