--- a/packages/limpetwalk/limpetwalk/peers/hub.py
+++ b/packages/limpetwalk/limpetwalk/peers/hub.py
@@ -131,7 +131,7 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         self._spawn(self._read_list())
-        self._spawn(self._tend())
+        self._spawn(self._tend_forever())
 
     async def stop(self) -> None:
         """Close all links and stop listening."""
@@ -282,17 +282,21 @@
             self._dialler.dial_missing()
             await asyncio.sleep(LIST_INTERVAL * self._rng.uniform(0.9, 1.1))
 
-    async def _tend(self) -> None:
+    def tend(self) -> None:
+        """Look after the links once, with a heartbeat on each."""
+        self.pauses.check()
+        self.members.expire()
+        self._close_silent()
+        frame = codec.encode(codec.Envelope(self.name, self._heartbeat()))
+        for link in self._links.all():
+            link.write(frame)
+        self._dialler.dial_missing()
+        for link in self._dialler.surplus():
+            self._close(link, "surplus")
+
+    async def _tend_forever(self) -> None:
         while True:
-            self.pauses.check()
-            self.members.expire()
-            self._close_silent()
-            frame = codec.encode(codec.Envelope(self.name, self._heartbeat()))
-            for link in self._links.all():
-                link.write(frame)
-            self._dialler.dial_missing()
-            for link in self._dialler.surplus():
-                self._close(link, "surplus")
+            self.tend()
             await asyncio.sleep(HEARTBEAT_INTERVAL)
 
     def _doubt_links(self) -> None:
--- a/tests/limpetwalk/peers/fakes.py
+++ b/tests/limpetwalk/peers/fakes.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 import random
 
+from loguru import logger
+
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk import metrics
@@ -13,6 +15,9 @@
 from limpetwalk.platform import base as platform
 from limpetwalk.platform import memory
 
+# Tests look at counters; lines of links that come and go hide failures.
+logger.disable("limpetwalk.peers")
+
 POLL_INTERVAL = 0.001
 WAIT_TIMEOUT = 10.0
 
@@ -63,6 +68,7 @@
     zone: str = "z1",
     clock: clocks.Clock | None = None,
     full_mesh_nodes: int = topology.FULL_MESH_NODES,
+    counted: metrics.Metrics | None = None,
 ) -> hubs.Hub:
     """Return a hub on a free loopback port, not started."""
     return hubs.Hub(
@@ -70,7 +76,7 @@
         instances,
         clock or clocks.SystemClock(),
         random.Random(name),
-        metrics.Metrics(),
+        counted or metrics.Metrics(),
     )
 
 
