--- /dev/null
+++ b/tests/limpetwalk/peers/test_codec.py
@@ -0,0 +1,184 @@
+"""Tests of the frames between nodes."""
+
+import math
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from limpetwalk.ledger import base as ledger
+from limpetwalk.peers import codec
+from limpetwalk.peers import messages
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=200, database=None
+)
+
+texts = strategies.text(max_size=40)
+words = strategies.integers(0, 2**64 - 1)
+counts = strategies.integers(0, 2**32 - 1)
+small = strategies.integers(0, 2**16 - 1)
+numbers = strategies.floats(allow_nan=False, allow_infinity=False)
+seconds = strategies.integers(0, 10**9).map(lambda ms: ms / 1000)
+ages = strategies.one_of(seconds, strategies.just(math.inf))
+
+entries = strategies.builds(
+    ledger.BillEntry,
+    workspace=texts,
+    request_key=texts,
+    request_id=texts,
+    subject=texts,
+    steps=strategies.lists(texts, max_size=4).map(tuple),
+    input_tokens=counts,
+    output_tokens=counts,
+    cost=words,
+    answered_at=numbers,
+    node=texts,
+)
+
+MESSAGES = strategies.one_of(
+    strategies.builds(
+        messages.Heartbeat,
+        zone=texts,
+        address=texts,
+        boot_id=texts,
+        sequence=words,
+        generation=words,
+        digest=texts,
+        leaving=strategies.booleans(),
+        confirmed_age=ages,
+        nodes=small,
+    ),
+    strategies.builds(messages.ConfigHead, generation=words, digest=texts),
+    strategies.builds(messages.SnapshotRequest, digest=texts),
+    strategies.builds(
+        messages.SnapshotReply, digest=texts, data=strategies.binary()
+    ),
+    strategies.builds(
+        messages.BillEntries,
+        partition=small,
+        entries=strategies.lists(entries, max_size=5).map(tuple),
+        purpose=strategies.sampled_from(messages.Purpose),
+    ),
+    strategies.builds(messages.BillAck, accepted=counts),
+    strategies.builds(
+        messages.PermitRequest,
+        server=texts,
+        boot_id=texts,
+        count=small,
+        release=strategies.booleans(),
+    ),
+    strategies.builds(
+        messages.PermitReply,
+        server=texts,
+        granted=small,
+        fencing=words,
+        ttl=strategies.integers(0, 2**31).map(lambda ms: ms / 1000),
+    ),
+    strategies.builds(
+        messages.CrashReport, fingerprint=texts, server=texts, boot_id=texts
+    ),
+    strategies.builds(
+        messages.ServerReport,
+        server=texts,
+        boot_id=texts,
+        running=counts,
+        waiting=counts,
+        token_ms=strategies.floats(width=32, allow_nan=False),
+        age=seconds.filter(lambda age: age < 4_000_000),
+    ),
+    strategies.builds(
+        messages.Evidence,
+        subject=texts,
+        version=texts,
+        window=words,
+        successes=counts,
+        failures=counts,
+        total=numbers,
+        squares=numbers,
+        rated=counts,
+    ),
+    strategies.builds(messages.Failure, text=texts),
+)
+
+
+def packed(message):
+    envelope = codec.Envelope("sender", message, call_id=3)
+    return codec.encode(envelope)[codec.LENGTH_BYTES :]
+
+
+class RoundTripTest(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(MESSAGES, texts, words, strategies.booleans())
+    def test_decode_undoes_encode(self, message, sender, call_id, is_reply):
+        envelope = codec.Envelope(sender, message, call_id, is_reply)
+        frame = codec.encode(envelope)
+        size = int.from_bytes(frame[: codec.LENGTH_BYTES], "little")
+        self.assertEqual(len(frame) - codec.LENGTH_BYTES, size)
+        self.assertEqual(envelope, codec.decode(frame[codec.LENGTH_BYTES :]))
+
+    def test_a_field_out_of_range_is_refused(self):
+        cases = (
+            messages.BillAck(2**32),
+            messages.BillAck(-1),
+            messages.PermitRequest("s", "b", 2**16, False),
+            messages.Heartbeat("z", "a", "b", -1, 0, "", False),
+        )
+        for message in cases:
+            with self.subTest(message), self.assertRaises(ValueError):
+                packed(message)
+
+    def test_a_frame_over_the_limit_is_refused(self):
+        # Packing shortens zeros only.
+        data = b"\x01" * (codec.MAX_FRAME_BYTES + 1)
+        with self.assertRaises(ValueError):
+            packed(messages.SnapshotReply("d", data))
+
+    def test_a_heartbeat_without_the_later_fields_confirms_nothing(self):
+        beat = messages.Heartbeat("z", "a", "b", 1, 0, "", False)
+        self.assertEqual(
+            math.inf, codec.decode(packed(beat)).message.confirmed_age
+        )
+
+
+class FuzzTest(unittest.TestCase):
+    """Whatever the bytes are, only the two declared errors come out."""
+
+    def decode(self, data):
+        try:
+            return codec.decode(data)
+        except (codec.MalformedFrame, codec.UnknownMessage):
+            return None
+
+    @SETTINGS
+    @hypothesis.given(strategies.binary(max_size=400))
+    def test_random_bytes(self, data):
+        self.decode(data)
+
+    @SETTINGS
+    @hypothesis.given(MESSAGES, strategies.data())
+    def test_frames_cut_short(self, message, data):
+        whole = packed(message)
+        size = data.draw(strategies.integers(0, len(whole)))
+        self.decode(whole[:size])
+
+    @SETTINGS
+    @hypothesis.given(MESSAGES, strategies.data())
+    def test_frames_with_bytes_changed(self, message, data):
+        changed = bytearray(packed(message))
+        for _ in range(data.draw(strategies.integers(1, 8))):
+            place = data.draw(strategies.integers(0, len(changed) - 1))
+            changed[place] = data.draw(strategies.integers(0, 255))
+        found = self.decode(bytes(changed))
+        if found is not None:
+            self.assertIsInstance(found.message, messages.Message)
+
+    def test_a_small_frame_does_not_unpack_to_much_memory(self):
+        # 512 MiB of zeros, packed into a few hundred KiB.
+        words_claimed = 64 * 1024 * 1024
+        head = (0).to_bytes(4, "little") + words_claimed.to_bytes(4, "little")
+        tag = sum(1 << i for i, byte in enumerate(head) if byte)
+        start = bytes([tag]) + bytes(byte for byte in head if byte)
+        zeros = b"\x00\xff" * (words_claimed // 256)
+        with self.assertRaises(codec.MalformedFrame):
+            codec.decode(start + zeros)
