--- a/packages/limpetwalk-node/limpetwalk_node/reports.py
+++ b/packages/limpetwalk-node/limpetwalk_node/reports.py
@@ -119,9 +119,10 @@
             self._reading.discard(replica.name)
         self._reports.labels("read").inc()
         replica.note_report(load, self._clock.monotonic())
-        self._tell(replica.name, load)
+        self.tell(replica.name, load)
 
-    def _tell(self, name: str, load: backends.LoadReport) -> None:
+    def tell(self, name: str, load: backends.LoadReport) -> None:
+        """Tell the nodes nearby of a load, unless they know it."""
         report = messages.ServerReport(
             server=name,
             boot_id=load.boot_id,
--- /dev/null
+++ b/tests/limpetwalk/peers/test_topology.py
@@ -0,0 +1,81 @@
+"""Tests of the choice of links."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from limpetwalk.peers import topology
+
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=60, database=None
+)
+
+
+def choose(zones, limit):
+    """Return the links that each node chooses."""
+    return {
+        name: topology.Topology(topology.Place(name, zone), limit).choose(
+            {peer: where for peer, where in zones.items() if peer != name}
+        )
+        for name, zone in zones.items()
+    }
+
+
+def reachable(links):
+    """Return the nodes reached from the first over links of either end."""
+    both = {name: set(chosen) for name, chosen in links.items()}
+    for name, chosen in links.items():
+        for peer in chosen:
+            both[peer].add(name)
+    found, todo = set(), [min(links)]
+    while todo:
+        name = todo.pop()
+        if name not in found:
+            found.add(name)
+            todo.extend(both[name])
+    return found
+
+
+class TopologyTest(unittest.TestCase):
+    def test_few_nodes_form_a_full_mesh(self):
+        zones = {f"n{n}": f"z{n % 3}" for n in range(9)}
+        for name, chosen in choose(zones, 40).items():
+            self.assertEqual(set(zones) - {name}, chosen)
+
+    def test_links_stay_few_at_the_size_to_design_for(self):
+        zones = {f"n{n:03d}": f"z{n % 22:02d}" for n in range(380)}
+        links = choose(zones, topology.FULL_MESH_NODES)
+        counts = {name: len(chosen) for name, chosen in links.items()}
+        for chosen in links.values():
+            for peer in chosen:
+                counts[peer] += 1
+        # Links within the zone are chosen by both ends.
+        most = max(counts.values()) - 2 * 17
+        self.assertLess(most, 12)
+        self.assertEqual(set(zones), reachable(links))
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.dictionaries(
+            strategies.text("abcdef", min_size=1, max_size=4),
+            strategies.sampled_from(("z1", "z2", "z3", "z4", "z5")),
+            min_size=2,
+            max_size=30,
+        )
+    )
+    def test_links_connect_all_nodes(self, zones):
+        self.assertEqual(set(zones), reachable(choose(zones, 1)))
+
+    def test_a_node_at_the_limit_does_not_turn_the_links_over(self):
+        held = topology.Topology(topology.Place("a", "z1"), 10)
+        zones = {f"n{n}": f"z{n % 3}" for n in range(10)}
+        held.choose(zones)
+        self.assertFalse(held.is_full_mesh)
+        zones.pop("n9")
+        held.choose(zones)
+        self.assertFalse(held.is_full_mesh)
+        for number in range(7, 9):
+            zones.pop(f"n{number}")
+        held.choose(zones)
+        self.assertTrue(held.is_full_mesh)
--- /dev/null
+++ b/tests/limpetwalk_node/test_reports.py
@@ -0,0 +1,174 @@
+"""Tests of shared load reports."""
+
+import random
+import unittest
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics
+from limpetwalk.backends import base as backends
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import replicas
+from limpetwalk_node import reports
+from tests.limpetwalk.peers import fakes
+
+ZONES = {"a": "z1", "b": "z1", "c": "z2"}
+SERVERS = {f"s{n}": ("z1", "z2", "z3")[n % 3] for n in range(12)}
+
+
+class FakeClient:
+    """Client that tells a load and counts how often it was asked."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def load(self):
+        self.reads += 1
+        return backends.LoadReport("boot", 3, 1, 20.0, 0.0)
+
+    async def close(self):
+        pass
+
+
+def config():
+    servers = {
+        name: snapshot.Server(
+            name=name,
+            kind=snapshot.ServerKind.ENGINE,
+            protocol="openai",
+            address="127.0.0.1:1",
+            zone=zone,
+            state=snapshot.PlacementState.IN,
+            serves=frozenset(),
+            service="",
+            concurrency=8,
+            warmup=snapshot.WarmUp(1, 1.0),
+            fencing=True,
+        )
+        for name, zone in SERVERS.items()
+    }
+    return snapshot.Applied(
+        1,
+        snapshot.Snapshot(
+            digest="d",
+            models={},
+            servers=servers,
+            cascades={},
+            services={},
+            workspaces={},
+            rollouts={},
+            zones={},
+            session_keys=(),
+            tuning=snapshot.Tuning(),
+        ),
+    )
+
+
+class Node:
+    """Hub, replicas and load reports of one node."""
+
+    def __init__(self, name, instances):
+        applied = config()
+        clock = clocks.SystemClock()
+        self.hub = fakes.make_hub(name, instances, ZONES[name])
+        self.metrics = metrics.Metrics()
+        self.directory = replicas.Directory(
+            lambda: applied,
+            clock,
+            random.Random(name),
+            factory=lambda server, tuning: FakeClient(),
+        )
+        self.reports = reports.LoadReports(
+            self.hub,
+            self.directory,
+            lambda: True,
+            clock,
+            random.Random(name),
+            self.metrics,
+        )
+
+    def read(self):
+        """Return the names of the servers that were asked."""
+        return {
+            name
+            for name, replica in self.directory.current().by_name.items()
+            if replica.client.reads
+        }
+
+    def fresh(self):
+        """Return the names of the servers whose load is known."""
+        now = clocks.SystemClock().monotonic()
+        return {
+            name
+            for name, replica in self.directory.current().by_name.items()
+            if replica.is_fresh(now)
+        }
+
+
+class LoadReportsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        instances = fakes.FakeInstances()
+        self.nodes = {}
+        for name in ZONES:
+            node = Node(name, instances)
+            self.nodes[name] = node
+            await node.hub.start()
+            instances.add(node.hub)
+        await fakes.until(
+            lambda: all(
+                len(node.hub.live()) == 2 for node in self.nodes.values()
+            )
+        )
+
+    async def asyncTearDown(self):
+        for node in self.nodes.values():
+            await node.reports.stop()
+            await node.hub.stop()
+
+    async def test_each_server_is_read_by_one_node_and_known_to_all(self):
+        for node in self.nodes.values():
+            await node.reports.start()
+        await fakes.until(
+            lambda: all(
+                node.fresh() == set(SERVERS) for node in self.nodes.values()
+            )
+        )
+        read = [name for node in self.nodes.values() for name in node.read()]
+        self.assertEqual(sorted(SERVERS), sorted(read))
+
+    async def test_servers_are_read_in_their_zone(self):
+        for name, node in self.nodes.items():
+            for replica in node.reports.mine():
+                zone = replica.server.zone
+                if zone in ZONES.values():
+                    self.assertEqual(ZONES[name], zone)
+
+    async def test_the_servers_of_a_lost_node_go_to_the_others(self):
+        self.nodes["a"].hub.leave()
+        await fakes.until(
+            lambda: all(
+                peer.leaving
+                for name in "bc"
+                for peer in self.nodes[name].hub.live()
+                if peer.name == "a"
+            )
+        )
+        mine = [
+            replica.name
+            for name in "bc"
+            for replica in self.nodes[name].reports.mine()
+        ]
+        self.assertEqual(sorted(SERVERS), sorted(mine))
+
+    async def test_an_unchanged_load_is_not_told_again_at_once(self):
+        node = self.nodes["a"]
+        load = backends.LoadReport("boot", 10, 0, 20.0, 0.0)
+        near = backends.LoadReport("boot", 10, 1, 20.0, 0.0)
+        far = backends.LoadReport("boot", 10, 2, 20.0, 0.0)
+        for report, sent in ((load, 1), (load, 1), (near, 1), (far, 2)):
+            node.reports.tell("s0", report)
+            self.assertEqual(
+                sent,
+                node.metrics.value(
+                    "limpetwalk_load_reports_total", {"way": "sent"}
+                ),
+            )
