Check a request's access again right before each attempt

Before, a workspace that lost a model between two attempts of one step was only noticed at the next step of the cascade.

--- a/packages/limpetwalk-node/limpetwalk_node/services.py
+++ b/packages/limpetwalk-node/limpetwalk_node/services.py
@@ -1,6 +1,7 @@
 """``/services/{name}/{path}`` and ``GET /outcomes/{key}``."""
 
 import base64
+from collections.abc import Callable
 import hashlib
 from typing import Any
 
@@ -11,6 +12,7 @@
 from limpetwalk import metrics as measures
 from limpetwalk import refusals
 from limpetwalk.backends import base as backends
+from limpetwalk.conf import snapshot
 from limpetwalk.records import base as records
 from limpetwalk.routing import access
 from limpetwalk.routing import service_routes
@@ -45,6 +47,7 @@
 class PlainServices:
     """Endpoint that calls plain services.
 
+    :param config: returns the configuration in force.
     :param services: calls plain services.
     :param flow: runs non-idempotent calls.
     :param bills_: writes bill entries.
@@ -54,12 +57,14 @@
 
     def __init__(
         self,
+        config: Callable[[], snapshot.Applied],
         services: parts.Services,
         flow: record_flow.RecordFlow,
         bills_: bills.Bills,
         clock: clocks.Clock,
         metrics: measures.Metrics,
     ) -> None:
+        self._config = config
         self._services = services
         self._flow = flow
         self._bills = bills_
@@ -94,6 +99,11 @@
         body = await call.body()
         query = call.req.rel_url.raw_query_string
         headers = call.req.headers
+
+        def check() -> None:
+            cfg = self._config().snapshot
+            access.check_service(cfg, call.workspace.name, service)
+
         return work.ServiceWork(
             request_id=call.request_id,
             service=service,
@@ -103,6 +113,7 @@
             body=body,
             priority=call.workspace.priority,
             deadline=self._clock.monotonic() + call.timeout(timeout),
+            check=check,
         )
 
     async def _idempotent(
--- a/packages/limpetwalk/limpetwalk/routing/work.py
+++ b/packages/limpetwalk/limpetwalk/routing/work.py
@@ -1,5 +1,6 @@
 """Work that the request path hands to the dispatchers."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -7,6 +8,13 @@
 from ..conf import snapshot
 
 
+Check = Callable[[], None]
+
+
+def allow() -> None:
+    """Allow an attempt."""
+
+
 @dataclass(frozen=True, slots=True)
 class EngineWork:
     """Chat completion to be run on one version.
@@ -18,6 +26,8 @@
     :param deadline: monotonic instant by which the answer must be whole.
     :param affinity: key whose requests go to the same replica when it has
         room, such as a session or the head of a prompt; empty for none.
+    :param check: called right before each attempt; raises ``Refused`` when
+        the request may not run any more.
     """
 
     request_id: str
@@ -26,6 +36,7 @@
     priority: int
     deadline: float
     affinity: str = ""
+    check: Check = allow
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +51,8 @@
     :param body: body as the caller sent it.
     :param priority: 0 is served first.
     :param deadline: monotonic instant by which the answer must be whole.
+    :param check: called right before each attempt; raises ``Refused`` when
+        the request may not run any more.
     """
 
     request_id: str
@@ -50,3 +63,4 @@
     body: bytes
     priority: int
     deadline: float
+    check: Check = allow
