--- a/packages/limpetwalk/limpetwalk/routing/adaptive.py
+++ b/packages/limpetwalk/limpetwalk/routing/adaptive.py
@@ -119,6 +119,10 @@
             usage.output_tokens - known.output_tokens
         )
 
+    def known_classes(self) -> list[tuple[str, str, str]]:
+        """Return workspace, cascade and class of all that is learned."""
+        return list(self._classes)
+
     def _class(self, question: cascade.Question) -> _Class:
         key = (question.workspace, question.cascade, question.request_class)
         known = self._classes.get(key)
--- a/packages/limpetwalk/limpetwalk/routing/work.py
+++ b/packages/limpetwalk/limpetwalk/routing/work.py
@@ -7,7 +7,6 @@
 
 from ..conf import snapshot
 
-
 Check = Callable[[], None]
 
 
--- /dev/null
+++ b/tests/limpetwalk/routing/test_sessions.py
@@ -0,0 +1,141 @@
+"""Tests of session tokens and of the choice of a version at birth."""
+
+import dataclasses
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from limpetwalk import refusals
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import rollout_share
+from limpetwalk.routing import sessions
+
+KEY = snapshot.SessionKey("k1", "secret one")
+OTHER = snapshot.SessionKey("k2", "secret two")
+SESSION = sessions.Session(
+    id="s1", workspace="bercvar", generation=3, versions={"small": "v1"}
+)
+
+
+class Token(unittest.TestCase):
+    def refused(self, keys, token, workspace="bercvar"):
+        with self.assertRaises(refusals.Refused) as caught:
+            sessions.verify(keys, token, workspace)
+        refusal = caught.exception.refusal
+        self.assertEqual(refusals.Reason.UNKNOWN_SESSION, refusal.reason)
+        self.assertEqual(refusals.RunState.NOT_RUN, refusal.run)
+
+    def test_round_trip(self):
+        token = sessions.mint([KEY], SESSION)
+        self.assertEqual(SESSION, sessions.verify([KEY], token, "bercvar"))
+
+    def test_new_key_goes_first_and_the_old_one_still_verifies(self):
+        old = sessions.mint([KEY], SESSION)
+        new = sessions.mint([OTHER, KEY], SESSION)
+        self.assertTrue(new.startswith("k2."))
+        for token in (old, new):
+            self.assertEqual(
+                SESSION, sessions.verify([OTHER, KEY], token, "bercvar")
+            )
+
+    def test_key_that_was_removed(self):
+        self.refused([OTHER], sessions.mint([KEY], SESSION))
+
+    def test_key_of_the_same_name_with_another_secret(self):
+        forged = snapshot.SessionKey("k1", "guess")
+        self.refused([KEY], sessions.mint([forged], SESSION))
+
+    def test_token_of_another_workspace(self):
+        self.refused([KEY], sessions.mint([KEY], SESSION), "navarrete")
+
+    def test_no_key_is_configured(self):
+        with self.assertRaises(refusals.Refused) as caught:
+            sessions.mint([], SESSION)
+        self.assertEqual(
+            refusals.Reason.NOT_READY, caught.exception.refusal.reason
+        )
+
+    def test_model_that_came_later(self):
+        with self.assertRaises(refusals.Refused):
+            SESSION.version("large")
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(st.text(max_size=60))
+    def test_any_text_is_refused(self, token):
+        self.refused([KEY], token)
+
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(st.data())
+    def test_any_changed_character_is_refused(self, data):
+        token = sessions.mint([KEY], SESSION)
+        place = data.draw(st.integers(0, len(token) - 1))
+        # The last character of unpadded base 64 carries unused bits.
+        if place in (len(token) - 1, token.rindex(".") - 1):
+            return
+        new = data.draw(st.characters(max_codepoint=127))
+        if new != token[place]:
+            self.refused([KEY], token[:place] + new + token[place + 1 :])
+
+
+class Share(unittest.TestCase):
+    def setUp(self):
+        live = snapshot.VersionState.LIVE
+        self.model = snapshot.Model(
+            "small", {"v1": live, "v2": live, "v3": live}, "v1", 1, 1
+        )
+
+    def choose(self, subject, share=0.3, **changes):
+        rollout = snapshot.Rollout(
+            name="r",
+            model="small",
+            base="v2",
+            candidate="v3",
+            share=share,
+            state=snapshot.RolloutState.RUNNING,
+            guard="sequential",
+        )
+        rollout = dataclasses.replace(rollout, **changes)
+        cfg = snapshot.Snapshot(
+            digest="",
+            models={"small": self.model},
+            servers={},
+            cascades={},
+            services={},
+            workspaces={},
+            rollouts={"r": rollout},
+            zones={},
+            session_keys=(),
+            tuning=snapshot.Tuning(),
+        )
+        return rollout_share.choose_version(cfg, self.model, subject)
+
+    def test_share_of_subjects(self):
+        chosen = [self.choose(f"s{n}") for n in range(4000)]
+        self.assertEqual({"v2", "v3"}, set(chosen))
+        self.assertAlmostEqual(0.3, chosen.count("v3") / 4000, delta=0.03)
+
+    def test_bounds(self):
+        subjects = [f"s{n}" for n in range(200)]
+        self.assertEqual({"v2"}, {self.choose(s, 0.0) for s in subjects})
+        self.assertEqual({"v3"}, {self.choose(s, 1.0) for s in subjects})
+
+    def test_growing_share_keeps_those_it_took_in(self):
+        for number in range(500):
+            subject = f"s{number}"
+            if self.choose(subject, 0.2) == "v3":
+                self.assertEqual("v3", self.choose(subject, 0.4))
+
+    def test_only_a_running_roll_out_counts(self):
+        for state in snapshot.RolloutState:
+            running = state is snapshot.RolloutState.RUNNING
+            with self.subTest(state=state):
+                found = self.choose("s", 1.0, state=state)
+                self.assertEqual("v3" if running else "v1", found)
+
+    def test_withdrawn_versions_are_passed_over(self):
+        withdrawn = snapshot.VersionState.WITHDRAWN
+        self.model.versions["v3"] = withdrawn
+        self.assertEqual("v2", self.choose("s", 1.0))
+        self.model.versions["v2"] = withdrawn
+        self.assertEqual("v1", self.choose("s", 1.0))
