--- a/packages/limpetwalk-node/limpetwalk_node/app.py
+++ b/packages/limpetwalk-node/limpetwalk_node/app.py
@@ -124,7 +124,12 @@
         held.waits,
     )
     return services.PlainServices(
-        held.services, flow, bills_, held.clock, held.metrics
+        _in_force(held.config),
+        held.services,
+        flow,
+        bills_,
+        held.clock,
+        held.metrics,
     )
 
 
--- a/packages/limpetwalk-node/limpetwalk_node/billing.py
+++ b/packages/limpetwalk-node/limpetwalk_node/billing.py
@@ -8,7 +8,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import enum
 import random
 from typing import Any
 
@@ -38,17 +37,6 @@
 NO_ROOM = "no room"
 
 
-class WaitFor(enum.Enum):
-    """What ``bill`` waits for before it takes long.
-
-    ``LEDGER`` is the entry in the ledger; ``COPY`` is that or a copy at a
-    peer in another zone, whichever is first.
-    """
-
-    LEDGER = "ledger"
-    COPY = "copy"
-
-
 class LedgerBiller:
     """Writes bill entries through the peers into the ledger.
 
@@ -59,7 +47,6 @@
     :param rng: source of random numbers.
     :param metrics: metrics of the process.
     :param spills: objects with held entries; None uses peers alone.
-    :param wait_for: what ``bill`` waits for.
     """
 
     def __init__(
@@ -71,10 +58,8 @@
         rng: random.Random,
         metrics: metrics_.Metrics,
         spills: bill_spill.SpillStore | None = None,
-        wait_for: WaitFor = WaitFor.LEDGER,
     ) -> None:
         self._hub = hub
-        self._wait_for = wait_for
         self._tuning = tuning
         self._clock = clock
         self._rng = rng
@@ -222,7 +207,7 @@
 
         :returns: whether it is safe within ``HOLD_AFTER``.
         """
-        if self._wait_for is WaitFor.COPY and await self._is_copied(held):
+        if await self._is_copied(held):
             self._start_courier(held.partition)
             return True
         if held.partition not in self._couriers:
--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -1,5 +1,5 @@
 @0xb31f0c9a6f5e27d4;
-# Messages between entry nodes. Every frame is one packed Envelope behind a
+# Messages between entry nodes. Every frame is one Envelope behind a
 # four-byte little-endian length.
 
 struct Envelope {
--- a/packages/limpetwalk/limpetwalk/routing/access.py
+++ b/packages/limpetwalk/limpetwalk/routing/access.py
@@ -133,3 +133,13 @@
             f"Workspace {workspace.name} may not call service {name}.",
         )
     return service
+
+
+def check_service(
+    cfg: snapshot.Snapshot, workspace_name: str, name: str
+) -> None:
+    """Check that a workspace may call a plain service now.
+
+    :raises Refused: when it may not.
+    """
+    get_service(cfg, get_workspace(cfg, workspace_name), name)
--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -277,7 +277,12 @@
         self, job: Job, target: snapshot.ModelVersion
     ) -> work.EngineWork:
         cfg = self._config().snapshot
-        access.check_version(cfg, job.workspace, job.cascade, target)
+
+        def check() -> None:
+            now = self._config().snapshot
+            access.check_version(now, job.workspace, job.cascade, target)
+
+        check()
         return work.EngineWork(
             request_id=job.request_id,
             target=target,
@@ -285,6 +290,7 @@
             priority=cfg.workspaces[job.workspace].priority,
             deadline=job.deadline,
             affinity=job.affinity,
+            check=check,
         )
 
     async def _draft(
--- a/tests/limpetwalk_node/test_billing.py
+++ b/tests/limpetwalk_node/test_billing.py
@@ -372,6 +372,7 @@
         await asyncio.gather(
             *(self.nodes[key[0]].biller.bill(entry(key)) for key in keys)
         )
+        await self.settle()
         self.assertEqual(sorted(keys), self.ledger())
 
     async def test_entries_reach_the_writer_through_a_collector(self):
