--- a/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
@@ -24,6 +24,8 @@
     "limpetwalk_ctl.commands.check",
     "limpetwalk_ctl.commands.diff",
     "limpetwalk_ctl.commands.history",
+    "limpetwalk_ctl.commands.ledger",
+    "limpetwalk_ctl.commands.outcome",
     "limpetwalk_ctl.commands.rollout",
     "limpetwalk_ctl.commands.server",
     "limpetwalk_ctl.commands.show",
--- a/packages/limpetwalk/limpetwalk/conf/edits.py
+++ b/packages/limpetwalk/limpetwalk/conf/edits.py
@@ -86,6 +86,17 @@
 
     def apply(self, doc: document.Document) -> Edited:
         """Return the folder's sections with the operators' changes."""
+        held = doc.tuning.ledger_partitions
+        wanted = self.files.tuning.ledger_partitions
+        if wanted < held and doc.workspaces:
+            # Entries in the partitions above would not be read any more.
+            found = checks.error(
+                "ledger-shrinks",
+                ("tuning", "ledger_partitions"),
+                str(wanted),
+                f"at least {held}, as the ledger has so many already",
+            )
+            return Err([found])
         return Ok(self.replaced(doc))
 
     def replaced(self, doc: document.Document) -> document.Document:
--- /dev/null
+++ b/tests/limpetwalk_ctl/shell.py
@@ -0,0 +1,137 @@
+"""Runs limpetctl in the test's process against in-process services."""
+
+import io
+import json
+import pathlib
+import tempfile
+from typing import Any
+import unittest
+
+from aiohttp import web
+import yaml
+
+from limpetwalk.platform import base as platform
+from limpetwalk.platform import factory
+from limpetwalk.platform import memory
+from limpetwalk_ctl import main
+
+ROOT = pathlib.Path(__file__).parents[2]
+EXAMPLE = str(ROOT / "examples" / "bercvar")
+SETTINGS = {
+    "platform": {
+        "table": {"endpoint": "http://127.0.0.1:1"},
+        "objects": {"endpoint": "http://127.0.0.1:1"},
+        "instances": {"url": "http://127.0.0.1:1"},
+    },
+    "operator": "ilona",
+    "wait_timeout": 0.5,
+    "node_timeout": 0.5,
+}
+
+
+class FakeNode:
+    """Operators' interface of an entry node.
+
+    :param name: name of the node.
+    :param zone: its availability zone.
+    :param takes: whether it takes what is handed over.
+    """
+
+    def __init__(self, name: str, zone: str, takes: bool = True) -> None:
+        self.name = name
+        self.zone = zone
+        self.takes = takes
+        self.generation: int | None = None
+        self.data = b""
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> platform.Instance:
+        """Listen on a free port and return the node's instance."""
+        app = web.Application()
+        app.router.add_get("/status", self._status)
+        app.router.add_put("/config/{generation}", self._put)
+        self._runner = web.AppRunner(app)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        return platform.Instance(
+            self.name,
+            platform.InstanceKind.ENTRY,
+            "127.0.0.1:1",
+            self.zone,
+            platform.InstanceState.LIVE,
+            f"127.0.0.1:{port}",
+        )
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _status(self, req: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "name": self.name,
+                "zone": self.zone,
+                "generation": self.generation,
+                "ready": self.generation is not None,
+            }
+        )
+
+    async def _put(self, req: web.Request) -> web.Response:
+        if not self.takes:
+            return web.Response(status=409)
+        self.generation = int(req.match_info["generation"])
+        self.data = await req.read()
+        return web.json_response({"applied": True})
+
+
+class Shell:
+    """Runs limpetctl against one in-process platform.
+
+    :param folder: folder for the settings file.
+    """
+
+    def __init__(self, folder: str) -> None:
+        self.table = memory.MemoryTable()
+        self.objects = memory.MemoryObjects()
+        self.instances = memory.MemoryInstances()
+        self.nodes: list[FakeNode] = []
+        self.settings = pathlib.Path(folder, "ctl.yaml")
+        self.settings.write_text(yaml.safe_dump(SETTINGS))
+
+    async def open(self, _cfg: object) -> factory.Platform:
+        """Return the platform that all runs share; start the nodes."""
+        started = [await node.start() for node in self.nodes]
+        self.instances.instances.extend(started)
+        opened = factory.Platform(
+            self.table, self.objects, self.instances, None
+        )
+        for node in self.nodes:
+            opened._stack.push_async_callback(node.stop)
+        return opened
+
+    def run(self, *args: str) -> tuple[int, str, str]:
+        """Return exit code, standard output and standard error."""
+        self.instances.instances.clear()
+        out, err = io.StringIO(), io.StringIO()
+        code = main.main(
+            ["--settings", str(self.settings), *args], out, err, self.open
+        )
+        return int(code), out.getvalue(), err.getvalue()
+
+    def json(self, *args: str) -> tuple[int, Any]:
+        """Return exit code and the answer for programs."""
+        code, out, _ = self.run("--json", *args)
+        return code, json.loads(out)
+
+
+class ShellCase(unittest.TestCase):
+    """Test case with a shell of its own."""
+
+    def setUp(self) -> None:
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.folder = pathlib.Path(holder.name)
+        self.shell = Shell(holder.name)
--- /dev/null
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -0,0 +1,350 @@
+"""Tests of the commands that change what is in force."""
+
+import hashlib
+import shutil
+
+from limpetwalk import clock as clocks
+from limpetwalk.conf import compile as compiler
+from limpetwalk.conf import document
+from limpetwalk.conf import editor
+from limpetwalk.conf import edits
+from limpetwalk.conf import head
+from limpetwalk.conf import rollout_edits
+from limpetwalk.conf import snapshot
+from limpetwalk.platform import memory
+from limpetwalk_ctl import exits
+
+from . import shell
+
+OUT = snapshot.PlacementState.OUT
+
+
+class ChangesCase(shell.ShellCase):
+    """Test case with an accepted configuration and a copy of its folder."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.site = self.folder / "site"
+        shutil.copytree(shell.EXAMPLE, self.site)
+        self.assertEqual(self.shell.run("apply", str(self.site))[0], 0)
+
+    def snapshot(self) -> snapshot.Snapshot:
+        """Return the snapshot in force."""
+        _, answer = self.shell.json("status")
+        data = self.shell.objects.blobs["config/" + answer["head"]["digest"]]
+        return compiler.compile_document(data)
+
+    def rival(self, edit: edits.Edit) -> None:
+        """Let another operator's edit come first, once."""
+        table = memory.MemoryTable(self.shell.table.rows)
+        objects = memory.MemoryObjects(self.shell.objects.blobs)
+        store = head.HeadStore(table, objects, clocks.ManualClock())
+
+        async def before(operation: str) -> None:
+            if operation == "transact":
+                self.shell.table.faults.before = None
+                (await editor.Editor(store, "rival").edit(edit)).unwrap()
+
+        self.shell.table.faults.before = before
+
+    def generation(self) -> int:
+        """Return the generation in force."""
+        return self.shell.json("status")[1]["head"]["generation"]
+
+
+class ApplyTest(ChangesCase):
+    def test_same_folder_is_no_change(self) -> None:
+        code, answer = self.shell.json("apply", str(self.site))
+        self.assertEqual(code, 0)
+        self.assertEqual((answer["changed"], answer["generation"]), (False, 1))
+
+    def test_old_folder_is_a_new_generation(self) -> None:
+        extra = self.site / "99.yaml"
+        extra.write_text("tuning: {queue_length: 7}\n")
+        self.shell.run("apply", str(self.site))
+        extra.unlink()
+        code, answer = self.shell.json("apply", str(self.site))
+        self.assertEqual((code, answer["generation"]), (0, 3))
+        _, told = self.shell.json("history")
+        digests = [item["digest"] for item in told["generations"]]
+        self.assertEqual(digests[0], digests[2])
+        self.assertNotEqual(digests[0], digests[1])
+
+    def test_findings_apply_nothing(self) -> None:
+        (self.site / "99.yaml").write_text("tuning: {queue_length: -7}\n")
+        for name in ("check", "diff", "apply"):
+            with self.subTest(name):
+                code, out, err = self.shell.run(name, str(self.site))
+                self.assertEqual((code, err), (exits.ExitCode.FINDINGS, ""))
+                self.assertIn("99.yaml:1: tuning.queue_length: got -7", out)
+        self.assertEqual(self.generation(), 1)
+
+    def test_findings_as_json(self) -> None:
+        (self.site / "99.yaml").write_text("tuning: {queue_length: -7}\n")
+        code, answer = self.shell.json("check", str(self.site))
+        self.assertEqual((code, answer["ok"]), (1, False))
+        self.assertEqual(
+            [item for item in answer["findings"] if item["level"] == "error"],
+            [
+                {
+                    "id": "greater-than-equal",
+                    "level": "error",
+                    "file": str(self.site / "99.yaml"),
+                    "line": 1,
+                    "path": ["tuning", "queue_length"],
+                    "got": "-7",
+                    "expected": "greater than or equal to 0",
+                    "hint": "",
+                }
+            ],
+        )
+
+    def test_operations_outlast_a_folder(self) -> None:
+        self.shell.run("zone", "out", "hu-central-a")
+        (self.site / "99.yaml").write_text("tuning: {queue_length: 7}\n")
+        self.shell.run("apply", str(self.site))
+        self.assertIs(self.snapshot().zones["hu-central-a"].state, OUT)
+        self.assertEqual(self.snapshot().tuning.queue_length, 7)
+        self.shell.run("apply", str(self.site), "--clear-operations")
+        self.assertIsNot(self.snapshot().zones["hu-central-a"].state, OUT)
+
+    def test_folder_that_routes_to_a_withdrawn_version(self) -> None:
+        self.shell.run("version", "withdraw", "clerk", "2026-05")
+        text = 'models: {clerk: {default_version: "2026-05"}}\n'
+        (self.site / "99.yaml").write_text(text)
+        (self.site / "70-rollouts.yaml").unlink()
+        code, out, _ = self.shell.run("apply", str(self.site))
+        self.assertEqual(code, exits.ExitCode.FINDINGS)
+        self.assertIn("99.yaml:1: models.clerk.default_version: got with", out)
+
+    def test_two_folders_at_once(self) -> None:
+        rival = document.Document.from_bytes(
+            next(iter(self.shell.objects.blobs.values()))
+        )
+        zones = dict(rival.zones)
+        del zones["hu-central-c"]
+        servers = {
+            name: server
+            for name, server in rival.servers.items()
+            if server.zone != "hu-central-c"
+        }
+        rival = rival.model_copy(update={"zones": zones, "servers": servers})
+        (self.site / "99.yaml").write_text("tuning: {queue_length: 7}\n")
+        self.rival(edits.ReplaceFiles(rival, "elsewhere"))
+        code, answer = self.shell.json("apply", str(self.site))
+        self.assertEqual(code, exits.ExitCode.CONFLICT)
+        conflict = answer["conflict"]
+        self.assertEqual(
+            (conflict["expected"], conflict["generation"]), (1, 2)
+        )
+        self.assertEqual(conflict["author"], "rival")
+        paths = [item["path"] for item in conflict["changes"]]
+        self.assertIn(["zones", "hu-central-c"], paths)
+        self.assertEqual(self.generation(), 2)
+
+    def test_folder_is_applied_over_another_operators_edit(self) -> None:
+        (self.site / "99.yaml").write_text("tuning: {queue_length: 7}\n")
+        self.rival(edits.Place(edits.Placed.ZONE, "hu-central-b", OUT))
+        code, answer = self.shell.json("apply", str(self.site))
+        self.assertEqual((code, answer["generation"]), (0, 3))
+        self.assertIs(self.snapshot().zones["hu-central-b"].state, OUT)
+
+    def test_expected_generation(self) -> None:
+        (self.site / "99.yaml").write_text("tuning: {queue_length: 7}\n")
+        code, _, err = self.shell.run("apply", str(self.site), "--expect=4")
+        self.assertEqual(code, exits.ExitCode.CONFLICT)
+        self.assertIn("expected generation 4", err)
+        code, _, _ = self.shell.run("apply", str(self.site), "--expect=1")
+        self.assertEqual(code, 0)
+
+    def test_ledger_does_not_shrink(self) -> None:
+        text = "tuning: {ledger_partitions: 8}\n"
+        (self.site / "99.yaml").write_text(text)
+        code, out, _ = self.shell.run("apply", str(self.site))
+        self.assertEqual(code, exits.ExitCode.FINDINGS)
+        self.assertIn("got 8, expected at least 16", out)
+
+
+class EditCommandsTest(ChangesCase):
+    def test_zone(self) -> None:
+        self.assertEqual(self.shell.run("zone", "out", "hu-central-a")[0], 0)
+        self.assertIs(self.snapshot().zones["hu-central-a"].state, OUT)
+        self.assertEqual(self.shell.run("zone", "in", "hu-central-a")[0], 0)
+        self.assertIsNot(self.snapshot().zones["hu-central-a"].state, OUT)
+
+    def test_server(self) -> None:
+        self.shell.run("server", "drain", "registry-a")
+        self.assertIs(self.snapshot().servers["registry-a"].state, OUT)
+        self.shell.run("server", "restore", "registry-a")
+        self.assertIsNot(self.snapshot().servers["registry-a"].state, OUT)
+
+    def test_version(self) -> None:
+        code, out, _ = self.shell.run(
+            "version", "withdraw", "clerk", "2026-03"
+        )
+        self.assertEqual(code, exits.ExitCode.FINDINGS)
+        self.assertIn("got withdrawn version '2026-03'", out)
+        code, _, _ = self.shell.run(
+            "version", "withdraw", "clerk", "2026-03", "--default", "2026-05"
+        )
+        self.assertEqual(code, 0)
+        clerk = self.snapshot().models["clerk"]
+        self.assertEqual(clerk.default_version, "2026-05")
+        self.assertIs(
+            clerk.versions["2026-03"], snapshot.VersionState.WITHDRAWN
+        )
+
+    def test_rollout(self) -> None:
+        name = "clerk-2026-05"
+        steps = [
+            (["pause", name], 0, snapshot.RolloutState.PAUSED, 0.0),
+            (["resume", name], 0, snapshot.RolloutState.RUNNING, 0.05),
+            (
+                ["start", name, "--share=0.2"],
+                0,
+                snapshot.RolloutState.RUNNING,
+                0.2,
+            ),
+            (["halt", name], 0, snapshot.RolloutState.HALTED, 0.0),
+            (["resume", name], 1, snapshot.RolloutState.HALTED, 0.0),
+            (["start", name], 0, snapshot.RolloutState.RUNNING, 0.2),
+            (["finish", name], 0, snapshot.RolloutState.DONE, 1.0),
+            (["start", name], 1, snapshot.RolloutState.DONE, 1.0),
+        ]
+        for args, code, state, share in steps:
+            with self.subTest(args):
+                self.assertEqual(self.shell.run("rollout", *args)[0], code)
+                held = self.snapshot().rollouts[name]
+                self.assertEqual((held.state, held.share), (state, share))
+        self.assertEqual(
+            self.snapshot().models["clerk"].default_version, "2026-05"
+        )
+
+    def test_undeclared_names(self) -> None:
+        for args in (
+            ["zone", "out", "nosuch"],
+            ["server", "drain", "nosuch"],
+            ["version", "withdraw", "nosuch", "1"],
+            ["version", "withdraw", "clerk", "nosuch"],
+            ["version", "default", "clerk", "nosuch"],
+            ["rollout", "halt", "nosuch"],
+        ):
+            with self.subTest(args):
+                code, out, _ = self.shell.run(*args)
+                self.assertEqual(code, exits.ExitCode.FINDINGS)
+                self.assertIn("got 'nosuch', expected one of", out)
+
+    def test_status_lists_operations(self) -> None:
+        self.shell.run("zone", "out", "hu-central-a")
+        _, answer = self.shell.json("status")
+        self.assertEqual(
+            [item["path"] for item in answer["operations"]],
+            [["operations", "zones", "hu-central-a"]],
+        )
+
+    def test_history_tells_who_did_what(self) -> None:
+        self.shell.run("zone", "out", "hu-central-a", "--operator", "bence")
+        _, answer = self.shell.json("history", "--limit", "1")
+        (newest,) = answer["generations"]
+        self.assertEqual(newest["author"], "bence")
+        self.assertEqual(newest["summary"], "zones hu-central-a out")
+
+
+class WaitTest(ChangesCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.shell.nodes = [
+            shell.FakeNode("n1", "a"),
+            shell.FakeNode("n2", "b"),
+            shell.FakeNode("n3", "c"),
+        ]
+
+    def test_all_nodes_are_given_the_document(self) -> None:
+        code, answer = self.shell.json("zone", "out", "hu-central-a", "--wait")
+        self.assertEqual((code, answer["seen"]), (0, 3))
+        for node in self.shell.nodes:
+            digest = hashlib.sha256(node.data).hexdigest()
+            self.assertEqual(digest, answer["digest"])
+            self.assertEqual(node.generation, 2)
+
+    def test_a_node_that_is_behind_is_told(self) -> None:
+        self.shell.nodes[1].takes = False
+        code, out, _ = self.shell.run("zone", "out", "hu-central-a", "--wait")
+        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
+        self.assertIn("accepted as generation 2, seen by 2 of 3 nodes", out)
+        code, _, _ = self.shell.run("status")
+        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
+
+    def test_platform_that_fails_right_after_the_write(self) -> None:
+        async def fail_after(operation: str) -> None:
+            if operation == "transact":
+                self.shell.table.faults.unavailable = True
+                self.shell.objects.faults.unavailable = True
+                self.shell.instances.unavailable = True
+
+        self.shell.table.faults.after = fail_after
+        code, out, _ = self.shell.run("zone", "out", "hu-central-a", "--wait")
+        self.assertEqual(code, 0)
+        self.assertIn("accepted as generation 2, seen by 3 of 3 nodes", out)
+        code, out, err = self.shell.run("status")
+        self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
+        self.assertIn("the store does not answer", err)
+
+    def test_nothing_is_handed_over_when_the_outcome_is_unknown(self) -> None:
+        async def fail_after(operation: str) -> None:
+            if operation == "transact":
+                self.shell.table.faults.unavailable = True
+
+        self.shell.table.faults.after = fail_after
+        self.shell.table.faults.lose_answers = 9
+        code, _, _ = self.shell.run("zone", "out", "hu-central-a", "--wait")
+        self.assertEqual(code, exits.ExitCode.OUTCOME_UNKNOWN)
+        self.assertEqual([node.data for node in self.shell.nodes], [b""] * 3)
+
+    def test_handed_over_without_waiting(self) -> None:
+        code, out, _ = self.shell.run("zone", "out", "hu-central-a")
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            [node.generation for node in self.shell.nodes], [2] * 3
+        )
+        self.assertIn("accepted as generation 2\n", out)
+
+
+class LostRaceTest(ChangesCase):
+    def test_edits_of_different_names_both_count(self) -> None:
+        self.rival(edits.Place(edits.Placed.ZONE, "hu-central-b", OUT))
+        code, answer = self.shell.json("zone", "out", "hu-central-a")
+        self.assertEqual((code, answer["generation"]), (0, 3))
+        zones = self.snapshot().zones
+        self.assertIs(zones["hu-central-a"].state, OUT)
+        self.assertIs(zones["hu-central-b"].state, OUT)
+
+    def test_same_edit_twice_is_one_change(self) -> None:
+        self.rival(edits.Place(edits.Placed.ZONE, "hu-central-a", OUT))
+        code, answer = self.shell.json("zone", "out", "hu-central-a")
+        self.assertEqual((code, answer["changed"]), (0, False))
+        self.assertEqual(answer["generation"], 2)
+
+    def test_edits_of_one_value_conflict(self) -> None:
+        state = snapshot.VersionState.WITHDRAWN
+        self.rival(edits.SetVersion("clerk", "2026-05", state))
+        code, answer = self.shell.json(
+            "rollout", "start", "clerk-2026-05", "--share", "0.5"
+        )
+        self.assertEqual(code, exits.ExitCode.FINDINGS)
+        self.assertIn("withdrawn version", answer["findings"][0]["got"])
+        self.assertEqual(self.generation(), 2)
+
+    def test_opposite_edits_of_one_rollout_conflict(self) -> None:
+        pause = ("rollout", "pause", "clerk-2026-05")
+        self.rival(
+            rollout_edits.MoveRollout(
+                "clerk-2026-05", rollout_edits.RolloutAction.START, 0.5
+            )
+        )
+        code, answer = self.shell.json(*pause)
+        self.assertEqual(code, exits.ExitCode.CONFLICT)
+        self.assertEqual(
+            answer["conflict"]["changes"][0]["path"],
+            ["operations", "rollouts", "clerk-2026-05"],
+        )
--- a/tests/limpetwalk_ctl/test_main.py
+++ b/tests/limpetwalk_ctl/test_main.py
@@ -1,98 +1,123 @@
-"""Tests of limpetctl from its arguments to its answer."""
+"""Tests of limpetctl's command line: help, usage, exit codes."""
 
-import io
-import json
 import pathlib
-import tempfile
-import unittest
 
-import yaml
-
-from limpetwalk.platform import factory
-from limpetwalk.platform import memory
 from limpetwalk_ctl import exits
-from limpetwalk_ctl import main
-
-ROOT = pathlib.Path(__file__).parents[2]
-EXAMPLE = str(ROOT / "examples" / "bercvar")
-SETTINGS = {
-    "platform": {
-        "table": {"endpoint": "http://127.0.0.1:1"},
-        "objects": {"endpoint": "http://127.0.0.1:1"},
-        "instances": {"url": "http://127.0.0.1:1"},
-    },
-    "operator": "ilona",
-}
-
-
-class Shell:
-    """Runs limpetctl against one in-process platform."""
-
-    def __init__(self, folder: str) -> None:
-        self.table = memory.MemoryTable()
-        self.objects = memory.MemoryObjects()
-        self.instances = memory.MemoryInstances()
-        self.settings = pathlib.Path(folder, "ctl.yaml")
-        self.settings.write_text(yaml.safe_dump(SETTINGS))
-
-    async def open(self, _cfg: object) -> factory.Platform:
-        """Return the platform that all runs share."""
-        return factory.Platform(self.table, self.objects, self.instances, None)
-
-    def run(self, *args: str) -> tuple[int, str, str]:
-        """Return exit code, standard output and standard error."""
-        out, err = io.StringIO(), io.StringIO()
-        code = main.main(
-            ["--settings", str(self.settings), *args], out, err, self.open
-        )
-        return int(code), out.getvalue(), err.getvalue()
-
-
-class MainTest(unittest.TestCase):
-    def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.shell = Shell(folder.name)
-
-    def test_examples_have_no_errors(self) -> None:
-        for site in ("bercvar", "navarrete"):
-            path = str(ROOT / "examples" / site)
-            code, out, err = self.shell.run("check", path)
-            self.assertEqual((code, err), (0, ""), out)
-
-    def test_apply_then_status_and_history(self) -> None:
-        code, out, _ = self.shell.run("--json", "apply", EXAMPLE)
-        self.assertEqual(code, exits.ExitCode.OK)
-        self.assertEqual(json.loads(out)["generation"], 1)
-        _, out, _ = self.shell.run("--json", "history")
-        (first,) = json.loads(out)["generations"]
-        self.assertEqual(first["author"], "ilona")
-        _, out, _ = self.shell.run("--json", "status")
-        self.assertEqual(json.loads(out)["head"]["generation"], 1)
-
-    def test_diff_of_an_applied_folder_is_empty(self) -> None:
-        self.shell.run("apply", EXAMPLE)
-        code, out, _ = self.shell.run("--json", "diff", EXAMPLE)
-        self.assertEqual((code, json.loads(out)["changes"]), (0, []))
-
-    def test_help_of_each_command_shows_examples(self) -> None:
+
+from . import shell
+
+COMMANDS = (
+    "apply", "check", "diff", "history", "ledger", "outcome", "rollout",
+    "server", "show", "status", "version", "zone",
+)  # fmt: skip
+REFERENCE = shell.ROOT / "docs" / "reference" / "limpetctl.md"
+
+
+class HelpTest(shell.ShellCase):
+    def test_overview_names_all_commands(self) -> None:
         code, out, _ = self.shell.run("--help")
         self.assertEqual(code, 0)
-        for name in ("apply", "check", "diff", "history", "show", "status"):
-            self.assertIn(name, out)
-            code, text, _ = self.shell.run(name, "--help")
-            self.assertEqual(code, 0)
-            self.assertIn("examples:", text)
-
+        listed = [line.split()[0] for line in out.splitlines()[2:-2]]
+        self.assertEqual(listed, list(COMMANDS))
+
+    def test_each_command_shows_examples(self) -> None:
+        for name in COMMANDS:
+            with self.subTest(name):
+                code, out, _ = self.shell.run(name, "--help")
+                self.assertEqual(code, 0)
+                self.assertIn("examples:\n  limpetctl ", out)
+                self.assertIn("--settings", out)
+
+    def test_reference_lists_commands_and_exit_codes(self) -> None:
+        text = REFERENCE.read_text()
+        for name in COMMANDS:
+            self.assertIn(f"`limpetctl {name}", text)
+        for code in exits.ExitCode:
+            self.assertIn(f"| {code.value} | `{code.name.lower()}` |", text)
+
+
+class UsageTest(shell.ShellCase):
     def test_usage_errors(self) -> None:
-        for args in (["check"], ["nosuch"], ["check", "--nosuch"], []):
+        cases = [
+            [],
+            ["nosuch"],
+            ["check"],
+            ["check", "a", "b"],
+            ["check", "--nosuch", "a"],
+            ["history", "--limit", "0"],
+            ["history", "--limit", "x"],
+            ["zone", "sideways", "z"],
+            ["zone", "out"],
+            ["version", "default", "m", "v", "--default", "w"],
+            ["rollout", "pause", "r", "--share", "0.5"],
+            ["rollout", "start", "r", "--share", "1.5"],
+        ]
+        for args in cases:
             with self.subTest(args):
                 code, out, err = self.shell.run(*args)
-                self.assertEqual((code, out), (2, ""))
-                self.assertIn("limpetctl: ", err)
+                self.assertEqual((code, out), (exits.ExitCode.USAGE, ""))
+                self.assertRegex(err, r"^limpetctl: .*\n$")
+
+    def test_missing_settings(self) -> None:
+        code, out, _ = self.shell.run("status", "--settings", "")
+        self.assertEqual((code, out), (exits.ExitCode.USAGE, ""))
+
+    def test_settings_with_findings(self) -> None:
+        self.shell.settings.write_text("platform: {}\nbogus: 1\n")
+        code, out, _ = self.shell.run("status")
+        self.assertEqual(code, exits.ExitCode.FINDINGS)
+        self.assertIn("ctl.yaml:2: bogus: got unknown key 'bogus'", out)
+        self.assertIn("ctl.yaml:1: platform.table: got nothing", out)
+
+    def test_flags_stand_before_or_after_the_command(self) -> None:
+        path = str(pathlib.Path(shell.EXAMPLE))
+        for args in (
+            ["--json", "check", path],
+            ["check", "--json", path],
+            ["check", path, "--json"],
+        ):
+            with self.subTest(args):
+                code, out, _ = self.shell.run(*args)
+                self.assertEqual((code, out[0]), (0, "{"))
+
 
+class StoreTest(shell.ShellCase):
     def test_store_down(self) -> None:
         self.shell.table.faults.unavailable = True
-        code, _, err = self.shell.run("status")
+        for args in (
+            ["status"],
+            ["history"],
+            ["diff", shell.EXAMPLE],
+            ["apply", shell.EXAMPLE],
+            ["zone", "out", "hu-central-a"],
+            ["ledger", "head-office"],
+            ["outcome", "head-office", "k"],
+        ):
+            with self.subTest(args):
+                code, _, err = self.shell.run(*args)
+                self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
+                self.assertIn("does not answer", err)
+
+    def test_objects_down(self) -> None:
+        self.shell.objects.faults.unavailable = True
+        code, _, _ = self.shell.run("apply", shell.EXAMPLE)
         self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
-        self.assertIn("does not answer", err)
+        self.shell.objects.faults.unavailable = False
+        self.assertEqual(self.shell.json("history")[1]["generations"], [])
+
+    def test_lost_answer_is_settled(self) -> None:
+        self.shell.table.faults.lose_answers = 1
+        code, answer = self.shell.json("apply", shell.EXAMPLE)
+        self.assertEqual((code, answer["generation"]), (0, 1))
+
+    def test_unsettled_answer_is_told_as_unknown(self) -> None:
+        async def fail_after(operation: str) -> None:
+            if operation == "transact":
+                self.shell.table.faults.unavailable = True
+
+        self.shell.table.faults.after = fail_after
+        self.shell.table.faults.lose_answers = 9
+        code, out, err = self.shell.run("apply", shell.EXAMPLE)
+        self.assertEqual(code, exits.ExitCode.OUTCOME_UNKNOWN)
+        self.assertNotIn("accepted", out)
+        self.assertIn("may have been accepted", err)
