--- a/packages/limpetwalk/limpetwalk/peers/codec.py
+++ b/packages/limpetwalk/limpetwalk/peers/codec.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 from dataclasses import dataclass
+import math
 import pathlib
 import re
 import typing
@@ -24,6 +25,8 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_MESSAGE_WORDS = 2 * 1024 * 1024
 MS_PER_SECOND = 1000
+NEVER_MS = 2**32 - 1
+SECONDS_FIELDS = ("age", "confirmed_age", "ttl")
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(pathlib.Path(__file__).with_name("limpetwalk.capnp")))
@@ -46,6 +49,10 @@
         self.call_id = call_id
 
 
+class _UnknownValue(Exception):
+    """A field has a value that this version does not know."""
+
+
 @dataclass(frozen=True, slots=True)
 class Envelope:
     """Message with what the link needs to deliver it.
@@ -79,23 +86,27 @@
 
 
 def _to_ms(seconds: float) -> int:
-    return round(seconds * MS_PER_SECOND)
+    if seconds * MS_PER_SECOND >= NEVER_MS:
+        return NEVER_MS
+    return max(0, round(seconds * MS_PER_SECOND))
 
 
 def _from_ms(value_ms: int) -> float:
+    if value_ms == NEVER_MS:
+        return math.inf
     return value_ms / MS_PER_SECOND
 
 
 def _field(field: dataclasses.Field[Any], kind: Any) -> _Field:
     wire = _camel(field.name)
-    if field.name in ("age", "ttl"):
+    if field.name in SECONDS_FIELDS:
         return _Field(field.name, f"{wire}Ms", _to_ms, _from_ms)
     if kind is messages.Purpose:
         return _Field(
             field.name,
             wire,
             lambda purpose: purpose.value,
-            lambda text: messages.Purpose(str(text)),
+            _decode_purpose,
         )
     if kind == tuple[str, ...]:
         return _Field(field.name, wire, list, tuple)
@@ -104,6 +115,13 @@
     return _Field(field.name, wire, _same, _same)
 
 
+def _decode_purpose(value: Any) -> messages.Purpose:
+    try:
+        return messages.Purpose(str(value))
+    except ValueError:
+        raise _UnknownValue(f"unknown purpose {value}") from None
+
+
 def _fields(kind: type) -> tuple[_Field, ...]:
     hints = typing.get_type_hints(kind)
     return tuple(
@@ -192,18 +210,24 @@
     if reader.protocol < PROTOCOL:
         raise MalformedFrame(f"protocol {reader.protocol} is too old")
     try:
-        name = str(reader.body.which())
-    except capnp.KjException:
+        message = _decode_body(reader.body)
+    except _UnknownValue:
         raise UnknownMessage(reader.sender, reader.callId) from None
-    kind = _KINDS[name]
-    value = getattr(reader.body, name)
-    if kind is messages.Failure:
-        message = messages.Failure(text=value)
-    else:
-        message = kind(**_from_wire(_FIELDS[kind], value))
     return Envelope(
         sender=reader.sender,
         message=message,
         call_id=reader.callId,
         is_reply=reader.isReply,
     )
+
+
+def _decode_body(body: Any) -> messages.Message:
+    try:
+        name = str(body.which())
+    except capnp.KjException:
+        raise _UnknownValue("unknown message") from None
+    value = getattr(body, name)
+    kind = _KINDS[name]
+    if kind is messages.Failure:
+        return messages.Failure(text=value)
+    return kind(**_from_wire(_FIELDS[kind], value))
