Measure the cost of a configuration by its size

Names of plug-ins are errors now whenever they are unknown: the kernel's plug-ins are always loaded first, so the warning could not occur any more.

--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/config_cost.py
@@ -0,0 +1,205 @@
+"""Cost of a configuration by its size: bytes, checking and compiling.
+
+Run: ``python -m limpetwalk_bench.config_cost``
+"""
+
+from collections.abc import Callable
+from dataclasses import asdict
+from dataclasses import dataclass
+import gc
+import hashlib
+import json
+import pathlib
+import statistics
+import tempfile
+import time
+import tracemalloc
+from typing import Any
+import zlib
+
+from absl import app
+from absl import flags
+from rich import console
+from rich import table as tables
+import yaml
+
+from limpetwalk.conf import compile as compiler
+from limpetwalk.conf import loader
+
+FLAGS = flags.FLAGS
+flags.DEFINE_list(
+    "servers", ["8", "100", "350", "700", "1400"], "Numbers of servers."
+)
+flags.DEFINE_integer("repeats", 5, "Runs of which the median is taken.")
+flags.DEFINE_bool("json", False, "Print JSON in place of a table.")
+
+REGIONS = 7
+ZONES = 22
+MODELS = 15
+VERSIONS = 31
+WORKSPACES = 200
+CHANGES_A_DAY = 840
+SECONDS_A_DAY = 86400
+KIB = 1024
+MS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """Cost of one configuration; times are medians.
+
+    :param servers: backend servers in it.
+    :param yaml_kib: size of the files.
+    :param document_kib: size of the document that nodes fetch.
+    :param packed_kib: the same, compressed by zlib.
+    :param check_ms: reading, merging, validating and checking the folder.
+    :param compile_ms: compiling the document to a snapshot.
+    :param snapshot_kib: memory that the snapshot takes.
+    :param node_bytes_a_second: bytes that a node fetches for 840 changes a
+        day, on average.
+    """
+
+    servers: int
+    yaml_kib: float
+    document_kib: float
+    packed_kib: float
+    check_ms: float
+    compile_ms: float
+    snapshot_kib: float
+    node_bytes_a_second: float
+
+
+def make_site(servers: int) -> dict[str, dict[str, Any]]:
+    """Return the sections of a site by the name of their file."""
+    zones = {
+        f"zone-{number}": {"region": f"region-{number % REGIONS}"}
+        for number in range(ZONES)
+    }
+    versions: dict[str, list[str]] = {}
+    for number in range(VERSIONS):
+        held = versions.setdefault(f"model-{number % MODELS}", [])
+        held.append(f"2026-{len(held) + 1:02d}")
+    names = sorted(versions)
+    models = {
+        name: {
+            "versions": {version: {} for version in held},
+            "default_version": held[0],
+            "input_price": 100,
+            "output_price": 400,
+        }
+        for name, held in versions.items()
+    }
+    engines = {
+        f"engine-{number:04d}": {
+            "kind": "engine",
+            "protocol": "openai",
+            "address": f"10.{number // 250}.0.{number % 250 + 1}:8000",
+            "zone": f"zone-{number % ZONES}",
+            "serves": {
+                names[number % MODELS]: versions[names[number % MODELS]]
+            },
+            "concurrency": 24,
+            "warmup": {"concurrency": 2, "duration": 45},
+        }
+        for number in range(servers)
+    }
+    cascades = {
+        f"public-{number}": {
+            "policy": "adaptive",
+            "models": [names[number % MODELS], names[(number + 1) % MODELS]],
+            "target": 0.8,
+        }
+        for number in range(MODELS)
+    }
+    workspaces = {
+        f"workspace-{number}": {
+            "key_digests": [hashlib.sha256(bytes([number])).hexdigest()],
+            "models": names,
+            "cascades": sorted(cascades),
+        }
+        for number in range(WORKSPACES)
+    }
+    return {
+        "10-zones.yaml": {"zones": zones},
+        "20-models.yaml": {"models": models},
+        "30-servers.yaml": {"servers": engines},
+        "40-cascades.yaml": {"cascades": cascades},
+        "50-workspaces.yaml": {"workspaces": workspaces},
+        "60-sessions.yaml": {"session_keys": {"k1": {"secret": "s" * 32}}},
+    }
+
+
+def measure(servers: int, repeats: int) -> Cost:
+    """Return the cost of a configuration with a number of servers."""
+    with tempfile.TemporaryDirectory() as folder:
+        size = 0
+        for name, sections in make_site(servers).items():
+            text = yaml.safe_dump(sections)
+            size += pathlib.Path(folder, name).write_text(text)
+        data = loader.load_folder(folder).unwrap().to_bytes()
+        check_ms = _median_ms(lambda: loader.load_folder(folder), repeats)
+    compile_ms = _median_ms(lambda: compiler.compile_document(data), repeats)
+    return Cost(
+        servers=servers,
+        yaml_kib=size / KIB,
+        document_kib=len(data) / KIB,
+        packed_kib=len(zlib.compress(data)) / KIB,
+        check_ms=check_ms,
+        compile_ms=compile_ms,
+        snapshot_kib=_snapshot_kib(data),
+        node_bytes_a_second=len(data) * CHANGES_A_DAY / SECONDS_A_DAY,
+    )
+
+
+def _median_ms(work: Callable[[], object], repeats: int) -> float:
+    times = []
+    for _ in range(repeats):
+        start = time.perf_counter()
+        work()
+        times.append(time.perf_counter() - start)
+    return statistics.median(times) * MS
+
+
+def _snapshot_kib(data: bytes) -> float:
+    gc.collect()
+    tracemalloc.start()
+    held = compiler.compile_document(data)
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return size / KIB
+
+
+def _show(costs: list[Cost]) -> None:
+    shown = tables.Table(box=None)
+    for column in (
+        "servers",
+        "YAML KiB",
+        "document KiB",
+        "packed KiB",
+        "check ms",
+        "compile ms",
+        "snapshot KiB",
+        "B/s a node",
+    ):
+        shown.add_column(column, justify="right")
+    for cost in costs:
+        values = list(asdict(cost).values())
+        shown.add_row(
+            str(values[0]), *(f"{value:.1f}" for value in values[1:])
+        )
+    console.Console().print(shown)
+
+
+def main(argv: list[str]) -> None:
+    """Measure each size and print the costs."""
+    costs = [measure(int(servers), FLAGS.repeats) for servers in FLAGS.servers]
+    if FLAGS.json:
+        print(json.dumps([asdict(cost) for cost in costs], indent=2))
+    else:
+        _show(costs)
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/limpetwalk/limpetwalk/conf/checks_plugins.py
+++ b/packages/limpetwalk/limpetwalk/conf/checks_plugins.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 
-from .. import plugins
 from .. import registry
 from . import checks
 from . import document
@@ -14,19 +13,9 @@
 @registry.register(registry.Kind.CONFIG_CHECK, "plugins.names")
 def check_plugins(subject: checks.Subject) -> Iterator[findings.Finding]:
     """Protocols, policies and guards are plug-ins that are loaded."""
-    plugins.load()
-    unchecked: set[registry.Kind] = set()
     for path, name, kind in _uses(subject.effective):
         known = registry.names(kind)
-        if not known and kind not in unchecked:
-            unchecked.add(kind)
-            yield checks.warning(
-                "plugin-unchecked",
-                path,
-                f"{name!r}, and this program has loaded no {kind.value}",
-                "a name that can be checked",
-            )
-        elif known and name not in known:
+        if name not in known:
             yield checks.error(
                 "unknown-plugin",
                 path,
