--- a/packages/limpetwalk-ctl/limpetwalk_ctl/changes.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/changes.py
@@ -99,6 +99,8 @@
         "warnings": [output.finding_json(item) for item in warnings],
     }
     if spread is not None:
+        if not spread.listed:
+            ctx.out.error("the instance list does not answer")
         total = len(spread.reports)
         text = f"{text}, seen by {spread.seen} of {total} nodes"
         answer["seen"] = spread.seen
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/commands/show.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/show.py
@@ -40,7 +40,10 @@
             (findings.format_path(key), value, _source(loaded.tree, key))
             for key, value in values
         ]
-        ctx.out.table(("PATH", "VALUE", "FROM"), rows)
+        ctx.out.table(
+            ("PATH", "VALUE", "FROM"),
+            [(name, diff.value_text(value), src) for name, value, src in rows],
+        )
         ctx.out.json(
             {
                 "values": [
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/handover.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/handover.py
@@ -20,10 +20,12 @@
 
     :param generation: accepted generation.
     :param reports: last report of each live node.
+    :param listed: whether the instance list was read at least once.
     """
 
     generation: int
     reports: tuple[nodes.NodeReport, ...]
+    listed: bool = True
 
     @property
     def seen(self) -> int:
@@ -36,8 +38,8 @@
 
     @property
     def everywhere(self) -> bool:
-        """Whether all live nodes serve it."""
-        return self.seen == len(self.reports)
+        """Whether all live nodes are known and serve it."""
+        return self.listed and self.seen == len(self.reports)
 
 
 class Handover:
@@ -61,6 +63,7 @@
         self._instances = instances
         self._clock = clock
         self._known: list[platform.Instance] = []
+        self._listed = False
 
     async def prepare(self) -> None:
         """Learn the nodes before the write, as the list may fail after."""
@@ -89,7 +92,7 @@
         while True:
             await self._refresh()
             reports = await self._client.reports(self._known)
-            spread = Spread(generation, tuple(reports))
+            spread = Spread(generation, tuple(reports), self._listed)
             if spread.everywhere or self._clock.monotonic() >= deadline:
                 return spread
             behind = [
@@ -104,6 +107,7 @@
         found = await nodes.try_live_nodes(self._instances)
         if found is not None:
             self._known = found
+            self._listed = True
 
 
 def _few_of_each_zone(
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/output.py
@@ -62,7 +62,11 @@
             table.add_column(column, overflow="fold")
         for row in rows:
             table.add_row(*(_cell(value) for value in row))
-        self._console.print(table)
+        with self._console.capture() as capture:
+            self._console.print(table)
+        for line in capture.get().splitlines():
+            # The last column is padded to its width.
+            self._stdout.write(line.rstrip() + "\n")
 
     def findings(self, found: Sequence[findings.Finding]) -> None:
         """Write findings, one a line, for people."""
--- a/packages/limpetwalk/limpetwalk/conf/diff.py
+++ b/packages/limpetwalk/limpetwalk/conf/diff.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 import hashlib
+import json
 from typing import Any
 
 from . import document
@@ -30,10 +31,10 @@
     def __str__(self) -> str:
         path = findings.format_path(self.path)
         if self.kind == "added":
-            return f"+ {path}: {self.new}"
+            return f"+ {path}: {value_text(self.new)}"
         if self.kind == "removed":
-            return f"- {path}: {self.old}"
-        return f"~ {path}: {self.old} -> {self.new}"
+            return f"- {path}: {value_text(self.old)}"
+        return f"~ {path}: {value_text(self.old)} -> {value_text(self.new)}"
 
 
 def diff_documents(
@@ -45,6 +46,13 @@
     return changes
 
 
+def value_text(value: Any) -> str:
+    """Return a value as operators would write it in a file."""
+    if isinstance(value, str):
+        return value
+    return json.dumps(value, ensure_ascii=False)
+
+
 def masked(doc: document.Document) -> dict[str, Any]:
     """Return a document as plain data with digests in place of secrets."""
     tree = doc.model_dump(mode="json")
--- a/tests/limpetwalk_ctl/test_changes.py
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -151,6 +151,15 @@
         self.assertEqual((code, answer["generation"]), (0, 3))
         self.assertIs(self.snapshot().zones["hu-central-b"].state, OUT)
 
+    def test_show_tells_places_and_masks_secrets(self) -> None:
+        (self.site / "99.yaml").write_text("tuning: {queue_length: 7}\n")
+        code, out, _ = self.shell.run("show", str(self.site))
+        self.assertEqual(code, 0)
+        self.assertRegex(out, r"tuning.queue_length +7 +.*/99\.yaml:1\n")
+        self.assertRegex(out, r"tuning.crash_limit +2 +default\n")
+        self.assertRegex(out, r"registry-a.fencing +true +default\n")
+        self.assertNotIn("example-secret", out)
+
     def test_expected_generation(self) -> None:
         (self.site / "99.yaml").write_text("tuning: {queue_length: 7}\n")
         code, _, err = self.shell.run("apply", str(self.site), "--expect=4")
@@ -292,6 +301,15 @@
         self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
         self.assertIn("the store does not answer", err)
 
+    def test_nodes_that_are_not_known_are_not_counted_as_served(self) -> None:
+        self.shell.instances.unavailable = True
+        code, out, err = self.shell.run(
+            "zone", "out", "hu-central-a", "--wait"
+        )
+        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
+        self.assertIn("seen by 0 of 0 nodes", out)
+        self.assertIn("the instance list does not answer", err)
+
     def test_nothing_is_handed_over_when_the_outcome_is_unknown(self) -> None:
         async def fail_after(operation: str) -> None:
             if operation == "transact":
