--- a/tests/limpetwalk/conf/test_editor_stateful.py
+++ b/tests/limpetwalk/conf/test_editor_stateful.py
@@ -37,6 +37,8 @@
 EDITS: tuple[edits.Edit, ...] = (
     _folder(1),
     _folder(2),
+    _folder(3),
+    _folder(4),
     edits.Place(edits.Placed.ZONE, "z1", snapshot.PlacementState.OUT),
     edits.Place(edits.Placed.ZONE, "z1", snapshot.PlacementState.IN),
     edits.Place(edits.Placed.SERVER, "e1", snapshot.PlacementState.OUT),
