--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -117,6 +117,7 @@
             bill_spill.SpillStore(
                 self.platform.objects, self.hub.boot_id, self.clock
             ),
+            billing.WaitFor.COPY,
         )
 
     def _tuning(self) -> snapshot.Tuning:
--- a/packages/limpetwalk/limpetwalk/backends/openai.py
+++ b/packages/limpetwalk/limpetwalk/backends/openai.py
@@ -19,6 +19,7 @@
 DATA_PREFIX = b"data:"
 ID_PREFIX = "chatcmpl-"
 DONE = b"[DONE]"
+MAX_LINE_BYTES = 1024 * 1024
 LEAST_WAIT = 0.001
 
 
@@ -136,30 +137,36 @@
         exchange: pool.Exchange,
     ) -> AsyncGenerator[base.EngineEvent, None]:
         finished: base.Finished | None = None
-        expected_id = f"{ID_PREFIX}{call.request_id}"
         silence = self._tuning.first_token_timeout
-        while True:
+        lines = _Lines(resp, exchange)
+        done = False
+        while not done:
             async with asyncio.timeout(self._wait(call, silence)):
-                line = await _next_line(resp, exchange)
-            if not line.startswith(DATA_PREFIX):
-                continue
-            data = line[len(DATA_PREFIX) :].strip()
-            if data == DONE:
-                break
-            chunk = _parse(data, exchange)
-            if chunk.get("id") != expected_id:
-                kind = base.FailureKind.CROSSED
-                raise exchange.failed(kind, f"event of {chunk.get('id')}")
-            if chunk.get("usage"):
-                exchange.check_echo(
-                    chunk.get("request_id"), chunk.get("attempt_id")
-                )
-                finished = _finished(chunk, exchange)
-                continue
-            text = _text(chunk, exchange)
-            if text:
+                arrived = await lines.read()
+            # Pieces that arrive together go on together: a generator step
+            # for each token costs more than the token's parsing.
+            pieces = []
+            for line in arrived:
+                if not line.startswith(DATA_PREFIX):
+                    continue
+                data = line[len(DATA_PREFIX) :].strip()
+                if data == DONE:
+                    done = True
+                    break
+                chunk = _parse(data, exchange)
+                _check_id(chunk, call, exchange)
+                if chunk.get("usage"):
+                    exchange.check_echo(
+                        chunk.get("request_id"), chunk.get("attempt_id")
+                    )
+                    finished = _finished(chunk, exchange)
+                    continue
+                text = _text(chunk, exchange)
+                if text:
+                    pieces.append(text)
+            if pieces:
                 silence = self._tuning.token_gap_timeout
-                yield base.Delta(text)
+                yield base.Delta("".join(pieces), len(pieces))
         if finished is None:
             kind = base.FailureKind.TRUNCATED
             raise exchange.failed(kind, "no terminal event")
@@ -194,18 +201,40 @@
     return json.dumps(body).encode()
 
 
-async def _next_line(
-    resp: aiohttp.ClientResponse, exchange: pool.Exchange
-) -> bytes:
-    try:
-        line = await resp.content.readline()
-    except ValueError as exc:
-        kind = base.FailureKind.SERVER_ERROR
-        raise exchange.failed(kind, f"event too long: {exc}") from exc
-    if not line:
-        kind = base.FailureKind.TRUNCATED
-        raise exchange.failed(kind, "no terminal event")
-    return line
+class _Lines:
+    """Lines of a streamed body, as many at once as have arrived."""
+
+    def __init__(
+        self, resp: aiohttp.ClientResponse, exchange: pool.Exchange
+    ) -> None:
+        self._resp = resp
+        self._exchange = exchange
+        self._rest = b""
+
+    async def read(self) -> list[bytes]:
+        """Return the whole lines that have arrived, at least one.
+
+        :raises AttemptFailed: when the body ends or a line is too long.
+        """
+        while True:
+            data = await self._resp.content.readany()
+            if not data:
+                kind = base.FailureKind.TRUNCATED
+                raise self._exchange.failed(kind, "no terminal event")
+            *lines, self._rest = (self._rest + data).split(b"\n")
+            if len(self._rest) > MAX_LINE_BYTES:
+                kind = base.FailureKind.SERVER_ERROR
+                raise self._exchange.failed(kind, "event too long")
+            if lines:
+                return lines
+
+
+def _check_id(
+    chunk: dict[str, Any], call: base.EngineCall, exchange: pool.Exchange
+) -> None:
+    if chunk.get("id") != f"{ID_PREFIX}{call.request_id}":
+        kind = base.FailureKind.CROSSED
+        raise exchange.failed(kind, f"event of {chunk.get('id')}")
 
 
 def _parse(data: bytes, exchange: pool.Exchange) -> dict[str, Any]:
--- a/packages/limpetwalk/limpetwalk/conf/snapshot.py
+++ b/packages/limpetwalk/limpetwalk/conf/snapshot.py
@@ -256,7 +256,7 @@
     queue_length: int = 256
     stale_after: float = 60.0
     ledger_partitions: int = 16
-    ledger_interval: float = 0.1
+    ledger_interval: float = 0.5
     record_ttl: float = 86400.0
     rating_timeout: float = 1.0
     crash_limit: int = 2
--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -32,6 +32,7 @@
   digest @5 :Text;
   leaving @6 :Bool;
   confirmedAgeMs @7 :UInt32 = 4294967295;  # the default stands for never
+  nodes @8 :UInt16;         # nodes that the sender sees; 0: takes no share
 }
 
 struct ConfigHead {
@@ -69,6 +70,7 @@
     write @0;               # append to the ledger, acknowledge when durable
     hold @1;                # keep a copy until released
     release @2;             # the copies are durable in the ledger
+    collect @3;             # bring them to the partition's writer
   }
 }
 
--- a/packages/limpetwalk/limpetwalk/routing/access.py
+++ b/packages/limpetwalk/limpetwalk/routing/access.py
@@ -105,7 +105,7 @@
     if state is not snapshot.VersionState.LIVE:
         raise _denied(
             refusals.Reason.VERSION_WITHDRAWN,
-            410,
+            409,
             f"Version {target.version} of model {target.model} is withdrawn."
             " Open a new session with POST /v1/sessions and send its token"
             " in X-Session.",
