--- a/packages/limpetwalk-node/limpetwalk_node/app.py
+++ b/packages/limpetwalk-node/limpetwalk_node/app.py
@@ -40,6 +40,8 @@
     :param records: durable records.
     :param biller: writes bill entries.
     :param is_live: tells whether a holder of records is still at work.
+    :param is_full: tells whether so many bill entries are held that no more
+        work may be taken.
     :param status: returns what ``/status`` shows.
     :param waits: bounds of a repeat's wait for the run under way.
     :param retries: bound of the tries to note the end of a run.
@@ -55,6 +57,7 @@
     records: records.RecordStore
     biller: ledger.Biller
     is_live: Callable[[str], bool]
+    is_full: Callable[[], bool]
     status: Callable[[lifecycle.Lifecycle], dict[str, Any]]
     clock: clocks.Clock
     metrics: measures.Metrics
@@ -76,7 +79,7 @@
     """Return the interfaces of a node that has these parts."""
     life = lifecycle.Lifecycle()
     api = callers.Callers(
-        held.config, life, held.clock, held.metrics, held.rng
+        held.config, life, held.is_full, held.clock, held.metrics, held.rng
     )
     bills_ = bills.Bills(
         held.name, held.biller, life, held.clock, held.metrics
@@ -121,6 +124,7 @@
         bills_,
         life,
         held.is_live,
+        held.clock,
         held.waits,
     )
     return services.PlainServices(
--- a/packages/limpetwalk-node/limpetwalk_node/callers.py
+++ b/packages/limpetwalk-node/limpetwalk_node/callers.py
@@ -19,8 +19,8 @@
 from . import errors
 from . import lifecycle
 from . import parts
+from . import request_ids
 
-REQUEST_ID_BITS = 96
 SHUTDOWN_RETRY_AFTER = 1.0
 
 Endpoint = Callable[[calls.Call], Awaitable[web.StreamResponse]]
@@ -29,9 +29,10 @@
 class Callers:
     """Takes each request in and answers each refusal, in one place.
 
-    :param name: name of the node.
     :param config: configuration in force.
     :param life: phase of the node.
+    :param is_full: tells whether so many bill entries are held that no
+        more work may be taken.
     :param clock: clock of latencies and limits.
     :param metrics: metrics of the process.
     :param rng: source of request identifiers.
@@ -41,12 +42,14 @@
         self,
         config: parts.ConfigSource,
         life: lifecycle.Lifecycle,
+        is_full: Callable[[], bool],
         clock: clocks.Clock,
         metrics: measures.Metrics,
         rng: random.Random,
     ) -> None:
         self._config = config
         self._life = life
+        self._is_full = is_full
         self._clock = clock
         self._rng = rng
         self._keys = authentication.KeyDirectory()
@@ -73,7 +76,7 @@
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        request_id = f"{self._rng.getrandbits(REQUEST_ID_BITS):024x}"
+        request_id = request_ids.make(self._clock, self._rng)
         began = self._clock.monotonic()
         self._life.enter()
         try:
@@ -98,7 +101,7 @@
 
     def refuse_unreadable(self, refusal: refusals.Refusal) -> web.Response:
         """Return the response to a request that can't be parsed."""
-        request_id = f"{self._rng.getrandbits(REQUEST_ID_BITS):024x}"
+        request_id = request_ids.make(self._clock, self._rng)
         return self._refuse(refusal, request_id)
 
     async def _serve(
@@ -130,6 +133,11 @@
                 refusals.Reason.CONFIGURATION_STALE,
                 "This node can't confirm that its configuration is in force.",
             )
+        if self._is_full():
+            raise _unavailable(
+                refusals.Reason.STORE_UNAVAILABLE,
+                "This node holds as many bill entries as it may.",
+            )
         return applied
 
     def _endpoint(self, req: web.BaseRequest) -> Endpoint:
--- a/packages/limpetwalk-node/limpetwalk_node/record_flow.py
+++ b/packages/limpetwalk-node/limpetwalk_node/record_flow.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk import refusals
 from limpetwalk.backends import base as backends
@@ -19,6 +20,11 @@
 from . import parts
 from . import record_notes
 from . import record_refusals
+from . import request_ids
+
+# Age of a request in seconds up to which its replay is billed again; the
+# ledger's memory of entries is longer at any load that it is made for.
+REBILL_AGE = 120.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +69,7 @@
     :param bills_: writes bill entries.
     :param life: in-flight count, which covers runs whose caller left.
     :param is_live: tells whether a holder is still at work.
+    :param clock: clock of the requests' ages.
     :param waits: bounds of waits.
     """
 
@@ -75,6 +82,7 @@
         bills_: bills.Bills,
         life: lifecycle.Lifecycle,
         is_live: Callable[[str], bool],
+        clock: clocks.Clock,
         waits: Waits,
     ) -> None:
         self._holder = holder
@@ -84,6 +92,7 @@
         self._bills = bills_
         self._life = life
         self._is_live = is_live
+        self._clock = clock
         self._waits = waits
         self._runs: dict[tuple[str, str], _Run] = {}
 
@@ -130,11 +139,16 @@
         item: work.ServiceWork,
         outcome: Outcome,
     ) -> None:
-        """Bill an answer; the ledger drops an entry that it has already.
+        """Bill an answer.
 
-        A replay is billed too, because the node that ran the request may
-        have been lost before its entry was written.
+        A fresh replay is billed too, because the node that ran the request
+        may have been lost before its entry was written; the ledger drops an
+        entry that it has already. It remembers entries for a while only, so
+        a later replay is not billed.
         """
+        age = request_ids.age(outcome.request_id, self._clock)
+        if outcome.replayed and age > REBILL_AGE:
+            return
         await self._bills.write(
             ident.workspace,
             ident.key,
--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -6,6 +6,7 @@
 import aiomisc
 
 from limpetwalk import clock as clocks
+from limpetwalk import leases
 from limpetwalk import metrics as measures
 from limpetwalk import registry
 from limpetwalk.conf import compile as compiler
@@ -19,14 +20,18 @@
 from limpetwalk.routing import dispatch
 from limpetwalk.routing import quarantine
 from limpetwalk.routing import replicas
-from limpetwalk.routing import warmup
 
 from . import app
 from . import bill_spill
+from . import bill_sweeper
 from . import billing
 from . import config
+from . import crashes
 from . import holders
 from . import instances
+from . import permit_grantor
+from . import permits
+from . import reports
 from . import settings
 from . import status
 
@@ -79,9 +84,43 @@
             self.rng,
             self.metrics,
         )
+        self._holders = holders.Holders(self.hub)
+        self._spills = bill_spill.SpillStore(
+            self.platform.objects, self.hub.boot_id, self.clock
+        )
         self.biller = self._make_biller()
-        self._permits = warmup.LocalPermits(self._live_nodes)
+        self._sweeper = bill_sweeper.Sweeper(
+            self.hub, self._spills, self._open_partition, self.metrics
+        )
+        self._grantor = permit_grantor.PermitGrantor(
+            self.hub,
+            leases.LeaseKeeper(
+                self.platform.table, self.clock, self._holders.own
+            ),
+            self.keeper.current,
+            self.clock,
+            self.metrics,
+        )
+        self._permits = permits.PeerPermits(
+            self.hub, self._grantor, self.clock, self.metrics
+        )
+        self._quarantine = quarantine.Quarantine(clock=self.clock)
+        self._crashes = crashes.CrashSharing(
+            self.hub,
+            self._quarantine,
+            self.platform.table,
+            self.clock,
+            self.metrics,
+        )
         self._core = self._make_core()
+        self._reports = reports.LoadReports(
+            self.hub,
+            self._core.directory,
+            lambda: self.keeper.current() is not None,
+            self.clock,
+            self.rng,
+            self.metrics,
+        )
         self.interfaces = app.compose(self._make_parts())
 
     async def start(self) -> None:
@@ -89,9 +128,17 @@
         await self.hub.start()
         await self.keeper.start()
         await self.biller.start()
+        await self._sweeper.start()
+        await self._crashes.start()
+        await self._reports.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
-        """Leave the peers and close all connections."""
+        """Release the leases, leave the peers and close all connections."""
+        await self._reports.stop()
+        await self._crashes.stop()
+        await self._permits.stop()
+        await self._grantor.stop()
+        await self._sweeper.stop()
         await self.biller.stop()
         await self.keeper.stop()
         await self.hub.stop()
@@ -104,19 +151,20 @@
         assert applied is not None
         return applied
 
+    def _open_partition(self, number: int) -> partition.LedgerPartition:
+        return partition.LedgerPartition(
+            self.platform.table, number, self.clock
+        )
+
     def _make_biller(self) -> billing.LedgerBiller:
         return billing.LedgerBiller(
             self.hub,
-            lambda number: partition.LedgerPartition(
-                self.platform.table, number, self.clock
-            ),
+            self._open_partition,
             self._tuning,
             self.clock,
             self.rng,
             self.metrics,
-            bill_spill.SpillStore(
-                self.platform.objects, self.hub.boot_id, self.clock
-            ),
+            self._spills,
             billing.WaitFor.COPY,
         )
 
@@ -139,7 +187,7 @@
         return cores.Core(
             self._in_force,
             self._permits,
-            quarantine.Quarantine(clock=self.clock),
+            self._quarantine,
             self.clock,
             self.metrics,
             self.rng,
@@ -157,7 +205,7 @@
             self.rng,
             core,
         )
-        held = holders.Holders(self.hub)
+        held = self._holders
         return app.Parts(
             name=self.cfg.name,
             holder=held.own,
@@ -176,6 +224,7 @@
             ),
             biller=self.biller,
             is_live=held.is_live,
+            is_full=lambda: self.biller.full,
             status=status.Status(self.cfg, self.keeper, self.hub.live),
             clock=self.clock,
             metrics=self.metrics,
--- a/tests/limpetwalk_node/fakes.py
+++ b/tests/limpetwalk_node/fakes.py
@@ -83,6 +83,15 @@
     )
 
 
+class SkewedClock(clocks.SystemClock):
+    """Clock of the machine, whose wall time a test moves."""
+
+    offset = 0.0
+
+    def wall(self):
+        return super().wall() + self.offset
+
+
 class FakeConfig:
     """Configuration that a test changes."""
 
@@ -208,6 +217,8 @@
         self.records = records
         self.biller = FakeBiller()
         self.lost_holders = set()
+        self.is_full = False
+        self.clock = SkewedClock()
         self.metrics = measures.Metrics()
         self.interfaces = app.compose(self.parts())
         self.life = self.interfaces.life
@@ -225,8 +236,9 @@
             records=self.records,
             biller=self.biller,
             is_live=lambda holder: holder not in self.lost_holders,
+            is_full=lambda: self.is_full,
             status=lambda life: {"name": "node-1"},
-            clock=clocks.SystemClock(),
+            clock=self.clock,
             metrics=self.metrics,
             rng=random.Random(7),
             waits=record_flow.Waits(0.1, 0.02),
--- a/tests/limpetwalk_node/test_callers.py
+++ b/tests/limpetwalk_node/test_callers.py
@@ -256,6 +256,8 @@
         self.assertEqual("not_ready", await told())
         self.node.config.applied = applied
         self.node.config.is_fresh = True
+        self.node.is_full = True
+        self.assertEqual("store_unavailable", await told())
         self.node.life.phase = lifecycle.Phase.DRAINING
         self.assertEqual("shutting_down", await told())
 
--- a/tests/limpetwalk_node/test_services.py
+++ b/tests/limpetwalk_node/test_services.py
@@ -100,6 +100,16 @@
         keys = {entry.request_key for entry in self.node.biller.entries}
         ids = {entry.request_id for entry in self.node.biller.entries}
         self.assertEqual(({"k-1"}, 1), (keys, len(ids)))
+        # The node that ran it may have been lost before it was billed.
+        self.assertEqual(2, len(self.node.biller.entries))
+
+    async def test_late_replay_is_not_billed_again(self):
+        # The ledger forgets the keys of old entries.
+        await self.pay()
+        self.node.clock.offset = 3600.0
+        resp, _ = await self.pay()
+        self.assertEqual("true", resp.headers["Idempotent-Replayed"])
+        self.assertEqual(1, len(self.node.biller.entries))
 
     async def test_key_is_required(self):
         resp, body = await self.pay(key=None)
