--- a/tests/limpetwalk_node/test_chat.py
+++ b/tests/limpetwalk_node/test_chat.py
@@ -1,8 +1,11 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from limpetwalk import refusals
+from limpetwalk.conf import snapshot
+from limpetwalk_node import chat
 
 from . import fakes
 
@@ -171,3 +174,98 @@
         self.assertEqual(
             1, self.node.metrics.value("limpetwalk_callers_left_total")
         )
+
+    async def test_reader_that_takes_nothing_is_given_up(self):
+        self.node.engines.answers["large"] = ["x" * 100_000] * 200
+        body = json.dumps(question(model="strong", stream=True)).encode()
+        head = (
+            f"POST {CHAT} HTTP/1.1\r\nHost: node\r\n"
+            f"Authorization: Bearer {fakes.KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        with mock.patch.object(chat, "READER_TIMEOUT", 0.05):
+            _, writer = await asyncio.open_connection(
+                "127.0.0.1", self.node.port, limit=1024
+            )
+            writer.write(head.encode() + body)
+            async with asyncio.timeout(10):
+                await self.node.engines.cancelled.wait()
+                self.assertTrue(await self.node.life.wait_idle(5))
+            writer.close()
+        self.assertEqual([], self.node.biller.entries)
+
+
+class Session(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.node = fakes.FakeNode(None)
+        await self.node.start()
+        self.addAsyncCleanup(self.node.stop)
+
+    async def post(self, path, body, **headers):
+        async with self.node.http.post(
+            path, json=body, headers=headers
+        ) as resp:
+            return resp, await resp.json()
+
+    def move_default(self, version="v2"):
+        models = dict(self.node.config.applied.snapshot.models)
+        small = models["small"]
+        models["small"] = snapshot.Model(
+            "small", small.versions, version, 100, 200
+        )
+        self.node.config.change(models=models)
+
+    def withdraw(self, version):
+        versions = self.node.config.applied.snapshot.models["small"].versions
+        versions[version] = snapshot.VersionState.WITHDRAWN
+
+    async def test_version_stays_although_the_default_moves(self):
+        _, opened = await self.post("/v1/sessions", {"model": "assistant"})
+        self.assertEqual({"small": "v1", "large": "v1"}, opened["versions"])
+        self.move_default()
+        token = {"X-Session": opened["token"]}
+        resp, body = await self.post(CHAT, question(), **token)
+        self.assertEqual("small:v1", resp.headers["X-Model-Version"])
+        self.assertNotIn("X-Session", resp.headers)
+        _, body = await self.post(CHAT, question())
+        self.assertEqual("v2", body["limpetwalk"]["version"])
+
+    async def test_answer_without_a_session_opens_one(self):
+        resp, _ = await self.post(CHAT, question())
+        self.move_default()
+        token = {"X-Session": resp.headers["X-Session"]}
+        _, body = await self.post(CHAT, question(), **token)
+        self.assertEqual("v1", body["limpetwalk"]["version"])
+
+    async def test_withdrawn_version_is_refused_and_runs_nothing(self):
+        _, opened = await self.post("/v1/sessions", {})
+        self.move_default()
+        self.withdraw("v1")
+        token = {"X-Session": opened["token"]}
+        resp, body = await self.post(CHAT, question(), **token)
+        self.assertEqual(409, resp.status)
+        self.assertEqual("version_withdrawn", body["error"]["reason"])
+        self.assertEqual("not_run", body["error"]["run"])
+        self.assertIn("/v1/sessions", body["error"]["message"])
+        self.assertEqual([], self.node.engines.works)
+
+    async def test_token_of_another_workspace(self):
+        _, opened = await self.post("/v1/sessions", {})
+        _, body = await self.post(
+            CHAT,
+            question(),
+            **{
+                "X-Session": opened["token"],
+                "Authorization": f"Bearer {fakes.OTHER_KEY}",
+            },
+        )
+        self.assertEqual("unknown_session", body["error"]["reason"])
+
+    async def test_models_of_the_workspace(self):
+        async with self.node.http.get(
+            "/v1/models",
+            headers={"Authorization": f"Bearer {fakes.OTHER_KEY}"},
+        ) as resp:
+            body = await resp.json()
+        # The other workspace may use no model behind the second name.
+        self.assertEqual(["assistant"], [m["id"] for m in body["data"]])
