--- a/packages/limpetwalk/limpetwalk/routing/balancer.py
+++ b/packages/limpetwalk/limpetwalk/routing/balancer.py
@@ -12,6 +12,7 @@
 from .. import registry
 from . import replicas
 
+SMALL = 12
 DRAWS = 8
 MOST_SCANNED = 64
 OTHER_ZONE_COST = 0.02
@@ -75,8 +76,14 @@
         usable: Callable[[replicas.Replica], bool],
         now: float,
     ) -> replicas.Replica | None:
+        if len(held) <= SMALL:
+            free = [replica for replica in held if usable(replica)]
+            pair = self._rng.sample(free, min(2, len(free)))
+            return min(
+                pair, key=lambda item: self._cost(item, now), default=None
+            )
         found: list[replicas.Replica] = []
-        for _ in range(min(DRAWS, 2 * len(held))):
+        for _ in range(DRAWS):
             drawn = self._rng.choice(held)
             if drawn not in found and usable(drawn):
                 found.append(drawn)
