--- a/packages/limpetwalk/limpetwalk/peers/membership.py
+++ b/packages/limpetwalk/limpetwalk/peers/membership.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+import math
 
 from loguru import logger
 
@@ -15,6 +16,7 @@
 from ..platform import base as platform
 from . import base
 from . import messages
+from . import node_counts
 
 LIVE_BOUND = 3.0
 FORGET_AFTER = 60.0
@@ -39,6 +41,7 @@
     def __init__(
         self, name: str, clock: clocks.Clock, metrics: metrics_.Metrics
     ) -> None:
+        self.counts = node_counts.NodeCounts(clock)
         self._name = name
         self._clock = clock
         self._listed: dict[str, platform.Instance] = {}
@@ -83,6 +86,7 @@
             self._replace_boot(sender, member.beat.boot_id)
         if member is None or not member.live:
             logger.info("peer {} in zone {} is live", sender, beat.zone)
+        self.counts.note(sender, beat.nodes)
         self._members[sender] = _Member(beat, self._clock.monotonic())
         return True
 
@@ -101,7 +105,9 @@
                 logger.info("peer {} is silent", name)
             if silence > FORGET_AFTER and name not in self._listed:
                 del self._members[name]
+                self.counts.forget(name)
                 self._old_boots.pop(name, None)
+        self.counts.note_own(len(self.known()) + 1)
         self._live_gauge.set(len(self.live()))
 
     def live(self) -> list[base.Peer]:
@@ -120,6 +126,11 @@
             if member.live and member.beat_at >= bound
         }
 
+    def heard_at(self, name: str) -> float:
+        """Return the monotonic instant of a peer's last heartbeat."""
+        member = self._members.get(name)
+        return member.beat_at if member else -math.inf
+
     def doubt(self) -> None:
         """Take no peer for live until its next heartbeat."""
         for member in self._members.values():
--- a/packages/limpetwalk/limpetwalk/records/store.py
+++ b/packages/limpetwalk/limpetwalk/records/store.py
@@ -99,7 +99,11 @@
     async def release(
         self, record: base.Record
     ) -> Result[base.Record, base.LostClaim]:
-        """Move a dispatched record whose attempt proved unsent back."""
+        """Move a dispatched record whose attempt proved unsent back.
+
+        :raises ValueError: when another node dispatched it.
+        """
+        self._require_own(record)
         moved = dataclasses.replace(
             record, state=State.CLAIMED, attempt_id="", server=""
         )
@@ -108,26 +112,76 @@
     async def answer(
         self, record: base.Record, answer: backends.ServiceAnswer
     ) -> Result[base.Record, base.LostClaim]:
-        """Store the answer."""
+        """Store the answer, also when another node gave the attempt up."""
         moved = dataclasses.replace(
             record, state=State.ANSWERED, answer=answer
         )
-        return await self._move(record, moved, State.DISPATCHED, State.UNKNOWN)
+        outcome = await self._move(
+            record, moved, State.DISPATCHED, State.UNKNOWN
+        )
+        if isinstance(outcome, Ok):
+            return outcome
+        found = outcome.err_value.record
+        if (
+            found is None
+            or found.state is not State.UNKNOWN
+            or found.attempt_id != record.attempt_id
+        ):
+            return outcome
+        moved = dataclasses.replace(found, state=State.ANSWERED, answer=answer)
+        return await self._move(found, moved, State.UNKNOWN)
 
     async def finish(
         self, record: base.Record, state: base.RecordState
     ) -> Result[base.Record, base.LostClaim]:
-        """Close a record as ``not_run`` or ``unknown``."""
+        """Close a record as ``not_run`` or ``unknown``.
+
+        :raises ValueError: when ``not_run`` is asked for a record that
+            another node dispatched: it may be about to send.
+        """
+        if state is State.NOT_RUN and record.state is State.DISPATCHED:
+            self._require_own(record)
         if state not in (State.NOT_RUN, State.UNKNOWN):
             raise ValueError(f"a record can't be finished as {state.value}")
         moved = dataclasses.replace(record, state=state)
-        return await self._move(record, moved, State.CLAIMED, State.DISPATCHED)
+        outcome = await self._move(
+            record, moved, State.CLAIMED, State.DISPATCHED
+        )
+        if isinstance(outcome, Ok):
+            return outcome
+        found = outcome.err_value.record
+        if found is None or not self._is_own_unsettled(record, found):
+            return outcome
+        moved = dataclasses.replace(found, state=state)
+        return await self._move(found, moved, State.DISPATCHED)
 
     async def read(self, workspace: str, key: str) -> base.Record | None:
         """Return the record of a key."""
         row = await self._table.get(rows.row_key(workspace, key))
         return None if row is None else await self._decode(workspace, row)
 
+    def _is_own_unsettled(
+        self, record: base.Record, found: base.Record
+    ) -> bool:
+        """Return whether a dispatch of this node applied unknown to it.
+
+        Its caller was told that it is not durable, so nothing was sent.
+        """
+        return (
+            record.state is State.CLAIMED
+            and found.state is State.DISPATCHED
+            and found.holder == self._holder
+            and found.request_id == record.request_id
+            and found.version == record.version + 1
+        )
+
+    def _require_own(self, record: base.Record) -> None:
+        if record.holder != self._holder:
+            raise ValueError(
+                f"the record was dispatched by {record.holder}, not by "
+                f"{self._holder}"
+            )
+
     def _may_claim(self, row: platform.Row, ident: base.RecordIdent) -> bool:
         if row.expires_at is not None and row.expires_at < self._clock.wall():
             # The service deletes expired rows late.
--- a/tests/limpetwalk/peers/fakes.py
+++ b/tests/limpetwalk/peers/fakes.py
@@ -4,16 +4,37 @@
 from collections.abc import Callable
 import random
 
+from loguru import logger
+
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk import metrics
+from limpetwalk.ledger import rows as ledger_rows
 from limpetwalk.peers import hub as hubs
+from limpetwalk.peers import topology
 from limpetwalk.platform import base as platform
+from limpetwalk.platform import memory
+
+# Tests look at counters; lines of links that come and go hide failures.
+logger.disable("limpetwalk.peers")
 
-POLL_INTERVAL = 0.01
+POLL_INTERVAL = 0.001
 WAIT_TIMEOUT = 10.0
 
 
+def instance(
+    name: str, zone: str, address: str = "127.0.0.1:1"
+) -> platform.Instance:
+    """Return a live entry node as the list shows it."""
+    return platform.Instance(
+        name=name,
+        kind=platform.InstanceKind.ENTRY,
+        address=address,
+        zone=zone,
+        state=platform.InstanceState.LIVE,
+    )
+
+
 class FakeInstances:
     """Instance list that a test fills."""
 
@@ -32,15 +53,13 @@
 
     def add(self, hub: hubs.Hub) -> None:
         """Show a started hub in the list."""
-        self.instances.append(
-            platform.Instance(
-                name=hub.name,
-                kind=platform.InstanceKind.ENTRY,
-                address=hub.address,
-                zone=hub.zone,
-                state=platform.InstanceState.LIVE,
-            )
-        )
+        self.instances.append(instance(hub.name, hub.zone, hub.address))
+
+    def remove(self, name: str) -> None:
+        """Show a node no more."""
+        self.instances = [
+            shown for shown in self.instances if shown.name != name
+        ]
 
 
 def make_hub(
@@ -48,15 +67,16 @@
     instances: platform.InstanceList,
     zone: str = "z1",
     clock: clocks.Clock | None = None,
-    seed: int = 1,
+    full_mesh_nodes: int = topology.FULL_MESH_NODES,
+    counted: metrics.Metrics | None = None,
 ) -> hubs.Hub:
     """Return a hub on a free loopback port, not started."""
     return hubs.Hub(
-        hubs.HubSettings(name=name, zone=zone, host="127.0.0.1", port=0),
+        hubs.HubSettings(name, zone, "127.0.0.1", 0, full_mesh_nodes),
         instances,
         clock or clocks.SystemClock(),
-        random.Random(f"{seed}{name}"),
-        metrics.Metrics(),
+        random.Random(name),
+        counted or metrics.Metrics(),
     )
 
 
@@ -68,3 +88,12 @@
     async with asyncio.timeout(WAIT_TIMEOUT):
         while not condition():
             await asyncio.sleep(POLL_INTERVAL)
+
+
+def read_partition(rows: memory.Rows, number: int) -> list[str]:
+    """Return the request keys in a partition of the ledger."""
+    return [
+        entry.request_key
+        for row in rows.query(ledger_rows.partition_name(number))
+        for entry in ledger_rows.decode_batch(row)
+    ]
