--- a/packages/limpetwalk/limpetwalk/routing/admission.py
+++ b/packages/limpetwalk/limpetwalk/routing/admission.py
@@ -121,7 +121,7 @@
         """
         self._refuse_hopeless(need)
         if not self._heaps.get(need.subject):
-            slot = self._take(need)
+            slot = self.try_acquire(need)
             if slot is not None:
                 return slot
         self._refuse_unserved(need)
@@ -158,7 +158,7 @@
             while heap:
                 waiter = heap[0][3]
                 if not waiter.fut.done():
-                    slot = self._take(waiter.need)
+                    slot = self.try_acquire(waiter.need)
                     if slot is None:
                         break
                     waiter.fut.set_result(slot)
@@ -166,7 +166,8 @@
             if not heap:
                 self._heaps.pop(subject, None)
 
-    def _take(self, need: Need) -> Slot | None:
+    def try_acquire(self, need: Need) -> Slot | None:
+        """Return a slot if one is free now, past those who wait."""
         now = self._clock.monotonic()
         around = self._directory.around
         nodes = max(1, around.live_nodes())
--- a/packages/limpetwalk/limpetwalk/routing/circuit.py
+++ b/packages/limpetwalk/limpetwalk/routing/circuit.py
@@ -27,6 +27,7 @@
         self._failures = 0
         self._pause = FIRST_PAUSE
         self._open_until: float | None = None
+        self._opened_at = float("-inf")
         self._trial = False
 
     def state(self, now: float) -> State:
@@ -70,21 +71,22 @@
         self._failures += 1
         if self._open_until is None and self._failures < FAILURES_TO_OPEN:
             return False
+        self._opened_at = now
         spread = self._rng.uniform(0.8, 1.2)
         opened = self._open_until is None
         self._open_until = now + self._pause * spread
         self._pause = min(LONGEST_PAUSE, self._pause * 2)
         return opened
 
-    def probe_answered(self) -> None:
-        """Note that a probe was answered: a trial may be sent at once."""
-        if self._open_until is not None:
-            self._open_until = float("-inf")
+    def note_seen(self, at: float) -> None:
+        """Note that the server was seen to answer a load read.
 
-    def probe_failed(self, now: float) -> None:
-        """Note that a probe got no answer: an open circuit stays open."""
-        if self._open_until is not None:
-            self._open_until = max(self._open_until, now + FIRST_PAUSE)
+        What was seen after the circuit opened lets a trial through at once.
+
+        :param at: monotonic instant at which it was seen.
+        """
+        if self._open_until is not None and at > self._opened_at:
+            self._open_until = min(self._open_until, at)
 
     def abandon(self) -> None:
         """Note that a request ended without telling about the server."""
--- a/packages/limpetwalk/limpetwalk/routing/replicas.py
+++ b/packages/limpetwalk/limpetwalk/routing/replicas.py
@@ -125,6 +125,7 @@
         :returns: whether the server has started anew.
         """
         sampled_at = now - report.age
+        self.circuit.note_seen(sampled_at)
         if sampled_at > self._sampled_at:
             self._reported = report.running + report.waiting
             self._sampled_at = sampled_at
--- /dev/null
+++ b/tests/limpetwalk/routing/test_admission.py
@@ -0,0 +1,210 @@
+"""Tests of admission: queue, early refusal, cold servers, suspects."""
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from limpetwalk import clock as clocks
+from limpetwalk import refusals
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import admission
+from limpetwalk.routing import warmup
+from tests.limpetwalk.backends import sites
+
+from . import fakes
+
+Reason = refusals.Reason
+FIXED = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=60, database=None
+)
+
+
+def _need(site: fakes.Site, priority: int = 1, timeout: float = 10.0, **more):
+    deadline = site.clock.monotonic() + timeout
+    return admission.Need(sites.VERSION, priority, deadline, **more)
+
+
+class QueueTest(unittest.IsolatedAsyncioTestCase):
+    async def fill(self, site: fakes.Site) -> list[admission.Slot]:
+        held = site.core.admission
+        count = len(site.clients) * 4
+        return [await held.acquire(_need(site)) for _ in range(count)]
+
+    async def wait(self, site: fakes.Site, *needs) -> list[asyncio.Task]:
+        before = site.core.admission.waiting
+        tasks = [
+            asyncio.create_task(site.core.admission.acquire(need))
+            for need in needs
+        ]
+        while site.core.admission.waiting < before + len(needs):
+            await asyncio.sleep(0)
+        return tasks
+
+    async def test_slots_go_by_priority_then_by_deadline(self):
+        site = fakes.Site(count=1)
+        slots = await self.fill(site)
+        tasks = await self.wait(
+            site,
+            _need(site, 2, 5.0),
+            _need(site, 1, 9.0),
+            _need(site, 1, 7.0),
+            _need(site, 0, 9.9),
+        )
+        order = []
+        for slot in slots:
+            site.core.admission.release(slot)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            order.append([task.done() for task in tasks])
+        self.assertEqual(
+            [
+                [False, False, False, True],
+                [False, False, True, True],
+                [False, True, True, True],
+                [True, True, True, True],
+            ],
+            order,
+        )
+
+    async def test_a_full_queue_refuses_the_least_urgent(self):
+        site = fakes.Site(count=1, tuning=snapshot.Tuning(queue_length=2))
+        slots = await self.fill(site)
+        tasks = await self.wait(site, _need(site, 1), _need(site, 2))
+        with self.assertRaises(refusals.Refused) as caught:
+            await site.core.admission.acquire(_need(site, 2, 11.0))
+        self.assertIs(Reason.QUEUE_FULL, caught.exception.refusal.reason)
+        urgent = asyncio.create_task(
+            site.core.admission.acquire(_need(site, 0))
+        )
+        with self.assertRaises(refusals.Refused) as caught:
+            await tasks[1]
+        self.assertIs(Reason.QUEUE_FULL, caught.exception.refusal.reason)
+        for slot in slots[:2]:
+            site.core.admission.release(slot)
+        await asyncio.gather(urgent, tasks[0])
+
+    async def test_a_deadline_that_cannot_be_met_is_refused_early(self):
+        clock = clocks.ManualClock()
+        site = fakes.Site(count=1, clock=clock)
+        held = site.core.admission
+        for _ in range(3):
+            slot = await held.acquire(_need(site))
+            clock.advance(8.0)
+            slot.answered = True
+            held.release(slot)
+        with self.assertRaises(refusals.Refused) as caught:
+            await held.acquire(_need(site, timeout=1.0))
+        refusal = caught.exception.refusal
+        self.assertIs(Reason.DEADLINE_TOO_SHORT, refusal.reason)
+        self.assertIs(refusals.RunState.NOT_RUN, refusal.run)
+        await held.acquire(_need(site, timeout=5.0))
+
+    async def test_a_deadline_that_passes_in_the_queue_is_not_run(self):
+        site = fakes.Site(count=1)
+        await self.fill(site)
+        with self.assertRaises(refusals.Refused) as caught:
+            await site.core.admission.acquire(_need(site, timeout=0.01))
+        refusal = caught.exception.refusal
+        self.assertIs(Reason.DEADLINE_EXCEEDED, refusal.reason)
+        self.assertIs(refusals.RunState.NOT_RUN, refusal.run)
+        self.assertEqual(0, site.core.admission.waiting)
+
+    async def test_a_caller_that_leaves_the_queue_takes_no_slot(self):
+        site = fakes.Site(count=1)
+        slots = await self.fill(site)
+        (task,) = await self.wait(site, _need(site))
+        site.core.admission.release(slots[0])
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        self.assertEqual(3, site.replica("s0").in_flight)
+
+    async def test_the_node_keeps_to_its_share_of_the_concurrency(self):
+        site = fakes.Site(count=1, concurrency=9, nodes=3)
+        held = site.core.admission
+        for _ in range(3):
+            await held.acquire(_need(site))
+        with self.assertRaises(refusals.Refused):
+            await held.acquire(_need(site, timeout=0.01))
+
+
+class ColdTest(unittest.IsolatedAsyncioTestCase):
+    @FIXED
+    @hypothesis.given(
+        allowance=strategies.integers(0, 6),
+        steps=strategies.lists(strategies.booleans(), max_size=40),
+    )
+    def test_a_cold_server_gets_no_more_than_its_allowance(
+        self, allowance, steps
+    ):
+        asyncio.run(self._steps(allowance, steps))
+
+    async def _steps(self, allowance: int, steps: list[bool]) -> None:
+        site = fakes.Site(
+            count=1,
+            concurrency=100,
+            warmup_limits=snapshot.WarmUp(allowance, 60.0),
+            clock=clocks.ManualClock(),
+        )
+        held = site.core.admission
+        slots: list[admission.Slot] = []
+        for is_start in steps:
+            if not is_start:
+                if slots:
+                    held.release(slots.pop())
+                continue
+            slot = held.try_acquire(_need(site))
+            if slot is not None:
+                slots.append(slot)
+            self.assertLessEqual(len(slots), allowance)
+            self.assertEqual(len(slots), site.replica("s0").in_flight)
+
+    async def test_a_warm_server_that_starts_anew_counts_as_cold(self):
+        clock = clocks.ManualClock()
+        site = fakes.Site(
+            count=1,
+            concurrency=100,
+            warmup_limits=snapshot.WarmUp(1, 60.0),
+            clock=clock,
+        )
+        held = site.core.admission
+        slot = await held.acquire(_need(site))
+        site.core.answered(slot, "")
+        held.release(slot)
+        clock.advance(61.0)
+        slots = [held.try_acquire(_need(site)) for _ in range(5)]
+        self.assertNotIn(None, slots)
+        site.clients["s0"].boot_id = "s0-boot-2"
+        site.core.answered(slots[0], "")
+        self.assertIsNotNone(held.try_acquire(_need(site)))
+        self.assertIsNone(held.try_acquire(_need(site)))
+
+    async def test_a_permit_bounds_the_time_of_its_request(self):
+        class Expiring(warmup.LocalPermits):
+            def try_acquire(self, server, boot_id):
+                permit = super().try_acquire(server, boot_id)
+                return permit and warmup.Permit(
+                    permit.server, permit.boot_id, 0, 5.0
+                )
+
+        site = fakes.Site(
+            count=1,
+            clock=clocks.ManualClock(0.0),
+            permits=Expiring(lambda: 1),
+        )
+        slot = site.core.admission.try_acquire(_need(site, timeout=60.0))
+        self.assertEqual(5.0, slot.deadline)
+
+
+class SuspectTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_replica_gets_one_suspect_at_a_time(self):
+        site = fakes.Site(count=3)
+        held = site.core.admission
+        slots = [held.try_acquire(_need(site, suspect=True)) for _ in range(3)]
+        self.assertEqual(3, len({slot.replica.name for slot in slots}))
+        self.assertIsNone(held.try_acquire(_need(site, suspect=True)))
+        self.assertIsNotNone(held.try_acquire(_need(site)))
+        held.release(slots[0])
+        self.assertIsNotNone(held.try_acquire(_need(site, suspect=True)))
--- /dev/null
+++ b/tests/limpetwalk/routing/test_warmup.py
@@ -0,0 +1,29 @@
+"""Tests of the permits for cold backend servers."""
+
+import unittest
+
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import warmup
+from tests.limpetwalk.backends import sites
+
+
+class LocalPermitsTest(unittest.TestCase):
+    def test_all_nodes_together_stay_within_the_allowance(self):
+        for allowance in range(12):
+            server = sites.server(
+                "s1", 1, warmup=snapshot.WarmUp(allowance, 60.0)
+            )
+            for nodes in (1, 3, 9, 380):
+                held = warmup.LocalPermits(lambda nodes=nodes: nodes)
+                taken = 0
+                while held.try_acquire(server, "b1"):
+                    taken += 1
+                self.assertLessEqual(taken * nodes, allowance)
+
+    def test_a_released_permit_can_be_taken_again(self):
+        server = sites.server("s1", 1, warmup=snapshot.WarmUp(1, 60.0))
+        held = warmup.LocalPermits(lambda: 1)
+        permit = held.try_acquire(server, "b1")
+        self.assertIsNone(held.try_acquire(server, "b1"))
+        held.release(permit)
+        self.assertIsNotNone(held.try_acquire(server, "b1"))
