--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/choice/__init__.py
@@ -0,0 +1,1 @@
+"""Comparison of ways to choose a replica, in virtual time."""
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/choice/trial.py
@@ -0,0 +1,234 @@
+"""One run of a policy under a load."""
+
+import asyncio
+from dataclasses import dataclass
+import itertools
+import random
+
+import numpy
+
+from limpetwalk import metrics
+from limpetwalk import refusals
+from limpetwalk.backends import base
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import balancer
+from limpetwalk.routing import core as cores
+from limpetwalk.routing import dispatch
+from limpetwalk.routing import quarantine
+from limpetwalk.routing import replicas
+from limpetwalk.routing import warmup
+from limpetwalk.routing import work
+from limpetwalk_bench.engine import settings
+
+from . import engines
+from . import policies
+from . import virtual
+
+VERSION = snapshot.ModelVersion("small", "v1")
+MAX_BATCH = 8
+MEAN_TOKENS = 24
+DEADLINE = 4.0
+REPORT_INTERVAL = 1.0
+UNLIMITED = 100_000
+SESSIONS = 40
+PREFIX_WORDS = 160
+ZONES = ("z1", "z2", "z3")
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What to run.
+
+    :param policy: name of the way to choose.
+    :param load: offered load as a share of the engines' capacity.
+    :param replicas: number of engines.
+    :param nodes: number of entry nodes.
+    :param seconds: length of the arrivals.
+    :param seed: seed of arrivals and choices.
+    """
+
+    policy: str
+    load: float
+    replicas: int
+    nodes: int
+    seconds: float
+    seed: int
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of a run; times in seconds."""
+
+    offered: int = 0
+    answered: int = 0
+    refused: int = 0
+    first_tokens: list[float] | None = None
+
+    def quantile(self, share: float) -> float:
+        """Return a quantile of the time to the first token."""
+        if not self.first_tokens:
+            return float("nan")
+        return float(numpy.quantile(self.first_tokens, share))
+
+
+def capacity() -> float:
+    """Return requests a second that an engine answers without its cache."""
+    cfg = settings.EngineSettings()
+    step_ms = cfg.base_ms + cfg.slope_ms * MAX_BATCH
+    tokens_ms = step_ms / MAX_BATCH * MEAN_TOKENS
+    return 1000 / (tokens_ms + cfg.prompt_ms * PREFIX_WORDS)
+
+
+class Trial:
+    """Engines, nodes and arrivals of one run.
+
+    :param plan: what to run.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        self._plan = plan
+        self._arrivals = random.Random(plan.seed)
+        self._rng = random.Random(plan.seed + 1)
+        self._clock = virtual.VirtualClock(asyncio.get_running_loop())
+        self._engines = {
+            f"e{number}": engines.LocalEngine(
+                settings.EngineSettings(
+                    start_cold=False,
+                    max_batch=MAX_BATCH,
+                    max_queue=UNLIMITED,
+                    mean_tokens=MEAN_TOKENS,
+                    cache_blocks=10 * PREFIX_WORDS // 16,
+                ),
+                self._clock,
+            )
+            for number in range(plan.replicas)
+        }
+        self._applied = snapshot.Applied(1, self._snapshot())
+        self._cores = [self._core() for _ in range(plan.nodes)]
+        self._dispatchers = [self._dispatcher(core) for core in self._cores]
+        self._result = Result(first_tokens=[])
+
+    async def run(self) -> Result:
+        """Run the arrivals to their end."""
+        for held in self._engines.values():
+            held.start()
+        reports = asyncio.create_task(self._report())
+        rate = self._plan.load * capacity() * self._plan.replicas
+        tasks = []
+        for number in itertools.count():
+            await asyncio.sleep(self._arrivals.expovariate(rate))
+            if self._clock.monotonic() > self._plan.seconds:
+                break
+            tasks.append(asyncio.create_task(self._request(number)))
+        await asyncio.gather(*tasks)
+        reports.cancel()
+        for held in self._engines.values():
+            await held.close()
+        return self._result
+
+    async def _request(self, number: int) -> None:
+        session = self._arrivals.randrange(SESSIONS)
+        words = " ".join(f"s{session}w{n}" for n in range(PREFIX_WORDS))
+        message = {"role": "user", "content": f"{words} question {number}"}
+        begun = self._clock.monotonic()
+        item = work.EngineWork(
+            f"r{number}",
+            VERSION,
+            {"messages": [message]},
+            1,
+            begun + DEADLINE,
+            f"session-{session}",
+        )
+        self._result.offered += 1
+        first = None
+        node = self._dispatchers[number * 7 % len(self._dispatchers)]
+        try:
+            async for event in node.complete(item):
+                if first is None and isinstance(event, base.Delta):
+                    first = self._clock.monotonic() - begun
+        except refusals.Refused:
+            self._result.refused += 1
+            return
+        self._result.answered += 1
+        assert self._result.first_tokens is not None
+        self._result.first_tokens.append(first or 0.0)
+
+    async def _report(self) -> None:
+        while True:
+            for core in self._cores:
+                held = core.directory.current().by_name.values()
+                for replica in held:
+                    report = await replica.client.load()
+                    replica.note_report(report, self._clock.monotonic())
+            await asyncio.sleep(REPORT_INTERVAL)
+
+    def _core(self) -> cores.Core:
+        return cores.Core(
+            lambda: self._applied,
+            warmup.LocalPermits(lambda: 1),
+            quarantine.Quarantine(clock=self._clock),
+            self._clock,
+            metrics.Metrics(),
+            self._rng,
+            replicas.Surroundings("z1", lambda: self._plan.nodes),
+            self._balancer(),
+            lambda server, tuning: engines.LocalClient(
+                server, self._engines[server.name]
+            ),
+        )
+
+    def _dispatcher(self, core: cores.Core) -> dispatch.EngineDispatcher:
+        return dispatch.EngineDispatcher(
+            lambda: self._applied,
+            warmup.LocalPermits(lambda: 1),
+            core.quarantine,
+            self._clock,
+            metrics.Metrics(),
+            self._rng,
+            core,
+        )
+
+    def _balancer(self) -> balancer.Balancer:
+        if self._plan.policy == "random":
+            return policies.RandomChoice(self._rng)
+        if self._plan.policy == "round robin":
+            return policies.RoundRobin(self._rng)
+        if self._plan.policy == "least connections":
+            return policies.LeastConnections(self._rng)
+        if self._plan.policy == "perfect knowledge":
+            return policies.PerfectKnowledge(
+                self._rng, lambda name: self._engines[name].engine.held
+            )
+        return balancer.LeastOfTwo(self._clock, self._rng, "z1")
+
+    def _snapshot(self) -> snapshot.Snapshot:
+        state = snapshot.PlacementState.IN
+        limited = self._plan.policy == "limpetwalk"
+        servers = {}
+        for number, name in enumerate(self._engines):
+            servers[name] = snapshot.Server(
+                name,
+                snapshot.ServerKind.ENGINE,
+                "openai",
+                f"127.0.0.1:{number + 1}",
+                ZONES[number % len(ZONES)],
+                state,
+                frozenset([VERSION]),
+                "",
+                MAX_BATCH if limited else UNLIMITED,
+                snapshot.WarmUp(UNLIMITED, 0.0),
+                True,
+            )
+        live = {"v1": snapshot.VersionState.LIVE}
+        return snapshot.Snapshot(
+            "digest",
+            {"small": snapshot.Model("small", live, "v1", 1, 1)},
+            servers,
+            {},
+            {},
+            {},
+            {},
+            {name: snapshot.Zone(name, "region", state) for name in ZONES},
+            (),
+            snapshot.Tuning(),
+        )
--- a/packages/limpetwalk/limpetwalk/routing/admission.py
+++ b/packages/limpetwalk/limpetwalk/routing/admission.py
@@ -119,7 +119,7 @@
 
         :raises Refused: not run, when no slot can be had in time.
         """
-        self._refuse_hopeless(need)
+        self._refuse_hopeless(need, self._ahead(need))
         if not self._heaps.get(need.subject):
             slot = self.try_acquire(need)
             if slot is not None:
@@ -139,12 +139,13 @@
         """Give a slot back."""
         replica = slot.replica
         replica.circuit.abandon()
-        replica.in_flight -= 1
+        now = self._clock.monotonic()
+        replica.finish(now)
         replica.suspects -= slot.suspect
         if slot.permit is not None:
             self._permits.release(slot.permit)
-        held = self._clock.monotonic() - slot.started
-        self._times.finish(slot.subject, held if slot.answered else None)
+        held = now - slot.started if slot.answered else None
+        self._times.finish(slot.subject, held)
         if self._waiting:
             self.pump(replicas.subjects(replica.server))
 
@@ -157,7 +158,7 @@
             heap = self._heaps.get(subject)
             while heap:
                 waiter = heap[0][3]
-                if not waiter.fut.done():
+                if not waiter.fut.done() and not self._drop_late(waiter):
                     slot = self.try_acquire(waiter.need)
                     if slot is None:
                         break
@@ -213,9 +214,8 @@
         replica.suspects += need.suspect
         return Slot(need.subject, replica, permit, now, deadline, need.suspect)
 
-    def _refuse_hopeless(self, need: Need) -> None:
+    def _refuse_hopeless(self, need: Need, ahead: int) -> None:
         left = need.deadline - self._clock.monotonic()
-        ahead = self._ahead(need)
         least = self._times.least_wait(need.subject, ahead)
         if left > 0 and left >= least:
             return
@@ -228,6 +228,15 @@
             f"{max(0.0, left):.2f} s are left, about {least:.2f} s needed",
         )
 
+    def _drop_late(self, waiter: _Waiter) -> bool:
+        """Refuse a waiter that no longer has time for its answer."""
+        try:
+            self._refuse_hopeless(waiter.need, ahead=0)
+        except refusals.Refused as exc:
+            waiter.fut.set_exception(exc)
+            return True
+        return False
+
     def _refuse_unserved(self, need: Need) -> None:
         if need.subject in self._directory.current().by_subject:
             return
--- a/packages/limpetwalk/limpetwalk/routing/replicas.py
+++ b/packages/limpetwalk/limpetwalk/routing/replicas.py
@@ -72,7 +72,11 @@
         self.suspects = 0
         self._reported = 0
         self._sampled_at = float("-inf")
-        self._sent: collections.deque[float] = collections.deque()
+        # Starts and ends of this node's requests, and their sum.
+        self._changes: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._since = 0
 
     @property
     def name(self) -> str:
@@ -90,11 +94,12 @@
     def load(self, now: float) -> float:
         """Return the estimated requests at the server, of all nodes.
 
-        This is the lagging report and what this node has sent since.
+        This is the lagging report, corrected by the requests that this
+        node has started and ended since it was sampled.
         """
         if not self.is_fresh(now):
             return float(self.in_flight)
-        return float(max(self.in_flight, self._reported + len(self._sent)))
+        return float(max(self.in_flight, self._reported + self._since))
 
     def has_room(self, now: float, nodes: int) -> bool:
         """Whether this node may send one more request.
@@ -113,12 +118,15 @@
     def start(self, now: float) -> None:
         """Note that a request is sent."""
         self.in_flight += 1
-        self._sent.append(now)
-        if len(self._sent) > 2 * self.server.concurrency:
-            self._sent.popleft()
+        self._change(now, 1)
         self.boot.note_sent(now)
         self.circuit.start()
 
+    def finish(self, now: float) -> None:
+        """Note that a request has ended."""
+        self.in_flight -= 1
+        self._change(now, -1)
+
     def note_report(self, report: backends.LoadReport, now: float) -> bool:
         """Take a load report, of this node or of a peer.
 
@@ -129,10 +137,19 @@
         if sampled_at > self._sampled_at:
             self._reported = report.running + report.waiting
             self._sampled_at = sampled_at
-            while self._sent and self._sent[0] <= sampled_at:
-                self._sent.popleft()
+            self._forget(sampled_at)
         return self.boot.learn(report.boot_id, sampled_at)
 
+    def _change(self, now: float, by: int) -> None:
+        self._changes.append((now, by))
+        self._since += by
+        # Reports that old are not believed, so neither are these needed.
+        self._forget(now - FRESH)
+
+    def _forget(self, until: float) -> None:
+        while self._changes and self._changes[0][0] <= until:
+            self._since -= self._changes.popleft()[1]
+
     def _ramp(self, now: float) -> float:
         if self.ramp_from is None:
             return 1.0
--- a/tests/limpetwalk/routing/test_admission.py
+++ b/tests/limpetwalk/routing/test_admission.py
@@ -160,6 +160,10 @@
                 slots.append(slot)
             self.assertLessEqual(len(slots), allowance)
             self.assertEqual(len(slots), site.replica("s0").in_flight)
+        for slot in slots:
+            held.release(slot)
+        again = [held.try_acquire(_need(site)) for _ in range(allowance)]
+        self.assertNotIn(None, again)
 
     async def test_a_warm_server_that_starts_anew_counts_as_cold(self):
         clock = clocks.ManualClock()
--- a/tests/limpetwalk/routing/test_balancer.py
+++ b/tests/limpetwalk/routing/test_balancer.py
@@ -77,8 +77,12 @@
         held.note_report(base.LoadReport("b", 3, 2, 8.0, 0.5), now)
         held.start(now - 1.0)
         held.start(now)
+        held.start(now)
+        held.finish(now)
         held.note_report(base.LoadReport("b", 3, 2, 8.0, 0.5), now + 0.01)
         self.assertEqual(5 + 1, held.load(now))
+        held.finish(now + 0.02)
+        self.assertEqual(5, held.load(now))
 
     def test_affinity_gives_way_to_load(self):
         held = _replicas(8)
