Ask the backend server for outcomes that were left open

A repeat or GET /outcomes/{key} of a record without an answer asks the server that it was sent to; an answer kept there is stored, billed and replayed. A claim of this process is only called not run once its row is closed: before, a failed close was told as not_run too.

--- a/packages/limpetwalk-node/limpetwalk_node/app.py
+++ b/packages/limpetwalk-node/limpetwalk_node/app.py
@@ -22,6 +22,7 @@
 from . import parts
 from . import record_flow
 from . import record_notes
+from . import record_settling
 from . import services
 from . import sessions
 
@@ -40,6 +41,7 @@
     :param records: durable records.
     :param biller: writes bill entries.
     :param is_live: tells whether a holder of records is still at work.
+    :param ask: asks the backend server for the outcome of a record.
     :param is_full: tells whether so many bill entries are held that no more
         work may be taken.
     :param status: returns what ``/status`` shows.
@@ -57,6 +59,7 @@
     records: records.RecordStore
     biller: ledger.Biller
     is_live: Callable[[str], bool]
+    ask: record_settling.Ask
     is_full: Callable[[], bool]
     status: Callable[[lifecycle.Lifecycle], dict[str, Any]]
     clock: clocks.Clock
@@ -87,8 +90,18 @@
     api.add("POST", "/v1/chat/completions", _chat(held, bills_))
     api.add("GET", "/v1/models", sessions.list_models)
     api.add("POST", "/v1/sessions", sessions.OpenSession(held.rng))
-    api.add_prefix(services.SERVICES_PREFIX, _services(held, bills_, life))
-    api.add_prefix(services.OUTCOMES_PREFIX, services.Outcomes(held.records))
+    flow = _record_flow(held, bills_, life)
+    plain = services.PlainServices(
+        _in_force(held.config),
+        held.services,
+        flow,
+        bills_,
+        held.clock,
+        held.metrics,
+    )
+    api.add_prefix(services.SERVICES_PREFIX, plain)
+    outcomes = services.Outcomes(held.records, flow)
+    api.add_prefix(services.OUTCOMES_PREFIX, outcomes)
     interface = operators.Operators(
         held.config,
         life,
@@ -111,30 +124,24 @@
     return chat.ChatCompletions(climber, bills_, held.clock, held.metrics)
 
 
-def _services(
+def _record_flow(
     held: Parts, bills_: bills.Bills, life: lifecycle.Lifecycle
-) -> services.PlainServices:
-    flow = record_flow.RecordFlow(
+) -> record_flow.RecordFlow:
+    notes = record_notes.RecordNotes(
+        held.records, life, held.metrics, held.retries
+    )
+    return record_flow.RecordFlow(
         held.holder,
         held.records,
         held.services,
-        record_notes.RecordNotes(
-            held.records, life, held.metrics, held.retries
-        ),
+        notes,
         bills_,
         life,
         held.is_live,
+        record_settling.RecordSettling(held.ask, notes, bills_),
         held.clock,
         held.waits,
     )
-    return services.PlainServices(
-        _in_force(held.config),
-        held.services,
-        flow,
-        bills_,
-        held.clock,
-        held.metrics,
-    )
 
 
 def _in_force(
--- a/packages/limpetwalk-node/limpetwalk_node/bills.py
+++ b/packages/limpetwalk-node/limpetwalk_node/bills.py
@@ -75,6 +75,14 @@
         task.add_done_callback(self._writing.discard)
         await asyncio.shield(task)
 
+    async def write_call(
+        self, workspace: str, request_key: str, request_id: str, service: str
+    ) -> None:
+        """Write the entry of a call of a plain service."""
+        await self.write(
+            workspace, request_key, request_id, service, (service,)
+        )
+
     async def _write(self, entry: ledger.BillEntry) -> None:
         began = self._clock.monotonic()
         self._life.enter()
--- a/packages/limpetwalk-node/limpetwalk_node/chat.py
+++ b/packages/limpetwalk-node/limpetwalk_node/chat.py
@@ -14,6 +14,7 @@
 from limpetwalk import refusals
 from limpetwalk.backends import base as backends
 from limpetwalk.routing import access
+from limpetwalk.routing import answers
 from limpetwalk.routing import climb
 from limpetwalk.routing import sessions as routing_sessions
 
@@ -35,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Request:
-    job: climb.Job
+    job: answers.Job
     key: str
     shape: streams.Shape
     usage: bool
@@ -82,7 +83,7 @@
         cfg = call.applied.snapshot
         access.get_cascade(cfg, call.workspace, chat.model)
         timeout = call.timeout(cfg.tuning.request_timeout)
-        job = climb.Job(
+        job = answers.Job(
             request_id=call.request_id,
             workspace=call.workspace.name,
             cascade=chat.model,
@@ -116,7 +117,7 @@
                 if isinstance(event, backends.Delta):
                     texts.append(event.text)
                     continue
-                if isinstance(event, climb.Started):
+                if isinstance(event, answers.Started):
                     headers = self._headers(call, req, event)
                     continue
                 await self._bill(req, event)
@@ -137,7 +138,7 @@
         ) as events:
             # Until the first event a refusal still has its HTTP status.
             started = await anext(events)
-            assert isinstance(started, climb.Started)
+            assert isinstance(started, answers.Started)
             self._first.record(self._clock.monotonic() - began)
             resp = web.StreamResponse(
                 headers=STREAM_HEADERS | self._headers(call, req, started)
@@ -164,18 +165,18 @@
         self,
         writer: "_Writer",
         req: _Request,
-        events: AsyncIterator[climb.AnswerEvent],
+        events: AsyncIterator[answers.AnswerEvent],
     ) -> None:
         async for event in events:
             if isinstance(event, backends.Delta):
                 await writer.write(req.shape.delta(event.text))
-            elif isinstance(event, climb.Answered):
+            elif isinstance(event, answers.Answered):
                 await self._bill(req, event)
                 self._answers.labels("streamed").inc()
                 await writer.write(req.shape.terminal(event, req.usage))
 
     def _headers(
-        self, call: calls.Call, req: _Request, started: climb.Started
+        self, call: calls.Call, req: _Request, started: answers.Started
     ) -> dict[str, str]:
         """Return the headers of an answer.
 
@@ -196,7 +197,7 @@
             headers[calls.SESSION_HEADER] = token
         return headers
 
-    async def _bill(self, req: _Request, answered: climb.Answered) -> None:
+    async def _bill(self, req: _Request, answered: answers.Answered) -> None:
         await self._bills.write(
             req.job.workspace,
             req.key,
--- a/packages/limpetwalk-node/limpetwalk_node/record_flow.py
+++ b/packages/limpetwalk-node/limpetwalk_node/record_flow.py
@@ -18,10 +18,13 @@
 from . import bills
 from . import lifecycle
 from . import parts
+from . import record_dispatch
 from . import record_notes
 from . import record_refusals
+from . import record_settling
 from . import request_ids
 
+_AT_WORK = (records.RecordState.CLAIMED, records.RecordState.DISPATCHED)
 # Age of a request in seconds up to which its replay is billed again; the
 # ledger's memory of entries is longer at any load that it is made for.
 REBILL_AGE = 120.0
@@ -69,6 +72,7 @@
     :param bills_: writes bill entries.
     :param life: in-flight count, which covers runs whose caller left.
     :param is_live: tells whether a holder is still at work.
+    :param settling: settles records that were left open.
     :param clock: clock of the requests' ages.
     :param waits: bounds of waits.
     """
@@ -82,6 +86,7 @@
         bills_: bills.Bills,
         life: lifecycle.Lifecycle,
         is_live: Callable[[str], bool],
+        settling: record_settling.RecordSettling,
         clock: clocks.Clock,
         waits: Waits,
     ) -> None:
@@ -92,6 +97,7 @@
         self._bills = bills_
         self._life = life
         self._is_live = is_live
+        self._settling = settling
         self._clock = clock
         self._waits = waits
         self._runs: dict[tuple[str, str], _Run] = {}
@@ -109,9 +115,17 @@
             return await self._join(run, ident)
         task = asyncio.create_task(self._run(ident, item))
         self._runs[place] = _Run(ident, task)
-        task.add_done_callback(lambda _: self._runs.pop(place, None))
+        task.add_done_callback(lambda done: self._end(place, done))
         return await asyncio.shield(task)
 
+    def _end(
+        self, place: tuple[str, str], task: "asyncio.Task[Outcome]"
+    ) -> None:
+        del self._runs[place]
+        if not task.cancelled():
+            # The caller may have left, so nobody else may look at it.
+            task.exception()
+
     async def _join(self, run: _Run, ident: records.RecordIdent) -> Outcome:
         if run.ident != ident:
             raise record_refusals.key_reused()
@@ -128,12 +142,12 @@
         self._life.enter()
         try:
             outcome = await self._claim(ident, item)
-            await self._bill(ident, item, outcome)
+            await self._bill_run(ident, item, outcome)
             return outcome
         finally:
             self._life.leave()
 
-    async def _bill(
+    async def _bill_run(
         self,
         ident: records.RecordIdent,
         item: work.ServiceWork,
@@ -147,15 +161,10 @@
         a later replay is not billed.
         """
         age = request_ids.age(outcome.request_id, self._clock)
-        if outcome.replayed and age > REBILL_AGE:
-            return
-        await self._bills.write(
-            ident.workspace,
-            ident.key,
-            outcome.request_id,
-            item.service,
-            (item.service,),
-        )
+        if not outcome.replayed or age <= REBILL_AGE:
+            await self._bills.write_call(
+                ident.workspace, ident.key, outcome.request_id, item.service
+            )
 
     async def _claim(
         self, ident: records.RecordIdent, item: work.ServiceWork
@@ -173,7 +182,7 @@
     async def _dispatch(
         self, record: records.Record, item: work.ServiceWork
     ) -> Outcome:
-        dispatch = _Dispatch(self._store, record)
+        dispatch = record_dispatch.RecordDispatch(self._store, record)
         try:
             answer = await self._services.call_once(
                 item, dispatch.before_send, dispatch.unsent
@@ -203,10 +212,8 @@
                 return Outcome(
                     current.answer, current.request_id, replayed=True
                 )
-            if current.state is records.RecordState.UNKNOWN:
-                raise record_refusals.unknown(current.ident)
             if not self._is_at_work(current):
-                return await self._settle(current)
+                return await self._conclude(current)
             if loop.time() >= until:
                 raise record_refusals.in_progress()
             await asyncio.sleep(self._waits.poll_interval)
@@ -214,57 +221,44 @@
         raise record_refusals.in_progress()
 
     def _is_at_work(self, record: records.Record) -> bool:
-        if record.holder == self._holder:
+        """Tell whether the run of a record may still end by itself."""
+        if record.state not in _AT_WORK or record.holder == self._holder:
             # A run of this process is in the map and was joined there.
             return False
         return self._is_live(record.holder)
 
-    async def _settle(self, record: records.Record) -> Outcome:
-        """Close a record whose holder is gone, without running it again."""
-        if record.state is records.RecordState.DISPATCHED:
-            await self._notes.finish(record, records.RecordState.UNKNOWN)
+    async def _conclude(self, record: records.Record) -> Outcome:
+        """Return the outcome of a record that nobody is at work on."""
+        if record.state is records.RecordState.CLAIMED:
+            await self._close_claim(record)
+            raise record_refusals.abandoned()
+        settled = await self._settling.settle(record)
+        if settled.answer is None:
             raise record_refusals.unknown(record.ident)
-        await self._notes.finish(record, records.RecordState.NOT_RUN)
-        raise record_refusals.abandoned()
-
-    async def _read(self, ident: records.RecordIdent) -> records.Record | None:
-        try:
-            return await self._store.read(ident.workspace, ident.key)
-        except exceptions.StoreError:
-            raise record_refusals.in_progress() from None
-
-
-class _Dispatch:
-    """Keeps the record in step with the attempts of one run."""
+        return Outcome(settled.answer, settled.request_id, replayed=True)
 
-    def __init__(
-        self, store: records.RecordStore, record: records.Record
-    ) -> None:
-        self._store = store
-        self.record = record
+    async def _close_claim(self, record: records.Record) -> None:
+        """Close a claim that this process made and lost sight of.
 
-    async def before_send(self, server: str, attempt_id: str) -> None:
-        """Make the dispatch durable.
-
-        :raises Refused: when it is not; nothing is sent then.
+        :raises Refused: when it can't be closed, so may yet be dispatched.
         """
+        state = records.RecordState.NOT_RUN
         try:
-            moved = await self._store.dispatch(self.record, attempt_id, server)
+            closed = await self._store.finish(record, state)
         except exceptions.StoreError:
-            raise record_refusals.store_down() from None
-        if moved.is_err():
-            raise record_refusals.lost_claim()
-        self.record = moved.unwrap()
+            raise record_refusals.in_progress() from None
+        if closed.is_err():
+            raise record_refusals.in_progress()
 
-    async def unsent(self) -> None:
-        """Move the record back after an attempt that did not run.
+    async def settle(self, record: records.Record) -> records.Record:
+        """Return a record, settled when nobody is at work on it."""
+        place = (record.ident.workspace, record.ident.key)
+        if place in self._runs or self._is_at_work(record):
+            return record
+        return await self._settling.settle(record)
 
-        :raises Refused: when it can't be moved, so no other attempt is made.
-        """
+    async def _read(self, ident: records.RecordIdent) -> records.Record | None:
         try:
-            moved = await self._store.release(self.record)
+            return await self._store.read(ident.workspace, ident.key)
         except exceptions.StoreError:
-            raise record_refusals.store_down() from None
-        if moved.is_err():
-            raise record_refusals.lost_claim()
-        self.record = moved.unwrap()
+            raise record_refusals.in_progress() from None
--- a/packages/limpetwalk-node/limpetwalk_node/record_notes.py
+++ b/packages/limpetwalk-node/limpetwalk_node/record_notes.py
@@ -14,11 +14,17 @@
 
 from . import lifecycle
 
-Move = Callable[
-    [records.Record], Awaitable[Result[records.Record, records.LostClaim]]
-]
+Moved = Result[records.Record, records.LostClaim]
 
-_OPEN = (records.RecordState.CLAIMED, records.RecordState.DISPATCHED)
+# States from which the store lets a record be answered or finished.
+_ANSWERABLE = (records.RecordState.DISPATCHED, records.RecordState.UNKNOWN)
+_FINISHABLE = (records.RecordState.CLAIMED, records.RecordState.DISPATCHED)
+
+
+@dataclass(frozen=True, slots=True)
+class _Move:
+    make: Callable[[records.Record], Awaitable[Moved]]
+    allowed: tuple[records.RecordState, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,19 +72,21 @@
         self, record: records.Record, answer: backends.ServiceAnswer
     ) -> None:
         """Note the answer of a run."""
-        await self._note(
-            record, lambda current: self._store.answer(current, answer)
+        move = _Move(
+            lambda current: self._store.answer(current, answer), _ANSWERABLE
         )
+        await self._note(record, move)
 
     async def finish(
         self, record: records.Record, state: records.RecordState
     ) -> None:
         """Note that a run ended without an answer."""
-        await self._note(
-            record, lambda current: self._store.finish(current, state)
+        move = _Move(
+            lambda current: self._store.finish(current, state), _FINISHABLE
         )
+        await self._note(record, move)
 
-    async def _note(self, record: records.Record, move: Move) -> None:
+    async def _note(self, record: records.Record, move: _Move) -> None:
         if await self._try(record, move):
             return
         self._notes.labels("delayed").inc()
@@ -86,7 +94,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _keep_trying(self, record: records.Record, move: Move) -> None:
+    async def _keep_trying(self, record: records.Record, move: _Move) -> None:
         self._life.enter()
         try:
             for _ in range(self._retries.attempts):
@@ -97,10 +105,10 @@
         finally:
             self._life.leave()
 
-    async def _try(self, record: records.Record, move: Move) -> bool:
+    async def _try(self, record: records.Record, move: _Move) -> bool:
         """Make one try; return whether no other one is needed."""
         try:
-            moved = await move(record)
+            moved = await move.make(record)
             if moved.is_err():
                 moved = await self._from_own(record, moved, move)
         except exceptions.StoreError:
@@ -111,19 +119,20 @@
     async def _from_own(
         self,
         record: records.Record,
-        moved: Result[records.Record, records.LostClaim],
-        move: Move,
-    ) -> Result[records.Record, records.LostClaim]:
-        """Try from the row as it stands when this run wrote it itself.
+        moved: Moved,
+        move: _Move,
+    ) -> Moved:
+        """Try from the row as it stands when it is still of the same run.
 
-        A write whose answer was lost leaves the row one version ahead.
+        A write whose answer was lost leaves the row one version ahead, and
+        a node that took this one for gone may have closed it as unknown.
         """
         held = moved.unwrap_err().record
-        if held is None or held.state not in _OPEN:
+        if held is None or held.state not in move.allowed:
             return moved
         if (held.holder, held.request_id) != (
             record.holder,
             record.request_id,
         ):
             return moved
-        return await move(held)
+        return await move.make(held)
--- a/packages/limpetwalk-node/limpetwalk_node/services.py
+++ b/packages/limpetwalk-node/limpetwalk_node/services.py
@@ -120,12 +120,11 @@
         self, call: calls.Call, item: work.ServiceWork
     ) -> web.Response:
         answer = await self._services.call(item)
-        await self._bills.write(
+        await self._bills.write_call(
             call.workspace.name,
             chat.billing_key(call, item.body),
             item.request_id,
             item.service,
-            (item.service,),
         )
         self._answers.labels("idempotent").inc()
         return _response(answer, item.request_id, replayed=False)
@@ -148,10 +147,14 @@
     """Endpoint that tells the outcome of an idempotency key.
 
     :param store: durable records.
+    :param flow: settles records that were left open.
     """
 
-    def __init__(self, store: records.RecordStore) -> None:
+    def __init__(
+        self, store: records.RecordStore, flow: record_flow.RecordFlow
+    ) -> None:
         self._store = store
+        self._flow = flow
 
     async def __call__(self, call: calls.Call) -> web.StreamResponse:
         """Tell what is known of a key of the caller's workspace.
@@ -173,6 +176,7 @@
                 404,
                 "Nothing is recorded under this Idempotency-Key.",
             )
+        record = await self._flow.settle(record)
         return web.json_response(_describe(record))
 
 
--- a/packages/limpetwalk-node/limpetwalk_node/streams.py
+++ b/packages/limpetwalk-node/limpetwalk_node/streams.py
@@ -5,7 +5,7 @@
 
 from limpetwalk import refusals
 from limpetwalk.backends import base as backends
-from limpetwalk.routing import climb
+from limpetwalk.routing import answers
 
 from . import errors
 
@@ -25,7 +25,7 @@
         self._model = model
         self._created = created
 
-    def whole(self, text: str, answered: climb.Answered) -> bytes:
+    def whole(self, text: str, answered: answers.Answered) -> bytes:
         """Return the body of a whole answer."""
         body = self._base("chat.completion")
         message = {"role": "assistant", "content": text}
@@ -48,7 +48,7 @@
         """Return the event of a piece of text."""
         return self._chunk({"content": text}, None)
 
-    def terminal(self, answered: climb.Answered, usage: bool) -> bytes:
+    def terminal(self, answered: answers.Answered, usage: bool) -> bytes:
         """Return the events that end a whole answer.
 
         :param usage: whether the caller asked for token counts.
@@ -100,7 +100,7 @@
     }
 
 
-def _origin(answered: climb.Answered) -> dict[str, Any]:
+def _origin(answered: answers.Answered) -> dict[str, Any]:
     return {
         "model": answered.target.model,
         "version": answered.target.version,
--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -33,6 +33,7 @@
 from . import permit_grantor
 from . import permits
 from . import reports
+from . import server_outcomes
 from . import settings
 from . import status
 
@@ -239,6 +240,7 @@
             ),
             biller=self.biller,
             is_live=held.is_live,
+            ask=server_outcomes.ServerOutcomes(core.directory).ask,
             is_full=lambda: self.biller.full,
             status=status.Status(self.cfg, self.keeper, self.hub.live),
             clock=self.clock,
--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -2,12 +2,10 @@
 
 from collections.abc import AsyncGenerator
 from collections.abc import Callable
-from collections.abc import Mapping
 import contextlib
 import dataclasses
 from dataclasses import dataclass
 import random
-from typing import Any
 from typing import Protocol
 
 from .. import clock as clocks
@@ -19,9 +17,9 @@
 from ..conf import snapshot
 from ..platform import base as platform
 from . import access
+from . import answers
 from . import cascade as policies
 from . import rollout_share
-from . import sessions
 from . import work
 
 PACE_MEMORY = 0.9
@@ -42,66 +40,6 @@
         ...
 
 
-@dataclass(frozen=True, slots=True)
-class Job:
-    """Request of a caller for an answer of a cascade.
-
-    :param request_id: identifier of the request.
-    :param workspace: name of the workspace.
-    :param cascade: public model name that was asked for.
-    :param request_class: class that the caller gave the request.
-    :param body: chat completion body as the caller sent it.
-    :param question: text that is rated together with the answer.
-    :param session: session that pins versions, or None.
-    :param deadline: monotonic instant by which the answer must be whole.
-    """
-
-    request_id: str
-    workspace: str
-    cascade: str
-    request_class: str
-    body: Mapping[str, Any]
-    question: str
-    session: sessions.Session | None
-    deadline: float
-
-    @property
-    def affinity(self) -> str:
-        """Key whose requests are best served by one replica."""
-        return "" if self.session is None else self.session.id
-
-
-@dataclass(frozen=True, slots=True)
-class Started:
-    """First event: the answer that follows is released.
-
-    :param target: version that gives it.
-    """
-
-    target: snapshot.ModelVersion
-
-
-@dataclass(frozen=True, slots=True)
-class Answered:
-    """Terminal event: the answer is whole and is released.
-
-    :param target: version that gave the answer.
-    :param steps: versions that ran, in order.
-    :param usage: tokens of the answer that is released.
-    :param reason: why generation ended (``stop`` or ``length``).
-    :param price: price of the released answer, in micro-units.
-    """
-
-    target: snapshot.ModelVersion
-    steps: tuple[snapshot.ModelVersion, ...]
-    usage: backends.Usage
-    reason: str
-    price: int
-
-
-AnswerEvent = Started | backends.Delta | Answered
-
-
 @dataclass(frozen=True, slots=True)
 class _Draft:
     deltas: list[backends.Delta]
@@ -149,7 +87,9 @@
             "Answers that could not be rated in time.",
         )
 
-    async def answer(self, job: Job) -> AsyncGenerator[AnswerEvent, None]:
+    async def answer(
+        self, job: answers.Job
+    ) -> AsyncGenerator[answers.AnswerEvent, None]:
         """Run a job and yield the events of its answer.
 
         The first event is ``Started``, the last ``Answered``. Closing the
@@ -169,7 +109,7 @@
             following = await self._judge(job, question, policy, step, draft)
             if following is None:
                 self._count(job, target, "released")
-                yield Started(target)
+                yield answers.Started(target)
                 for delta in draft.deltas:
                     yield delta
                 yield self._answered(target, steps, draft.finished)
@@ -184,7 +124,7 @@
             async for event in events:
                 if not is_started:
                     is_started = True
-                    yield Started(target)
+                    yield answers.Started(target)
                 if isinstance(event, backends.Delta):
                     yield event
                     continue
@@ -193,7 +133,7 @@
                 self._count(job, target, "released")
                 yield self._answered(target, steps, event)
 
-    def _question(self, job: Job) -> policies.Question:
+    def _question(self, job: answers.Job) -> policies.Question:
         cfg = self._config().snapshot
         workspace = access.get_workspace(cfg, job.workspace)
         cascade = access.get_cascade(cfg, workspace, job.cascade)
@@ -215,13 +155,13 @@
             tuple(options),
         )
 
-    def _version(self, job: Job, model: snapshot.Model) -> str:
+    def _version(self, job: answers.Job, model: snapshot.Model) -> str:
         if job.session is not None:
             return job.session.version(model.name)
         cfg = self._config().snapshot
         return rollout_share.choose_version(cfg, model, job.request_id)
 
-    def _policy(self, job: Job) -> policies.CascadePolicy:
+    def _policy(self, job: answers.Job) -> policies.CascadePolicy:
         name = self._config().snapshot.cascades[job.cascade].policy
         if name not in self._policies:
             factory = registry.get(registry.Kind.CASCADE_POLICY, name)
@@ -230,7 +170,7 @@
 
     def _first_step(
         self,
-        job: Job,
+        job: answers.Job,
         question: policies.Question,
         policy: policies.CascadePolicy,
     ) -> policies.Step:
@@ -247,7 +187,7 @@
         return step
 
     def _target(
-        self, job: Job, option: policies.Option
+        self, job: answers.Job, option: policies.Option
     ) -> snapshot.ModelVersion:
         """Return the version of a step by the configuration now in force."""
         cfg = self._config().snapshot
@@ -258,7 +198,7 @@
 
     async def _run(
         self,
-        job: Job,
+        job: answers.Job,
         target: snapshot.ModelVersion,
         steps: list[snapshot.ModelVersion],
     ) -> AsyncGenerator[backends.EngineEvent, None]:
@@ -274,7 +214,7 @@
             raise _after_steps(exc, steps) from None
 
     def _work(
-        self, job: Job, target: snapshot.ModelVersion
+        self, job: answers.Job, target: snapshot.ModelVersion
     ) -> work.EngineWork:
         cfg = self._config().snapshot
 
@@ -295,7 +235,7 @@
 
     async def _draft(
         self,
-        job: Job,
+        job: answers.Job,
         target: snapshot.ModelVersion,
         steps: list[snapshot.ModelVersion],
     ) -> _Draft:
@@ -311,7 +251,7 @@
 
     async def _judge(
         self,
-        job: Job,
+        job: answers.Job,
         question: policies.Question,
         policy: policies.CascadePolicy,
         step: policies.Step,
@@ -329,7 +269,7 @@
         return None if met else policy.climb(question, step.index)
 
     async def _rate(
-        self, job: Job, target: snapshot.ModelVersion, draft: _Draft
+        self, job: answers.Job, target: snapshot.ModelVersion, draft: _Draft
     ) -> float:
         if self._ratings is None:
             raise exceptions.RatingUnavailable("no rating service")
@@ -349,10 +289,10 @@
         target: snapshot.ModelVersion,
         steps: list[snapshot.ModelVersion],
         finished: backends.Finished,
-    ) -> Answered:
+    ) -> answers.Answered:
         model = self._config().snapshot.models.get(target.model)
         price = 0 if model is None else _price(model, finished.usage)
-        return Answered(
+        return answers.Answered(
             target, tuple(steps), finished.usage, finished.reason, price
         )
 
@@ -361,7 +301,7 @@
         self._pace[model] = PACE_MEMORY * known + (1 - PACE_MEMORY) * seconds
 
     def _count(
-        self, job: Job, target: snapshot.ModelVersion, outcome: str
+        self, job: answers.Job, target: snapshot.ModelVersion, outcome: str
     ) -> None:
         self._steps.labels(job.cascade, target.model, outcome).inc()
 
--- a/tests/limpetwalk_node/fakes.py
+++ b/tests/limpetwalk_node/fakes.py
@@ -218,6 +218,7 @@
         self.biller = FakeBiller()
         self.lost_holders = set()
         self.is_full = False
+        self.kept = {}
         self.clock = SkewedClock()
         self.metrics = measures.Metrics()
         self.interfaces = app.compose(self.parts())
@@ -236,6 +237,7 @@
             records=self.records,
             biller=self.biller,
             is_live=lambda holder: holder not in self.lost_holders,
+            ask=self._ask,
             is_full=lambda: self.is_full,
             status=lambda life: {"name": "node-1"},
             clock=self.clock,
@@ -245,6 +247,9 @@
             retries=record_notes.Retries(100, 0.02),
         )
 
+    async def _ask(self, record):
+        return self.kept.get(record.request_id)
+
     async def _offer(self, generation, data):
         return generation > self.config.applied.generation
 
--- a/tests/limpetwalk_node/test_services.py
+++ b/tests/limpetwalk_node/test_services.py
@@ -11,6 +11,7 @@
 from limpetwalk.platform import memory
 from limpetwalk.records import base as records
 from limpetwalk.records import store
+from limpetwalk_node import server_outcomes
 from limpetwalk_node import services
 
 from . import fakes
@@ -189,6 +190,56 @@
         status, body = await self.outcome("k-1")
         self.assertEqual((200, "unknown"), (status, body["run"]))
 
+    def keep_answer(self):
+        """Have the backend server keep the answer of the only run."""
+        (item,) = self.node.services.runs
+        self.node.kept[item.request_id] = server_outcomes.Found(
+            "registry", self.node.services.answer
+        )
+
+    async def test_unknown_outcome_is_told_once_the_server_has_it(self):
+        self.node.services.failure = refused(refusals.RunState.UNKNOWN)
+        await self.pay()
+        self.keep_answer()
+        status, body = await self.outcome("k-1")
+        self.assertEqual((200, "answered"), (status, body["state"]))
+        resp, _ = await self.pay()
+        self.assertEqual(201, resp.status)
+        self.assertEqual("true", resp.headers["Idempotent-Replayed"])
+        self.assertEqual(1, len(self.node.services.runs))
+        keys = {entry.request_key for entry in self.node.biller.entries}
+        self.assertEqual({"k-1"}, keys)
+
+    async def test_repeat_of_an_unknown_outcome_asks_the_server(self):
+        self.node.services.failure = refused(refusals.RunState.UNKNOWN)
+        await self.pay()
+        self.keep_answer()
+        resp, _ = await self.pay()
+        self.assertEqual(201, resp.status)
+        self.assertEqual(1, len(self.node.services.runs))
+
+    async def test_answer_that_comes_after_the_record_was_closed(self):
+        # A node that took this one for gone closes its record as unknown.
+        self.node.services.gate = asyncio.Event()
+        first = asyncio.create_task(self.pay())
+        await self.node.services.reached.wait()
+        record = await self.records.read("bercvar", "k-1")
+        await self.records.finish(record, records.RecordState.UNKNOWN)
+        self.node.services.gate.set()
+        self.assertEqual(201, (await first)[0].status)
+        _, told = await self.outcome("k-1")
+        self.assertEqual("answered", told["state"])
+
+    async def test_outcome_of_a_run_under_way_is_left_alone(self):
+        self.node.services.gate = asyncio.Event()
+        first = asyncio.create_task(self.pay())
+        await self.node.services.reached.wait()
+        _, told = await self.outcome("k-1")
+        self.assertEqual("dispatched", told["state"])
+        self.assertEqual("unknown", told["run"])
+        self.node.services.gate.set()
+        self.assertEqual(201, (await first)[0].status)
+
     async def test_request_that_did_not_run_may_be_sent_again(self):
         self.node.services.failure = refused(refusals.RunState.NOT_RUN)
         _, body = await self.pay()
