Split the plan of a cascade from its execution and test both

An answer is rated under the version that gave it, also when a roll-out changed between plan and step; before, it was rated under the planned one. A policy that this release does not know is replaced by always_strong.

--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -12,20 +12,15 @@
 from .. import exceptions
 from .. import metrics as measures
 from .. import refusals
-from .. import registry
 from ..backends import base as backends
 from ..conf import snapshot
 from ..platform import base as platform
 from . import access
 from . import answers
 from . import cascade as policies
-from . import rollout_share
+from . import planner
 from . import work
 
-PACE_MEMORY = 0.9
-# A climb is tried only when this many times its usual duration is left.
-ROOM_FACTOR = 1.5
-
 
 class Engines(Protocol):
     """Runs one step at a replica of its choice."""
@@ -74,9 +69,7 @@
         self._engines = engines
         self._ratings = ratings
         self._clock = clock
-        self._rng = rng
-        self._policies: dict[str, policies.CascadePolicy] = {}
-        self._pace: dict[str, float] = {}
+        self._planner = planner.Planner(config, clock, rng)
         self._steps = metrics.counter(
             "limpetwalk_cascade_steps",
             "Steps of cascades by what became of their answers.",
@@ -97,16 +90,18 @@
 
         :raises Refused: when there is no answer.
         """
-        question = self._question(job)
-        policy = self._policy(job)
-        step = self._first_step(job, question, policy)
+        question = self._planner.question(job)
+        policy = self._planner.policy(job)
+        step = self._planner.first_step(job, question, policy)
         steps: list[snapshot.ModelVersion] = []
         while step.rating is policies.Rating.BEFORE_RELEASE:
-            target = self._target(job, question.options[step.index])
+            target = self._planner.target(job, question.options[step.index])
             draft = await self._draft(job, target, steps)
             steps.append(target)
             policy.spent(question, step.index, draft.finished.usage)
-            following = await self._judge(job, question, policy, step, draft)
+            following = await self._judge(
+                job, question, policy, step, target, draft
+            )
             if following is None:
                 self._count(job, target, "released")
                 yield answers.Started(target)
@@ -116,7 +111,7 @@
                 return
             self._count(job, target, "climbed")
             step = following
-        target = self._target(job, question.options[step.index])
+        target = self._planner.target(job, question.options[step.index])
         is_started = False
         async with contextlib.aclosing(
             self._run(job, target, steps)
@@ -133,69 +128,6 @@
                 self._count(job, target, "released")
                 yield self._answered(target, steps, event)
 
-    def _question(self, job: answers.Job) -> policies.Question:
-        cfg = self._config().snapshot
-        workspace = access.get_workspace(cfg, job.workspace)
-        cascade = access.get_cascade(cfg, workspace, job.cascade)
-        options = []
-        for name in access.allowed_models(workspace, cascade):
-            model = cfg.models[name]
-            options.append(
-                policies.Option(
-                    snapshot.ModelVersion(name, self._version(job, model)),
-                    model.input_price,
-                    model.output_price,
-                )
-            )
-        return policies.Question(
-            workspace.name,
-            cascade.name,
-            job.request_class,
-            cascade.target,
-            tuple(options),
-        )
-
-    def _version(self, job: answers.Job, model: snapshot.Model) -> str:
-        if job.session is not None:
-            return job.session.version(model.name)
-        cfg = self._config().snapshot
-        return rollout_share.choose_version(cfg, model, job.request_id)
-
-    def _policy(self, job: answers.Job) -> policies.CascadePolicy:
-        name = self._config().snapshot.cascades[job.cascade].policy
-        if name not in self._policies:
-            factory = registry.get(registry.Kind.CASCADE_POLICY, name)
-            self._policies[name] = factory(self._rng)
-        return self._policies[name]
-
-    def _first_step(
-        self,
-        job: answers.Job,
-        question: policies.Question,
-        policy: policies.CascadePolicy,
-    ) -> policies.Step:
-        step = policy.start(question)
-        if step.rating is not policies.Rating.BEFORE_RELEASE:
-            return step
-        tuning = self._config().snapshot.tuning
-        strongest = question.options[question.last].target.model
-        cheap = question.options[step.index].target.model
-        room = tuning.rating_timeout + self._pace.get(cheap, 0.0)
-        room += self._pace.get(strongest, 0.0)
-        if job.deadline - self._clock.monotonic() < ROOM_FACTOR * room:
-            return policies.Step(question.last, policies.Rating.NONE)
-        return step
-
-    def _target(
-        self, job: answers.Job, option: policies.Option
-    ) -> snapshot.ModelVersion:
-        """Return the version of a step by the configuration now in force."""
-        cfg = self._config().snapshot
-        model = cfg.models.get(option.target.model)
-        if model is None:
-            return option.target
-        return snapshot.ModelVersion(model.name, self._version(job, model))
-
     async def _run(
         self,
         job: answers.Job,
@@ -209,7 +141,9 @@
             async with contextlib.aclosing(events):
                 async for event in events:
                     yield event
-            self._note_pace(target.model, self._clock.monotonic() - began)
+            self._planner.note_pace(
+                target.model, self._clock.monotonic() - began
+            )
         except refusals.Refused as exc:
             raise _after_steps(exc, steps) from None
 
@@ -255,12 +189,12 @@
         question: policies.Question,
         policy: policies.CascadePolicy,
         step: policies.Step,
+        target: snapshot.ModelVersion,
         draft: _Draft,
     ) -> policies.Step | None:
         """Return the step to climb to, or None to release the draft."""
-        option = question.options[step.index]
         try:
-            score = await self._rate(job, option.target, draft)
+            score = await self._rate(job, target, draft)
         except exceptions.RatingUnavailable:
             self._unrated.inc()
             return policy.unrated(question, step.index)
@@ -296,10 +230,6 @@
             target, tuple(steps), finished.usage, finished.reason, price
         )
 
-    def _note_pace(self, model: str, seconds: float) -> None:
-        known = self._pace.get(model, seconds)
-        self._pace[model] = PACE_MEMORY * known + (1 - PACE_MEMORY) * seconds
-
     def _count(
         self, job: answers.Job, target: snapshot.ModelVersion, outcome: str
     ) -> None:
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/routing/planner.py
@@ -0,0 +1,126 @@
+"""Plan of a cascade: its options, its policy and where a request starts."""
+
+from collections.abc import Callable
+import random
+
+from loguru import logger
+
+from .. import clock as clocks
+from .. import exceptions
+from .. import registry
+from ..conf import snapshot
+from . import access
+from . import answers
+from . import cascade as policies
+from . import rollout_share
+
+PACE_MEMORY = 0.9
+# A climb is tried only when this many times its usual duration is left.
+ROOM_FACTOR = 1.5
+
+
+class Planner:
+    """Plans cascades by the configuration in force.
+
+    :param config: returns the configuration in force.
+    :param clock: clock of deadlines.
+    :param rng: source of the policies' draws.
+    """
+
+    def __init__(
+        self,
+        config: Callable[[], snapshot.Applied],
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._config = config
+        self._clock = clock
+        self._rng = rng
+        self._policies: dict[str, policies.CascadePolicy] = {}
+        self._pace: dict[str, float] = {}
+
+    def question(self, job: answers.Job) -> policies.Question:
+        """Return the options of a request.
+
+        :raises Refused: when the workspace may use none.
+        """
+        cfg = self._config().snapshot
+        workspace = access.get_workspace(cfg, job.workspace)
+        cascade = access.get_cascade(cfg, workspace, job.cascade)
+        options = []
+        for name in access.allowed_models(workspace, cascade):
+            model = cfg.models[name]
+            options.append(
+                policies.Option(
+                    snapshot.ModelVersion(name, self._version(job, model)),
+                    model.input_price,
+                    model.output_price,
+                )
+            )
+        return policies.Question(
+            workspace.name,
+            cascade.name,
+            job.request_class,
+            cascade.target,
+            tuple(options),
+        )
+
+    def policy(self, job: answers.Job) -> policies.CascadePolicy:
+        """Return the policy of the cascade that a request asked for."""
+        name = self._config().snapshot.cascades[job.cascade].policy
+        if name not in self._policies:
+            self._policies[name] = self._make_policy(name)
+        return self._policies[name]
+
+    def _make_policy(self, name: str) -> policies.CascadePolicy:
+        """Return a new policy; one that is unknown here keeps the quality."""
+        try:
+            factory = registry.get(registry.Kind.CASCADE_POLICY, name)
+        except exceptions.UnknownPlugin as exc:
+            logger.error("{}; always_strong stands in for it", exc)
+            factory = policies.AlwaysStrong
+        return factory(self._rng)
+
+    def first_step(
+        self,
+        job: answers.Job,
+        question: policies.Question,
+        policy: policies.CascadePolicy,
+    ) -> policies.Step:
+        """Return the first step.
+
+        It is the strongest option when a climb has no room before the
+        deadline.
+        """
+        step = policy.start(question)
+        if step.rating is not policies.Rating.BEFORE_RELEASE:
+            return step
+        tuning = self._config().snapshot.tuning
+        strongest = question.options[question.last].target.model
+        cheap = question.options[step.index].target.model
+        room = tuning.rating_timeout + self._pace.get(cheap, 0.0)
+        room += self._pace.get(strongest, 0.0)
+        if job.deadline - self._clock.monotonic() < ROOM_FACTOR * room:
+            return policies.Step(question.last, policies.Rating.NONE)
+        return step
+
+    def target(
+        self, job: answers.Job, option: policies.Option
+    ) -> snapshot.ModelVersion:
+        """Return the version of a step by the configuration now in force."""
+        cfg = self._config().snapshot
+        model = cfg.models.get(option.target.model)
+        if model is None:
+            return option.target
+        return snapshot.ModelVersion(model.name, self._version(job, model))
+
+    def note_pace(self, model: str, seconds: float) -> None:
+        """Note how long an answer of a model took."""
+        known = self._pace.get(model, seconds)
+        self._pace[model] = PACE_MEMORY * known + (1 - PACE_MEMORY) * seconds
+
+    def _version(self, job: answers.Job, model: snapshot.Model) -> str:
+        if job.session is not None:
+            return job.session.version(model.name)
+        cfg = self._config().snapshot
+        return rollout_share.choose_version(cfg, model, job.request_id)
--- /dev/null
+++ b/tests/limpetwalk/routing/test_climb.py
@@ -0,0 +1,145 @@
+"""Tests of the execution of cascades."""
+
+import asyncio
+import dataclasses
+import random
+import unittest
+
+from limpetwalk import metrics as measures
+from limpetwalk import refusals
+from limpetwalk import registry
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import answers
+from limpetwalk.routing import climb
+from limpetwalk.routing import planner
+from tests.limpetwalk_node import fakes
+
+
+class Base(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.config = fakes.FakeConfig()
+        self.engines = fakes.FakeEngines()
+        self.ratings = fakes.FakeRatings()
+        self.metrics = measures.Metrics()
+        self.clock = fakes.SkewedClock()
+        self.climber = climb.Climber(
+            self.config.current,
+            self.engines,
+            self.ratings,
+            self.clock,
+            self.metrics,
+            random.Random(1),
+        )
+
+    def job(self, cascade="assistant", left=60.0):
+        return answers.Job(
+            request_id="r",
+            workspace="bercvar",
+            cascade=cascade,
+            request_class="default",
+            body={},
+            question="q",
+            session=None,
+            deadline=self.clock.monotonic() + left,
+        )
+
+    async def steps(self, job=None):
+        events = [
+            event async for event in self.climber.answer(job or self.job())
+        ]
+        self.assertIsInstance(events[0], answers.Started)
+        self.assertIsInstance(events[-1], answers.Answered)
+        self.assertEqual(events[0].target, events[-1].target)
+        return [step.model for step in events[-1].steps]
+
+    def use_policy(self, name):
+        cascades = dict(self.config.applied.snapshot.cascades)
+        cascades["assistant"] = dataclasses.replace(
+            cascades["assistant"], policy=name
+        )
+        self.config.change(cascades=cascades)
+
+
+class Steps(Base):
+    async def test_rating_decides(self):
+        self.assertEqual(["small"], await self.steps())
+        self.ratings.scores["small"] = 0.2
+        self.assertEqual(["small", "large"], await self.steps())
+
+    async def test_rating_service_is_down(self):
+        self.ratings.up = False
+        self.assertEqual(["small", "large"], await self.steps())
+        unrated = self.metrics.value("limpetwalk_ratings_unavailable_total")
+        self.assertEqual(1, unrated)
+
+    async def test_proven_choice_is_kept_without_ratings(self):
+        registry.load_plugins(["limpetwalk.routing.adaptive"])
+        self.use_policy("adaptive")
+        for _ in range(80):
+            await self.steps()
+        self.ratings.up = False
+        found = [await self.steps() for _ in range(20)]
+        self.assertNotIn(["small", "large"], found)
+        self.assertIn(["small"], found)
+
+    async def test_tight_deadline_goes_straight_up(self):
+        room = self.config.applied.snapshot.tuning.rating_timeout
+        left = planner.ROOM_FACTOR * room
+        self.assertEqual(
+            ["large"], await self.steps(self.job(left=left - 0.1))
+        )
+        self.assertEqual(
+            ["small"], await self.steps(self.job(left=left + 5.0))
+        )
+
+    async def test_policy_that_is_unknown_keeps_the_quality(self):
+        self.use_policy("of a later release")
+        self.assertEqual(["large"], await self.steps())
+
+    async def test_model_that_the_workspace_may_not_use_is_left_out(self):
+        workspaces = dict(self.config.applied.snapshot.workspaces)
+        workspaces["bercvar"] = dataclasses.replace(
+            workspaces["bercvar"], models=frozenset({"large"})
+        )
+        self.config.change(workspaces=workspaces)
+        self.assertEqual(["large"], await self.steps())
+
+
+class ChangesMeanwhile(Base):
+    def withdraw(self, model, version):
+        versions = self.config.applied.snapshot.models[model].versions
+        versions[version] = snapshot.VersionState.WITHDRAWN
+
+    async def test_withdrawal_while_the_draft_is_rated(self):
+        self.ratings.scores["small"] = 0.2
+        rate = self.ratings.rate
+
+        async def withdraw(req, timeout):
+            self.withdraw("large", "v1")
+            return await rate(req, timeout)
+
+        self.ratings.rate = withdraw
+        with self.assertRaises(refusals.Refused) as caught:
+            await self.steps()
+        refusal = caught.exception.refusal
+        self.assertEqual(refusals.Reason.VERSION_WITHDRAWN, refusal.reason)
+        self.assertEqual(refusals.RunState.RUN, refusal.run)
+        self.assertEqual(1, len(self.engines.works))
+
+    async def test_check_of_the_work_sees_a_later_denial(self):
+        await self.steps()
+        (item,) = self.engines.works
+        item.check()
+        self.config.change(workspaces={})
+        with self.assertRaises(refusals.Refused) as caught:
+            item.check()
+        reason = caught.exception.refusal.reason
+        self.assertEqual(refusals.Reason.WRONG_KEY, reason)
+
+    async def test_closing_the_answer_cancels_the_engine(self):
+        self.engines.gate = asyncio.Event()
+        events = self.climber.answer(self.job("strong"))
+        await anext(events)
+        await anext(events)
+        await events.aclose()
+        self.assertTrue(self.engines.cancelled.is_set())
