--- a/tests/limpetwalk/routing/test_sessions.py
+++ b/tests/limpetwalk/routing/test_sessions.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+
 from limpetwalk import refusals
 from limpetwalk.conf import snapshot
 from limpetwalk.routing import rollout_share
--- a/tests/limpetwalk_ctl/test_changes.py
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import shutil
+import zlib
 
 from limpetwalk import clock as clocks
 from limpetwalk.conf import compile as compiler
@@ -31,7 +32,8 @@
     def snapshot(self) -> snapshot.Snapshot:
         """Return the snapshot in force."""
         _, answer = self.shell.json("status")
-        data = self.shell.objects.blobs["config/" + answer["head"]["digest"]]
+        name = "config/" + answer["head"]["digest"]
+        data = zlib.decompress(self.shell.objects.blobs[name])
         return compiler.compile_document(data)
 
     def rival(self, edit: edits.Edit) -> None:
@@ -119,7 +121,7 @@
 
     def test_two_folders_at_once(self) -> None:
         rival = document.Document.from_bytes(
-            next(iter(self.shell.objects.blobs.values()))
+            zlib.decompress(next(iter(self.shell.objects.blobs.values())))
         )
         zones = dict(rival.zones)
         del zones["hu-central-c"]
@@ -149,6 +151,15 @@
         self.assertEqual((code, answer["generation"]), (0, 3))
         self.assertIs(self.snapshot().zones["hu-central-b"].state, OUT)
 
+    def test_show_tells_places_and_masks_secrets(self) -> None:
+        (self.site / "99.yaml").write_text("tuning: {queue_length: 7}\n")
+        code, out, _ = self.shell.run("show", str(self.site))
+        self.assertEqual(code, 0)
+        self.assertRegex(out, r"tuning.queue_length +7 +.*/99\.yaml:1\n")
+        self.assertRegex(out, r"tuning.crash_limit +2 +default\n")
+        self.assertRegex(out, r"registry-a.fencing +true +default\n")
+        self.assertNotIn("example-secret", out)
+
     def test_expected_generation(self) -> None:
         (self.site / "99.yaml").write_text("tuning: {queue_length: 7}\n")
         code, _, err = self.shell.run("apply", str(self.site), "--expect=4")
@@ -290,6 +301,15 @@
         self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
         self.assertIn("the store does not answer", err)
 
+    def test_nodes_that_are_not_known_are_not_counted_as_served(self) -> None:
+        self.shell.instances.unavailable = True
+        code, out, err = self.shell.run(
+            "zone", "out", "hu-central-a", "--wait"
+        )
+        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
+        self.assertIn("seen by 0 of 0 nodes", out)
+        self.assertIn("the instance list does not answer", err)
+
     def test_nothing_is_handed_over_when_the_outcome_is_unknown(self) -> None:
         async def fail_after(operation: str) -> None:
             if operation == "transact":
