--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -181,7 +181,6 @@
             self.rng,
             self.metrics,
             self._spills,
-            billing.WaitFor.COPY,
         )
 
     def _tuning(self) -> snapshot.Tuning:
