Read load reports in one place

Two readers had met: the node's probe of open circuits and the reports that zones share. The shared reports also let a trial through an open circuit, so the probe goes; a report now wakes requests that wait for its replica, notes a new boot, and old clients are closed after each round.

--- a/packages/limpetwalk-node/limpetwalk_node/reports.py
+++ b/packages/limpetwalk-node/limpetwalk_node/reports.py
@@ -42,6 +42,7 @@
     :param clock: source of time.
     :param rng: source of random numbers.
     :param metrics: metrics of the process.
+    :param note: takes a replica's report, read here or by a peer.
     """
 
     def __init__(
@@ -52,12 +53,14 @@
         clock: clocks.Clock,
         rng: random.Random,
         metrics: metrics_.Metrics,
+        note: Callable[[replicas.Replica, backends.LoadReport], None],
     ) -> None:
         self._hub = hub
         self._directory = directory
         self._ready = ready
         self._clock = clock
         self._rng = rng
+        self._note = note
         self._told: dict[str, _Told] = {}
         self._reading: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -101,6 +104,7 @@
                 if replica.name not in self._reading:
                     self._reading.add(replica.name)
                     self._spawn(self._read(replica))
+            await self._directory.close_retired()
             await asyncio.sleep(READ_INTERVAL * self._rng.uniform(0.9, 1.1))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
@@ -118,7 +122,7 @@
         finally:
             self._reading.discard(replica.name)
         self._reports.labels("read").inc()
-        replica.note_report(load, self._clock.monotonic())
+        self._note(replica, load)
         self.tell(replica.name, load)
 
     def tell(self, name: str, load: backends.LoadReport) -> None:
@@ -156,7 +160,7 @@
                 token_ms=message.token_ms,
                 age=message.age,
             )
-            replica.note_report(load, self._clock.monotonic())
+            self._note(replica, load)
         return None
 
 
--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -18,7 +18,6 @@
 from limpetwalk.records import store as record_stores
 from limpetwalk.routing import core as cores
 from limpetwalk.routing import dispatch
-from limpetwalk.routing import health
 from limpetwalk.routing import quarantine
 from limpetwalk.routing import replicas
 
@@ -122,14 +121,8 @@
             self.clock,
             self.rng,
             self.metrics,
+            self._core.note_report,
         )
-        # Load reports are read and shared by _reports; this one reads the
-        # servers whose circuit is open and closes clients of old ones.
-        self._health = health.HealthReader(
-            self._core, self.clock, self.metrics, owns=lambda server: False
-        )
-        self._is_health_read = False
-        self.keeper.subscribe(self._on_config)
         self.interfaces = app.compose(self._make_parts())
 
     async def start(self) -> None:
@@ -143,7 +136,6 @@
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Release the leases, leave the peers and close all connections."""
-        await self._health.stop()
         await self._reports.stop()
         await self._crashes.stop()
         await self._permits.stop()
@@ -155,12 +147,6 @@
         await self._core.close()
         await self.platform.close()
 
-    def _on_config(self, applied: snapshot.Applied) -> None:
-        """Start the reader that needs a configuration, at the first one."""
-        if not self._is_health_read:
-            self._is_health_read = True
-            self._health.start()
-
     def _in_force(self) -> snapshot.Applied:
         applied = self.keeper.current()
         # Parts that ask are only at work once there is a configuration.
--- a/packages/limpetwalk/limpetwalk/routing/core.py
+++ b/packages/limpetwalk/limpetwalk/routing/core.py
@@ -71,6 +71,7 @@
             metrics,
         )
         self._config = config
+        self._clock = clock
         self._refused = metrics.counter(
             "limpetwalk_dispatch_refusals",
             "Requests that the dispatcher refused.",
@@ -93,6 +94,15 @@
         self.retries.budget.first_try(self.tuning.retry_share)
         return attempts_module.Attempts(request_id, deadline)
 
+    def note_report(
+        self, replica: replicas.Replica, report: backends.LoadReport
+    ) -> None:
+        """Take a replica's load report and wake who waits for it."""
+        if replica.note_report(report, self._clock.monotonic()):
+            self.outcomes.note_boot(replica)
+        if self.admission.waiting:
+            self.admission.pump(replicas.subjects(replica.server))
+
     def count_refusal(self, exc: refusals.Refused) -> None:
         """Count a refusal by its reason and run state."""
         refusal = exc.refusal
--- a/tests/limpetwalk_node/test_reports.py
+++ b/tests/limpetwalk_node/test_reports.py
@@ -84,6 +84,7 @@
             clock,
             random.Random(name),
             self.metrics,
+            lambda replica, load: replica.note_report(load, clock.monotonic()),
         )
 
     def read(self):
