--- /dev/null
+++ b/tests/machines.py
@@ -0,0 +1,35 @@
+"""Settings of the state machines: fixed in CI, longer in a soak.
+
+``SOAK_SEED=7 .venv/bin/nose2 tests.limpetwalk.records`` runs them from
+another seed and SOAK_FACTOR times as long.
+"""
+
+import os
+
+import hypothesis
+from hypothesis import stateful
+
+SOAK_FACTOR = 20
+
+
+def make_case(
+    machine: type[stateful.RuleBasedStateMachine], examples: int, steps: int
+) -> type:
+    """Return the test case that runs a state machine.
+
+    :param examples: runs of the machine in CI.
+    :param steps: most steps of one run.
+    """
+    seed = os.environ.get("SOAK_SEED")
+    case = machine.TestCase
+    case.settings = hypothesis.settings(
+        max_examples=examples * SOAK_FACTOR if seed else examples,
+        stateful_step_count=steps,
+        deadline=None,
+        derandomize=not seed,
+        database=None,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )
+    if seed:
+        hypothesis.seed(int(seed))(machine)
+    return case
