--- a/packages/limpetwalk/limpetwalk/records/rows.py
+++ b/packages/limpetwalk/limpetwalk/records/rows.py
@@ -1,7 +1,5 @@
 """Form of a record as a row of the table service."""
 
-import base64
-
 import pydantic
 
 from ..backends import base as backends
@@ -46,37 +44,6 @@
     return platform.RowKey(f"record#{workspace}", key)
 
 
-def encode_answer(
-    answer: backends.ServiceAnswer, body_object: str
-) -> AnswerValue:
-    """Return the stored form of an answer.
-
-    :param body_object: name of the object that holds the body; empty keeps
-        the body in the row.
-    """
-    body = "" if body_object else base64.b64encode(answer.body).decode()
-    return AnswerValue(
-        status=answer.status,
-        headers=dict(answer.headers),
-        body=body,
-        body_object=body_object,
-    )
-
-
-def decode_answer(
-    value: AnswerValue, body: bytes | None
-) -> backends.ServiceAnswer:
-    """Return an answer from its stored form.
-
-    :param body: body from the object store, or None when the row holds it.
-    """
-    if body is None:
-        body = base64.b64decode(value.body)
-    return backends.ServiceAnswer(
-        status=value.status, body=body, headers=value.headers
-    )
-
-
 def decode_record(
     workspace: str,
     row: platform.Row,
--- a/packages/limpetwalk/limpetwalk/records/store.py
+++ b/packages/limpetwalk/limpetwalk/records/store.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import hashlib
 import uuid
 
 from result import Err
@@ -14,15 +13,13 @@
 from ..backends import base as backends
 from ..platform import base as platform
 from ..platform import settle
+from . import answers
 from . import base
 from . import rows
 
 # A claim that is not dispatched for this long may be taken over although its
 # holder lives: its answer may have been lost on the way to the holder.
 CLAIM_TTL = 30.0
-# Larger bodies go to the object store; base 64 makes 4/3 of them and the
-# row's other fields need room below the limit of 400 KB.
-INLINE_LIMIT_BYTES = 225_000
 
 State = base.RecordState
 
@@ -54,7 +51,7 @@
         self._holder = holder
         self._is_live = is_live
         self._ttl = ttl
-        self._objects = objects
+        self._answers = answers.AnswerBodies(objects)
 
     async def claim(
         self, ident: base.RecordIdent, request_id: str
@@ -254,36 +251,14 @@
             claimed_until=self._clock.wall() + CLAIM_TTL,
             attempt_id=record.attempt_id,
             server=record.server,
-            answer=None if answer is None else await self._store(answer),
+            answer=None
+            if answer is None
+            else await self._answers.store(answer),
         )
 
-    async def _store(self, answer: backends.ServiceAnswer) -> rows.AnswerValue:
-        if len(answer.body) <= INLINE_LIMIT_BYTES:
-            return rows.encode_answer(answer, "")
-        if self._objects is None:
-            raise exceptions.StoreUnavailable("no store for a large answer")
-        digest = hashlib.sha256(answer.body).hexdigest()
-        name = f"answers/{digest}"
-        try:
-            # The name is the digest, so a name that is taken is this body.
-            await self._objects.put_if_absent(name, answer.body)
-        except exceptions.StoreOutcomeUnknown as exc:
-            raise exceptions.StoreUnavailable(str(exc)) from exc
-        return rows.encode_answer(answer, name)
-
     async def _decode(self, workspace: str, row: platform.Row) -> base.Record:
         value = rows.RecordValue.model_validate_json(row.value)
         answer = None
         if value.answer is not None:
-            answer = await self._load(value.answer)
+            answer = await self._answers.load(value.answer)
         return rows.decode_record(workspace, row, value, answer)
-
-    async def _load(self, value: rows.AnswerValue) -> backends.ServiceAnswer:
-        if not value.body_object:
-            return rows.decode_answer(value, None)
-        if self._objects is None:
-            raise exceptions.StoreUnavailable("no store for a large answer")
-        body = await self._objects.get(value.body_object)
-        if body is None:
-            raise exceptions.StoreUnavailable("the answer's body is gone")
-        return rows.decode_answer(value, body)
--- a/tests/limpetwalk/records/test_store.py
+++ b/tests/limpetwalk/records/test_store.py
@@ -11,6 +11,7 @@
 from limpetwalk import exceptions
 from limpetwalk.backends import base as backends
 from limpetwalk.platform import memory
+from limpetwalk.records import answers
 from limpetwalk.records import base
 from limpetwalk.records import store
 
@@ -211,7 +212,7 @@
         self.assertIsNone(await self.read())
 
     async def test_large_answer_lies_in_the_object_store(self):
-        body = b"x" * (store.INLINE_LIMIT_BYTES + 1)
+        body = b"x" * (answers.INLINE_LIMIT_BYTES + 1)
         large = backends.ServiceAnswer(200, body)
         record = await self.dispatched(self.first)
         await self.first.answer(record, large)
