--- a/tests/limpetwalk/platform/test_ratings.py
+++ b/tests/limpetwalk/platform/test_ratings.py
@@ -7,6 +7,8 @@
 from limpetwalk.platform import base
 from limpetwalk.platform import memory
 from limpetwalk.platform import ratings
+from limpetwalk_bench.engine import answers
+from limpetwalk_bench.engine import settings as engine
 from limpetwalk_bench.platform import faults
 from limpetwalk_bench.platform import ratings as standin
 
@@ -83,7 +85,15 @@
         return self.service.score(standin.Question.model_validate(question))
 
     def test_stated_quality_goes_before_the_table(self):
-        self.assertEqual(0.25, self.score(answer="x [quality=0.25]"))
+        self.assertEqual(0.25, self.score(answer="x [q=0.25]"))
+
+    def test_quality_that_the_engine_states_is_the_score(self):
+        cfg = engine.EngineSettings(quality={"small:v1": {"": 0.37}})
+        body = {"messages": [{"role": "user", "content": "why?"}]}
+        words = answers.tokens(cfg, "small:v1", body)
+        expected = answers.quality(cfg, "small:v1", body)
+        score = self.score(answer="".join(words))
+        self.assertAlmostEqual(expected, score, places=2)
 
     def test_most_specific_quality_is_taken(self):
         qualities = [
@@ -103,5 +113,5 @@
 
     def test_bias_moves_the_score_within_its_bounds(self):
         self.service.bias = 0.5
-        self.assertEqual(0.75, self.score(answer="[quality=0.25]"))
-        self.assertEqual(1.0, self.score(answer="[quality=0.75]"))
+        self.assertEqual(0.75, self.score(answer="[q=0.25]"))
+        self.assertEqual(1.0, self.score(answer="[q=0.75]"))
