--- /dev/null
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/__main__.py
@@ -0,0 +1,5 @@
+"""Runs limpetctl as ``python -m limpetwalk_ctl``."""
+
+from . import main
+
+main.run()
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/exits.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/exits.py
@@ -14,3 +14,4 @@
     NOT_SEEN_EVERYWHERE = 5
     OUTCOME_UNKNOWN = 6
     NOT_FOUND = 7
+    INTERRUPTED = 130
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import os
 import sys
 from typing import Any
 from typing import TextIO
@@ -14,6 +15,7 @@
 from limpetwalk import registry
 from limpetwalk.platform import factory
 
+from . import arguments
 from . import base
 from . import exits
 from . import output
@@ -33,12 +35,21 @@
     "limpetwalk_ctl.commands.version",
     "limpetwalk_ctl.commands.zone",
 ]
-PROGRAM = "limpetctl"
 
 
 def run() -> None:
     """Run limpetctl with the arguments of the process."""
-    sys.exit(main(sys.argv[1:], sys.stdout, sys.stderr))
+    try:
+        code = main(sys.argv[1:], sys.stdout, sys.stderr)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Whoever reads the answer has read enough, as in a pipe to head.
+        # Python would complain when it flushes the stream at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = exits.ExitCode.OK
+    except KeyboardInterrupt:
+        code = exits.ExitCode.INTERRUPTED
+    sys.exit(code)
 
 
 def main(
@@ -57,28 +68,28 @@
     registry.load_plugins(COMMANDS)
     plain = output.Output(False, stdout, stderr)
     try:
-        parsed = _parse(args)
+        parsed = arguments.parse(args)
     except (flags.Error, base.UsageError, exceptions.UnknownPlugin) as exc:
-        plain.error(f"{exc}; try {PROGRAM} --help")
+        plain.error(f"{exc}; try {arguments.PROGRAM} --help")
         return exits.ExitCode.USAGE
     if parsed is None:
-        stdout.write(_overview())
+        stdout.write(arguments.overview())
         return exits.ExitCode.OK
     command, values, rest = parsed
     if values["help"].value:
-        stdout.write(_command_help(command, values))
+        stdout.write(arguments.command_help(command, values))
         return exits.ExitCode.OK
     out = output.Output(bool(values["json"].value), stdout, stderr)
     ctx = base.Context(values, rest, out, clocks.SystemClock())
     try:
         return uvloop.run(_handle(command, ctx, open_platform))
     except base.UsageError as exc:
-        out.error(f"{exc}; usage: {PROGRAM} {command.usage}")
+        out.error(f"{exc}; usage: {arguments.PROGRAM} {command.usage}")
         return exits.ExitCode.USAGE
     except exceptions.StoreOutcomeUnknown as exc:
         out.error(
             f"the change may have been accepted ({exc}); "
-            f"{PROGRAM} history tells once the store answers"
+            f"{arguments.PROGRAM} history tells once the store answers"
         )
         return exits.ExitCode.OUTCOME_UNKNOWN
     except exceptions.StoreError as exc:
@@ -111,64 +122,3 @@
         return await command.handle(ctx)
     finally:
         await ctx.platform.close()
-
-
-def _define_globals(values: flags.FlagValues) -> None:
-    flags.DEFINE_string(
-        "settings", "", "YAML file with limpetctl's settings", values
-    )
-    flags.DEFINE_string(
-        "operator", "", "name under which changes are recorded", values
-    )
-    flags.DEFINE_bool("json", False, "write JSON for programs", values)
-    flags.DEFINE_bool("help", False, "show this help", values, short_name="h")
-
-
-def _parse(
-    args: Sequence[str],
-) -> tuple[base.Command, flags.FlagValues, Sequence[str]] | None:
-    """Return the command, its flags and its arguments; None for help."""
-    leading = flags.FlagValues()
-    leading.set_gnu_getopt(False)
-    _define_globals(leading)
-    rest = leading([PROGRAM, *args])[1:]
-    if not rest:
-        if leading["help"].value:
-            return None
-        raise base.UsageError("got no command")
-    command = registry.get(registry.Kind.COMMAND, rest[0])()
-    values = flags.FlagValues()
-    _define_globals(values)
-    command.define_flags(values)
-    values.set_gnu_getopt(True)
-    # Global flags stand before the command or after it.
-    consumed = list(args[: len(args) - len(rest)])
-    rest = values([PROGRAM, *consumed, *rest[1:]])[1:]
-    return command, values, rest
-
-
-def _overview() -> str:
-    lines = [f"usage: {PROGRAM} [--settings FILE] [--json] COMMAND ...", ""]
-    for name in registry.names(registry.Kind.COMMAND):
-        command = registry.get(registry.Kind.COMMAND, name)
-        lines.append(f"  {name:<10}{command.help}")
-    lines += ["", f"{PROGRAM} COMMAND --help shows flags and examples", ""]
-    return "\n".join(lines)
-
-
-def _command_help(command: base.Command, values: flags.FlagValues) -> str:
-    lines = [
-        f"usage: {PROGRAM} [--settings FILE] {command.usage}",
-        "",
-        command.help,
-        "",
-        "examples:",
-        *(f"  {PROGRAM} {example}" for example in command.examples),
-        "",
-        "flags:",
-    ]
-    for name in sorted(values):
-        flag = values[name]
-        if name == flag.name:
-            lines.append(f"  --{name:<22}{flag.help}")
-    return "\n".join(lines) + "\n"
--- a/packages/limpetwalk/limpetwalk/conf/compile.py
+++ b/packages/limpetwalk/limpetwalk/conf/compile.py
@@ -86,7 +86,9 @@
         ),
         service=section.service or "",
         concurrency=section.concurrency,
-        warmup=snapshot.WarmUp(**dict(section.warmup)),
+        warmup=snapshot.WarmUp(
+            section.warmup.concurrency, section.warmup.duration
+        ),
         fencing=section.fencing,
     )
 
--- a/packages/limpetwalk/limpetwalk/conf/document.py
+++ b/packages/limpetwalk/limpetwalk/conf/document.py
@@ -1,7 +1,7 @@
 """Configuration as operators write it, validated at the border."""
 
-import ipaddress
 import json
+import socket
 from typing import Annotated
 from typing import Any
 
@@ -26,10 +26,8 @@
 
 def _check_address(address: str) -> str:
     host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-    except ValueError:
-        raise ValueError("an IP number and port, as 10.0.0.1:8000") from None
+    if not _is_ip(host):
+        raise ValueError("an IP number and port, as 10.0.0.1:8000")
     if not port.isascii() or not port.isdigit():
         raise ValueError("a port number after the colon")
     if not 0 < int(port[:6]) <= HIGHEST_PORT:
@@ -37,6 +35,19 @@
     return address
 
 
+def _is_ip(host: str) -> bool:
+    family = socket.AF_INET
+    if host.startswith("[") and host.endswith("]"):
+        family, host = socket.AF_INET6, host[1:-1]
+    try:
+        # Nodes validate each server's address at each change; this takes a
+        # tenth of the time that the ipaddress module takes.
+        socket.inet_pton(family, host)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 
 
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/conf/yamltree.py
@@ -0,0 +1,141 @@
+"""Turns the nodes of a YAML file into a tree of values with places."""
+
+from typing import Any
+
+import yaml
+
+from . import findings
+from . import marked
+
+MAX_INT_DIGITS = 18
+
+_TAG = "tag:yaml.org,2002:"
+_NULL = _TAG + "null"
+_MERGE = _TAG + "merge"
+_CONSTRUCTED = frozenset(_TAG + kind for kind in ("int", "float", "bool"))
+# Dates are taken as text: a version may be named 2026-05-01.
+_TEXT = frozenset(_TAG + kind for kind in ("str", "timestamp", "value"))
+
+
+class TreeReader:
+    """Converts nodes and collects findings.
+
+    :param path: path of the file, for places.
+    """
+
+    def __init__(self, path: str) -> None:
+        self.found: list[findings.Finding] = []
+        self._path = path
+        self._scalars = yaml.SafeLoader("")
+
+    def _add(
+        self,
+        node: yaml.Node,
+        ident: str,
+        path: findings.KeyPath,
+        got: str,
+        expected: str,
+    ) -> None:
+        self.found.append(
+            findings.Finding(
+                ident,
+                findings.Level.ERROR,
+                path,
+                got,
+                expected,
+                place=self._place(node),
+            )
+        )
+
+    def convert(
+        self, node: yaml.Node, path: findings.KeyPath = ()
+    ) -> marked.Marked:
+        """Return the tree of a node.
+
+        :param path: keys from the top to the node.
+        """
+        place = self._place(node)
+        if isinstance(node, yaml.MappingNode) and node.tag == _TAG + "map":
+            return marked.Marked(self._mapping(node, path), place)
+        if isinstance(node, yaml.SequenceNode) and node.tag == _TAG + "seq":
+            items = enumerate(node.value)
+            return marked.Marked(
+                [self.convert(item, (*path, index)) for index, item in items],
+                place,
+            )
+        if isinstance(node, yaml.ScalarNode):
+            return marked.Marked(self._scalar(node, path), place)
+        self._add(node, "tag", path, f"tag {node.tag}", "plain data")
+        return marked.Marked(None, place)
+
+    def _mapping(
+        self, node: yaml.MappingNode, path: findings.KeyPath
+    ) -> dict[str, marked.Marked]:
+        items: dict[str, marked.Marked] = {}
+        for key_node, item_node in node.value:
+            if not isinstance(key_node, yaml.ScalarNode):
+                self._add(
+                    key_node, "key", path, kind_of(key_node), "a text as key"
+                )
+                continue
+            # Keys are names, so 1.10 as a key is the text "1.10".
+            key = key_node.value
+            if key_node.tag == _MERGE:
+                self._add(
+                    key_node, "merge-key", path, "<<", "keys written out"
+                )
+                continue
+            if key in items:
+                first = items[key].place.line
+                self._add(
+                    key_node,
+                    "duplicate-key",
+                    (*path, key),
+                    f"key {key!r} again, first on line {first}",
+                    "each key once in a mapping",
+                )
+                continue
+            item = self.convert(item_node, (*path, key))
+            items[key] = marked.Marked(item.value, self._place(key_node))
+        return items
+
+    def _scalar(
+        self, node: yaml.ScalarNode, path: findings.KeyPath
+    ) -> marked.Scalar:
+        if node.tag == _NULL:
+            return None
+        if node.tag in _TEXT:
+            return str(node.value)
+        if node.tag not in _CONSTRUCTED:
+            self._add(node, "tag", path, f"tag {node.tag}", "plain data")
+            return None
+        try:
+            value = self._scalars.construct_object(node)
+        except (ValueError, LookupError, yaml.YAMLError):
+            self._add(node, "scalar", path, repr(node.value), "plain data")
+            return None
+        if isinstance(value, int) and abs(value) >= 10**MAX_INT_DIGITS:
+            self._add(
+                node,
+                "scalar",
+                path,
+                "a number out of range",
+                f"at most {MAX_INT_DIGITS} digits",
+            )
+            return None
+        return value
+
+    def _place(self, node: yaml.Node) -> findings.Place:
+        return findings.Place(self._path, line_of(node.start_mark))
+
+
+def kind_of(node: yaml.Node) -> str:
+    """Return in words what a node is."""
+    if isinstance(node, yaml.MappingNode):
+        return "a mapping"
+    return "a list" if isinstance(node, yaml.SequenceNode) else "a value"
+
+
+def line_of(mark: Any) -> int:
+    """Return the line of a mark, from 1; 0 when there is no mark."""
+    return mark.line + 1 if mark else 0
--- a/tests/limpetwalk/conf/test_loader.py
+++ b/tests/limpetwalk/conf/test_loader.py
@@ -46,6 +46,10 @@
     ("zone: z1", "zone: z1\n    concurrency: -4", "concurrency: got -4"),
     ("127.0.0.1:9002", "127.0.0.1:9001", "the address of server 'e1'"),
     ("127.0.0.1:9002", "somewhere:80", "expected an IP number and port"),
+    ("127.0.0.1:9002", "::1:9002", "expected an IP number and port"),
+    ("127.0.0.1:9002", "'[::g]:9002'", "expected an IP number and port"),
+    ("127.0.0.1:9002", "127.1:9002", "expected an IP number and port"),
+    ("127.0.0.1:9002", '"127.0.0.1\\0:9002"', "expected an IP number and"),
     ("127.0.0.1:9002", "127.0.0.1:0", "expected a port from 1 to 65535"),
     ("127.0.0.1:9002", "127.0.0.1:99999999", "a port from 1 to 65535"),
     ("127.0.0.1:9002", "127.0.0.1", "expected an IP number and port"),
@@ -94,6 +98,13 @@
                 for item in found:
                     self.assertRegex(item, r"^site\.yaml:\d+: .*got .*expect")
 
+    def test_addresses_of_both_families(self) -> None:
+        for address in ("10.0.0.1:1", "'[::1]:65535'", "'[fe80::2]:80'"):
+            with self.subTest(address):
+                text = sites.SMALL.replace("127.0.0.1:9002", address)
+                self.write("site.yaml", text)
+                self.assertEqual(self.findings(), [])
+
     def test_places_are_those_of_the_lines(self) -> None:
         self.write("a.yaml", "zones:\n  z1:\n    region: r1\n    x: 1\n")
         self.write("b.yaml", "tuning:\n  queue_length: -1\n")
--- a/tests/limpetwalk_ctl/shell.py
+++ b/tests/limpetwalk_ctl/shell.py
@@ -1,5 +1,6 @@
 """Runs limpetctl in the test's process against in-process services."""
 
+import asyncio
 import io
 import json
 import pathlib
@@ -43,6 +44,7 @@
         self.takes = takes
         self.generation: int | None = None
         self.data = b""
+        self.silent = False
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> platform.Instance:
@@ -50,7 +52,7 @@
         app = web.Application()
         app.router.add_get("/status", self._status)
         app.router.add_put("/config/{generation}", self._put)
-        self._runner = web.AppRunner(app)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
@@ -70,6 +72,8 @@
             await self._runner.cleanup()
 
     async def _status(self, req: web.Request) -> web.Response:
+        if self.silent:
+            await asyncio.Event().wait()
         return web.json_response(
             {
                 "name": self.name,
@@ -80,6 +84,8 @@
         )
 
     async def _put(self, req: web.Request) -> web.Response:
+        if self.silent:
+            await asyncio.Event().wait()
         if not self.takes:
             return web.Response(status=409)
         self.generation = int(req.match_info["generation"])
--- a/tests/limpetwalk_ctl/test_changes.py
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -301,6 +301,15 @@
         self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
         self.assertIn("the store does not answer", err)
 
+    def test_a_node_that_never_answers_holds_up_nobody(self) -> None:
+        self.shell.nodes[0].silent = True
+        code, answer = self.shell.json("zone", "out", "hu-central-a", "--wait")
+        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
+        self.assertEqual(answer["seen"], 2)
+        silent = answer["nodes"][0]
+        self.assertIsNone(silent["generation"])
+        self.assertEqual(silent["error"], "TimeoutError")
+
     def test_nodes_that_are_not_known_are_not_counted_as_served(self) -> None:
         self.shell.instances.unavailable = True
         code, out, err = self.shell.run(
--- a/tests/limpetwalk_ctl/test_main.py
+++ b/tests/limpetwalk_ctl/test_main.py
@@ -1,6 +1,8 @@
 """Tests of limpetctl's command line: help, usage, exit codes."""
 
 import pathlib
+import subprocess
+import sys
 
 from limpetwalk_ctl import exits
 
@@ -81,6 +83,32 @@
                 self.assertEqual((code, out[0]), (0, "{"))
 
 
+class ProcessTest(shell.ShellCase):
+    def spawn(self, *args: str) -> "subprocess.Popen[bytes]":
+        """Start limpetctl as a process of its own."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", "limpetwalk_ctl", *args],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        self.addCleanup(process.kill)
+        return process
+
+    def test_exit_code_of_the_process(self) -> None:
+        process = self.spawn("check", str(self.folder / "nosuch"))
+        out, err = process.communicate(timeout=30)
+        self.assertEqual((process.returncode, err), (1, b""))
+        self.assertIn(b"nosuch: got No such file", out)
+
+    def test_reader_that_goes_away(self) -> None:
+        process = self.spawn("show", shell.EXAMPLE)
+        assert process.stdout is not None and process.stderr is not None
+        process.stdout.close()
+        self.assertEqual(process.wait(timeout=30), 0)
+        self.assertEqual(process.stderr.read(), b"")
+        process.stderr.close()
+
+
 class StoreTest(shell.ShellCase):
     def test_store_down(self) -> None:
         self.shell.table.faults.unavailable = True
