Check the URLs of the platform's services in the settings

Seen failing first: an endpoint 'foo' in limpetctl's settings ended in a traceback of aiobotocore. platform/settings.py takes URLs only now, for nodes too (additive change of an interface module).

--- a/packages/limpetwalk/limpetwalk/platform/settings.py
+++ b/packages/limpetwalk/limpetwalk/platform/settings.py
@@ -1,8 +1,26 @@
 """Settings that say where the platform's services are."""
 
+from typing import Annotated
+import urllib.parse
+
 import pydantic
 
 
+def _check_url(url: str) -> str:
+    try:
+        parts = urllib.parse.urlsplit(url)
+        port = parts.port
+    except ValueError as exc:
+        raise ValueError(f"a URL ({exc})") from None
+    known = parts.scheme in ("http", "https")
+    if not known or not parts.hostname or port == 0:
+        raise ValueError("a URL, as http://10.0.0.1:8000")
+    return url
+
+
+Url = Annotated[str, pydantic.AfterValidator(_check_url)]
+
+
 class _Settings(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
@@ -17,7 +35,7 @@
     """
 
     client: str = "dynamodb"
-    endpoint: str
+    endpoint: Url
     table: str = "limpetwalk"
     region: str = "local"
     access_key: str = "local"
@@ -35,7 +53,7 @@
     """
 
     client: str = "s3"
-    endpoint: str
+    endpoint: Url
     bucket: str = "limpetwalk"
     region: str = "local"
     access_key: str = "local"
@@ -53,7 +71,7 @@
     """
 
     client: str = "http_sd"
-    url: str
+    url: Url
     interval: float = 2.0
     timeout: float = 2.0
 
@@ -66,7 +84,7 @@
     """
 
     client: str = "http"
-    url: str
+    url: Url
 
 
 class PlatformSettings(_Settings):
--- a/tests/limpetwalk_ctl/shell.py
+++ b/tests/limpetwalk_ctl/shell.py
@@ -18,7 +18,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 EXAMPLE = str(ROOT / "examples" / "bercvar")
-SETTINGS = {
+SETTINGS: dict[str, Any] = {
     "platform": {
         "table": {"endpoint": "http://127.0.0.1:1"},
         "objects": {"endpoint": "http://127.0.0.1:1"},
--- a/tests/limpetwalk_ctl/test_main.py
+++ b/tests/limpetwalk_ctl/test_main.py
@@ -1,10 +1,15 @@
 """Tests of limpetctl's command line: help, usage, exit codes."""
 
+import copy
+import io
 import pathlib
 import subprocess
 import sys
 
+import yaml
+
 from limpetwalk_ctl import exits
+from limpetwalk_ctl import main
 
 from . import shell
 
@@ -71,6 +76,26 @@
         self.assertIn("ctl.yaml:2: bogus: got unknown key 'bogus'", out)
         self.assertIn("ctl.yaml:1: platform.table: got nothing", out)
 
+    def test_settings_with_bad_urls(self) -> None:
+        for url in ("foo", "http://", "http://h:99999", "", "http://[:1"):
+            with self.subTest(url):
+                cfg = copy.deepcopy(shell.SETTINGS)
+                cfg["platform"]["table"]["endpoint"] = url
+                self.shell.settings.write_text(yaml.safe_dump(cfg))
+                code, out, _ = self.shell.run("status")
+                self.assertEqual(code, exits.ExitCode.FINDINGS)
+                self.assertIn("platform.table.endpoint: got", out)
+
+    def test_settings_with_an_unknown_client(self) -> None:
+        cfg = copy.deepcopy(shell.SETTINGS)
+        cfg["platform"]["table"]["client"] = "nosuch"
+        self.shell.settings.write_text(yaml.safe_dump(cfg))
+        out, err = io.StringIO(), io.StringIO()
+        args = ["--settings", str(self.shell.settings), "status"]
+        code = main.main(args, out, err)
+        self.assertEqual(code, exits.ExitCode.FINDINGS)
+        self.assertIn("unknown table store 'nosuch'", err.getvalue())
+
     def test_flags_stand_before_or_after_the_command(self) -> None:
         path = str(pathlib.Path(shell.EXAMPLE))
         for args in (
