--- a/packages/limpetwalk/limpetwalk/peers/codec.py
+++ b/packages/limpetwalk/limpetwalk/peers/codec.py
@@ -1,6 +1,6 @@
 """Conversion between messages and the frames that carry them.
 
-A frame is one packed Cap'n Proto ``Envelope`` behind its length, four bytes
+A frame is one Cap'n Proto ``Envelope`` behind its length, four bytes
 in little-endian order. The schema is read when this module is imported, so
 a build needs no generated code.
 """
@@ -185,28 +185,34 @@
         )
     except capnp.KjException as exc:
         raise ValueError(f"message does not fit the schema: {exc}") from exc
-    packed = built.to_bytes_packed()
-    if len(packed) > MAX_FRAME_BYTES:
-        raise ValueError(f"frame of {len(packed)} bytes is too long")
-    return len(packed).to_bytes(LENGTH_BYTES, "little") + packed
+    frame = built.to_bytes()
+    if len(frame) > MAX_FRAME_BYTES:
+        raise ValueError(f"frame of {len(frame)} bytes is too long")
+    return len(frame).to_bytes(LENGTH_BYTES, "little") + frame
 
 
-def decode(packed: bytes) -> Envelope:
+def decode(frame: bytes) -> Envelope:
     """Return the envelope in a frame, given without its length.
 
     :raises MalformedFrame: when the bytes hold no envelope.
     :raises UnknownMessage: when they hold one of an unknown message.
     """
     try:
-        return _decode(packed)
+        return _decode(frame)
     except (capnp.KjException, UnicodeDecodeError, ValueError) as exc:
         raise MalformedFrame(str(exc).partition("\n")[0]) from exc
 
 
-def _decode(packed: bytes) -> Envelope:
-    reader = _schema.Envelope.from_bytes_packed(
-        packed, traversal_limit_in_words=MAX_MESSAGE_WORDS
-    )
+def _decode(frame: bytes) -> Envelope:
+    # Not the packed form: its reader unpacks lazily and, when bytes are
+    # missing, throws in a destructor, which ends the process.
+    with _schema.Envelope.from_bytes(
+        frame, traversal_limit_in_words=MAX_MESSAGE_WORDS
+    ) as reader:
+        return _read(reader)
+
+
+def _read(reader: Any) -> Envelope:
     if reader.protocol < PROTOCOL:
         raise MalformedFrame(f"protocol {reader.protocol} is too old")
     try:
