--- a/packages/limpetwalk/limpetwalk/conf/checks_servers.py
+++ b/packages/limpetwalk/limpetwalk/conf/checks_servers.py
@@ -50,11 +50,11 @@
 
 @registry.register(registry.Kind.CONFIG_CHECK, "servers.versions")
 def check_versions(subject: checks.Subject) -> Iterator[findings.Finding]:
-    """Some server serves the version that new sessions get."""
+    """Some server that is in serves the version that new sessions get."""
     doc = subject.effective
     served = {
         (model, version)
-        for server in doc.servers.values()
+        for server in _servers_in(doc)
         for model, versions in server.serves.items()
         for version in versions
     }
@@ -63,8 +63,24 @@
             yield checks.warning(
                 "not-served",
                 ("models", name, "default_version"),
-                f"{model.default_version!r}, which no server serves",
-                "a version that a server serves",
+                f"{model.default_version!r}, which no server that is in "
+                f"serves",
+                "a server for it in a zone that is in",
+            )
+
+
+@registry.register(registry.Kind.CONFIG_CHECK, "servers.services")
+def check_services(subject: checks.Subject) -> Iterator[findings.Finding]:
+    """Some server that is in is a replica of each service."""
+    doc = subject.effective
+    served = {server.service for server in _servers_in(doc)}
+    for name in doc.services:
+        if name not in served:
+            yield checks.warning(
+                "not-served",
+                ("services", name),
+                "a service without a server that is in",
+                "a server for it in a zone that is in",
             )
 
 
@@ -98,6 +114,17 @@
         )
 
 
+def _servers_in(
+    doc: document.Document,
+) -> Iterator[document.ServerSection]:
+    """Yield the servers that may receive new work."""
+    for server in doc.servers.values():
+        zone = doc.zones.get(server.zone)
+        states = (server.state, zone.state if zone else None)
+        if snapshot.PlacementState.OUT not in states:
+            yield server
+
+
 def _check_engine(
     path: findings.KeyPath, server: document.ServerSection
 ) -> Iterator[findings.Finding]:
--- a/tests/limpetwalk_ctl/test_changes.py
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -183,6 +183,25 @@
         self.assertEqual(self.shell.run("zone", "in", "hu-central-a")[0], 0)
         self.assertIsNot(self.snapshot().zones["hu-central-a"].state, OUT)
 
+    def test_change_that_leaves_no_server_is_told(self) -> None:
+        for zone in "ab":
+            _, answer = self.shell.json("zone", "out", f"hu-central-{zone}")
+            self.assertEqual(answer["warnings"], [])
+        code, answer = self.shell.json("server", "drain", "assistant-c1")
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            [item["path"] for item in answer["warnings"]],
+            [
+                ["models", "clerk", "default_version"],
+                ["models", "counsel", "default_version"],
+            ],
+        )
+        _, answer = self.shell.json("zone", "out", "hu-central-c")
+        self.assertIn(
+            ["services", "registry"],
+            [item["path"] for item in answer["warnings"]],
+        )
+
     def test_server(self) -> None:
         self.shell.run("server", "drain", "registry-a")
         self.assertIs(self.snapshot().servers["registry-a"].state, OUT)
