--- a/packages/limpetwalk-ctl/limpetwalk_ctl/nodes.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/nodes.py
@@ -43,6 +43,8 @@
 class _Status(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore")
 
+    name: str = ""
+    zone: str = ""
     generation: int | None = None
     ready: bool = False
 
@@ -63,6 +65,21 @@
     ]
 
 
+def named_node(operators: str) -> platform.Instance:
+    """Return a stand-in for a node of which only the address is known.
+
+    :param operators: ``host:port`` of its operators' interface.
+    """
+    return platform.Instance(
+        name=operators,
+        kind=platform.InstanceKind.ENTRY,
+        address="",
+        zone="",
+        state=platform.InstanceState.LIVE,
+        operators=operators,
+    )
+
+
 class NodeClient:
     """Client of many nodes, a bounded number of them at a time.
 
@@ -104,8 +121,8 @@
                 body = await resp.content.read(ANSWER_LIMIT_BYTES)
             status = _Status.model_validate_json(body)
             return NodeReport(
-                node.name,
-                node.zone,
+                status.name or node.name,
+                status.zone or node.zone,
                 node.operators,
                 status.generation,
                 status.ready,
--- a/tests/limpetwalk_ctl/test_changes.py
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -4,6 +4,8 @@
 import shutil
 import zlib
 
+import yaml
+
 from limpetwalk import clock as clocks
 from limpetwalk.conf import compile as compiler
 from limpetwalk.conf import document
@@ -13,6 +15,7 @@
 from limpetwalk.conf import rollout_edits
 from limpetwalk.conf import snapshot
 from limpetwalk.platform import memory
+from limpetwalk_bench.site import ports
 from limpetwalk_ctl import exits
 
 from . import shell
@@ -320,8 +323,23 @@
         self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
         self.assertIn("the store does not answer", err)
 
+    def test_status_of_named_nodes_without_the_platform(self) -> None:
+        node = self.shell.nodes[0]
+        node.generation = 7
+        self.shell.table.faults.unavailable = True
+        self.shell.instances.unavailable = True
+        node.port = ports.free_ports(1)[0]
+        code, answer = self.shell.json(
+            "status", "--nodes", f"127.0.0.1:{node.port}"
+        )
+        self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
+        (told,) = answer["nodes"]
+        self.assertEqual((told["name"], told["generation"]), ("n1", 7))
+
     def test_a_node_that_never_answers_holds_up_nobody(self) -> None:
         self.shell.nodes[0].silent = True
+        cfg = {**shell.SETTINGS, "node_timeout": 1}
+        self.shell.settings.write_text(yaml.safe_dump(cfg))
         code, answer = self.shell.json("zone", "out", "hu-central-a", "--wait")
         self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
         self.assertEqual(answer["seen"], 2)
