--- a/packages/limpetwalk-ctl/limpetwalk_ctl/changes.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/changes.py
@@ -98,19 +98,27 @@
         "changes": [output.change_json(item) for item in accepted.changes],
         "warnings": [output.finding_json(item) for item in warnings],
     }
-    if spread is not None:
-        if not spread.listed:
-            ctx.out.error("the instance list does not answer")
-        total = len(spread.reports)
-        text = f"{text}, seen by {spread.seen} of {total} nodes"
+    code = exits.ExitCode.OK
+    if spread is None:
+        ctx.out.line(text)
+    else:
         answer["seen"] = spread.seen
         answer["nodes"] = nodes_json(spread.reports)
-    ctx.out.line(text)
-    if spread is None or spread.everywhere:
-        ctx.out.json(answer)
-        return exits.ExitCode.OK
-    tell_nodes(ctx, spread.reports, head.generation)
+        code = _tell_spread(ctx, spread, text)
     ctx.out.json(answer)
+    return code
+
+
+def _tell_spread(
+    ctx: base.Context, spread: handover.Spread, text: str
+) -> exits.ExitCode:
+    total = len(spread.reports)
+    ctx.out.line(f"{text}, seen by {spread.seen} of {total} nodes")
+    if not spread.listed:
+        ctx.out.error("the instance list does not answer")
+    if spread.everywhere:
+        return exits.ExitCode.OK
+    tell_nodes(ctx, spread.reports, spread.generation)
     return exits.ExitCode.NOT_SEEN_EVERYWHERE
 
 
--- a/packages/limpetwalk/limpetwalk/conf/checks_rollouts.py
+++ b/packages/limpetwalk/limpetwalk/conf/checks_rollouts.py
@@ -119,6 +119,7 @@
                 ("models", name, "default_version"),
                 f"withdrawn version {model.default_version!r}",
                 "a version that is live",
+                "choose another default version with it, by --default",
             )
     for name, rollout in doc.rollouts.items():
         if rollout.state not in _ACTIVE:
--- a/packages/limpetwalk/limpetwalk/conf/editor.py
+++ b/packages/limpetwalk/limpetwalk/conf/editor.py
@@ -91,13 +91,11 @@
             draft = drafted.ok_value
             if not draft.changes:
                 return Ok(_accepted(draft, head))
-            if first is None:
-                first = draft
-            theirs = diff.diff_documents(first.before, draft.before)
-            conflict = heads.HeadConflict(
-                first.head.generation, head, tuple(theirs)
-            )
-            if theirs and edit.clashes(first.changes, theirs):
+            first = first or draft
+            conflict = _since(first, draft)
+            if conflict.changes and edit.clashes(
+                first.changes, conflict.changes
+            ):
                 return Err(conflict)
             outcome = await self._store.accept(
                 draft.after.to_bytes(),
@@ -125,6 +123,12 @@
         return Ok(_Draft(head, before, after, changes, found))
 
 
+def _since(first: _Draft, draft: _Draft) -> heads.HeadConflict:
+    """Return what others changed between two drafts of one edit."""
+    theirs = diff.diff_documents(first.before, draft.before)
+    return heads.HeadConflict(first.head.generation, draft.head, tuple(theirs))
+
+
 def _accepted(draft: _Draft, head: heads.Head) -> Accepted:
     return Accepted(
         head,
