Choose by requests in flight, not by lagging reports

Cause of the bad tail seen in the trial: reports are 0.5 to 1.5 s old, as old as a short request is long, and all nodes act on the same report, so they crowd the replica that it shows as least loaded. The report now only tells what is full and bounds affinity, which is a tie-break, off where nodes outnumber twice the concurrency.

--- a/packages/limpetwalk-bench/limpetwalk_bench/choice/__main__.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/choice/__main__.py
@@ -18,7 +18,7 @@
     "random",
     "round robin",
     "least connections",
-    "least of two",
+    "reports",
     "limpetwalk",
     "perfect knowledge",
 )
--- a/packages/limpetwalk-bench/limpetwalk_bench/choice/policies.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/choice/policies.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+from limpetwalk import clock as clocks
 from limpetwalk.routing import replicas
 
 Usable = Callable[[replicas.Replica], bool]
@@ -52,6 +53,26 @@
         return min(free, key=lambda held: held.in_flight, default=None)
 
 
+class LeastReported:
+    """Lesser of two random replicas by the report and what was sent since.
+
+    :param clock: clock of the node.
+    """
+
+    def __init__(self, rng: random.Random, clock: clocks.Clock) -> None:
+        self._rng = rng
+        self._clock = clock
+
+    def pick(
+        self, tier: replicas.Tier, usable: Usable, affinity: str
+    ) -> replicas.Replica | None:
+        """Return a usable replica, or None."""
+        now = self._clock.monotonic()
+        free = [held for held in tier.replicas if usable(held)]
+        pair = self._rng.sample(free, min(2, len(free)))
+        return min(pair, key=lambda held: held.total(now), default=None)
+
+
 class PerfectKnowledge:
     """Usable replica with the fewest requests of all nodes, known at once.
 
--- a/packages/limpetwalk/limpetwalk/routing/balancer.py
+++ b/packages/limpetwalk/limpetwalk/routing/balancer.py
@@ -12,12 +12,11 @@
 from .. import registry
 from . import replicas
 
-SMALL = 12
-DRAWS = 8
+DRAWS = 16
 MOST_SCANNED = 64
-OTHER_ZONE_COST = 0.02
 SUSPECT_COST = 1.0
-AFFINITY_SLACK = 0.25
+AFFINITY_NODES = 2
+AFFINITY_PART = 0.5
 
 
 class Balancer(Protocol):
@@ -38,19 +37,24 @@
         ...
 
 
-@registry.register(registry.Kind.BALANCER, "least_of_two")
-class LeastOfTwo:
-    """Lesser loaded of two random replicas, the affine one if it has room.
+@registry.register(registry.Kind.BALANCER, "least_in_flight")
+class LeastInFlight:
+    """Replica with the fewest requests of this node, the affine one if equal.
 
-    :param zone: zone of the node; others cost a little more.
+    Of more than ``DRAWS`` replicas, so many random ones are looked at.
+
+    :param live_nodes: number of entry nodes, this one included.
     """
 
     def __init__(
-        self, clock: clocks.Clock, rng: random.Random, zone: str
+        self,
+        clock: clocks.Clock,
+        rng: random.Random,
+        live_nodes: Callable[[], int],
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._zone = zone
+        self._live_nodes = live_nodes
 
     def pick(
         self,
@@ -60,38 +64,43 @@
     ) -> replicas.Replica | None:
         """Return a usable replica, or None when none was found."""
         now = self._clock.monotonic()
-        best = self._least_of_two(tier.replicas, usable, now)
+        best = self._least(tier.replicas, usable)
         if best is None or not affinity:
             return best
         affine = rendezvous(tier, affinity)
         if affine is best or not usable(affine):
             return best
-        # Bounded load: warm prefixes are not worth a long queue.
-        limit = self._cost(best, now) + AFFINITY_SLACK
-        return affine if self._cost(affine, now) <= limit else best
+        return affine if self._bears(affine, best, now) else best
 
-    def _least_of_two(
+    def _bears(
+        self, affine: replicas.Replica, best: replicas.Replica, now: float
+    ) -> bool:
+        """Whether the affine replica is no more loaded than another.
+
+        A warm prefix is not worth a queue. Where the nodes are many, each
+        has too few requests of its own to tell a crowded replica by.
+        """
+        concurrency = affine.server.concurrency
+        if self._live_nodes() > AFFINITY_NODES * concurrency:
+            return False
+        if affine.total(now) > AFFINITY_PART * concurrency:
+            return False
+        return self._cost(affine) <= self._cost(best)
+
+    def _least(
         self,
         held: Sequence[replicas.Replica],
         usable: Callable[[replicas.Replica], bool],
-        now: float,
     ) -> replicas.Replica | None:
-        if len(held) <= SMALL:
-            free = [replica for replica in held if usable(replica)]
-            pair = self._rng.sample(free, min(2, len(free)))
-            return min(
-                pair, key=lambda item: self._cost(item, now), default=None
-            )
-        found: list[replicas.Replica] = []
-        for _ in range(DRAWS):
-            drawn = self._rng.choice(held)
-            if drawn not in found and usable(drawn):
-                found.append(drawn)
-                if len(found) == 2:
-                    break
-        if not found:
+        if len(held) <= DRAWS:
+            drawn = [replica for replica in held if usable(replica)]
+        else:
+            picked = self._rng.choices(held, k=DRAWS)
+            drawn = [replica for replica in picked if usable(replica)]
+        if not drawn:
             return self._scan(held, usable)
-        return min(found, key=lambda replica: self._cost(replica, now))
+        self._rng.shuffle(drawn)
+        return min(drawn, key=lambda replica: self._cost(replica))
 
     def _scan(
         self,
@@ -107,11 +116,8 @@
                 return replica
         return None
 
-    def _cost(self, replica: replicas.Replica, now: float) -> float:
-        cost = replica.load(now) / max(1, replica.server.concurrency)
-        if replica.server.zone != self._zone:
-            cost += OTHER_ZONE_COST
-        return cost + SUSPECT_COST * replica.suspects
+    def _cost(self, replica: replicas.Replica) -> float:
+        return replica.in_flight + SUSPECT_COST * replica.suspects
 
 
 def rendezvous(tier: replicas.Tier, key: str) -> replicas.Replica:
--- a/packages/limpetwalk/limpetwalk/routing/core.py
+++ b/packages/limpetwalk/limpetwalk/routing/core.py
@@ -34,8 +34,8 @@
     :param permits: permits for cold servers.
     :param quarantine: requests that crash servers.
     :param around: what the node knows of where it runs.
-    :param balancer: choice among usable replicas; None takes the lesser
-        loaded of two.
+    :param balancer: choice among usable replicas; None takes the one
+        with the fewest requests of this node.
     :param factory: makes the client of a server.
     """
 
@@ -61,10 +61,10 @@
             retry_budget.RetryBudget(), clock, metrics
         )
         self.hedger = hedging.Hedger(self.retries, clock)
-        zone = self.directory.around.zone
+        live_nodes = self.directory.around.live_nodes
         self.admission = admission.Admission(
             self.directory,
-            balancer or balancers.LeastOfTwo(clock, rng, zone),
+            balancer or balancers.LeastInFlight(clock, rng, live_nodes),
             permits,
             lambda: config().snapshot.tuning.queue_length,
             clock,
--- a/packages/limpetwalk/limpetwalk/routing/replicas.py
+++ b/packages/limpetwalk/limpetwalk/routing/replicas.py
@@ -20,6 +20,8 @@
 GROUP_SIZE = 32
 RAMP = 10.0
 RAMP_LEAST = 0.1
+# Nodes that queue while a replica idles cost more than a short queue at it.
+OVERCOMMIT = 1.5
 
 ClientFactory = Callable[
     [snapshot.Server, snapshot.Tuning], backends.BackendClient
@@ -70,7 +72,7 @@
         self.limiter = limiter.Limiter()
         self.ramp_from: float | None = None
         self.suspects = 0
-        self._reported = 0
+        self._others = 0
         self._sampled_at = float("-inf")
         # Starts and ends of this node's requests, and their sum.
         self._changes: collections.deque[tuple[float, int]] = (
@@ -91,15 +93,14 @@
         """Whether the load report is recent enough to be believed."""
         return now - self._sampled_at < FRESH
 
-    def load(self, now: float) -> float:
+    def total(self, now: float) -> float:
         """Return the estimated requests at the server, of all nodes.
 
-        This is the lagging report, corrected by the requests that this
-        node has started and ended since it was sampled.
+        Those of the others are as old as the load report, so this serves
+        to find what is full and not to tell which replica has least.
         """
-        if not self.is_fresh(now):
-            return float(self.in_flight)
-        return float(max(self.in_flight, self._reported + self._since))
+        others = self._others if self.is_fresh(now) else 0
+        return float(self.in_flight + others)
 
     def has_room(self, now: float, nodes: int) -> bool:
         """Whether this node may send one more request.
@@ -113,7 +114,7 @@
             return True
         if self.in_flight >= 2 * allowed or not self.is_fresh(now):
             return False
-        return self.load(now) < self.server.concurrency
+        return self.total(now) < OVERCOMMIT * self.server.concurrency
 
     def start(self, now: float) -> None:
         """Note that a request is sent."""
@@ -135,9 +136,10 @@
         sampled_at = now - report.age
         self.circuit.note_seen(sampled_at)
         if sampled_at > self._sampled_at:
-            self._reported = report.running + report.waiting
             self._sampled_at = sampled_at
             self._forget(sampled_at)
+            own = self.in_flight - self._since
+            self._others = max(0, report.running + report.waiting - own)
         return self.boot.learn(report.boot_id, sampled_at)
 
     def _change(self, now: float, by: int) -> None:
