--- a/packages/limpetwalk/limpetwalk/routing/access.py
+++ b/packages/limpetwalk/limpetwalk/routing/access.py
@@ -105,7 +105,7 @@
     if state is not snapshot.VersionState.LIVE:
         raise _denied(
             refusals.Reason.VERSION_WITHDRAWN,
-            410,
+            409,
             f"Version {target.version} of model {target.model} is withdrawn."
             " Open a new session with POST /v1/sessions and send its token"
             " in X-Session.",
@@ -133,3 +133,13 @@
             f"Workspace {workspace.name} may not call service {name}.",
         )
     return service
+
+
+def check_service(
+    cfg: snapshot.Snapshot, workspace_name: str, name: str
+) -> None:
+    """Check that a workspace may call a plain service now.
+
+    :raises Refused: when it may not.
+    """
+    get_service(cfg, get_workspace(cfg, workspace_name), name)
