--- a/tests/limpetwalk/peers/fakes.py
+++ b/tests/limpetwalk/peers/fakes.py
@@ -19,7 +19,7 @@
 logger.disable("limpetwalk.peers")
 
 POLL_INTERVAL = 0.001
-WAIT_TIMEOUT = 10.0
+WAIT_TIMEOUT = 5.0
 
 
 def instance(
--- a/tests/limpetwalk/peers/test_link_faults.py
+++ b/tests/limpetwalk/peers/test_link_faults.py
@@ -113,9 +113,15 @@
         return reader, writer
 
     async def read(self, reader):
-        head = await reader.readexactly(codec.LENGTH_BYTES)
-        size = int.from_bytes(head, "little")
-        return codec.decode(await reader.readexactly(size))
+        async with asyncio.timeout(fakes.WAIT_TIMEOUT):
+            head = await reader.readexactly(codec.LENGTH_BYTES)
+            size = int.from_bytes(head, "little")
+            return codec.decode(await reader.readexactly(size))
+
+    async def ended(self, reader):
+        """Return once the hub has closed a connection."""
+        async with asyncio.timeout(fakes.WAIT_TIMEOUT):
+            await reader.read()
 
     async def read_reply(self, reader):
         while True:
@@ -164,7 +170,7 @@
             with self.subTest(name):
                 before = self.closed(reason)
                 reader, _ = await self.connect(HELLO, data)
-                await reader.read()
+                await self.ended(reader)
                 self.assertEqual(before + 1, self.closed(reason))
                 self.assertTrue(await self.is_healthy())
 
@@ -179,7 +185,7 @@
             with self.subTest(name):
                 before = self.closed("malformed")
                 reader, _ = await self.connect(data)
-                await reader.read()
+                await self.ended(reader)
                 self.assertEqual(before + 1, self.closed("malformed"))
                 self.assertNotIn("x", self.live())
 
@@ -195,7 +201,7 @@
     async def test_peer_that_never_greets(self):
         with mock.patch.object(hubs, "SILENCE_BOUND", 0.01):
             reader, _ = await self.connect()
-            await reader.read()
+            await self.ended(reader)
         self.assertEqual(1, self.closed("silent"))
 
     async def test_silent_link_is_closed_and_the_peer_no_longer_live(self):
@@ -204,7 +210,7 @@
         for _ in range(4):
             self.clock.advance(1.0)
             self.hub.tend()
-        await reader.read()
+        await self.ended(reader)
         self.assertEqual(1, self.closed("silent"))
         self.assertEqual([], self.live())
 
@@ -220,7 +226,7 @@
         writer.write(frame(messages.ConfigHead(1, "d")))
         await writer.drain()
         self.clock.advance(10.0)
-        await reader.read()
+        await self.ended(reader)
         self.assertEqual(1, self.closed("paused"))
         self.assertEqual([], got)
         self.assertEqual([], self.live())
@@ -285,10 +291,10 @@
         first, _ = await self.connect(frame(beat(boot_id="one")))
         await fakes.until(lambda: self.live() == ["x"])
         second, _ = await self.connect(frame(beat(boot_id="two")))
-        await first.read()
+        await self.ended(first)
         self.assertEqual(1, self.closed("replaced"))
         again, _ = await self.connect(frame(beat(2, boot_id="one")))
-        await again.read()
+        await self.ended(again)
         self.assertEqual(1, self.value("name_conflicts_total"))
         self.assertEqual(["x"], self.live())
         await self.read(second)
@@ -297,7 +303,7 @@
         first, _ = await self.connect(HELLO)
         await fakes.until(lambda: self.live() == ["x"])
         await self.connect(frame(beat(2)))
-        await first.read()
+        await self.ended(first)
         self.assertEqual(1, self.closed("replaced"))
 
 
--- a/tests/limpetwalk_node/test_billing.py
+++ b/tests/limpetwalk_node/test_billing.py
@@ -102,6 +102,9 @@
             await node.hub.start()
             self.instances.add(node.hub)
             self.nodes[name] = node
+        for node in self.nodes.values():
+            node.hub.members.listed(self.instances.instances)
+            node.hub.tend()
         await fakes.until(self.met)
 
     def met(self):
@@ -372,6 +375,7 @@
         await asyncio.gather(
             *(self.nodes[key[0]].biller.bill(entry(key)) for key in keys)
         )
+        await self.settle()
         self.assertEqual(sorted(keys), self.ledger())
 
     async def test_entries_reach_the_writer_through_a_collector(self):
