--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,9 @@
 
 demo: $(STAMP)
 	bash scripts/demo.sh
+
+bench: $(STAMP)
+	bash scripts/bench.sh
+
+soak: $(STAMP)
+	LIMPETWALK_SEED=$(SEED) $(VENV)/bin/nose2 --config nose2.cfg
--- a/packages/limpetwalk-bench/limpetwalk_bench/experiments/guards.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/experiments/guards.py
@@ -8,17 +8,26 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 import math
+import pathlib
 import random
 import statistics
 
+from absl import app
+from absl import flags
+from matplotlib import figure as figures
+
 from limpetwalk.rollouts import evidence
 from limpetwalk.rollouts import guard
 
+_TRIALS = flags.DEFINE_integer("trials", 200, "roll-outs of each row")
+_SEED = flags.DEFINE_integer("seed", 1, "first seed")
+_PLOT = flags.DEFINE_string("plot", "", "file for the plot")
+
 NODES = 9
 REQUESTS = 6000
-SHARE = 0.1
 WINDOW_REQUESTS = 8
 BASE_HISTORY = 2000
+GOAL_REQUESTS = 40
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +123,7 @@
     :param halted: share of the trials that were halted.
     :param median: median of the requests served by the candidate.
     :param worst: 95th percentile of them.
+    :param under_goal: share of the trials under ``GOAL_REQUESTS``.
     """
 
     guard: str
@@ -121,6 +131,7 @@
     halted: float
     median: float
     worst: float
+    under_goal: float
 
 
 def _guards() -> dict[str, tuple[Callable[[], guard.Guard], bool]]:
@@ -149,6 +160,7 @@
                     sum(trial.halted for trial in found) / trials,
                     statistics.median(exposed),
                     exposed[math.ceil(0.95 * trials) - 1],
+                    sum(n < GOAL_REQUESTS for n in exposed) / trials,
                 )
             )
     return rows
@@ -162,3 +174,47 @@
     """
     gain = SUBTLE.rating_drop**2 / (2 * RATING_DEVIATION**2)
     return math.log(1 / alpha) / gain
+
+
+def _table(rows: list[Row], trials: int) -> str:
+    lines = [
+        f"{trials} roll-outs for each row, seeds from {_SEED.value}, at most "
+        f"{REQUESTS} requests;",
+        "Wald's bound for the subtle fault at 1% false halts: "
+        f"{fewest_requests(guard.ALPHA):.0f} requests.",
+        "",
+        "| guard | candidate | halted | median | p95 | under 40 |",
+        "|---|---|---|---|---|---|",
+    ]
+    lines.extend(
+        f"| {row.guard} | {row.candidate} | {row.halted:.1%} "
+        f"| {row.median:.0f} | {row.worst:.0f} | {row.under_goal:.1%} |"
+        for row in rows
+    )
+    return "\n".join(lines)
+
+
+def _plot(rows: list[Row], path: pathlib.Path) -> None:
+    figure = figures.Figure(figsize=(8, 4), layout="constrained")
+    axes = figure.subplots()
+    bad = [row for row in rows if row.candidate != GOOD.name]
+    labels = [f"{row.guard}\n{row.candidate}" for row in bad]
+    axes.barh(labels, [row.median for row in bad])
+    axes.set_xscale("log")
+    axes.set_xlabel("requests served by the bad version (median)")
+    axes.axvline(GOAL_REQUESTS, linestyle="--")
+    axes.tick_params(labelsize=7)
+    figure.savefig(path, dpi=100)
+
+
+def main(argv: list[str]) -> None:
+    """Print the table and write the plot."""
+    del argv
+    rows = compare(_TRIALS.value, _SEED.value)
+    print(_table(rows, _TRIALS.value))
+    if _PLOT.value:
+        _plot(rows, pathlib.Path(_PLOT.value))
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/limpetwalk/limpetwalk/rollouts/guard.py
+++ b/packages/limpetwalk/limpetwalk/rollouts/guard.py
@@ -1,15 +1,15 @@
 """Always-valid sequential test of a candidate version against its base.
 
 The test may be looked at after every request: under a good candidate the
-chance that it ever says halt is at most ``alpha``. It multiplies bets, an
-e-process, and halts when one has grown by the inverse of its share of
+chance that it ever says halt is about ``alpha`` at most. It multiplies bets,
+an e-process, and halts when one has grown by the inverse of its share of
 ``alpha`` (Ville's inequality). Two bets run side by side: on the share of
 failures and on the mean rating.
 
-Source: Howard, Ramdas, McAuliffe, Sekhon, "Time-uniform, nonparametric,
-nonasymptotic confidence sequences", Annals of Statistics 49 (2021), for
-bounds that hold at every time; Waudby-Smith and Ramdas, "Estimating means of
-bounded random variables by betting", JRSS B 86 (2024), for the bets.
+Source: Johari, Koomen, Pekelis, Walsh, "Always valid inference: continuous
+monitoring of A/B tests", Operations Research 70 (2022), for the mixture of
+the difference of means; Wald, "Sequential tests of statistical hypotheses",
+Annals of Mathematical Statistics 16 (1945), for the likelihood ratios.
 """
 
 from dataclasses import dataclass
@@ -21,13 +21,14 @@
 from . import evidence
 
 ALPHA = 0.01
-FAILURE_MARGIN = 0.01
-RATING_MARGIN = 0.0
+FAILURE_MARGIN = 0.005
 FLOOR_FAILURES = 0.01
-MIN_BASE_RATINGS = 50
+MIN_RATINGS = 30
 BASE_WIDTHS = 2.0
-FAILURE_RATES = (0.02, 0.04, 0.07, 0.12, 0.2, 0.35, 0.6, 0.9)
-RATING_BETS = (0.15, 0.3, 0.6, 1.0, 1.5, 2.2, 3.0)
+FAILURE_RATES = (0.05, 0.15, 0.35, 0.8)
+EXPECTED_DROP = 0.05
+LEAST_VARIANCE = 1e-4
+LARGEST_EXPONENT = 700.0
 
 
 class Cause(enum.Enum):
@@ -69,11 +70,6 @@
     return min(0.99, max(FLOOR_FAILURES, rate + width))
 
 
-def _lower_mean(tally: evidence.Tally) -> float:
-    width = BASE_WIDTHS * math.sqrt(tally.variance / tally.rated)
-    return max(0.0, tally.mean - width)
-
-
 def failure_e_value(candidate: evidence.Tally, rate: float) -> float:
     """Return the bet that failures are more frequent than a rate.
 
@@ -87,35 +83,38 @@
     for p in rates:
         log_ratio = candidate.failures * math.log(p / rate)
         log_ratio += candidate.successes * math.log((1 - p) / (1 - rate))
-        total += math.exp(min(log_ratio, 700.0))
+        total += math.exp(min(log_ratio, LARGEST_EXPONENT))
     return total / len(rates)
 
 
-def rating_e_value(candidate: evidence.Tally, mean: float) -> float:
-    """Return the bet that the mean rating is below a value.
-
-    A bet of size b on one rating x grows by ``1 + b (mean - x)``. Only the
-    sums of x and of its square are known, so the product is replaced by a
-    lower bound: ``log(1 + z) >= z - c(a) z**2`` for ``z >= -a``, where
-    ``c(a) = (-log(1 - a) - a) / a**2``.
+def rating_e_value(base: evidence.Tally, candidate: evidence.Tally) -> float:
+    """Return the bet that the candidate's mean rating is the lower one.
 
-    :param mean: mean rating under the null hypothesis, 0.0 to 1.0.
+    Likelihood ratio of the observed difference of the means, mixed over a
+    half-normal prior of the true one with scale ``EXPECTED_DROP``. The
+    variance is estimated, so the bound holds from ``MIN_RATINGS`` on.
     """
-    first = candidate.rated * mean - candidate.total
-    second = (
-        candidate.rated * mean**2
-        - 2 * mean * candidate.total
-        + candidate.squares
+    # A few ratings may look too much alike, so the candidate's are taken to
+    # spread at least as the base's.
+    spread = max(candidate.variance, base.variance, LEAST_VARIANCE)
+    variance = spread * (1 / base.rated + 1 / candidate.rated)
+    drop = base.mean - candidate.mean
+    prior = EXPECTED_DROP**2
+    total = variance + prior
+    exponent = drop**2 * prior / (2 * variance * total)
+    one_sided = _normal_cdf(
+        drop * math.sqrt(prior) / math.sqrt(variance * total)
     )
-    largest = 1.0 - mean
-    grown = 0.0
-    for bet in RATING_BETS:
-        loss = min(0.9, max(1e-6, bet * largest))
-        size = loss / largest if largest > 0 else bet
-        bound = (-math.log(1 - loss) - loss) / loss**2
-        log_growth = size * first - bound * size**2 * second
-        grown += math.exp(min(log_growth, 700.0))
-    return grown / len(RATING_BETS)
+    return (
+        2
+        * math.sqrt(variance / total)
+        * math.exp(min(exponent, LARGEST_EXPONENT))
+        * one_sided
+    )
+
+
+def _normal_cdf(value: float) -> float:
+    return 0.5 * math.erfc(-value / math.sqrt(2))
 
 
 @registry.register(registry.Kind.ROLLOUT_GUARD, "sequential")
@@ -136,10 +135,9 @@
         failures = failure_e_value(candidate, rate)
         if failures >= self._threshold:
             return Halt(Cause.FAILURES, failures, candidate.requests)
-        if base.rated < MIN_BASE_RATINGS:
+        if min(base.rated, candidate.rated) < MIN_RATINGS:
             return None
-        mean = _lower_mean(base) - RATING_MARGIN
-        ratings = rating_e_value(candidate, mean)
+        ratings = rating_e_value(base, candidate)
         if ratings >= self._threshold:
             return Halt(Cause.RATINGS, ratings, candidate.requests)
         return None
--- /dev/null
+++ b/tests/limpetwalk/rollouts/test_guard.py
@@ -0,0 +1,116 @@
+"""Tests of the guards of roll-outs."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from limpetwalk.peers import messages
+from limpetwalk.rollouts import evidence
+from limpetwalk.rollouts import guard
+from limpetwalk_bench.experiments import guards
+
+HISTORY = evidence.Tally(
+    failures=10, successes=1990, rated=1990, total=1592.0, squares=1302.0
+)
+
+
+def tally(failures, ratings):
+    found = evidence.Tally()
+    for _ in range(failures):
+        found.observe(False)
+    for rating in ratings:
+        found.observe(True, rating)
+    return found
+
+
+class SequentialGuardTest(unittest.TestCase):
+    def test_says_nothing_without_evidence(self):
+        judged = guard.SequentialGuard().judge(HISTORY, evidence.Tally())
+        self.assertIsNone(judged)
+
+    def test_failures_halt(self):
+        judged = guard.SequentialGuard().judge(HISTORY, tally(8, [0.8] * 24))
+        self.assertEqual(guard.Cause.FAILURES, judged.cause)
+
+    def test_lower_ratings_halt(self):
+        rng = random.Random(1)
+        ratings = [rng.gauss(0.7, 0.1) for _ in range(200)]
+        judged = guard.SequentialGuard().judge(HISTORY, tally(0, ratings))
+        self.assertEqual(guard.Cause.RATINGS, judged.cause)
+
+    def test_higher_ratings_do_not(self):
+        rng = random.Random(1)
+        ratings = [rng.gauss(0.9, 0.05) for _ in range(2000)]
+        judged = guard.SequentialGuard().judge(HISTORY, tally(0, ratings))
+        self.assertIsNone(judged)
+
+    def test_a_base_without_history_counts_as_good(self):
+        judged = guard.SequentialGuard().judge(
+            evidence.Tally(), tally(0, [0.1] * 500)
+        )
+        self.assertIsNone(judged)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(
+        strategies.integers(0, 10**6),
+        strategies.integers(0, 10**6),
+        strategies.integers(0, 10**6),
+        strategies.integers(0, 10**6),
+    )
+    def test_any_counts_give_a_verdict(self, bad, good, base_bad, base_good):
+        base = evidence.Tally(base_bad, base_good, base_good, base_good / 2)
+        seen = evidence.Tally(bad, good, good, good / 3, good / 5)
+        judged = guard.SequentialGuard().judge(base, seen)
+        self.assertIsInstance(judged, guard.Halt | None)
+
+
+class TrialTest(unittest.TestCase):
+    """Whole roll-outs over fixed seeds."""
+
+    def test_bad_versions_are_halted_and_good_ones_are_not(self):
+        cases = (
+            (guards.FAILS_ONE_IN_FIVE, True),
+            (guards.SUBTLE, True),
+            (guards.GOOD, False),
+        )
+        for truth, halted in cases:
+            for seed in range(1, 6):
+                with self.subTest(truth=truth.name, seed=seed):
+                    trial = guards.run_trial(
+                        guard.SequentialGuard(), truth, seed, requests=1500
+                    )
+                    self.assertEqual(halted, trial.halted)
+
+
+class EvidencePoolTest(unittest.TestCase):
+    def message(self, window, successes):
+        return messages.Evidence(
+            subject="roll-out",
+            version="2",
+            window=window,
+            successes=successes,
+            failures=0,
+            rated=0,
+            total=0.0,
+            squares=0.0,
+        )
+
+    def test_windows_of_all_nodes_add_up(self):
+        pool = evidence.EvidencePool()
+        pool.take("a", self.message(1, 5))
+        pool.take("a", self.message(2, 6))
+        pool.take("b", self.message(1, 7))
+        self.assertEqual(18, pool.total("2").requests)
+
+    def test_a_window_that_comes_again_counts_once(self):
+        pool = evidence.EvidencePool()
+        pool.take("a", self.message(1, 5))
+        pool.take("a", self.message(1, 5))
+        self.assertEqual(5, pool.total("2").requests)
+
+    def test_other_versions_do_not_count(self):
+        pool = evidence.EvidencePool()
+        pool.take("a", self.message(1, 5))
+        self.assertEqual(0, pool.total("1").requests)
