--- a/packages/limpetwalk/limpetwalk/platform/memory.py
+++ b/packages/limpetwalk/limpetwalk/platform/memory.py
@@ -11,8 +11,10 @@
 
 from .. import exceptions
 from . import base
+from . import memory_rows
 
 Hook = Callable[[str], Awaitable[None]]
+Rows = memory_rows.Rows
 
 
 @dataclass(slots=True)
@@ -60,97 +62,6 @@
             raise exceptions.StoreOutcomeUnknown("answer lost")
 
 
-class Rows:
-    """Rows of a table, changed by conditional transactions."""
-
-    def __init__(self) -> None:
-        self._partitions: dict[str, dict[str, base.Row]] = {}
-
-    def get(self, key: base.RowKey) -> base.Row | None:
-        """Return a row, or None when it is absent."""
-        return self._partitions.get(key.partition, {}).get(key.sort)
-
-    def query(
-        self,
-        partition: str,
-        after: str = "",
-        prefix: str = "",
-        limit: int = 1000,
-        descending: bool = False,
-    ) -> list[base.Row]:
-        """Return rows of a partition as ``TableStore.query`` does."""
-        rows = self._partitions.get(partition, {})
-        names = sorted(
-            (name for name in rows if name.startswith(prefix)),
-            reverse=descending,
-        )
-        if after and descending:
-            names = [name for name in names if name < after]
-        elif after:
-            names = [name for name in names if name > after]
-        return [rows[name] for name in names[:limit]]
-
-    def transact(
-        self, writes: Sequence[base.Write], write_id: str
-    ) -> Result[None, base.Conflict]:
-        """Apply all writes or none.
-
-        :raises ValueError: when two writes are on one row or there are too
-            many.
-        """
-        if len({write.key for write in writes}) != len(writes):
-            raise ValueError("two writes of a transaction are on one row")
-        if not 0 < len(writes) <= base.TRANSACTION_LIMIT:
-            raise ValueError(f"a transaction of {len(writes)} writes")
-        failed = tuple(
-            write.key
-            for write in writes
-            if self._version(write.key) != write.expect_version
-        )
-        if failed:
-            return Err(base.Conflict(failed))
-        for write in writes:
-            self._apply(write, write_id)
-        return Ok(None)
-
-    def written(self, partition: str) -> list[base.Row]:
-        """Return rows of a partition in the order of their first writes."""
-        return list(self._partitions.get(partition, {}).values())
-
-    def expire(self, now: float) -> int:
-        """Delete rows whose lifetime is over.
-
-        :param now: Unix time in seconds.
-        :returns: number of rows deleted.
-        """
-        expired = [
-            row.key
-            for rows in self._partitions.values()
-            for row in rows.values()
-            if row.expires_at is not None and row.expires_at <= now
-        ]
-        for key in expired:
-            del self._partitions[key.partition][key.sort]
-        return len(expired)
-
-    def _version(self, key: base.RowKey) -> int:
-        row = self.get(key)
-        return 0 if row is None else row.version
-
-    def _apply(self, write: base.Write, write_id: str) -> None:
-        rows = self._partitions.setdefault(write.key.partition, {})
-        if isinstance(write, base.Put):
-            rows[write.key.sort] = base.Row(
-                key=write.key,
-                version=write.expect_version + 1,
-                write_id=write_id,
-                value=write.value,
-                expires_at=write.expires_at,
-            )
-        elif isinstance(write, base.Delete):
-            del rows[write.key.sort]
-
-
 class MemoryTable:
     """Table service within the process.
 
