--- a/tests/limpetwalk_node/test_billing.py
+++ b/tests/limpetwalk_node/test_billing.py
@@ -102,6 +102,9 @@
             await node.hub.start()
             self.instances.add(node.hub)
             self.nodes[name] = node
+        for node in self.nodes.values():
+            node.hub.members.listed(self.instances.instances)
+            node.hub.tend()
         await fakes.until(self.met)
 
     def met(self):
