--- a/packages/limpetwalk/limpetwalk/platform/s3.py
+++ b/packages/limpetwalk/limpetwalk/platform/s3.py
@@ -1,6 +1,7 @@
 """Object store client for services that speak the S3 protocol."""
 
 import contextlib
+import functools
 from typing import Any
 
 from aiobotocore import config as aioconfig
@@ -20,6 +21,12 @@
 NOT_STARTED = frozenset({"SlowDown", "ServiceUnavailable"})
 
 
+@functools.cache
+def _session() -> aiosession.AioSession:
+    """Return the session, which reads the protocol's description once."""
+    return aiosession.get_session()
+
+
 @registry.register(registry.Kind.OBJECT_STORE, "s3")
 class S3Objects:
     """Object store over the S3 protocol.
@@ -35,7 +42,7 @@
     async def open(self) -> None:
         """Make the client; no connection is opened yet."""
         cfg = self._cfg
-        client = aiosession.get_session().create_client(
+        client = _session().create_client(
             "s3",
             region_name=cfg.region,
             endpoint_url=cfg.endpoint,
