--- a/packages/limpetwalk/limpetwalk/ledger/retention.py
+++ b/packages/limpetwalk/limpetwalk/ledger/retention.py
@@ -1,5 +1,6 @@
 """Deletes ledger batches that are past their time."""
 
+import itertools
 import json
 import uuid
 
@@ -40,11 +41,14 @@
             found = await self._table.query(
                 rows.partition_name(self._number), limit=PAGE_ROWS + 1
             )
-            old = [row for row in found[:-1] if _newest(row) < answered_at]
-            prefix = _prefix(found, old)
-            if not prefix or not await self._delete(prefix):
+            old = list(
+                itertools.takewhile(
+                    lambda row: _newest(row) < answered_at, found[:-1]
+                )
+            )
+            if not old or not await self._delete(old):
                 return deleted
-            deleted += len(prefix)
+            deleted += len(old)
 
     async def _delete(self, batches: list[platform.Row]) -> bool:
         """Delete batches; False when somebody else did."""
@@ -67,15 +71,3 @@
 
 def _newest(row: platform.Row) -> float:
     return max(entry.answered_at for entry in rows.decode_batch(row))
-
-
-def _prefix(
-    found: list[platform.Row], old: list[platform.Row]
-) -> list[platform.Row]:
-    """Return the old batches that no newer one precedes."""
-    prefix = []
-    for first, candidate in zip(found, old, strict=False):
-        if first is not candidate:
-            break
-        prefix.append(candidate)
-    return prefix
--- a/tests/limpetwalk/ledger/test_partition.py
+++ b/tests/limpetwalk/ledger/test_partition.py
@@ -1,5 +1,6 @@
 """Tests of the writer of a ledger partition."""
 
+import asyncio
 import itertools
 import unittest
 
@@ -173,6 +174,40 @@
         self.assertEqual([3], self.logged())
 
 
+class LedgerRetentionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.table = memory.MemoryTable()
+        self.writer = partition.LedgerPartition(
+            self.table, 0, clock.ManualClock()
+        )
+        for number in range(retention.PAGE_ROWS + 5):
+            await self.writer.append([entry(number, answered_at=0.0)])
+        self.held = retention.LedgerRetention(self.table, 0)
+
+    async def test_more_than_a_page_is_deleted(self):
+        deleted = await self.held.delete_before(RETIRED)
+        self.assertEqual(retention.PAGE_ROWS + 4, deleted)
+        self.assertEqual(1, len(logged(self.table.rows)))
+
+    async def test_faults_leave_a_log_that_goes_on(self):
+        for number, fault in ((200, "refuse_writes"), (201, "lose_answers")):
+            with self.subTest(fault=fault):
+                setattr(self.table.faults, fault, 1)
+                try:
+                    await self.held.delete_before(RETIRED)
+                except exceptions.StoreError:
+                    pass
+                await self.writer.append([entry(number)])
+        await self.held.delete_before(RETIRED)
+        self.assertEqual([200, 201], logged(self.table.rows))
+
+    async def test_two_runs_at_once_delete_each_batch_once(self):
+        deleted = await asyncio.gather(
+            self.held.delete_before(RETIRED), self.held.delete_before(RETIRED)
+        )
+        self.assertEqual(retention.PAGE_ROWS + 4, sum(deleted))
+
+
 class Witness(memory.Rows):
     """Rows that note each entry ever put into the log."""
 
