--- a/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
@@ -13,6 +13,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk import registry
+from limpetwalk.conf import head as heads
 from limpetwalk.platform import factory
 
 from . import arguments
@@ -95,6 +96,9 @@
     except exceptions.StoreError as exc:
         out.error(f"the platform does not answer, nothing changed: {exc}")
         return exits.ExitCode.STORE_UNAVAILABLE
+    except (heads.CorruptHead, heads.CorruptObject) as exc:
+        out.error(f"the platform's answer is damaged, nothing changed: {exc}")
+        return exits.ExitCode.STORE_UNAVAILABLE
     except exceptions.LimpetwalkError as exc:
         out.error(str(exc))
         return exits.ExitCode.FINDINGS
--- a/packages/limpetwalk/limpetwalk/conf/head.py
+++ b/packages/limpetwalk/limpetwalk/conf/head.py
@@ -234,7 +234,7 @@
         """Store a document's bytes so that they can be loaded.
 
         Nothing refers to them yet, so a put whose outcome is unknown is
-        only repeated, and a failure leaves nothing to undo.
+        read back or repeated, and a failure leaves nothing to undo.
         """
         name = OBJECT_PREFIX + digest
         packed = zlib.compress(data)
@@ -242,6 +242,8 @@
             try:
                 outcome = await self._objects.put_if_absent(name, packed)
             except exceptions.StoreOutcomeUnknown:
+                if await self.load(digest) is not None:
+                    return
                 continue
             if isinstance(outcome, Err):
                 # An earlier writer may have been cut off half-way.
