Let edits that take work away never wait for a person

Cause: a halt or a pause that lost against a start of the same roll-out ended as a conflict, and the candidate kept its share until somebody tried again. Zone out, drain, withdraw, pause and halt are now made on top of what came first.

--- a/packages/limpetwalk/limpetwalk/conf/edits.py
+++ b/packages/limpetwalk/limpetwalk/conf/edits.py
@@ -53,11 +53,19 @@
 class Overlay:
     """Edit of single values, which others' edits of other values allow."""
 
+    @property
+    def protective(self) -> bool:
+        """Whether the edit only takes work away from something."""
+        return False
+
     def clashes(
         self, ours: Sequence[diff.Change], theirs: Sequence[diff.Change]
     ) -> bool:
-        """Return whether both changed one value."""
-        return any(
+        """Return whether both changed one value.
+
+        What takes work away is never held up by an edit that came first.
+        """
+        return not self.protective and any(
             _encloses(mine.path, other.path)
             or _encloses(other.path, mine.path)
             for mine in ours
@@ -137,6 +145,11 @@
     name: str
     state: snapshot.PlacementState
 
+    @property
+    def protective(self) -> bool:
+        """Whether the edit takes out."""
+        return self.state is snapshot.PlacementState.OUT
+
     @property
     def summary(self) -> str:
         """The change in a few words."""
@@ -176,6 +189,12 @@
     state: snapshot.VersionState
     default: str = ""
 
+    @property
+    def protective(self) -> bool:
+        """Whether the edit withdraws and chooses no other version."""
+        withdrawn = self.state is snapshot.VersionState.WITHDRAWN
+        return withdrawn and not self.default
+
     @property
     def summary(self) -> str:
         """The change in a few words."""
--- a/packages/limpetwalk/limpetwalk/conf/rollout_edits.py
+++ b/packages/limpetwalk/limpetwalk/conf/rollout_edits.py
@@ -58,6 +58,11 @@
     action: RolloutAction
     share: float | None = None
 
+    @property
+    def protective(self) -> bool:
+        """Whether the edit keeps new sessions from the candidate."""
+        return self.action in (RolloutAction.HALT, RolloutAction.PAUSE)
+
     @property
     def summary(self) -> str:
         """The change in a few words."""
