--- a/packages/limpetwalk-ctl/limpetwalk_ctl/commands/version.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/version.py
@@ -5,6 +5,7 @@
 from limpetwalk import registry
 from limpetwalk.conf import edits
 from limpetwalk.conf import snapshot
+from limpetwalk.conf import version_edits
 
 from .. import base
 from .. import changes
@@ -52,9 +53,9 @@
         chosen = ctx.flags["default"].value or ""
         edit: edits.Edit
         if state is not None:
-            edit = edits.SetVersion(model, version, state, chosen)
+            edit = version_edits.SetVersion(model, version, state, chosen)
         elif chosen:
             raise base.UsageError("got --default, expected it with withdraw")
         else:
-            edit = edits.SetDefault(model, version)
+            edit = version_edits.SetDefault(model, version)
         return await changes.make(ctx, edit)
--- a/tests/limpetwalk/conf/test_editor_stateful.py
+++ b/tests/limpetwalk/conf/test_editor_stateful.py
@@ -18,6 +18,7 @@
 from limpetwalk.conf import head
 from limpetwalk.conf import rollout_edits
 from limpetwalk.conf import snapshot
+from limpetwalk.conf import version_edits
 from limpetwalk.platform import base as platform
 from limpetwalk.platform import memory
 
@@ -42,7 +43,7 @@
     edits.Place(edits.Placed.ZONE, "z1", snapshot.PlacementState.OUT),
     edits.Place(edits.Placed.ZONE, "z1", snapshot.PlacementState.IN),
     edits.Place(edits.Placed.SERVER, "e1", snapshot.PlacementState.OUT),
-    edits.SetVersion("cheap", "2", snapshot.VersionState.WITHDRAWN),
+    version_edits.SetVersion("cheap", "2", snapshot.VersionState.WITHDRAWN),
     rollout_edits.MoveRollout("cheap-2", rollout_edits.RolloutAction.PAUSE),
     rollout_edits.MoveRollout("cheap-2", rollout_edits.RolloutAction.RESUME),
 )
--- a/tests/limpetwalk_ctl/test_changes.py
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -14,6 +14,7 @@
 from limpetwalk.conf import head
 from limpetwalk.conf import rollout_edits
 from limpetwalk.conf import snapshot
+from limpetwalk.conf import version_edits
 from limpetwalk.platform import memory
 from limpetwalk_bench.site import ports
 from limpetwalk_ctl import exits
@@ -393,7 +394,7 @@
 
     def test_edits_of_one_value_conflict(self) -> None:
         state = snapshot.VersionState.WITHDRAWN
-        self.rival(edits.SetVersion("clerk", "2026-05", state))
+        self.rival(version_edits.SetVersion("clerk", "2026-05", state))
         code, answer = self.shell.json(
             "rollout", "start", "clerk-2026-05", "--share", "0.5"
         )
