--- a/packages/limpetwalk/limpetwalk/conf/edits.py
+++ b/packages/limpetwalk/limpetwalk/conf/edits.py
@@ -19,7 +19,6 @@
 from . import diff
 from . import document
 from . import findings
-from . import operations
 from . import snapshot
 
 Edited = Result[document.Document, list[findings.Finding]]
@@ -53,11 +52,19 @@
 class Overlay:
     """Edit of single values, which others' edits of other values allow."""
 
+    @property
+    def protective(self) -> bool:
+        """Whether the edit only takes work away from something."""
+        return False
+
     def clashes(
         self, ours: Sequence[diff.Change], theirs: Sequence[diff.Change]
     ) -> bool:
-        """Return whether both changed one value."""
-        return any(
+        """Return whether both changed one value.
+
+        What takes work away is never held up by an edit that came first.
+        """
+        return not self.protective and any(
             _encloses(mine.path, other.path)
             or _encloses(other.path, mine.path)
             for mine in ours
@@ -137,6 +144,11 @@
     name: str
     state: snapshot.PlacementState
 
+    @property
+    def protective(self) -> bool:
+        """Whether the edit takes out."""
+        return self.state is snapshot.PlacementState.OUT
+
     @property
     def summary(self) -> str:
         """The change in a few words."""
@@ -159,111 +171,6 @@
         return Ok(with_operations(doc, {self.what.value: overlays}))
 
 
-@dataclass(frozen=True, slots=True)
-class SetVersion(Overlay):
-    """Withdraws a version or makes it live again.
-
-    Active roll-outs from or to a withdrawn version are halted with it.
-
-    :param model: name of the model.
-    :param version: name of the version.
-    :param state: state that it gets.
-    :param default: version that becomes the default; empty leaves it.
-    """
-
-    model: str
-    version: str
-    state: snapshot.VersionState
-    default: str = ""
-
-    @property
-    def summary(self) -> str:
-        """The change in a few words."""
-        chosen = f", default {self.default}" if self.default else ""
-        return (
-            f"version {self.model} {self.version} {self.state.value}{chosen}"
-        )
-
-    def apply(self, doc: document.Document) -> Edited:
-        """Return the document with the state."""
-        if self.model not in doc.models:
-            return undeclared(("models",), self.model, doc.models)
-        declared = doc.models[self.model].versions
-        if self.version not in declared:
-            path = ("models", self.model, "versions")
-            return undeclared(path, self.version, declared)
-        live = snapshot.VersionState.LIVE
-        states = dict(doc.operations.versions.get(self.model, {}))
-        if self.state is live and declared[self.version].state is live:
-            states.pop(self.version, None)
-        else:
-            states[self.version] = self.state
-        versions = {**doc.operations.versions, self.model: states}
-        if not states:
-            del versions[self.model]
-        update: dict[str, object] = {"versions": versions}
-        if self.state is not live:
-            update["rollouts"] = self._halted(doc)
-        changed = with_operations(doc, update)
-        if not self.default:
-            return Ok(changed)
-        return SetDefault(self.model, self.default).apply(changed)
-
-    def _halted(
-        self, doc: document.Document
-    ) -> dict[str, document.RolloutOverlay]:
-        overlays = dict(doc.operations.rollouts)
-        for name, held in operations.effective(doc).rollouts.items():
-            named = self.version in (held.base, held.candidate)
-            if held.model == self.model and named and is_active(held.state):
-                overlays[name] = document.RolloutOverlay(
-                    state=snapshot.RolloutState.HALTED, share=held.share
-                )
-        return overlays
-
-
-@dataclass(frozen=True, slots=True)
-class SetDefault(Overlay):
-    """Chooses the version for new sessions of a model.
-
-    :param model: name of the model.
-    :param version: name of the version.
-    """
-
-    model: str
-    version: str
-
-    @property
-    def summary(self) -> str:
-        """The change in a few words."""
-        return f"version {self.model} {self.version} default"
-
-    def apply(self, doc: document.Document) -> Edited:
-        """Return the document with the default version."""
-        if self.model not in doc.models:
-            return undeclared(("models",), self.model, doc.models)
-        model = doc.models[self.model]
-        if self.version not in model.versions:
-            path = ("models", self.model, "versions")
-            return undeclared(path, self.version, model.versions)
-        defaults = dict(doc.operations.default_versions)
-        defaults.pop(self.model, None)
-        plain = with_operations(doc, {"default_versions": defaults})
-        held = operations.effective(plain).models[self.model]
-        if held.default_version == self.version:
-            return Ok(plain)
-        defaults[self.model] = self.version
-        return Ok(with_operations(doc, {"default_versions": defaults}))
-
-
-def is_active(state: snapshot.RolloutState) -> bool:
-    """Return whether a roll-out may still give its candidate sessions."""
-    return state in (
-        snapshot.RolloutState.RUNNING,
-        snapshot.RolloutState.PAUSED,
-    )
-
-
 def _encloses(outer: findings.KeyPath, inner: findings.KeyPath) -> bool:
     return inner[: len(outer)] == outer
 
