--- a/tests/limpetwalk_node/test_main.py
+++ b/tests/limpetwalk_node/test_main.py
@@ -142,10 +142,14 @@
     async def read_stream(self, resp):
         return (await resp.read()).decode()
 
+    def start(self):
+        # Long enough to see each phase on a machine that is busy.
+        return super().start(balancer_wait=1.0)
+
     async def test_streams_in_flight_are_finished(self):
         async with self.http.post(
             self.node.url + CHAT,
-            json=chat("strong", stream=True, max_tokens=150),
+            json=chat("strong", stream=True, max_tokens=400),
         ) as resp:
             await resp.content.readline()
             self.terminate()
