--- a/packages/limpetwalk/limpetwalk/routing/replicas.py
+++ b/packages/limpetwalk/limpetwalk/routing/replicas.py
@@ -20,6 +20,8 @@
 GROUP_SIZE = 32
 RAMP = 10.0
 RAMP_LEAST = 0.1
+# Nodes that queue while a replica idles cost more than a short queue at it.
+OVERCOMMIT = 1.5
 
 ClientFactory = Callable[
     [snapshot.Server, snapshot.Tuning], backends.BackendClient
@@ -70,9 +72,13 @@
         self.limiter = limiter.Limiter()
         self.ramp_from: float | None = None
         self.suspects = 0
-        self._reported = 0
+        self._others = 0
         self._sampled_at = float("-inf")
-        self._sent: collections.deque[float] = collections.deque()
+        # Starts and ends of this node's requests, and their sum.
+        self._changes: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self._since = 0
 
     @property
     def name(self) -> str:
@@ -87,14 +93,14 @@
         """Whether the load report is recent enough to be believed."""
         return now - self._sampled_at < FRESH
 
-    def load(self, now: float) -> float:
+    def total(self, now: float) -> float:
         """Return the estimated requests at the server, of all nodes.
 
-        This is the lagging report and what this node has sent since.
+        Those of the others are as old as the load report, so this serves
+        to find what is full and not to tell which replica has least.
         """
-        if not self.is_fresh(now):
-            return float(self.in_flight)
-        return float(max(self.in_flight, self._reported + len(self._sent)))
+        others = self._others if self.is_fresh(now) else 0
+        return float(self.in_flight + others)
 
     def has_room(self, now: float, nodes: int) -> bool:
         """Whether this node may send one more request.
@@ -108,30 +114,44 @@
             return True
         if self.in_flight >= 2 * allowed or not self.is_fresh(now):
             return False
-        return self.load(now) < self.server.concurrency
+        return self.total(now) < OVERCOMMIT * self.server.concurrency
 
     def start(self, now: float) -> None:
         """Note that a request is sent."""
         self.in_flight += 1
-        self._sent.append(now)
-        if len(self._sent) > 2 * self.server.concurrency:
-            self._sent.popleft()
+        self._change(now, 1)
         self.boot.note_sent(now)
         self.circuit.start()
 
+    def finish(self, now: float) -> None:
+        """Note that a request has ended."""
+        self.in_flight -= 1
+        self._change(now, -1)
+
     def note_report(self, report: backends.LoadReport, now: float) -> bool:
         """Take a load report, of this node or of a peer.
 
         :returns: whether the server has started anew.
         """
         sampled_at = now - report.age
+        self.circuit.note_seen(sampled_at)
         if sampled_at > self._sampled_at:
-            self._reported = report.running + report.waiting
             self._sampled_at = sampled_at
-            while self._sent and self._sent[0] <= sampled_at:
-                self._sent.popleft()
+            self._forget(sampled_at)
+            own = self.in_flight - self._since
+            self._others = max(0, report.running + report.waiting - own)
         return self.boot.learn(report.boot_id, sampled_at)
 
+    def _change(self, now: float, by: int) -> None:
+        self._changes.append((now, by))
+        self._since += by
+        # Reports that old are not believed, so neither are these needed.
+        self._forget(now - FRESH)
+
+    def _forget(self, until: float) -> None:
+        while self._changes and self._changes[0][0] <= until:
+            self._since -= self._changes.popleft()[1]
+
     def _ramp(self, now: float) -> float:
         if self.ramp_from is None:
             return 1.0
--- a/tests/limpetwalk_ctl/test_changes.py
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -4,6 +4,8 @@
 import shutil
 import zlib
 
+import yaml
+
 from limpetwalk import clock as clocks
 from limpetwalk.conf import compile as compiler
 from limpetwalk.conf import document
@@ -13,6 +15,7 @@
 from limpetwalk.conf import rollout_edits
 from limpetwalk.conf import snapshot
 from limpetwalk.platform import memory
+from limpetwalk_bench.site import ports
 from limpetwalk_ctl import exits
 
 from . import shell
@@ -183,6 +186,25 @@
         self.assertEqual(self.shell.run("zone", "in", "hu-central-a")[0], 0)
         self.assertIsNot(self.snapshot().zones["hu-central-a"].state, OUT)
 
+    def test_change_that_leaves_no_server_is_told(self) -> None:
+        for zone in "ab":
+            _, answer = self.shell.json("zone", "out", f"hu-central-{zone}")
+            self.assertEqual(answer["warnings"], [])
+        code, answer = self.shell.json("server", "drain", "assistant-c1")
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            [item["path"] for item in answer["warnings"]],
+            [
+                ["models", "clerk", "default_version"],
+                ["models", "counsel", "default_version"],
+            ],
+        )
+        _, answer = self.shell.json("zone", "out", "hu-central-c")
+        self.assertIn(
+            ["services", "registry"],
+            [item["path"] for item in answer["warnings"]],
+        )
+
     def test_server(self) -> None:
         self.shell.run("server", "drain", "registry-a")
         self.assertIs(self.snapshot().servers["registry-a"].state, OUT)
@@ -301,6 +323,30 @@
         self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
         self.assertIn("the store does not answer", err)
 
+    def test_status_of_named_nodes_without_the_platform(self) -> None:
+        node = self.shell.nodes[0]
+        node.generation = 7
+        self.shell.table.faults.unavailable = True
+        self.shell.instances.unavailable = True
+        node.port = ports.free_ports(1)[0]
+        code, answer = self.shell.json(
+            "status", "--nodes", f"127.0.0.1:{node.port}"
+        )
+        self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
+        (told,) = answer["nodes"]
+        self.assertEqual((told["name"], told["generation"]), ("n1", 7))
+
+    def test_a_node_that_never_answers_holds_up_nobody(self) -> None:
+        self.shell.nodes[0].silent = True
+        cfg = {**shell.SETTINGS, "node_timeout": 1}
+        self.shell.settings.write_text(yaml.safe_dump(cfg))
+        code, answer = self.shell.json("zone", "out", "hu-central-a", "--wait")
+        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
+        self.assertEqual(answer["seen"], 2)
+        silent = answer["nodes"][0]
+        self.assertIsNone(silent["generation"])
+        self.assertEqual(silent["error"], "TimeoutError")
+
     def test_nodes_that_are_not_known_are_not_counted_as_served(self) -> None:
         self.shell.instances.unavailable = True
         code, out, err = self.shell.run(
