Keep a request in flight until its caller has the whole answer

A request counted as done before its response was sent, so a shutdown could end while a large answer was still on its way to a slow reader. Seen first by test_chat.SlowReader: wait_idle returned True while nothing of 30 MB had been read. Responses are sent within the request now. A caller that reads nothing for 30 s is dropped with its connection; before, the connection of a stream stayed in the closing state with its buffer.

--- a/packages/limpetwalk-node/limpetwalk_node/callers.py
+++ b/packages/limpetwalk-node/limpetwalk_node/callers.py
@@ -19,6 +19,7 @@
 from . import errors
 from . import lifecycle
 from . import parts
+from . import readers
 from . import request_ids
 
 SHUTDOWN_RETRY_AFTER = 1.0
@@ -75,26 +76,39 @@
         self._prefixed.append((prefix, endpoint))
 
     async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
-        """Answer one request."""
+        """Answer one request.
+
+        The response is sent here and not after, so that a request is in
+        flight until its caller has the whole answer.
+        """
         request_id = request_ids.make(self._clock, self._rng)
         began = self._clock.monotonic()
         self._life.enter()
+        try:
+            resp = await self._answer(req, request_id)
+            await readers.send(req, resp.prepare(req))
+            await readers.send(req, resp.write_eof())
+        except (asyncio.CancelledError, ConnectionResetError):
+            self._left.inc()
+            raise
+        finally:
+            self._life.leave()
+            self._latency.record(self._clock.monotonic() - began)
+        return resp
+
+    async def _answer(
+        self, req: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
+        """Return the answer of a request, or its refusal."""
         try:
             resp = await self._serve(req, request_id)
         except refusals.Refused as exc:
             resp = self._refuse(exc.refusal, request_id)
-        except asyncio.CancelledError:
-            self._left.inc()
-            raise
         except ConnectionResetError:
-            self._left.inc()
             raise
         except Exception:
             logger.exception("request {} failed", request_id)
             resp = self._refuse(errors.internal_error(), request_id)
-        finally:
-            self._life.leave()
-            self._latency.record(self._clock.monotonic() - began)
         if self._life.phase is lifecycle.Phase.DRAINING:
             resp.force_close()
         return resp
--- a/packages/limpetwalk-node/limpetwalk_node/chat.py
+++ b/packages/limpetwalk-node/limpetwalk_node/chat.py
@@ -22,6 +22,7 @@
 from . import border
 from . import calls
 from . import errors
+from . import readers
 from . import sessions
 from . import streams
 
@@ -30,8 +31,6 @@
     "Content-Type": "text/event-stream",
     "Cache-Control": "no-cache",
 }
-# A caller that takes no byte for this long is given up.
-READER_TIMEOUT = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +143,7 @@
                 headers=STREAM_HEADERS | self._headers(call, req, started)
             )
             await resp.prepare(call.req)
-            writer = _Writer(resp)
+            writer = _Writer(call.req, resp)
             await writer.write(req.shape.role())
             try:
                 await self._pass_on(writer, req, events)
@@ -158,7 +157,6 @@
                 refusal = errors.internal_error()
                 self._refusals.count(refusal)
                 await writer.write(req.shape.error(refusal))
-        await resp.write_eof()
         return resp
 
     async def _pass_on(
@@ -211,12 +209,14 @@
 
 
 class _Writer:
-    """Writes to a caller, which may read slowly but not stop.
+    """Writes the events of a stream.
 
+    :param req: request that is answered.
     :param resp: prepared response.
     """
 
-    def __init__(self, resp: web.StreamResponse) -> None:
+    def __init__(self, req: web.BaseRequest, resp: web.StreamResponse) -> None:
+        self._req = req
         self._resp = resp
 
     async def write(self, data: bytes) -> None:
@@ -224,12 +224,7 @@
 
         :raises ConnectionResetError: when the caller left or reads nothing.
         """
-        try:
-            async with asyncio.timeout(READER_TIMEOUT):
-                await self._resp.write(data)
-        except TimeoutError:
-            self._resp.force_close()
-            raise ConnectionResetError("the caller reads nothing") from None
+        await readers.send(self._req, self._resp.write(data))
 
 
 def billing_key(call: calls.Call, body: bytes) -> str:
--- a/packages/limpetwalk/limpetwalk/routing/sessions.py
+++ b/packages/limpetwalk/limpetwalk/routing/sessions.py
@@ -52,7 +52,7 @@
 def mint(keys: Sequence[snapshot.SessionKey], session: Session) -> str:
     """Return the token of a session, signed with the first key.
 
-    :raises Refused: when no key is configured or the token grows too long.
+    :raises Refused: when no key is configured.
     """
     if not keys:
         raise refusals.Refused(
--- a/tests/limpetwalk_node/fakes.py
+++ b/tests/limpetwalk_node/fakes.py
@@ -196,9 +196,11 @@
     def __init__(self) -> None:
         self.entries = []
         self.up = True
+        self.billed = asyncio.Event()
 
     async def bill(self, entry):
         self.entries.append(entry)
+        self.billed.set()
         if not self.up:
             raise exceptions.StoreUnavailable("down")
 
--- a/tests/limpetwalk_node/test_chat.py
+++ b/tests/limpetwalk_node/test_chat.py
@@ -5,7 +5,7 @@
 
 from limpetwalk import refusals
 from limpetwalk.conf import snapshot
-from limpetwalk_node import chat
+from limpetwalk_node import readers
 
 from . import fakes
 
@@ -103,6 +103,50 @@
         self.assertEqual("run", body["error"]["run"])
 
 
+class SlowReader(unittest.IsolatedAsyncioTestCase):
+    """A caller that reads a large whole answer slowly."""
+
+    async def asyncSetUp(self):
+        self.node = fakes.FakeNode(None)
+        await self.node.start()
+        self.addAsyncCleanup(self.node.stop)
+        self.node.engines.answers["large"] = ["x" * 1_000_000] * 30
+
+    async def connect(self):
+        body = json.dumps(question(model="strong")).encode()
+        head = (
+            f"POST {CHAT} HTTP/1.1\r\nHost: node\r\n"
+            f"Authorization: Bearer {fakes.KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.node.port, limit=1024
+        )
+        self.addCleanup(writer.close)
+        writer.write(head.encode() + body)
+        return reader
+
+    async def test_request_is_in_flight_until_it_has_read_all(self):
+        reader = await self.connect()
+        async with asyncio.timeout(10):
+            await self.node.biller.billed.wait()
+        self.assertFalse(await self.node.life.wait_idle(0.2))
+        size = 0
+        async with asyncio.timeout(10):
+            while size < 30_000_000:
+                size += len(await reader.read(1 << 20))
+        self.assertTrue(await self.node.life.wait_idle(5))
+
+    async def test_one_that_reads_nothing_is_given_up(self):
+        with mock.patch.object(readers, "TIMEOUT", 0.05):
+            await self.connect()
+            async with asyncio.timeout(10):
+                await self.node.biller.billed.wait()
+                self.assertTrue(await self.node.life.wait_idle(5))
+        left = self.node.metrics.value("limpetwalk_callers_left_total")
+        self.assertEqual(1, left)
+
+
 class StreamedAnswer(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.node = fakes.FakeNode(None)
@@ -183,7 +227,7 @@
             f"Authorization: Bearer {fakes.KEY}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n"
         )
-        with mock.patch.object(chat, "READER_TIMEOUT", 0.05):
+        with mock.patch.object(readers, "TIMEOUT", 0.05):
             _, writer = await asyncio.open_connection(
                 "127.0.0.1", self.node.port, limit=1024
             )
