--- a/tests/limpetwalk_node/processes.py
+++ b/tests/limpetwalk_node/processes.py
@@ -23,6 +23,7 @@
 OTHER_KEY = "key-of-navarrete"
 HOST = "127.0.0.1"
 TIMEOUT = 30
+PAYMENTS = {"method": "POST", "path": "/payments", "idempotent": False}
 
 
 class Process:
@@ -88,25 +89,25 @@
                 start_cold=False,
                 time_scale=0.5,
             ),
-            Process(
-                "limpetwalk_bench.service",
-                self.folder,
-                name="registry-1",
-                routes=[
-                    {
-                        "method": "POST",
-                        "path": "/payments",
-                        "idempotent": False,
-                    }
-                ],
-                start_cold=False,
-            ),
+            self._service("registry-1"),
+            self._service("orders-1", answer_ms=1500, keep_outcomes=True),
         ]
         ports = [process.await_ready() for process in self.processes]
-        self.platform_ports, self.engine_ports, self.service_ports = ports
+        self.platform_ports, self.engine_ports = ports[:2]
+        self.service_ports, self.slow_ports = ports[2:]
         self.generation = 0
         self.apply()
 
+    def _service(self, name: str, **fields: Any) -> Process:
+        return Process(
+            "limpetwalk_bench.service",
+            self.folder,
+            name=name,
+            routes=[PAYMENTS],
+            start_cold=False,
+            **fields,
+        )
+
     def close(self) -> None:
         for process in self.processes:
             process.stop()
@@ -212,18 +213,16 @@
                     protocol="plain",
                     service="registry",
                 ),
+                "orders-1": self._server(
+                    self.slow_ports,
+                    kind="service",
+                    protocol="plain",
+                    service="orders",
+                ),
             },
             "services": {
-                "registry": {
-                    "timeout": 8,
-                    "routes": [
-                        {
-                            "method": "POST",
-                            "path": "/payments",
-                            "idempotent": False,
-                        }
-                    ],
-                }
+                name: {"timeout": 8, "routes": [PAYMENTS]}
+                for name in ("registry", "orders")
             },
             "cascades": {
                 "assistant": {
@@ -274,7 +273,7 @@
         "key_digests": [hashlib.sha256(key.encode()).hexdigest()],
         "cascades": ["assistant", "strong"],
         "models": models,
-        "services": ["registry"],
+        "services": ["registry", "orders"],
         "rate": 1000,
         "concurrency": 100,
         "priority": 1,
--- a/tests/limpetwalk_node/test_main.py
+++ b/tests/limpetwalk_node/test_main.py
@@ -128,11 +128,63 @@
 
     async def check_bills(self):
         entries = await asyncio.to_thread(SITE.bills)
-        subjects = sorted(entry.subject for entry in entries)
-        self.assertEqual(
-            ["assistant", "assistant", "assistant", "assistant", "registry"],
-            subjects,
+        subjects = sorted(
+            entry.subject for entry in entries if entry.subject != "orders"
         )
+        self.assertEqual(["assistant"] * 4 + ["registry"], subjects)
+
+
+class LostNode(Base):
+    """A node is killed between a dispatch and its answer."""
+
+    PATH = "/services/orders/payments"
+    BODY = {"reference": "lost-1", "amount": 7}
+    KEY = {"Idempotency-Key": "lost-1"}
+
+    async def runs(self):
+        url = f"http://127.0.0.1:{SITE.slow_ports['control']}/_runs"
+        async with self.http.get(url) as resp:
+            return (await resp.json())["runs"]
+
+    async def lose_node(self):
+        """Have a node killed while the service is at work for it."""
+        lost = await asyncio.to_thread(super().start)
+        async with asyncio.timeout(processes.TIMEOUT):
+            first = asyncio.create_task(self.send_until_run(lost))
+            while not await self.runs():
+                await asyncio.sleep(0.02)
+        lost.popen.kill()
+        await asyncio.gather(first, return_exceptions=True)
+
+    async def send_until_run(self, node):
+        while True:
+            async with self.http.post(
+                node.url + self.PATH, json=self.BODY, headers=self.KEY
+            ) as resp:
+                if resp.status != 503:
+                    return
+            await asyncio.sleep(0.02)
+
+    async def test_request_is_not_run_again(self):
+        await self.lose_node()
+        found, body = await self.ask(self.BODY, self.PATH, **self.KEY)
+        if found.status != 200:
+            self.assertEqual("outcome_unknown", body["error"]["reason"])
+            self.assertEqual("unknown", body["error"]["run"])
+        async with asyncio.timeout(processes.TIMEOUT):
+            while (await self.outcome())["state"] != "answered":
+                await asyncio.sleep(0.1)
+        found, _ = await self.ask(self.BODY, self.PATH, **self.KEY)
+        self.assertEqual(200, found.status)
+        self.assertEqual("true", found.headers["Idempotent-Replayed"])
+        self.assertEqual(1, len(await self.runs()))
+        entries = await asyncio.to_thread(SITE.bills)
+        billed = [e for e in entries if e.request_key == "lost-1"]
+        self.assertEqual(1, len(billed))
+
+    async def outcome(self):
+        async with self.http.get(f"{self.node.url}/outcomes/lost-1") as resp:
+            return await resp.json()
 
 
 class Stopping(Base):
