--- a/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/engine/app.py
@@ -1,10 +1,6 @@
 """HTTP interface of the engine stand-in."""
 
 import asyncio
-import contextlib
-from dataclasses import dataclass
-import json
-import time
 from typing import Any
 
 from aiohttp import web
@@ -16,70 +12,12 @@
 from limpetwalk_bench.backend import listener
 
 from . import batch
+from . import chat as chats
 from . import core
 from . import orders
 from . import settings
 
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
-DEFAULT_PRIORITY = 1
-
-
-class BadRequest(Exception):
-    """A request is not what an engine can run."""
-
-
-@dataclass(frozen=True, slots=True)
-class Chat:
-    """Chat completion request as it came in.
-
-    :param request_id: identifier to echo.
-    :param attempt_id: identifier to echo.
-    :param body: parsed body.
-    :param priority: 0 is served first.
-    :param resume_from: tokens to skip.
-    :param timeout: seconds until the caller gives up; None for never.
-    """
-
-    request_id: str
-    attempt_id: str
-    body: dict[str, Any]
-    priority: int
-    resume_from: int
-    timeout: float | None
-
-    @property
-    def model(self) -> str:
-        """Version asked for, as ``model:version``."""
-        return str(self.body.get("model", ""))
-
-    @property
-    def stream(self) -> bool:
-        """Whether the answer is to be streamed."""
-        return self.body.get("stream") is True
-
-
-async def read_chat(req: web.Request) -> Chat:
-    """Parse a chat completion request.
-
-    :raises BadRequest: when it is malformed.
-    """
-    try:
-        body = await req.json()
-        priority = int(req.headers.get("X-Priority", DEFAULT_PRIORITY))
-        resume_from = int(req.headers.get("X-Resume-From", "0"))
-        timeout_ms = float(req.headers.get("X-Timeout-Ms", "inf"))
-    except ValueError as exc:
-        raise BadRequest(str(exc)) from exc
-    if not isinstance(body, dict) or not body.get("messages"):
-        raise BadRequest("expected an object with messages")
-    return Chat(
-        req.headers.get("X-Request-Id", ""),
-        req.headers.get("X-Attempt-Id", ""),
-        body,
-        priority,
-        resume_from,
-        None if timeout_ms == float("inf") else timeout_ms / 1000,
-    )
 
 
 class EngineApp:
@@ -167,13 +105,13 @@
     async def _chat(self, req: web.Request) -> web.StreamResponse:
         await self.listener.gate(req)
         try:
-            chat = await read_chat(req)
-        except BadRequest as exc:
+            chat = await chats.read_chat(req)
+        except chats.BadRequest as exc:
             resp = self._error(400, "malformed", str(exc), not_run=True)
             for name in faults.ECHO_HEADERS:
                 resp.headers[name] = req.headers.get(name, "")
             return resp
-        answer = Answer(self, req, chat)
+        answer = chats.Answer(self, req, chat)
         if self.switches.take("refuse"):
             return answer.error(503, "refused", not_run=True)
         if chat.model not in self.engine.orders.serves:
@@ -262,148 +200,3 @@
     async def _orders(self, req: web.Request) -> web.Response:
         await self.listener.gate(req)
         return web.json_response(self.engine.orders.as_json())
-
-
-class Answer:
-    """Answer to one chat completion, with the faults that touch it."""
-
-    def __init__(self, owner: EngineApp, req: web.Request, chat: Chat) -> None:
-        self._owner = owner
-        self._req = req
-        self._chat = chat
-        self._ids = (chat.request_id, chat.attempt_id)
-        self._header_ids = self._ids
-        self._event_ids = self._ids
-
-    def error(
-        self, status: int, code: str, not_run: bool = False
-    ) -> web.Response:
-        """Return an error with the ids echoed."""
-        body = {"error": {"code": code, "message": code.replace("_", " ")}}
-        headers = self._headers()
-        if not_run:
-            headers.update(faults.NOT_RUN_HEADERS)
-        return web.json_response(body, status=status, headers=headers)
-
-    def drop(self) -> None:
-        """Close the connection."""
-        if self._req.transport is not None:
-            self._req.transport.close()
-
-    async def send(self, job: batch.Job) -> web.StreamResponse:
-        """Send the answer, streamed or whole."""
-        late = self._owner.switches.take("late")
-        if late is not None:
-            scale = self._owner.cfg.time_scale
-            await asyncio.sleep(late.seconds * scale)
-        crossed = self._owner.switches.take("crossed")
-        if crossed is not None:
-            self._cross(crossed.where)
-        truncate = self._owner.switches.take("truncate") is not None
-        if self._owner.engine.poisoned(self._chat.body):
-            await job.out.get()
-            self._owner.engine.crash()
-        if self._chat.stream:
-            return await self._stream(job, truncate)
-        return await self._whole(job, truncate)
-
-    async def _stream(
-        self, job: batch.Job, truncate: bool
-    ) -> web.StreamResponse:
-        resp = web.StreamResponse(headers=self._headers())
-        resp.content_type = "text/event-stream"
-        await self._owner.listener.gate(self._req)
-        await resp.prepare(self._req)
-        sent = 0
-        while (token := await self._next(job)) is not None:
-            await self._owner.listener.gate(self._req)
-            await resp.write(_event(self._chunk({"content": token}, None)))
-            sent += 1
-            if truncate and sent >= max(1, len(job.tokens) // 2):
-                await resp.write_eof()
-                return resp
-        if not truncate:
-            await self._owner.listener.gate(self._req)
-            last = self._chunk({}, "stop")
-            last["usage"] = self._usage(job)
-            last["request_id"], last["attempt_id"] = self._event_ids
-            await resp.write(_event(last) + b"data: [DONE]\n\n")
-        await resp.write_eof()
-        return resp
-
-    async def _whole(
-        self, job: batch.Job, truncate: bool
-    ) -> web.StreamResponse:
-        words = []
-        while (token := await self._next(job)) is not None:
-            words.append(token)
-        message = {"role": "assistant", "content": "".join(words)}
-        body = {
-            "id": f"chatcmpl-{self._chat.request_id}",
-            "object": "chat.completion",
-            "created": int(time.time()),
-            "model": self._chat.model,
-            "choices": [
-                {"index": 0, "message": message, "finish_reason": "stop"}
-            ],
-            "usage": self._usage(job),
-        }
-        body["request_id"], body["attempt_id"] = self._event_ids
-        data = json.dumps(body).encode()
-        await self._owner.listener.gate(self._req)
-        if truncate:
-            return await self._cut(data)
-        return web.Response(
-            body=data,
-            content_type="application/json",
-            headers=self._headers(),
-        )
-
-    async def _cut(self, data: bytes) -> web.StreamResponse:
-        resp = web.StreamResponse(headers=self._headers())
-        resp.content_type = "application/json"
-        resp.content_length = len(data)
-        await resp.prepare(self._req)
-        await resp.write(data[: len(data) // 2])
-        if self._req.transport is not None:
-            with contextlib.suppress(RuntimeError):
-                self._req.transport.close()
-        return resp
-
-    async def _next(self, job: batch.Job) -> str | None:
-        return await job.out.get()
-
-    def _cross(self, where: str) -> None:
-        other = faults.crossed(*self._ids)
-        if where in ("header", "both"):
-            self._header_ids = other
-        if where in ("event", "both"):
-            self._event_ids = other
-
-    def _headers(self) -> dict[str, str]:
-        headers = dict(zip(faults.ECHO_HEADERS, self._header_ids, strict=True))
-        headers[faults.BOOT_HEADER] = self._owner.engine.boot_id
-        return headers
-
-    def _usage(self, job: batch.Job) -> dict[str, int]:
-        return {
-            "prompt_tokens": len(job.words),
-            "completion_tokens": len(job.tokens),
-            "total_tokens": len(job.words) + len(job.tokens),
-        }
-
-    def _chunk(
-        self, delta: dict[str, str], finish: str | None
-    ) -> dict[str, Any]:
-        choice = {"index": 0, "delta": delta, "finish_reason": finish}
-        return {
-            "id": f"chatcmpl-{self._event_ids[0]}",
-            "object": "chat.completion.chunk",
-            "created": int(time.time()),
-            "model": self._chat.model,
-            "choices": [choice],
-        }
-
-
-def _event(data: dict[str, Any]) -> bytes:
-    return b"data: " + json.dumps(data).encode() + b"\n\n"
