--- /dev/null
+++ b/tests/limpetwalk/routing/test_with_stand_ins.py
@@ -0,0 +1,145 @@
+"""Dispatchers and clients together in front of the stand-ins, over TCP."""
+
+import asyncio
+import random
+import time
+import unittest
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics
+from limpetwalk import refusals
+from limpetwalk.backends import base
+from limpetwalk.backends import openai
+from limpetwalk.conf import snapshot
+from limpetwalk.routing import dispatch
+from limpetwalk.routing import quarantine
+from limpetwalk.routing import replicas
+from limpetwalk.routing import warmup
+from limpetwalk.routing import work
+from limpetwalk_bench.engine import app
+from limpetwalk_bench.engine import settings
+from tests.limpetwalk.backends import sites
+
+WARM = snapshot.WarmUp(100, 0.0)
+
+
+class StandInTest(unittest.IsolatedAsyncioTestCase):
+    async def engines(self, count: int, **cfg) -> list[app.EngineApp]:
+        values = {"start_cold": False, "base_ms": 2.0, "slope_ms": 0.1} | cfg
+        found = []
+        for _ in range(count):
+            engine = app.EngineApp(settings.EngineSettings(**values))
+            await engine.start()
+            self.addAsyncCleanup(engine.close)
+            found.append(engine)
+        return found
+
+    def node(
+        self,
+        engines: list[app.EngineApp],
+        limits: snapshot.WarmUp = WARM,
+        nodes: int = 1,
+        seed: int = 1,
+    ) -> dispatch.EngineDispatcher:
+        servers = {
+            f"e{number}": sites.server(
+                f"e{number}", engine.listener.port, warmup=limits
+            )
+            for number, engine in enumerate(engines)
+        }
+        state = snapshot.PlacementState.IN
+        live = {"v1": snapshot.VersionState.LIVE}
+        snap = snapshot.Snapshot(
+            "digest",
+            {"small": snapshot.Model("small", live, "v1", 1, 1)},
+            servers,
+            {},
+            {},
+            {},
+            {},
+            {"z1": snapshot.Zone("z1", "region", state)},
+            (),
+            snapshot.Tuning(retry_share=1.0),
+        )
+        applied = snapshot.Applied(1, snap)
+        node = dispatch.EngineDispatcher(
+            lambda: applied,
+            warmup.LocalPermits(lambda: nodes),
+            quarantine.Quarantine(),
+            clocks.SystemClock(),
+            metrics.Metrics(),
+            random.Random(seed),
+        )
+        self.addAsyncCleanup(node.close)
+        return node
+
+    async def ask(
+        self, node: dispatch.EngineDispatcher, text: str, tokens: int = 30
+    ) -> str:
+        item = work.EngineWork(
+            f"r-{text}",
+            sites.VERSION,
+            sites.chat(text, tokens),
+            1,
+            time.monotonic() + 20.0,
+        )
+        events = [event async for event in node.complete(item)]
+        assert isinstance(events[-1], base.Finished)
+        deltas = [held for held in events if isinstance(held, base.Delta)]
+        return "".join(held.text for held in deltas)
+
+    async def test_streams_survive_the_crash_of_a_server_whole(self):
+        engines = await self.engines(3)
+        node = self.node(engines)
+        texts = [f"question {number}" for number in range(12)]
+        expected = [await self.ask(node, text) for text in texts]
+        tasks = [asyncio.create_task(self.ask(node, text)) for text in texts]
+        async with asyncio.timeout(10):
+            while not any(
+                job.position > 2 for job in engines[0].engine.batch.running
+            ):
+                await asyncio.sleep(0)
+        engines[0].engine.crash()
+        self.assertEqual(expected, await asyncio.gather(*tasks))
+
+    async def test_a_poison_takes_two_servers_and_no_neighbour(self):
+        engines = await self.engines(5)
+        node = self.node(engines)
+        texts = [f"question {number}" for number in range(10)]
+        tasks = [asyncio.create_task(self.ask(node, text)) for text in texts]
+        for _ in range(3):
+            with self.assertRaises(refusals.Refused) as caught:
+                await self.ask(node, "[[crash]]")
+        reason = caught.exception.refusal.reason
+        self.assertIs(refusals.Reason.QUARANTINED, reason)
+        crashes = sum(engine.engine.crashes for engine in engines)
+        self.assertEqual(2, crashes)
+        answers = await asyncio.gather(*tasks)
+        self.assertTrue(all(answers))
+
+    async def test_many_nodes_stay_within_a_cold_allowance(self):
+        limits = snapshot.WarmUp(9, 60.0)
+        engines = await self.engines(
+            1, start_cold=True, cold_allowance=9, warm_after=60.0
+        )
+        nodes = [
+            self.node(engines, limits, nodes=9, seed=seed) for seed in range(9)
+        ]
+        tasks = [
+            asyncio.create_task(self.ask(node, f"question {number}", 5))
+            for number, node in enumerate(nodes * 4)
+        ]
+        await asyncio.gather(*tasks)
+        warmth = engines[0].engine.warmth
+        self.assertEqual(0, warmth.overloads)
+        self.assertLessEqual(warmth.peak, 9)
+
+    async def test_boots_of_all_servers_are_learned_from_reports(self):
+        engines = await self.engines(2)
+        node = self.node(engines)
+        for replica in node.core.directory.current().by_name.values():
+            report = await replica.client.load()
+            replica.note_report(report, time.monotonic())
+            self.assertEqual(report.boot_id, replica.boot.boot_id)
+            self.assertIsInstance(replica, replicas.Replica)
+            self.assertIsInstance(replica.client, openai.OpenAIClient)
