--- a/packages/limpetwalk-node/limpetwalk_node/billing.py
+++ b/packages/limpetwalk-node/limpetwalk_node/billing.py
@@ -1,14 +1,13 @@
 """Billing: each entry goes into the ledger once.
 
-An entry stays with the node that made it until it is durable. A peer in
-another zone holds a copy meanwhile, which that peer brings into the ledger
-itself when the entry's node is gone. An answer waits for whichever comes
-first, the copy or the ledger; the copy takes a round trip between zones, the
-ledger its next batch.
+An entry stays with the node that made it until it is durable. While it is
+not, a peer in another zone holds a copy, which that peer brings into the
+ledger itself when the entry's node is gone.
 """
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import random
 from typing import Any
 
@@ -132,9 +131,9 @@
         """
         partition = rows.partition_of(entry, self._tuning().ledger_partitions)
         held = self._backlog.add(entry, partition, self._clock.monotonic())
-        self._start_courier(partition)
-        if await self._copy(held) or await self._settles(held):
+        if await self._is_safe_soon(held):
             return
+        self._start_courier(partition)
         if not await self._protection.protect([held]):
             self._unprotected.inc()
             raise exceptions.StoreUnavailable(
@@ -186,20 +185,40 @@
             self._backlog.add(copy.entry, copy.partition, now)
             self._start_courier(copy.partition)
 
-    async def _copy(self, held: bill_backlog.HeldEntry) -> bool:
-        """Return whether a peer holds a copy or the entry is durable."""
-        copying = asyncio.create_task(self._copying.copy(held))
-        self._tries.add(copying)
-        copying.add_done_callback(self._tries.discard)
-        await asyncio.wait(
-            [copying, held.durable], return_when=asyncio.FIRST_COMPLETED
-        )
-        return held.durable.done() or bool(held.holder)
+    def _in_background(
+        self, step: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(step)
+        self._tries.add(task)
+        task.add_done_callback(self._tries.discard)
+        return task
+
+    async def _try(self, held: bill_backlog.HeldEntry) -> None:
+        """Write an entry, and have it written again when that fails."""
+        if not await self._write(held.partition, [held]):
+            self._start_courier(held.partition)
+
+    async def _is_safe_soon(self, held: bill_backlog.HeldEntry) -> bool:
+        """Make the first tries to have an entry safe from this node's loss.
+
+        A copy takes one exchange with a peer; the ledger's batch is then
+        sent later, with the other entries of its partition. Without a copy
+        the entry goes to the ledger at once.
+
+        :returns: whether it is safe within ``HOLD_AFTER``.
+        """
+        if await self._is_copied(held):
+            self._start_courier(held.partition)
+            return True
+        if held.partition not in self._couriers:
+            task = self._in_background(self._try(held))
+            await asyncio.wait([task], timeout=HOLD_AFTER)
+        return held.is_safe
 
-    async def _settles(self, held: bill_backlog.HeldEntry) -> bool:
-        """Return whether an entry without a copy is durable soon."""
-        await asyncio.wait([held.durable], timeout=HOLD_AFTER)
-        return held.durable.done()
+    async def _is_copied(self, held: bill_backlog.HeldEntry) -> bool:
+        task = self._in_background(self._copying.copy(held))
+        await asyncio.wait([task], timeout=HOLD_AFTER)
+        return held.is_safe
 
     def _start_courier(self, partition: int) -> None:
         if partition not in self._couriers:
@@ -209,12 +228,11 @@
 
     async def _retry(self, partition: int) -> None:
         """Write the held entries of a partition until none is left."""
-        delay = 0.0
+        delay = RETRY_MIN
         limit = bill_protection.MAX_MESSAGE_ENTRIES
         try:
             while waiting := self._backlog.of_partition(partition):
-                if delay:
-                    await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
+                await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
                 if await self._write(partition, waiting[:limit]):
                     delay = 0.0
                 else:
--- a/packages/limpetwalk-node/limpetwalk_node/services.py
+++ b/packages/limpetwalk-node/limpetwalk_node/services.py
@@ -1,6 +1,7 @@
 """``/services/{name}/{path}`` and ``GET /outcomes/{key}``."""
 
 import base64
+from collections.abc import Callable
 import hashlib
 from typing import Any
 
@@ -11,6 +12,7 @@
 from limpetwalk import metrics as measures
 from limpetwalk import refusals
 from limpetwalk.backends import base as backends
+from limpetwalk.conf import snapshot
 from limpetwalk.records import base as records
 from limpetwalk.routing import access
 from limpetwalk.routing import service_routes
@@ -45,6 +47,7 @@
 class PlainServices:
     """Endpoint that calls plain services.
 
+    :param config: returns the configuration in force.
     :param services: calls plain services.
     :param flow: runs non-idempotent calls.
     :param bills_: writes bill entries.
@@ -54,12 +57,14 @@
 
     def __init__(
         self,
+        config: Callable[[], snapshot.Applied],
         services: parts.Services,
         flow: record_flow.RecordFlow,
         bills_: bills.Bills,
         clock: clocks.Clock,
         metrics: measures.Metrics,
     ) -> None:
+        self._config = config
         self._services = services
         self._flow = flow
         self._bills = bills_
@@ -94,6 +99,11 @@
         body = await call.body()
         query = call.req.rel_url.raw_query_string
         headers = call.req.headers
+
+        def check() -> None:
+            cfg = self._config().snapshot
+            access.check_service(cfg, call.workspace.name, service)
+
         return work.ServiceWork(
             request_id=call.request_id,
             service=service,
@@ -103,18 +113,18 @@
             body=body,
             priority=call.workspace.priority,
             deadline=self._clock.monotonic() + call.timeout(timeout),
+            check=check,
         )
 
     async def _idempotent(
         self, call: calls.Call, item: work.ServiceWork
     ) -> web.Response:
         answer = await self._services.call(item)
-        await self._bills.write(
+        await self._bills.write_call(
             call.workspace.name,
             chat.billing_key(call, item.body),
             item.request_id,
             item.service,
-            (item.service,),
         )
         self._answers.labels("idempotent").inc()
         return _response(answer, item.request_id, replayed=False)
@@ -137,10 +147,14 @@
     """Endpoint that tells the outcome of an idempotency key.
 
     :param store: durable records.
+    :param flow: settles records that were left open.
     """
 
-    def __init__(self, store: records.RecordStore) -> None:
+    def __init__(
+        self, store: records.RecordStore, flow: record_flow.RecordFlow
+    ) -> None:
         self._store = store
+        self._flow = flow
 
     async def __call__(self, call: calls.Call) -> web.StreamResponse:
         """Tell what is known of a key of the caller's workspace.
@@ -162,6 +176,7 @@
                 404,
                 "Nothing is recorded under this Idempotency-Key.",
             )
+        record = await self._flow.settle(record)
         return web.json_response(_describe(record))
 
 
--- a/packages/limpetwalk/limpetwalk/routing/attempts.py
+++ b/packages/limpetwalk/limpetwalk/routing/attempts.py
@@ -1,5 +1,7 @@
 """Attempts of one request: retries, budget and what is proved of its run."""
 
+import dataclasses
+
 from .. import clock as clocks
 from .. import metrics as metrics_module
 from .. import refusals
@@ -56,8 +58,7 @@
         """Return a refusal with the run state of the earlier attempts."""
         if self.run is refusals.RunState.NOT_RUN:
             return exc
-        refusal = exc.refusal
-        return refuse.refused(refusal.reason, self.run, refusal.message)
+        return refusals.Refused(dataclasses.replace(exc.refusal, run=self.run))
 
 
 class Retries:
--- a/packages/limpetwalk/limpetwalk/routing/core.py
+++ b/packages/limpetwalk/limpetwalk/routing/core.py
@@ -34,8 +34,8 @@
     :param permits: permits for cold servers.
     :param quarantine: requests that crash servers.
     :param around: what the node knows of where it runs.
-    :param balancer: choice among usable replicas; None takes the lesser
-        loaded of two.
+    :param balancer: choice among usable replicas; None takes the one
+        with the fewest requests of this node.
     :param factory: makes the client of a server.
     """
 
@@ -61,16 +61,17 @@
             retry_budget.RetryBudget(), clock, metrics
         )
         self.hedger = hedging.Hedger(self.retries, clock)
-        zone = self.directory.around.zone
+        live_nodes = self.directory.around.live_nodes
         self.admission = admission.Admission(
             self.directory,
-            balancer or balancers.LeastOfTwo(clock, rng, zone),
+            balancer or balancers.LeastInFlight(clock, rng, live_nodes),
             permits,
             lambda: config().snapshot.tuning.queue_length,
             clock,
             metrics,
         )
         self._config = config
+        self._clock = clock
         self._refused = metrics.counter(
             "limpetwalk_dispatch_refusals",
             "Requests that the dispatcher refused.",
@@ -93,6 +94,15 @@
         self.retries.budget.first_try(self.tuning.retry_share)
         return attempts_module.Attempts(request_id, deadline)
 
+    def note_report(
+        self, replica: replicas.Replica, report: backends.LoadReport
+    ) -> None:
+        """Take a replica's load report and wake who waits for it."""
+        if replica.note_report(report, self._clock.monotonic()):
+            self.outcomes.note_boot(replica)
+        if self.admission.waiting:
+            self.admission.pump(replicas.subjects(replica.server))
+
     def count_refusal(self, exc: refusals.Refused) -> None:
         """Count a refusal by its reason and run state."""
         refusal = exc.refusal
--- a/packages/limpetwalk/limpetwalk/routing/dispatch.py
+++ b/packages/limpetwalk/limpetwalk/routing/dispatch.py
@@ -92,6 +92,7 @@
         fingerprint: str,
     ) -> admission.Slot:
         try:
+            work.check()
             self.core.refuse_withdrawn(work.target)
         except refusals.Refused as exc:
             raise attempts.restate(exc) from None
@@ -99,7 +100,8 @@
             attempts, work.target, work.priority, work.affinity, fingerprint
         )
         try:
-            # The version may have been withdrawn during a wait for a slot.
+            # The configuration may have changed during a wait for a slot.
+            work.check()
             self.core.refuse_withdrawn(work.target)
         except refusals.Refused as exc:
             self.core.admission.release(slot)
@@ -270,9 +272,15 @@
         attempts: attempts_module.Attempts,
         fingerprint: str,
     ) -> admission.Slot:
-        return await self.core.acquire(
+        slot = await self.core.acquire(
             attempts, work.service, work.priority, "", fingerprint
         )
+        try:
+            work.check()
+        except refusals.Refused as exc:
+            self.core.admission.release(slot)
+            raise attempts.restate(exc) from None
+        return slot
 
 
 def _fingerprint(work: works.ServiceWork) -> str:
--- a/tests/limpetwalk/records/test_store.py
+++ b/tests/limpetwalk/records/test_store.py
@@ -3,7 +3,6 @@
 import itertools
 import unittest
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 from result import Err
@@ -12,9 +11,11 @@
 from limpetwalk import exceptions
 from limpetwalk.backends import base as backends
 from limpetwalk.platform import memory
+from limpetwalk.records import answers
 from limpetwalk.records import base
 from limpetwalk.records import store
 
+from ... import machines
 from .. import stepped
 
 State = base.RecordState
@@ -118,12 +119,11 @@
 
     async def test_only_the_dispatching_node_can_say_not_run(self):
         record = await self.dispatched(self.first)
-        for move in (
-            self.second.release(record),
-            self.second.finish(record, State.NOT_RUN),
-        ):
-            with self.assertRaises(ValueError):
-                await move
+        lost = Err(base.LostClaim(record))
+        self.assertEqual(lost, await self.second.release(record))
+        outcome = await self.second.finish(record, State.NOT_RUN)
+        self.assertEqual(lost, outcome)
+        self.assertEqual(State.DISPATCHED, (await self.read()).state)
 
     async def test_answer_after_another_node_gave_up_is_kept(self):
         record = await self.dispatched(self.first)
@@ -149,6 +149,28 @@
         await self.first.finish(record, State.NOT_RUN)
         await self.claimed(self.second, "r2")
 
+    async def test_dispatch_that_applied_unknown_is_closed_as_not_run(self):
+        async def go_down(_):
+            self.table.faults.unavailable = True
+
+        record = await self.claimed(self.first)
+        self.table.faults.after = go_down
+        self.table.faults.lose_answers = 1
+        with self.assertRaises(exceptions.StoreUnavailable):
+            await self.first.dispatch(record, "a1", "s1")
+        self.table.faults = memory.Faults()
+        self.assertEqual(State.DISPATCHED, (await self.read()).state)
+        outcome = await self.first.finish(record, State.NOT_RUN)
+        self.assertTrue(outcome.is_ok())
+        self.assertEqual(State.NOT_RUN, (await self.read()).state)
+
+    async def test_dispatch_of_another_node_is_not_closed_as_not_run(self):
+        record = await self.claimed(self.first)
+        await self.first.dispatch(record, "a1", "s1")
+        outcome = await self.second.finish(record, State.NOT_RUN)
+        self.assertTrue(outcome.is_err())
+        self.assertEqual(State.DISPATCHED, (await self.read()).state)
+
     async def test_moves_out_of_turn_are_errors(self):
         record = await self.claimed(self.first)
         for move in (
@@ -190,7 +212,7 @@
         self.assertIsNone(await self.read())
 
     async def test_large_answer_lies_in_the_object_store(self):
-        body = b"x" * (store.INLINE_LIMIT_BYTES + 1)
+        body = b"x" * (answers.INLINE_LIMIT_BYTES + 1)
         large = backends.ServiceAnswer(200, body)
         record = await self.dispatched(self.first)
         await self.first.answer(record, large)
@@ -249,7 +271,11 @@
         record = outcome.record
         while True:
             attempt = self.name("a")
-            moved = await held.dispatch(record, attempt, "s1")
+            try:
+                moved = await held.dispatch(record, attempt, "s1")
+            except exceptions.StoreUnavailable:
+                await held.finish(record, State.NOT_RUN)
+                return
             if isinstance(moved, Err):
                 return
             self.sent.append(attempt)
@@ -316,13 +342,7 @@
             assert record.state not in (State.CLAIMED, State.NOT_RUN)
 
 
-RecordMachineTest = RecordMachine.TestCase
-RecordMachineTest.settings = hypothesis.settings(
-    max_examples=200,
-    stateful_step_count=30,
-    deadline=None,
-    derandomize=True,
-)
+RecordMachineTest = machines.make_case(RecordMachine, 200, 30)
 
 
 class InterleavingTest(unittest.TestCase):
