--- a/tests/limpetwalk_node/processes.py
+++ b/tests/limpetwalk_node/processes.py
@@ -92,6 +92,13 @@
             self._service("registry-1"),
             self._service("orders-1", answer_ms=1500, keep_outcomes=True),
         ]
+        try:
+            self._begin()
+        except BaseException:
+            self.close()
+            raise
+
+    def _begin(self) -> None:
         ports = [process.await_ready() for process in self.processes]
         self.platform_ports, self.engine_ports = ports[:2]
         self.service_ports, self.slow_ports = ports[2:]
