Never call a repeat not run before its record was read

Cause: a call with an Idempotency-Key that met a store outage, a node that was shutting down or a limit was refused not_run before its record was read; an earlier sending may have run, and a caller who believed not_run and took a new key had it run twice. Such refusals now say unknown.

Ruled out: asking peers whether they saw the key (a lost node cannot answer).

--- a/packages/limpetwalk-node/limpetwalk_node/callers.py
+++ b/packages/limpetwalk-node/limpetwalk_node/callers.py
@@ -17,6 +17,7 @@
 from . import authentication
 from . import calls
 from . import errors
+from . import keyed
 from . import lifecycle
 from . import parts
 from . import readers
@@ -103,7 +104,8 @@
         try:
             resp = await self._serve(req, request_id)
         except refusals.Refused as exc:
-            resp = self._refuse(exc.refusal, request_id)
+            refusal = keyed.restate(req, exc.refusal)
+            resp = self._refuse(refusal, request_id)
         except ConnectionResetError:
             raise
         except Exception:
@@ -121,7 +123,7 @@
     async def _serve(
         self, req: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
-        applied = self._admissible()
+        applied = self._admissible(req)
         header = req.headers.get("Authorization")
         workspace = self._keys.authenticate(applied, header)
         endpoint = self._endpoint(req)
@@ -129,7 +131,7 @@
             call = calls.Call(req, request_id, applied, workspace)
             return await endpoint(call)
 
-    def _admissible(self) -> snapshot.Applied:
+    def _admissible(self, req: web.BaseRequest) -> snapshot.Applied:
         """Return the configuration in force while new work is taken."""
         if self._life.phase is lifecycle.Phase.DRAINING:
             raise _unavailable(
@@ -148,10 +150,11 @@
                 "This node can't confirm that its configuration is in force.",
             )
         if self._is_full():
-            raise _unavailable(
+            exc = _unavailable(
                 refusals.Reason.STORE_UNAVAILABLE,
                 "This node holds as many bill entries as it may.",
             )
+            raise refusals.Refused(keyed.not_looked_up(req, exc.refusal))
         return applied
 
     def _endpoint(self, req: web.BaseRequest) -> Endpoint:
--- a/packages/limpetwalk-node/limpetwalk_node/record_flow.py
+++ b/packages/limpetwalk-node/limpetwalk_node/record_flow.py
@@ -172,7 +172,7 @@
         try:
             claim = await self._store.claim(ident, item.request_id)
         except exceptions.StoreError:
-            raise record_refusals.store_down() from None
+            raise record_refusals.record_unread() from None
         if isinstance(claim, records.KeyReused):
             raise record_refusals.key_reused()
         if isinstance(claim, records.Existing):
--- a/packages/limpetwalk-node/limpetwalk_node/record_refusals.py
+++ b/packages/limpetwalk-node/limpetwalk_node/record_refusals.py
@@ -7,17 +7,34 @@
 
 
 def store_down() -> refusals.Refused:
-    """Return the refusal when no record could be made before a dispatch."""
+    """Return the refusal when a claimed request can't be dispatched."""
     return _refused(
         refusals.Reason.STORE_UNAVAILABLE,
         refusals.RunState.NOT_RUN,
         503,
-        "The record of the request could not be made, so it was not sent."
+        "The dispatch could not be recorded, so nothing was sent."
         " Send it again with the same Idempotency-Key.",
         RETRY_AFTER,
     )
 
 
+def record_unread() -> refusals.Refused:
+    """Return the refusal when the record of a key can't be read.
+
+    The request may be a repeat of one that ran, so only this sending is
+    known not to have run.
+    """
+    return _refused(
+        refusals.Reason.STORE_UNAVAILABLE,
+        refusals.RunState.UNKNOWN,
+        503,
+        "The record of the request can't be read, so this sending was not"
+        " run; whether an earlier one ran is not known. Send it again with"
+        " the same Idempotency-Key.",
+        RETRY_AFTER,
+    )
+
+
 def key_missing() -> refusals.Refused:
     """Return the refusal of a non-idempotent request without a key."""
     return _refused(
