--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/instances.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/platform/instances.py
@@ -2,6 +2,7 @@
 
 from aiohttp import web
 import pydantic
+import xxhash
 
 from limpetwalk import clock as clocks
 from limpetwalk.platform import base
@@ -76,6 +77,12 @@
         self._service.count("fetch")
 
         async def apply(_: web.Request) -> web.StreamResponse:
-            return web.json_response(http_sd.to_groups(self.visible()))
+            resp = web.json_response(http_sd.to_groups(self.visible()))
+            assert isinstance(resp.body, bytes)
+            resp.etag = xxhash.xxh64_hexdigest(resp.body)
+            if resp.headers["ETag"] == req.headers.get("If-None-Match"):
+                self._service.count("not_modified")
+                return web.Response(status=http_sd.NOT_MODIFIED)
+            return resp
 
         return await self._service.handle(req, False, apply)
--- a/packages/limpetwalk/limpetwalk/platform/http_sd.py
+++ b/packages/limpetwalk/limpetwalk/platform/http_sd.py
@@ -11,6 +11,7 @@
 from . import base
 from . import settings
 
+NOT_MODIFIED = 304
 LABEL = "__meta_limpetwalk_"
 
 
@@ -76,12 +77,17 @@
 class HttpInstanceList:
     """Instance list read over HTTP.
 
+    A list that has not changed is not sent again, when the service gives
+    entity tags (RFC 9110, section 8.8.3).
+
     :param cfg: where the list is.
     """
 
     def __init__(self, cfg: settings.InstanceListSettings) -> None:
         self._cfg = cfg
         self._session: aiohttp.ClientSession | None = None
+        self._etag = ""
+        self._held: list[base.Instance] = []
 
     async def open(self) -> None:
         """Make the HTTP session; no connection is opened yet."""
@@ -92,9 +98,16 @@
         """Return the list as it stands now."""
         assert self._session is not None
         try:
-            async with self._session.get(self._cfg.url) as answer:
+            async with self._session.get(
+                self._cfg.url, headers=self._condition()
+            ) as answer:
                 answer.raise_for_status()
-                return parse_groups(await answer.read())
+                if answer.status == NOT_MODIFIED and self._etag:
+                    return list(self._held)
+                found = parse_groups(await answer.read())
+                self._etag = answer.headers.get("ETag", "")
+                self._held = found
+                return list(found)
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
@@ -103,6 +116,9 @@
             text = str(exc) or type(exc).__name__
             raise exceptions.InstanceListUnavailable(text) from exc
 
+    def _condition(self) -> dict[str, str]:
+        return {"If-None-Match": self._etag} if self._etag else {}
+
     async def close(self) -> None:
         """Release connections."""
         if self._session is not None:
--- a/tests/limpetwalk/platform/test_instances.py
+++ b/tests/limpetwalk/platform/test_instances.py
@@ -111,6 +111,18 @@
     async def switch(self, fault):
         await self.remote.switch(faults.ServiceName.INSTANCES, fault)
 
+    async def test_a_list_that_has_not_changed_is_not_sent_again(self):
+        await self.show([ENTRY])
+        for _ in range(3):
+            self.assertEqual([ENTRY], await self.listed.fetch())
+        counts = self.remote.standins.services[
+            faults.ServiceName.INSTANCES
+        ].counts
+        self.assertEqual(2, counts["not_modified"])
+        await self.show([BACKEND])
+        self.assertEqual([ENTRY, BACKEND], await self.listed.fetch())
+        self.assertEqual(2, counts["not_modified"])
+
     async def test_slow_read_is_given_up(self):
         await self.switch(Fault.SLOW)
         with self.assertRaises(exceptions.InstanceListUnavailable):
