--- a/tests/limpetwalk/test_leases.py
+++ b/tests/limpetwalk/test_leases.py
@@ -87,6 +87,12 @@
                     lease = (await self.first.renew(lease)).unwrap()
                 self.assertTrue((await self.first.renew(lease)).is_ok())
 
+    async def test_lost_answer_to_a_release_is_settled(self):
+        lease = await self.take(self.first)
+        self.table.faults.lose_answers = 1
+        self.assertEqual(Ok(None), await self.first.release(lease))
+        self.assertEqual(2, (await self.take(self.second)).fencing)
+
     async def test_store_down_is_said(self):
         lease = await self.take(self.first)
         self.table.faults.unavailable = True
