Lead roll-outs: pool evidence of all nodes and halt by configuration

Each node counts the outcomes of the versions in running roll-outs and sends numbered windows to the roll-out's lead, a lease holder. The sums and each sender's newest window lie in a row, so another node goes on from there. Before a halt the row is put together with the lease's condition, and the change is only accepted on the generation that was judged.

--- a/packages/limpetwalk-node/limpetwalk_node/app.py
+++ b/packages/limpetwalk-node/limpetwalk_node/app.py
@@ -47,6 +47,7 @@
     :param status: returns what ``/status`` shows.
     :param waits: bounds of a repeat's wait for the run under way.
     :param retries: bound of the tries to note the end of a run.
+    :param observer: told of the outcomes of cascades' steps.
     """
 
     name: str
@@ -67,6 +68,7 @@
     rng: random.Random
     waits: record_flow.Waits = record_flow.Waits()
     retries: record_notes.Retries = record_notes.Retries()
+    observer: climb.Observer | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +122,7 @@
         held.clock,
         held.metrics,
         held.rng,
+        held.observer,
     )
     return chat.ChatCompletions(climber, bills_, held.clock, held.metrics)
 
--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -27,11 +27,13 @@
 from . import billing
 from . import config
 from . import crashes
+from . import evidence
 from . import holders
 from . import instances
 from . import permit_grantor
 from . import permits
 from . import reports
+from . import rollout_lead
 from . import server_outcomes
 from . import settings
 from . import status
@@ -39,6 +41,7 @@
 PLUGINS = [
     "limpetwalk.backends.openai",
     "limpetwalk.backends.plain",
+    "limpetwalk.rollouts.guard",
     "limpetwalk.routing.adaptive",
     "limpetwalk.routing.cascade",
 ]
@@ -113,6 +116,15 @@
             self.clock,
             self.metrics,
         )
+        self._lead = self._make_lead()
+        self._evidence = evidence.EvidenceRecorder(
+            self.hub,
+            self._lead,
+            self.keeper.current,
+            self.clock,
+            self.rng,
+            self.metrics,
+        )
         self._core = self._make_core()
         self._reports = reports.LoadReports(
             self.hub,
@@ -133,9 +145,13 @@
         await self._sweeper.start()
         await self._crashes.start()
         await self._reports.start()
+        await self._lead.start()
+        await self._evidence.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Release the leases, leave the peers and close all connections."""
+        await self._evidence.stop()
+        await self._lead.stop()
         await self._reports.stop()
         await self._crashes.stop()
         await self._permits.stop()
@@ -169,6 +185,18 @@
             self._spills,
         )
 
+    def _make_lead(self) -> rollout_lead.RolloutLead:
+        platform = self.platform
+        return rollout_lead.RolloutLead(
+            self.hub,
+            leases.LeaseKeeper(platform.table, self.clock, self._holders.own),
+            platform.table,
+            heads.HeadStore(platform.table, platform.objects, self.clock),
+            self.keeper.current,
+            self.clock,
+            self.metrics,
+        )
+
     def _tuning(self) -> snapshot.Tuning:
         applied = self.keeper.current()
         return applied.snapshot.tuning if applied else snapshot.Tuning()
@@ -231,4 +259,5 @@
             clock=self.clock,
             metrics=self.metrics,
             rng=self.rng,
+            observer=self._evidence,
         )
--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -35,6 +35,33 @@
         ...
 
 
+class Observer(Protocol):
+    """Told what became of the steps of each version."""
+
+    def finished(self, target: snapshot.ModelVersion) -> None:
+        """Note a whole answer in time."""
+        ...
+
+    def failed(self, target: snapshot.ModelVersion) -> None:
+        """Note a request that the version's backend servers failed."""
+        ...
+
+    def rated(self, target: snapshot.ModelVersion, score: float) -> None:
+        """Note the rating of a whole answer."""
+        ...
+
+
+# Reasons that speak against a version once it ran; the others are the
+# caller's or come of load.
+VERSION_FAULTS = frozenset(
+    {
+        refusals.Reason.BACKEND_SERVER_FAILED,
+        refusals.Reason.RETRY_BUDGET_SPENT,
+        refusals.Reason.DEADLINE_EXCEEDED,
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class _Draft:
     deltas: list[backends.Delta]
@@ -54,6 +81,7 @@
     :param clock: clock of deadlines.
     :param metrics: metrics of the process.
     :param rng: source of the policies' draws.
+    :param observer: told of the steps' outcomes, or None.
     """
 
     def __init__(
@@ -64,8 +92,10 @@
         clock: clocks.Clock,
         metrics: measures.Metrics,
         rng: random.Random,
+        observer: Observer | None = None,
     ) -> None:
         self._config = config
+        self._observer = observer
         self._engines = engines
         self._ratings = ratings
         self._clock = clock
@@ -140,11 +170,16 @@
             events = self._engines.complete(item)
             async with contextlib.aclosing(events):
                 async for event in events:
+                    is_last = isinstance(event, backends.Finished)
+                    if is_last and self._observer is not None:
+                        self._observer.finished(target)
                     yield event
             self._planner.note_pace(
                 target.model, self._clock.monotonic() - began
             )
         except refusals.Refused as exc:
+            if self._observer is not None and _is_fault(exc.refusal):
+                self._observer.failed(target)
             raise _after_steps(exc, steps) from None
 
     def _work(
@@ -198,6 +233,8 @@
         except exceptions.RatingUnavailable:
             self._unrated.inc()
             return policy.unrated(question, step.index)
+        if self._observer is not None:
+            self._observer.rated(target, score)
         met = score >= question.target
         policy.observe(question, step.index, met)
         return None if met else policy.climb(question, step.index)
@@ -242,6 +279,12 @@
     return -(-milli // 1000)
 
 
+def _is_fault(refusal: refusals.Refusal) -> bool:
+    if refusal.run is refusals.RunState.NOT_RUN:
+        return False
+    return refusal.reason in VERSION_FAULTS
+
+
 def _after_steps(
     exc: refusals.Refused, steps: list[snapshot.ModelVersion]
 ) -> refusals.Refused:
