--- a/packages/limpetwalk-node/limpetwalk_node/reports.py
+++ b/packages/limpetwalk-node/limpetwalk_node/reports.py
@@ -21,10 +21,10 @@
 from limpetwalk.peers import rendezvous
 from limpetwalk.routing import replicas
 
-READ_INTERVAL = 1.0
+READ_INTERVAL = 2.0
 READ_TIMEOUT = 1.0
 # Unchanged loads are told again before receivers take them for outdated.
-REPEAT_INTERVAL = 2.0
+REPEAT_INTERVAL = 4.0
 CHANGE_SHARE = 0.1
 
 
