Test that a request of a paused node is not run again

A node is stopped (SIGSTOP) while a service runs a request for it; the same key is sent to another node, then the first goes on. The service's run log and the ledger hold one run and one entry.

--- a/tests/limpetwalk_node/test_main.py
+++ b/tests/limpetwalk_node/test_main.py
@@ -187,6 +187,59 @@
             return await resp.json()
 
 
+class PausedNode(Base):
+    """A node is paused while a service runs a request for it."""
+
+    PATH = "/services/orders/payments"
+    BODY = {"reference": "paused-1", "amount": 7}
+    KEY = {"Idempotency-Key": "paused-1"}
+
+    async def runs(self):
+        url = f"http://127.0.0.1:{SITE.slow_ports['control']}/_runs"
+        async with self.http.get(url) as resp:
+            log = await resp.json()
+        return [run for run in log["runs"] if run["key"] == "paused-1"]
+
+    async def send(self, node):
+        """Send the request again until it has an answer or is told."""
+        while True:
+            async with self.http.post(
+                node.url + self.PATH, json=self.BODY, headers=self.KEY
+            ) as resp:
+                if resp.status not in (409, 503):
+                    return resp.status
+            await asyncio.sleep(0.05)
+
+    async def test_request_is_not_run_again(self):
+        paused = await asyncio.to_thread(super().start, "node-paused")
+        try:
+            async with asyncio.timeout(processes.TIMEOUT):
+                first = asyncio.create_task(self.send(paused))
+                while not await self.runs():
+                    await asyncio.sleep(0.02)
+                paused.popen.send_signal(signal.SIGSTOP)
+                # The service has answered into the paused node's buffers
+                # by the time the repeats at the other node are told.
+                second = await self.send(self.node)
+                self.assertIn(second, (200, 502))
+                paused.popen.send_signal(signal.SIGCONT)
+                self.assertIn(await first, (200, 502))
+                while (await self.outcome())["state"] != "answered":
+                    await asyncio.sleep(0.1)
+        finally:
+            await asyncio.to_thread(paused.stop)
+        self.assertEqual(200, await self.send(self.node))
+        self.assertEqual(1, len(await self.runs()))
+        entries = await asyncio.to_thread(SITE.bills)
+        billed = [e for e in entries if e.request_key == "paused-1"]
+        self.assertEqual(1, len(billed))
+
+    async def outcome(self):
+        url = f"{self.node.url}/outcomes/paused-1"
+        async with self.http.get(url) as resp:
+            return await resp.json()
+
+
 class Stopping(Base):
     def terminate(self):
         self.node.popen.send_signal(signal.SIGTERM)
