Count failures that retries hide as evidence; test the lead's races

A version that fails one attempt in five was answered by the retries, so the guard saw next to nothing of it: each failed attempt is told to the climber now (EngineWork.on_failure), and a step with one counts as failed. An end of a roll-out clears its sums, so a later start is judged by new evidence.

--- a/packages/limpetwalk-node/limpetwalk_node/evidence.py
+++ b/packages/limpetwalk-node/limpetwalk_node/evidence.py
@@ -66,7 +66,8 @@
         self._task: asyncio.Task[None] | None = None
         self._windows = metrics.counter(
             "limpetwalk_evidence_windows",
-            "Windows of evidence: sent, kept in the row, or lost.",
+            "Windows of evidence: sent, stored in the row, lost for want of "
+            "a lead, or dropped as their roll-out ended.",
             ("outcome",),
         )
 
@@ -107,7 +108,8 @@
         running = {rollout.name for rollout in self._running()}
         for name in list(self._subjects):
             if name not in running:
-                del self._subjects[name]
+                ended = self._subjects.pop(name)
+                self._windows.labels("ended").inc(len(ended.closed))
                 continue
             self._close(name, self._subjects[name])
             await self._send_all(name, self._subjects[name])
--- a/packages/limpetwalk-node/limpetwalk_node/rollout_lead.py
+++ b/packages/limpetwalk-node/limpetwalk_node/rollout_lead.py
@@ -187,7 +187,9 @@
                 put = platform.Put(
                     row.key, pool.model_dump_json(), row.version
                 )
-                await self._table.transact([put], uuid.uuid4().hex)
+                outcome = await self._table.transact([put], uuid.uuid4().hex)
+                if isinstance(outcome, Err):
+                    return
         except exceptions.StoreError:
             return
         self._cleared.add(name)
--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -39,11 +39,11 @@
     """Told what became of the steps of each version."""
 
     def finished(self, target: snapshot.ModelVersion) -> None:
-        """Note a whole answer in time."""
+        """Note a whole answer in time, at the first attempt."""
         ...
 
     def failed(self, target: snapshot.ModelVersion) -> None:
-        """Note a request that the version's backend servers failed."""
+        """Note a request with an attempt that failed by the version."""
         ...
 
     def rated(self, target: snapshot.ModelVersion, score: float) -> None:
@@ -51,13 +51,14 @@
         ...
 
 
-# Reasons that speak against a version once it ran; the others are the
-# caller's or come of load.
+# Failures of an attempt that speak against the version; the others come of
+# load, of the network or of the caller.
 VERSION_FAULTS = frozenset(
     {
-        refusals.Reason.BACKEND_SERVER_FAILED,
-        refusals.Reason.RETRY_BUDGET_SPENT,
-        refusals.Reason.DEADLINE_EXCEEDED,
+        backends.FailureKind.SERVER_ERROR,
+        backends.FailureKind.TRUNCATED,
+        backends.FailureKind.SILENT,
+        backends.FailureKind.CONNECTION_LOST,
     }
 )
 
@@ -164,26 +165,49 @@
         target: snapshot.ModelVersion,
         steps: list[snapshot.ModelVersion],
     ) -> AsyncGenerator[backends.EngineEvent, None]:
+        kinds: list[backends.FailureKind] = []
         try:
-            item = self._work(job, target)
+            item = self._work(job, target, kinds.append)
             began = self._clock.monotonic()
             events = self._engines.complete(item)
             async with contextlib.aclosing(events):
                 async for event in events:
                     is_last = isinstance(event, backends.Finished)
-                    if is_last and self._observer is not None:
-                        self._observer.finished(target)
+                    if is_last:
+                        self._observe(target, kinds, is_whole=True)
                     yield event
             self._planner.note_pace(
                 target.model, self._clock.monotonic() - began
             )
         except refusals.Refused as exc:
-            if self._observer is not None and _is_fault(exc.refusal):
-                self._observer.failed(target)
+            if _is_late(exc.refusal):
+                kinds.append(backends.FailureKind.SILENT)
+            self._observe(target, kinds, is_whole=False)
             raise _after_steps(exc, steps) from None
 
+    def _observe(
+        self,
+        target: snapshot.ModelVersion,
+        kinds: list[backends.FailureKind],
+        is_whole: bool,
+    ) -> None:
+        """Tell the observer once of a step.
+
+        A retry at another replica hides a failure from the caller, not from
+        the observer.
+        """
+        if self._observer is None:
+            return
+        if not VERSION_FAULTS.isdisjoint(kinds):
+            self._observer.failed(target)
+        elif is_whole:
+            self._observer.finished(target)
+
     def _work(
-        self, job: answers.Job, target: snapshot.ModelVersion
+        self,
+        job: answers.Job,
+        target: snapshot.ModelVersion,
+        on_failure: Callable[[backends.FailureKind], None],
     ) -> work.EngineWork:
         cfg = self._config().snapshot
 
@@ -200,6 +224,7 @@
             deadline=job.deadline,
             affinity=job.affinity,
             check=check,
+            on_failure=on_failure,
         )
 
     async def _draft(
@@ -279,10 +304,10 @@
     return -(-milli // 1000)
 
 
-def _is_fault(refusal: refusals.Refusal) -> bool:
+def _is_late(refusal: refusals.Refusal) -> bool:
     if refusal.run is refusals.RunState.NOT_RUN:
         return False
-    return refusal.reason in VERSION_FAULTS
+    return refusal.reason is refusals.Reason.DEADLINE_EXCEEDED
 
 
 def _after_steps(
--- a/packages/limpetwalk/limpetwalk/routing/dispatch.py
+++ b/packages/limpetwalk/limpetwalk/routing/dispatch.py
@@ -83,6 +83,8 @@
                         yield event
                 return
             except backends.AttemptFailed as exc:
+                if work.on_failure is not None:
+                    work.on_failure(exc.kind)
                 self.core.retries.allow(attempts, exc)
 
     async def _acquire(
--- a/packages/limpetwalk/limpetwalk/routing/work.py
+++ b/packages/limpetwalk/limpetwalk/routing/work.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..backends import base as backends
 from ..conf import snapshot
 
 Check = Callable[[], None]
@@ -27,6 +28,8 @@
         room, such as a session or the head of a prompt; empty for none.
     :param check: called right before each attempt; raises ``Refused`` when
         the request may not run any more.
+    :param on_failure: called with the kind of each failed attempt, also when
+        the request is tried again.
     """
 
     request_id: str
@@ -36,6 +39,7 @@
     deadline: float
     affinity: str = ""
     check: Check = allow
+    on_failure: Callable[[backends.FailureKind], None] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limpetwalk/routing/test_climb.py
+++ b/tests/limpetwalk/routing/test_climb.py
@@ -8,10 +8,12 @@
 from limpetwalk import metrics as measures
 from limpetwalk import refusals
 from limpetwalk import registry
+from limpetwalk.backends import base as backends
 from limpetwalk.conf import snapshot
 from limpetwalk.routing import answers
 from limpetwalk.routing import climb
 from limpetwalk.routing import planner
+from limpetwalk.routing import refuse
 from tests.limpetwalk_node import fakes
 
 
@@ -29,7 +31,18 @@
             self.clock,
             self.metrics,
             random.Random(1),
+            self,
         )
+        self.seen = []
+
+    def finished(self, target):
+        self.seen.append((target.model, "finished"))
+
+    def failed(self, target):
+        self.seen.append((target.model, "failed"))
+
+    def rated(self, target, score):
+        self.seen.append((target.model, score))
 
     def job(self, cascade="assistant", left=60.0):
         return answers.Job(
@@ -143,3 +156,53 @@
         await anext(events)
         await events.aclose()
         self.assertTrue(self.engines.cancelled.is_set())
+
+
+class Observations(Base):
+    async def test_each_step_and_rating_is_told(self):
+        self.ratings.scores["small"] = 0.2
+        await self.steps()
+        expected = [("small", "finished"), ("small", 0.2)]
+        self.assertEqual([*expected, ("large", "finished")], self.seen)
+
+    async def test_failure_that_a_retry_hides_is_told(self):
+        kind = backends.FailureKind
+        cases = [
+            (kind.SERVER_ERROR, "failed"),
+            (kind.TRUNCATED, "failed"),
+            (kind.SILENT, "failed"),
+            (kind.CONNECTION_LOST, "failed"),
+            (kind.CONNECT_FAILED, "finished"),
+            (kind.OVERLOADED, "finished"),
+            (kind.NOT_RUN, "finished"),
+        ]
+        complete = self.engines.complete
+        for failure, expected in cases:
+            with self.subTest(failure):
+
+                async def retried(item, failure=failure):
+                    item.on_failure(failure)
+                    async for event in complete(item):
+                        yield event
+
+                self.seen.clear()
+                self.engines.complete = retried
+                await self.steps(self.job("strong"))
+                self.assertEqual([("large", expected)], self.seen)
+
+    async def test_refusals_are_told_when_the_version_is_at_fault(self):
+        reason = refusals.Reason
+        state = refusals.RunState
+        cases = [
+            (reason.DEADLINE_EXCEEDED, state.UNKNOWN, ["failed"]),
+            (reason.DEADLINE_EXCEEDED, state.NOT_RUN, []),
+            (reason.MALFORMED_BODY, state.UNKNOWN, []),
+            (reason.QUEUE_FULL, state.NOT_RUN, []),
+        ]
+        for why, run, expected in cases:
+            with self.subTest(why, run=run):
+                self.seen.clear()
+                self.engines.failure = refuse.refused(why, run, "x")
+                with self.assertRaises(refusals.Refused):
+                    await self.steps(self.job("strong"))
+                self.assertEqual([("large", e) for e in expected], self.seen)
--- a/tests/limpetwalk/routing/test_dispatch.py
+++ b/tests/limpetwalk/routing/test_dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import unittest
 
@@ -83,6 +84,14 @@
                 )
                 self.assertEqual(1, count)
 
+    async def test_a_failure_is_told_although_a_retry_hides_it(self):
+        site = fakes.Site()
+        self.fail_first(site, fakes.failure(Kind.SERVER_ERROR))
+        kinds = []
+        work = dataclasses.replace(site.engine_work(), on_failure=kinds.append)
+        self.assertEqual(WHOLE, await _text(_engines(site), work))
+        self.assertEqual([Kind.SERVER_ERROR], kinds)
+
     async def test_a_broken_stream_is_resumed_from_its_offset(self):
         site = fakes.Site()
         self.fail_first(
--- a/tests/limpetwalk_node/test_rollout_lead.py
+++ b/tests/limpetwalk_node/test_rollout_lead.py
@@ -1,5 +1,6 @@
 """Tests of the evidence of roll-outs and of their lead."""
 
+import dataclasses
 import random
 import unittest
 
@@ -18,6 +19,7 @@
 from limpetwalk.peers import rendezvous
 from limpetwalk.platform import memory
 from limpetwalk_node import evidence
+from limpetwalk_node import rollout_halt
 from limpetwalk_node import rollout_lead
 from limpetwalk_node import rollout_rows
 from tests.limpetwalk.conf import sites
@@ -193,9 +195,15 @@
         await self.step()
         before = self.row().sums
         self.assertEqual(before["2"].requests, 10)
+        # The senders learn that the row holds their windows.
+        await self.step()
         self.live.remove(FIRST)
         await self.step(12.0)
         self.assertIn(SECOND, self.leading())
+        self.nodes[RANKED[2]].see(CANDIDATE, 4, 1)
+        await self.step()
+        self.assertEqual(self.row().sums["2"].requests, 15)
+        self.assertIs(await self.state(), State.RUNNING)
         await self.observe_bad(RANKED[2:6])
         await self.step()
         self.assertEqual(self.row().sums, {})
@@ -255,6 +263,8 @@
         await self.step()
         await self.step()
         self.assertEqual(self.row().sums["2"].requests, 7)
+        self.assertEqual(self.first.table.faults.lose_answers, 0)
+        self.assertEqual(self.first.lead._runs[NAME].lease.fencing, 1)
 
     async def test_store_down_and_back(self):
         await self.step()
@@ -287,6 +297,50 @@
         self.assertIs(await self.state(), State.PAUSED)
         self.assertEqual(self.first.halts, 0)
 
+    async def test_operator_who_starts_anew_at_the_same_moment_wins(self):
+        await self.step()
+        await self.observe_bad(NAMES)
+        moved = []
+
+        async def start_anew(operation):
+            if operation == "transact" and not moved:
+                moved.append(operation)
+                await self.operate(Action.HALT)
+                await self.operate(Action.START)
+
+        self.first.table.faults.after = start_anew
+        await self.step(2.0)
+        self.assertTrue(moved)
+        self.assertIs(await self.state(), State.RUNNING)
+        self.assertEqual(self.first.halts, 0)
+
+    async def test_only_a_running_roll_out_is_halted(self):
+        rollout = self.applied.snapshot.rollouts[NAME]
+        edit = rollout_halt.GuardHalt(rollout, "failures")
+        running = await self.store.document(await self.store.read())
+        self.assertNotEqual(edit.apply(running).ok_value, running)
+        for action in (Action.PAUSE, Action.HALT, Action.FINISH):
+            move = rollout_edits.MoveRollout(NAME, action)
+            moved = move.apply(running).ok_value
+            with self.subTest(action):
+                self.assertEqual(edit.apply(moved).ok_value, moved)
+        other = dataclasses.replace(rollout, candidate="3")
+        edit = rollout_halt.GuardHalt(other, "failures")
+        self.assertEqual(edit.apply(running).ok_value, running)
+
+    async def test_evidence_before_an_operators_halt_is_dropped(self):
+        await self.step()
+        self.nodes[RANKED[2]].see(CANDIDATE, 9)
+        await self.step()
+        self.assertEqual(self.row().sums["2"].requests, 9)
+        for action in (Action.HALT, Action.START):
+            await self.operate(action)
+            await self.follow()
+            await self.step()
+        self.nodes[RANKED[2]].see(CANDIDATE, 2)
+        await self.step()
+        self.assertEqual(self.row().sums["2"].requests, 2)
+
     async def test_halted_and_started_anew_is_judged_anew(self):
         await self.step()
         await self.observe_bad(NAMES)
@@ -328,6 +382,15 @@
             await node.recorder.round()
         self.assertEqual(node.count("evidence_windows", outcome="lost"), 3)
 
+    async def test_windows_of_a_paused_roll_out_are_dropped(self):
+        node = self.nodes[RANKED[2]]
+        node.see(CANDIDATE, 1)
+        await node.recorder.round()
+        await self.operate(Action.PAUSE)
+        await self.follow()
+        await node.recorder.round()
+        self.assertEqual(node.count("evidence_windows", outcome="ended"), 1)
+
     async def test_ratings_add_to_counted_answers(self):
         await self.step()
         node = self.nodes[RANKED[2]]
