--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -5,34 +5,33 @@
 cd "$(dirname "$0")/.." || exit 2
 export PY=${PY:-.venv/bin/python}
 export OUT=${OUT:-docs/measurements}
+export SITE=${SITE:-run/bench}
 export COLUMNS=79
-mkdir -p "$OUT"
+mkdir -p "$OUT" "$SITE"
 failed=0
 
 # Runs one measurement module: page, then module with its flags.
 measure() {
     page="$OUT/$1.md"
+    new="$SITE/$1.new"
     shift
     echo "measuring: python -m $*"
-    if "$PY" -m "$@" >"$page.new" 2>"$page.err"; then
+    if "$PY" -m "$@" >"$new" 2>"$new.err"; then
         {
             printf '# %s\n\nCommand: `python -m %s`\n\n```\n' \
                 "$(basename "$page" .md)" "$*"
-            cat "$page.new"
+            cat "$new"
             printf '```\n'
         } >"$page"
-        rm -f "$page.err"
     else
         echo "failed:" >&2
-        tail -n 5 "$page.err" >&2
+        tail -n 5 "$new.err" >&2
         failed=1
     fi
-    rm -f "$page.new"
 }
 
 # Prints the URL of a stand-in's table service.
 start_table() {
-    export SITE=${SITE:-run/bench}
     # shellcheck source=scripts/site.sh
     . scripts/site.sh
     trap stop_site EXIT
