Ignore returns of permits that an earlier grantor gave

Cause: a permit returned while a new grantor asked the nodes what they hold was in no report, and its return then freed another permit of that node: one request too many at a cold backend server. Seen before: test_a_late_return_does_not_free_a_permit_that_is_in_use, 2 != 3 in use with an allowance of 2. Returns now carry the fencing number of the grant. Price: permits of the earlier grantor come back by their lifetime only.

--- a/packages/limpetwalk-node/limpetwalk_node/permit_grantor.py
+++ b/packages/limpetwalk-node/limpetwalk_node/permit_grantor.py
@@ -54,13 +54,16 @@
     """Permits granted for one server.
 
     ``fencing`` is the number of this node's last lease: when the next one
-    follows it, nobody else has granted in between. ``valid_until`` is the
+    follows it, nobody else has granted in between. ``collected`` is the number
+    of the lease under which the nodes were last asked what they hold; returns
+    of older permits change nothing. ``valid_until`` is the
     monotonic instant up to which the lease stands, ``blocked_until`` the one
     before which unknown permits may be held.
     """
 
     lease: leases.Lease | None = None
     fencing: int = 0
+    collected: int = 0
     valid_until: float = -math.inf
     blocked_until: float = -math.inf
     grants: list[_Grant] = field(default_factory=list)
@@ -147,6 +150,10 @@
     ) -> messages.Message:
         if not self._stands(pool):
             return messages.Failure(NO_LEASE)
+        if req.fencing < pool.collected:
+            # The node had given it back before it was asked what it holds,
+            # or will see it end with its lifetime.
+            return messages.PermitReply(req.server, 0, 0, 0.0)
         for grant in [g for g in pool.grants if g.node == node][: req.count]:
             pool.grants.remove(grant)
         return messages.PermitReply(req.server, 0, 0, 0.0)
@@ -222,6 +229,7 @@
             self._takeovers.inc()
             logger.info("this node grants permits of {}", server)
             await self._collect(server, pool)
+            pool.collected = lease.fencing
         pool.lease = lease
         pool.fencing = lease.fencing
         pool.valid_until = began + LEASE_TTL - LEASE_MARGIN
--- a/packages/limpetwalk-node/limpetwalk_node/permits.py
+++ b/packages/limpetwalk-node/limpetwalk_node/permits.py
@@ -200,7 +200,11 @@
         When none takes it, it ends with its lifetime.
         """
         req = messages.PermitRequest(
-            permit.server, permit.boot_id, 1, release=True
+            permit.server,
+            permit.boot_id,
+            1,
+            release=True,
+            fencing=permit.fencing,
         )
         await self._ask_grantors(req)
 
--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -83,6 +83,7 @@
   bootId @1 :Text;
   count @2 :UInt16;
   release @3 :Bool;
+  fencing @4 :UInt64;       # of the grant that is returned
 }
 
 struct PermitReply {
--- a/packages/limpetwalk/limpetwalk/peers/messages.py
+++ b/packages/limpetwalk/limpetwalk/peers/messages.py
@@ -96,12 +96,15 @@
     :param boot_id: boot that the permits are for.
     :param count: permits asked for or returned.
     :param release: whether permits are returned.
+    :param fencing: fencing number of the grantor that gave them, in a
+        return.
     """
 
     server: str
     boot_id: str
     count: int
     release: bool
+    fencing: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limpetwalk_node/test_permits.py
+++ b/tests/limpetwalk_node/test_permits.py
@@ -212,6 +212,22 @@
         await self.all_want()
         self.assertEqual(self.allowance, self.in_use())
 
+    async def test_a_late_return_does_not_free_a_permit_that_is_in_use(self):
+        late, taker = OTHERS
+        await self.nodes[late].want(2)
+        fencing = self.nodes[late].used[0].fencing
+        await self.nodes[late].finish(1)
+        self.nodes[OWNER].hub.leave()
+        await self.pass_time(11)
+        await self.nodes[taker].want(1)
+        self.assertEqual(2, self.in_use())
+        # The return was on its way while the new grantor asked around.
+        returned = messages.PermitRequest(SERVER, "boot", 1, True, fencing)
+        for name in OTHERS:
+            await self.nodes[name].grantor.grant(late, returned)
+        await self.all_want()
+        self.assertEqual(self.allowance, self.in_use())
+
     async def test_a_lost_nodes_permits_come_back_after_their_lifetime(self):
         await self.nodes[OWNER].want(1)
         await self.kill(OWNER)
