Build peers' frames field by field

Cause: profile of a node under load: 11% of its time went into encoding bill entries' copies; the library builds a struct from nested dicts slowly. Measured (timeit, one bill entry): 101 -> 20 us; an acknowledgement 49 -> 7 us; the frames are the same bytes, and their tests pass unchanged.

--- a/packages/limpetwalk/limpetwalk/peers/codec.py
+++ b/packages/limpetwalk/limpetwalk/peers/codec.py
@@ -79,7 +79,7 @@
 class _Field:
     name: str
     wire: str
-    encode: Callable[[Any], Any]
+    put: Callable[[Any, str, Any], None]
     decode: Callable[[Any], Any]
 
 
@@ -91,6 +91,32 @@
     return re.sub("_([a-z])", lambda found: found.group(1).upper(), name)
 
 
+def _put(builder: Any, wire: str, value: Any) -> None:
+    setattr(builder, wire, value)
+
+
+def _put_ms(builder: Any, wire: str, seconds: float) -> None:
+    setattr(builder, wire, _to_ms(seconds))
+
+
+def _put_purpose(builder: Any, wire: str, purpose: messages.Purpose) -> None:
+    setattr(builder, wire, purpose.value)
+
+
+def _put_texts(builder: Any, wire: str, texts: tuple[str, ...]) -> None:
+    built = builder.init(wire, len(texts))
+    for number, text in enumerate(texts):
+        built[number] = text
+
+
+def _put_entries(
+    builder: Any, wire: str, entries: tuple[ledger.BillEntry, ...]
+) -> None:
+    built = builder.init(wire, len(entries))
+    for number, entry in enumerate(entries):
+        _fill(_ENTRY_FIELDS, entry, built[number])
+
+
 def _to_ms(seconds: float) -> int:
     if seconds * MS_PER_SECOND >= NEVER_MS:
         return NEVER_MS
@@ -106,19 +132,14 @@
 def _field(field: dataclasses.Field[Any], kind: Any) -> _Field:
     wire = _camel(field.name)
     if field.name in SECONDS_FIELDS:
-        return _Field(field.name, f"{wire}Ms", _to_ms, _from_ms)
+        return _Field(field.name, f"{wire}Ms", _put_ms, _from_ms)
     if kind is messages.Purpose:
-        return _Field(
-            field.name,
-            wire,
-            lambda purpose: purpose.value,
-            _decode_purpose,
-        )
+        return _Field(field.name, wire, _put_purpose, _decode_purpose)
     if kind == tuple[str, ...]:
-        return _Field(field.name, wire, list, tuple)
+        return _Field(field.name, wire, _put_texts, tuple)
     if kind == tuple[ledger.BillEntry, ...]:
-        return _Field(field.name, wire, _encode_entries, _decode_entries)
-    return _Field(field.name, wire, _same, _same)
+        return _Field(field.name, wire, _put_entries, _decode_entries)
+    return _Field(field.name, wire, _put, _same)
 
 
 def _decode_purpose(value: Any) -> messages.Purpose:
@@ -137,11 +158,11 @@
     )
 
 
-def _to_wire(fields: tuple[_Field, ...], value: Any) -> dict[str, Any]:
-    return {
-        field.wire: field.encode(getattr(value, field.name))
-        for field in fields
-    }
+def _fill(fields: tuple[_Field, ...], value: Any, builder: Any) -> None:
+    # Setting fields one by one takes a sixth of the time that the library
+    # takes to build a struct from nested dicts.
+    for field in fields:
+        field.put(builder, field.wire, getattr(value, field.name))
 
 
 def _from_wire(fields: tuple[_Field, ...], reader: Any) -> dict[str, Any]:
@@ -151,10 +172,6 @@
     }
 
 
-def _encode_entries(entries: tuple[ledger.BillEntry, ...]) -> list[Any]:
-    return [_to_wire(_ENTRY_FIELDS, entry) for entry in entries]
-
-
 def _decode_entries(readers: Any) -> tuple[ledger.BillEntry, ...]:
     return tuple(
         ledger.BillEntry(**_from_wire(_ENTRY_FIELDS, reader))
@@ -177,21 +194,10 @@
     :raises ValueError: when a field does not fit the schema or the frame
         would be longer than ``MAX_FRAME_BYTES``.
     """
-    message = envelope.message
-    body: Any
-    if isinstance(message, messages.Failure):
-        body = message.text
-    else:
-        body = _to_wire(_FIELDS[type(message)], message)
+    built = _schema.Envelope.new_message()
     try:
-        built = _schema.Envelope.new_message(
-            protocol=PROTOCOL,
-            sender=envelope.sender,
-            callId=envelope.call_id,
-            isReply=envelope.is_reply,
-            body={_WIRE_NAMES[type(message)]: body},
-        )
-    except capnp.KjException as exc:
+        _build(built, envelope)
+    except (capnp.KjException, OverflowError, TypeError) as exc:
         raise ValueError(f"message does not fit the schema: {exc}") from exc
     data = built.to_bytes()
     if len(data) > MAX_FRAME_BYTES:
@@ -199,6 +205,19 @@
     return len(data).to_bytes(LENGTH_BYTES, "little") + data
 
 
+def _build(built: Any, envelope: Envelope) -> None:
+    message = envelope.message
+    built.protocol = PROTOCOL
+    built.sender = envelope.sender
+    built.callId = envelope.call_id
+    built.isReply = envelope.is_reply
+    name = _WIRE_NAMES[type(message)]
+    if isinstance(message, messages.Failure):
+        setattr(built.body, name, message.text)
+        return
+    _fill(_FIELDS[type(message)], message, built.body.init(name))
+
+
 def decode(data: bytes) -> Envelope:
     """Return the envelope in a frame, given without its length.
 
