Copy bill entries of several partitions in one message

Cause: entries that waited together for their copy went out as one message a partition, up to sixteen at once, so waiting together saved little.

--- a/packages/limpetwalk-node/limpetwalk_node/bill_copies.py
+++ b/packages/limpetwalk-node/limpetwalk_node/bill_copies.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
+import itertools
 
 from limpetwalk.ledger import base as ledger
 from limpetwalk.peers import messages
@@ -42,14 +43,18 @@
     ) -> bool:
         """Take copies.
 
-        :returns: False when there is no room for them.
+        :returns: False when there is no room for them, or their partitions
+            don't fit them.
         """
         if len(self) + len(message.entries) > MAX_COPIES:
             return False
+        if len(message.partitions) not in (0, len(message.entries)):
+            return False
         copies = self._copies.setdefault(owner, {})
-        for entry in message.entries:
+        partitions = message.partitions or itertools.repeat(message.partition)
+        for entry, partition in zip(message.entries, partitions):
             key = bill_backlog.key_of(entry)
-            copies[key] = Copy(entry, message.partition, boot_id)
+            copies[key] = Copy(entry, partition, boot_id)
         return True
 
     def release(self, owner: str, entries: Iterable[ledger.BillEntry]) -> None:
--- a/packages/limpetwalk-node/limpetwalk_node/bill_protection.py
+++ b/packages/limpetwalk-node/limpetwalk_node/bill_protection.py
@@ -75,14 +75,7 @@
 
     async def copy(self, entries: Entries) -> None:
         """Have a peer hold copies of entries, if one can be reached."""
-        by_partition: dict[int, list[bill_backlog.HeldEntry]] = {}
-        for held in entries:
-            by_partition.setdefault(held.partition, []).append(held)
-        chunks = [
-            chunk
-            for waiting in by_partition.values()
-            for chunk in _chunks(waiting)
-        ]
+        chunks = _chunks(list(entries))
         await asyncio.gather(*(self._hold(chunk) for chunk in chunks))
 
     async def spill_old(self, entries: Entries) -> None:
@@ -129,6 +122,7 @@
             waiting[0].partition,
             tuple(held.entry for held in waiting),
             messages.Purpose.HOLD,
+            tuple(held.partition for held in waiting),
         )
         for name in self._holders():
             try:
--- a/packages/limpetwalk/limpetwalk/peers/codec.py
+++ b/packages/limpetwalk/limpetwalk/peers/codec.py
@@ -103,10 +103,10 @@
     setattr(builder, wire, purpose.value)
 
 
-def _put_texts(builder: Any, wire: str, texts: tuple[str, ...]) -> None:
-    built = builder.init(wire, len(texts))
-    for number, text in enumerate(texts):
-        built[number] = text
+def _put_list(builder: Any, wire: str, values: tuple[Any, ...]) -> None:
+    built = builder.init(wire, len(values))
+    for number, value in enumerate(values):
+        built[number] = value
 
 
 def _put_entries(
@@ -135,8 +135,8 @@
         return _Field(field.name, f"{wire}Ms", _put_ms, _from_ms)
     if kind is messages.Purpose:
         return _Field(field.name, wire, _put_purpose, _decode_purpose)
-    if kind == tuple[str, ...]:
-        return _Field(field.name, wire, _put_texts, tuple)
+    if kind in (tuple[str, ...], tuple[int, ...]):
+        return _Field(field.name, wire, _put_list, tuple)
     if kind == tuple[ledger.BillEntry, ...]:
         return _Field(field.name, wire, _put_entries, _decode_entries)
     return _Field(field.name, wire, _put, _same)
--- a/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
+++ b/packages/limpetwalk/limpetwalk/peers/limpetwalk.capnp
@@ -66,6 +66,7 @@
   partition @0 :UInt16;
   entries @1 :List(BillEntry);
   purpose @2 :Purpose;
+  partitions @3 :List(UInt16);  # of each entry; empty: partition
   enum Purpose {
     write @0;               # append to the ledger, acknowledge when durable
     hold @1;                # keep a copy until released
--- a/packages/limpetwalk/limpetwalk/peers/messages.py
+++ b/packages/limpetwalk/limpetwalk/peers/messages.py
@@ -74,11 +74,18 @@
 
 @dataclass(frozen=True, slots=True)
 class BillEntries:
-    """Bill entries of one ledger partition."""
+    """Bill entries of one ledger partition, or of several.
+
+    :param partition: partition of all entries, unless ``partitions`` tells.
+    :param entries: the entries.
+    :param purpose: what the receiver is to do.
+    :param partitions: partition of each entry, or empty.
+    """
 
     partition: int
     entries: tuple[ledger.BillEntry, ...]
     purpose: Purpose
+    partitions: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
