--- a/tests/limpetwalk_node/test_rollout_lead.py
+++ b/tests/limpetwalk_node/test_rollout_lead.py
@@ -23,6 +23,7 @@
 from limpetwalk_node import rollout_lead
 from limpetwalk_node import rollout_rows
 from tests.limpetwalk.conf import sites
+from tests.limpetwalk.peers import fakes
 
 registry.load_plugins(["limpetwalk.rollouts.guard"])
 
@@ -68,8 +69,8 @@
 class Node:
     """Recorder and lead of one node."""
 
-    def __init__(self, name, case):
-        self.hub = FakeHub(name, case)
+    def __init__(self, name, case, hub=None):
+        self.hub = hub or FakeHub(name, case)
         self.table = memory.MemoryTable(case.rows)
         self.metrics = measures.Metrics()
         self.store = heads.HeadStore(self.table, case.objects, case.clock)
@@ -402,3 +403,26 @@
         self.assertEqual(
             (tally.requests, tally.rated, tally.mean), (1, 1, 0.5)
         )
+
+
+class LinkTest(Base):
+    async def test_evidence_goes_over_the_links_of_real_hubs(self):
+        instances = fakes.FakeInstances()
+        hubs = {
+            name: fakes.make_hub(name, instances) for name in (FIRST, SECOND)
+        }
+        for hub in hubs.values():
+            await hub.start()
+            self.addAsyncCleanup(hub.stop)
+            instances.add(hub)
+        await fakes.until(lambda: all(hub.live() for hub in hubs.values()))
+        first, second = (Node(name, self, hubs[name]) for name in hubs)
+        await first.lead.tick()
+        await second.lead.tick()
+        self.assertEqual(second.lead._runs, {})
+        second.see(BASE, 100)
+        second.see(CANDIDATE, 20, 10)
+        await second.recorder.round()
+        await first.lead.tick()
+        self.assertIs(await self.state(), State.HALTED)
+        self.assertEqual(first.halts, 1)
