--- a/packages/limpetwalk-bench/limpetwalk_bench/overhead/__main__.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/overhead/__main__.py
@@ -34,6 +34,9 @@
 _OUT = flags.DEFINE_string("out", "", "file for the table (Markdown)")
 _SEED = flags.DEFINE_integer("seed", 1, "seed of the arrivals")
 
+# The entry node always has the engine stream, to see a silent connection.
+STREAMED = "direct, streamed"
+
 
 @dataclass(slots=True)
 class Row:
@@ -72,6 +75,7 @@
     }
     return [
         measure.Target("direct", _ENGINE.value + path, direct),
+        measure.Target(STREAMED, _ENGINE.value + path, direct),
         measure.Target("pass-through", _PASS.value + path, direct),
         measure.Target(
             "entry node",
@@ -88,6 +92,7 @@
         "model": model,
         "messages": [{"role": "user", "content": words}],
         "max_tokens": 8,
+        "stream": target.name == STREAMED,
     }
 
 
