Revert the try of several batches of bill copies at once

What the timeline shows at 50 requests/s, medians: 0.2 ms to read the request, 0.5 to choose a replica and send, 1.5 to 2.1 to the engine's first byte and 0.6 to its last, 2.0 to 3.0 for the copy (round trip 1.3), 0.4 to answer. On this machine one more HTTP hop, the bare pass-through, adds 1.2 to 1.6 ms, so each hop between processes costs about what the goal allows in all; the engine's tokens, eight reads, and the hops between tasks make up the rest.

--- a/packages/limpetwalk-node/limpetwalk_node/bill_copying.py
+++ b/packages/limpetwalk-node/limpetwalk_node/bill_copying.py
@@ -7,8 +7,6 @@
 
 from . import bill_backlog
 
-MAX_UNDER_WAY = 4
-
 Send = Callable[[list[bill_backlog.HeldEntry]], Awaitable[None]]
 
 
@@ -19,10 +17,10 @@
 
 
 class Copying:
-    """Sends entries to be copied, a few batches at a time.
+    """Sends entries to be copied, one batch at a time.
 
-    While as many batches are under way as may be, the entries that arrive
-    wait for the next, so the batches grow with the load.
+    While a batch is under way the entries that arrive wait for the next, so
+    the batches grow with the load and an idle node adds no wait.
 
     :param send: sends a batch and marks the entries that are held then.
     """
@@ -30,33 +28,33 @@
     def __init__(self, send: Send) -> None:
         self._send = send
         self._waiting: list[_Waiting] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._task: asyncio.Task[None] | None = None
 
     async def copy(self, held: bill_backlog.HeldEntry) -> None:
         """Return once the batch with this entry was answered or lost."""
         fut = asyncio.get_running_loop().create_future()
         self._waiting.append(_Waiting(held, fut))
-        if len(self._tasks) < MAX_UNDER_WAY:
-            task = asyncio.create_task(self._run())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
         await fut
 
     async def stop(self) -> None:
         """Stop; entries that wait are not sent."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        _wake(self._waiting)
-        self._waiting = []
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
-        while self._waiting:
-            batch, self._waiting = self._waiting, []
-            try:
+        batch: list[_Waiting] = []
+        try:
+            while self._waiting:
+                batch, self._waiting = self._waiting, []
                 await self._send([each.held for each in batch])
-            finally:
                 _wake(batch)
+        finally:
+            self._task = None
+            _wake(batch + self._waiting)
+            self._waiting = []
 
 
 def _wake(batch: list[_Waiting]) -> None:
