Remove the pool of evidence that the roll-out lead does not use

The lead keeps one newest window for each sender and version in its row (limpetwalk_node.rollout_rows), so the pool in the kernel had no caller; its three tests go with it. The same cases are tested at the lead: test_evidence_of_several_nodes_halts, test_window_whose_reply_is_lost_counts_once.

--- a/packages/limpetwalk/limpetwalk/rollouts/evidence.py
+++ b/packages/limpetwalk/limpetwalk/rollouts/evidence.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-from ..peers import messages
-
 
 @dataclass(slots=True)
 class Tally:
@@ -62,34 +60,3 @@
             self.rated += 1
             self.total += rating
             self.squares += rating * rating
-
-
-class EvidencePool:
-    """Evidence of all nodes on one subject, by version.
-
-    A node sends the sums of its numbered windows. A window that comes again
-    replaces what was held, so a repeated or late message counts once.
-    """
-
-    def __init__(self) -> None:
-        self._windows: dict[tuple[str, str], dict[int, Tally]] = {}
-
-    def take(self, sender: str, message: messages.Evidence) -> None:
-        """Keep a node's window."""
-        windows = self._windows.setdefault((sender, message.version), {})
-        windows[message.window] = Tally(
-            failures=message.failures,
-            successes=message.successes,
-            rated=message.rated,
-            total=message.total,
-            squares=message.squares,
-        )
-
-    def total(self, version: str) -> Tally:
-        """Return the sums of a version over all nodes and windows."""
-        total = Tally()
-        for (_, held_version), windows in self._windows.items():
-            if held_version == version:
-                for tally in windows.values():
-                    total.add(tally)
-        return total
--- a/tests/limpetwalk/rollouts/test_guard.py
+++ b/tests/limpetwalk/rollouts/test_guard.py
@@ -6,7 +6,6 @@
 import hypothesis
 from hypothesis import strategies
 
-from limpetwalk.peers import messages
 from limpetwalk.rollouts import evidence
 from limpetwalk.rollouts import guard
 from limpetwalk_bench.experiments import guards
@@ -82,35 +81,3 @@
                         guard.SequentialGuard(), truth, seed, requests=1500
                     )
                     self.assertEqual(halted, trial.halted)
-
-
-class EvidencePoolTest(unittest.TestCase):
-    def message(self, window, successes):
-        return messages.Evidence(
-            subject="roll-out",
-            version="2",
-            window=window,
-            successes=successes,
-            failures=0,
-            rated=0,
-            total=0.0,
-            squares=0.0,
-        )
-
-    def test_windows_of_all_nodes_add_up(self):
-        pool = evidence.EvidencePool()
-        pool.take("a", self.message(1, 5))
-        pool.take("a", self.message(2, 6))
-        pool.take("b", self.message(1, 7))
-        self.assertEqual(18, pool.total("2").requests)
-
-    def test_a_window_that_comes_again_counts_once(self):
-        pool = evidence.EvidencePool()
-        pool.take("a", self.message(1, 5))
-        pool.take("a", self.message(1, 5))
-        self.assertEqual(5, pool.total("2").requests)
-
-    def test_other_versions_do_not_count(self):
-        pool = evidence.EvidencePool()
-        pool.take("a", self.message(1, 5))
-        self.assertEqual(0, pool.total("1").requests)
