--- a/packages/limpetwalk/limpetwalk/backends/openai.py
+++ b/packages/limpetwalk/limpetwalk/backends/openai.py
@@ -7,11 +7,10 @@
 
 import aiohttp
 
-from .. import clock as clocks
 from .. import registry
-from ..conf import snapshot
 from . import base
 from . import pool
+from . import pooled
 
 CHAT_PATH = "/v1/chat/completions"
 PRIORITY_HEADER = "X-Priority"
@@ -24,31 +23,13 @@
 
 
 @registry.register(registry.Kind.BACKEND_PROTOCOL, "openai")
-class OpenAIClient:
+class OpenAIClient(pooled.PooledClient):
     """Client of one model engine.
 
     Answers are always streamed from the engine, also when the caller wants
     one body, so that silence is seen between tokens.
-
-    :param server: backend server.
-    :param tuning: timeouts.
     """
 
-    def __init__(
-        self,
-        server: snapshot.Server,
-        tuning: snapshot.Tuning,
-        clock: clocks.Clock | None = None,
-    ) -> None:
-        self._tuning = tuning
-        self._clock = clock or clocks.SystemClock()
-        self._pool = pool.Pool(server.address, tuning.connect_timeout)
-
-    @property
-    def boot_id(self) -> str:
-        """Boot id that the server last showed, empty when unknown."""
-        return self._pool.boot_id
-
     async def complete(
         self, call: base.EngineCall
     ) -> AsyncGenerator[base.EngineEvent, None]:
@@ -79,17 +60,6 @@
         """Return None; engines keep no answers."""
         return None
 
-    async def load(self) -> base.LoadReport:
-        """Return the server's load report.
-
-        :raises AttemptFailed: when it does not answer.
-        """
-        return await self._pool.get_load()
-
-    async def close(self) -> None:
-        """Close connections."""
-        await self._pool.close()
-
     async def _events(
         self, call: base.EngineCall, exchange: pool.Exchange
     ) -> AsyncGenerator[base.EngineEvent, None]:
--- a/packages/limpetwalk/limpetwalk/backends/plain.py
+++ b/packages/limpetwalk/limpetwalk/backends/plain.py
@@ -6,11 +6,10 @@
 
 import aiohttp
 
-from .. import clock as clocks
 from .. import registry
-from ..conf import snapshot
 from . import base
 from . import pool
+from . import pooled
 
 OUTCOME_PATH = "/outcome"
 LEAST_WAIT = 0.001
@@ -38,27 +37,8 @@
 
 
 @registry.register(registry.Kind.BACKEND_PROTOCOL, "plain")
-class PlainClient:
-    """Client of one replica of a plain service.
-
-    :param server: backend server.
-    :param tuning: timeouts.
-    """
-
-    def __init__(
-        self,
-        server: snapshot.Server,
-        tuning: snapshot.Tuning,
-        clock: clocks.Clock | None = None,
-    ) -> None:
-        self._tuning = tuning
-        self._clock = clock or clocks.SystemClock()
-        self._pool = pool.Pool(server.address, tuning.connect_timeout)
-
-    @property
-    def boot_id(self) -> str:
-        """Boot id that the server last showed, empty when unknown."""
-        return self._pool.boot_id
+class PlainClient(pooled.PooledClient):
+    """Client of one replica of a plain service."""
 
     async def complete(
         self, call: base.EngineCall
@@ -107,17 +87,6 @@
             raise exchange.failed(kind, f"status {resp.status}")
         return base.ServiceAnswer(200, body, _passed(resp.headers))
 
-    async def load(self) -> base.LoadReport:
-        """Return the server's load report.
-
-        :raises AttemptFailed: when it does not answer.
-        """
-        return await self._pool.get_load()
-
-    async def close(self) -> None:
-        """Close connections."""
-        await self._pool.close()
-
     async def _exchange(
         self, call: base.ServiceCall, exchange: pool.Exchange
     ) -> base.ServiceAnswer:
