--- a/tests/limpetwalk_ctl/test_changes.py
+++ b/tests/limpetwalk_ctl/test_changes.py
@@ -1,64 +1,20 @@
 """Tests of the commands that change what is in force."""
 
-import hashlib
-import shutil
 import zlib
 
-import yaml
-
-from limpetwalk import clock as clocks
-from limpetwalk.conf import compile as compiler
 from limpetwalk.conf import document
-from limpetwalk.conf import editor
 from limpetwalk.conf import edits
-from limpetwalk.conf import head
 from limpetwalk.conf import rollout_edits
 from limpetwalk.conf import snapshot
 from limpetwalk.conf import version_edits
-from limpetwalk.platform import memory
-from limpetwalk_bench.site import ports
 from limpetwalk_ctl import exits
 
-from . import shell
+from . import changes
 
 OUT = snapshot.PlacementState.OUT
 
 
-class ChangesCase(shell.ShellCase):
-    """Test case with an accepted configuration and a copy of its folder."""
-
-    def setUp(self) -> None:
-        super().setUp()
-        self.site = self.folder / "site"
-        shutil.copytree(shell.EXAMPLE, self.site)
-        self.assertEqual(self.shell.run("apply", str(self.site))[0], 0)
-
-    def snapshot(self) -> snapshot.Snapshot:
-        """Return the snapshot in force."""
-        _, answer = self.shell.json("status")
-        name = "config/" + answer["head"]["digest"]
-        data = zlib.decompress(self.shell.objects.blobs[name])
-        return compiler.compile_document(data)
-
-    def rival(self, edit: edits.Edit) -> None:
-        """Let another operator's edit come first, once."""
-        table = memory.MemoryTable(self.shell.table.rows)
-        objects = memory.MemoryObjects(self.shell.objects.blobs)
-        store = head.HeadStore(table, objects, clocks.ManualClock())
-
-        async def before(operation: str) -> None:
-            if operation == "transact":
-                self.shell.table.faults.before = None
-                (await editor.Editor(store, "rival").edit(edit)).unwrap()
-
-        self.shell.table.faults.before = before
-
-    def generation(self) -> int:
-        """Return the generation in force."""
-        return self.shell.json("status")[1]["head"]["generation"]
-
-
-class ApplyTest(ChangesCase):
+class ApplyTest(changes.ChangesCase):
     def test_same_folder_is_no_change(self) -> None:
         code, answer = self.shell.json("apply", str(self.site))
         self.assertEqual(code, 0)
@@ -180,7 +136,7 @@
         self.assertIn("got 8, expected at least 16", out)
 
 
-class EditCommandsTest(ChangesCase):
+class EditCommandsTest(changes.ChangesCase):
     def test_zone(self) -> None:
         self.assertEqual(self.shell.run("zone", "out", "hu-central-a")[0], 0)
         self.assertIs(self.snapshot().zones["hu-central-a"].state, OUT)
@@ -284,100 +240,7 @@
         self.assertEqual(newest["summary"], "zones hu-central-a out")
 
 
-class WaitTest(ChangesCase):
-    def setUp(self) -> None:
-        super().setUp()
-        self.shell.nodes = [
-            shell.FakeNode("n1", "a"),
-            shell.FakeNode("n2", "b"),
-            shell.FakeNode("n3", "c"),
-        ]
-
-    def test_all_nodes_are_given_the_document(self) -> None:
-        code, answer = self.shell.json("zone", "out", "hu-central-a", "--wait")
-        self.assertEqual((code, answer["seen"]), (0, 3))
-        for node in self.shell.nodes:
-            digest = hashlib.sha256(node.data).hexdigest()
-            self.assertEqual(digest, answer["digest"])
-            self.assertEqual(node.generation, 2)
-
-    def test_a_node_that_is_behind_is_told(self) -> None:
-        self.shell.nodes[1].takes = False
-        code, out, _ = self.shell.run("zone", "out", "hu-central-a", "--wait")
-        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
-        self.assertIn("accepted as generation 2, seen by 2 of 3 nodes", out)
-        code, _, _ = self.shell.run("status")
-        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
-
-    def test_platform_that_fails_right_after_the_write(self) -> None:
-        async def fail_after(operation: str) -> None:
-            if operation == "transact":
-                self.shell.table.faults.unavailable = True
-                self.shell.objects.faults.unavailable = True
-                self.shell.instances.unavailable = True
-
-        self.shell.table.faults.after = fail_after
-        code, out, _ = self.shell.run("zone", "out", "hu-central-a", "--wait")
-        self.assertEqual(code, 0)
-        self.assertIn("accepted as generation 2, seen by 3 of 3 nodes", out)
-        code, out, err = self.shell.run("status")
-        self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
-        self.assertIn("the store does not answer", err)
-
-    def test_status_of_named_nodes_without_the_platform(self) -> None:
-        node = self.shell.nodes[0]
-        node.generation = 7
-        self.shell.table.faults.unavailable = True
-        self.shell.instances.unavailable = True
-        node.port = ports.free_ports(1)[0]
-        code, answer = self.shell.json(
-            "status", "--nodes", f"127.0.0.1:{node.port}"
-        )
-        self.assertEqual(code, exits.ExitCode.STORE_UNAVAILABLE)
-        (told,) = answer["nodes"]
-        self.assertEqual((told["name"], told["generation"]), ("n1", 7))
-
-    def test_a_node_that_never_answers_holds_up_nobody(self) -> None:
-        self.shell.nodes[0].silent = True
-        cfg = {**shell.SETTINGS, "node_timeout": 1}
-        self.shell.settings.write_text(yaml.safe_dump(cfg))
-        code, answer = self.shell.json("zone", "out", "hu-central-a", "--wait")
-        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
-        self.assertEqual(answer["seen"], 2)
-        silent = answer["nodes"][0]
-        self.assertIsNone(silent["generation"])
-        self.assertEqual(silent["error"], "TimeoutError")
-
-    def test_nodes_that_are_not_known_are_not_counted_as_served(self) -> None:
-        self.shell.instances.unavailable = True
-        code, out, err = self.shell.run(
-            "zone", "out", "hu-central-a", "--wait"
-        )
-        self.assertEqual(code, exits.ExitCode.NOT_SEEN_EVERYWHERE)
-        self.assertIn("seen by 0 of 0 nodes", out)
-        self.assertIn("the instance list does not answer", err)
-
-    def test_nothing_is_handed_over_when_the_outcome_is_unknown(self) -> None:
-        async def fail_after(operation: str) -> None:
-            if operation == "transact":
-                self.shell.table.faults.unavailable = True
-
-        self.shell.table.faults.after = fail_after
-        self.shell.table.faults.lose_answers = 9
-        code, _, _ = self.shell.run("zone", "out", "hu-central-a", "--wait")
-        self.assertEqual(code, exits.ExitCode.OUTCOME_UNKNOWN)
-        self.assertEqual([node.data for node in self.shell.nodes], [b""] * 3)
-
-    def test_handed_over_without_waiting(self) -> None:
-        code, out, _ = self.shell.run("zone", "out", "hu-central-a")
-        self.assertEqual(code, 0)
-        self.assertEqual(
-            [node.generation for node in self.shell.nodes], [2] * 3
-        )
-        self.assertIn("accepted as generation 2\n", out)
-
-
-class LostRaceTest(ChangesCase):
+class LostRaceTest(changes.ChangesCase):
     def test_edits_of_different_names_both_count(self) -> None:
         self.rival(edits.Place(edits.Placed.ZONE, "hu-central-b", OUT))
         code, answer = self.shell.json("zone", "out", "hu-central-a")
--- /dev/null
+++ b/tests/limpetwalk_node/rollouts.py
@@ -0,0 +1,159 @@
+"""Nodes of a roll-out, for the tests of its evidence and its lead."""
+
+import random
+import unittest
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import leases
+from limpetwalk import metrics as measures
+from limpetwalk import registry
+from limpetwalk.conf import compile as compiler
+from limpetwalk.conf import editor
+from limpetwalk.conf import head as heads
+from limpetwalk.conf import rollout_edits
+from limpetwalk.conf import snapshot
+from limpetwalk.peers import base as peers
+from limpetwalk.peers import rendezvous
+from limpetwalk.platform import memory
+from limpetwalk_node import evidence
+from limpetwalk_node import rollout_lead
+from limpetwalk_node import rollout_rows
+from tests.limpetwalk.conf import sites
+
+registry.load_plugins(["limpetwalk.rollouts.guard"])
+
+NAME = "cheap-2"
+BASE = snapshot.ModelVersion("cheap", "1")
+CANDIDATE = snapshot.ModelVersion("cheap", "2")
+NAMES = [f"n{i}" for i in range(6)]
+RANKED = rendezvous.rank(rollout_lead.role_of(NAME), NAMES)
+FIRST, SECOND = RANKED[:2]
+Action = rollout_edits.RolloutAction
+State = snapshot.RolloutState
+
+
+class FakeHub:
+    """Links between the nodes of a case, without sockets."""
+
+    def __init__(self, name, case):
+        self.name = name
+        self.case = case
+        self.handlers = {}
+        self.loses_replies = False
+
+    def candidates(self):
+        return [
+            peers.Peer(name, "", "z1", 1, leaving=False)
+            for name in self.case.live
+            if name != self.name
+        ]
+
+    def subscribe(self, kind, handler):
+        self.handlers[kind] = handler
+
+    async def request(self, peer, message, timeout):
+        if peer not in self.case.live:
+            raise exceptions.PeerUnavailable(peer)
+        handler = self.case.nodes[peer].hub.handlers[type(message)]
+        reply = await handler(self.name, message)
+        if self.loses_replies:
+            raise exceptions.PeerUnavailable(peer)
+        return reply
+
+
+class Node:
+    """Recorder and lead of one node."""
+
+    def __init__(self, name, case, hub=None):
+        self.hub = hub or FakeHub(name, case)
+        self.table = memory.MemoryTable(case.rows)
+        self.metrics = measures.Metrics()
+        self.store = heads.HeadStore(self.table, case.objects, case.clock)
+        self.applied = case.applied
+        self.lead = rollout_lead.RolloutLead(
+            self.hub,
+            leases.LeaseKeeper(self.table, case.clock, f"{name}/boot"),
+            self.table,
+            self.store,
+            lambda: self.applied,
+            case.clock,
+            self.metrics,
+        )
+        self.recorder = evidence.EvidenceRecorder(
+            self.hub,
+            self.lead,
+            lambda: self.applied,
+            case.clock,
+            random.Random(1),
+            self.metrics,
+        )
+
+    def see(self, target, good, bad=0):
+        for _ in range(good):
+            self.recorder.finished(target)
+        for _ in range(bad):
+            self.recorder.failed(target)
+
+    def count(self, name, **labels):
+        return self.metrics.value(f"limpetwalk_{name}_total", labels)
+
+    @property
+    def halts(self):
+        return self.count("rollout_halts", cause="failures")
+
+
+class RolloutCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = clocks.ManualClock()
+        self.rows = memory.Rows()
+        self.objects = memory.MemoryObjects()
+        self.store = heads.HeadStore(
+            memory.MemoryTable(self.rows), self.objects, self.clock
+        )
+        doc = sites.small()
+        section = doc.rollouts[NAME].model_copy(update={"guard": "sequential"})
+        doc = doc.model_copy(update={"rollouts": {NAME: section}})
+        outcome = await self.store.accept(doc.to_bytes(), 0, "test")
+        self.assertTrue(outcome.is_ok())
+        self.applied = await self.newest()
+        self.live = list(NAMES)
+        self.nodes = {name: Node(name, self) for name in NAMES}
+        self.first = self.nodes[FIRST]
+        self.second = self.nodes[SECOND]
+
+    async def newest(self):
+        head = await self.store.read()
+        data = await self.store.load(head.digest)
+        return snapshot.Applied(
+            head.generation, compiler.compile_document(data)
+        )
+
+    async def follow(self):
+        """Let every node follow the head."""
+        applied = await self.newest()
+        for node in self.nodes.values():
+            node.applied = applied
+
+    async def operate(self, action):
+        edit = rollout_edits.MoveRollout(NAME, action)
+        outcome = await editor.Editor(self.store, "ann").edit(edit)
+        self.assertTrue(outcome.is_ok())
+
+    async def state(self):
+        return (await self.newest()).snapshot.rollouts[NAME].state
+
+    async def step(self, seconds=4.0):
+        """Send windows and let each live node's lead work."""
+        self.clock.advance(seconds)
+        for name in self.live:
+            await self.nodes[name].recorder.round()
+        for name in self.live:
+            await self.nodes[name].lead.tick()
+
+    def row(self):
+        row = self.rows.get(rollout_rows.key_of(NAME))
+        return rollout_rows.Pool.model_validate_json(row.value)
+
+    def leading(self):
+        return [name for name in NAMES if self.nodes[name].lead._runs]
