Let records live as long as the configuration in force says

Cause: the node gave the record store the default lifetime once, at its start, so tuning.record_ttl had no effect. Seen before: the store took a number only; test_the_lifetime_in_force_counts_at_each_write could not be written. Now it asks at each write.

--- a/packages/limpetwalk-ctl/limpetwalk_ctl/commands/outcome.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/outcome.py
@@ -34,7 +34,7 @@
             ctx.clock,
             READER,
             lambda holder: True,
-            doc.tuning.record_ttl,
+            lambda: doc.tuning.record_ttl,
             ctx.platform.objects,
         )
         record = await reader.read(workspace, key)
--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -248,7 +248,7 @@
                 self.clock,
                 held.own,
                 held.is_live,
-                snapshot.Tuning().record_ttl,
+                lambda: self._tuning().record_ttl,
                 self.platform.objects,
             ),
             biller=self.biller,
--- a/packages/limpetwalk/limpetwalk/records/store.py
+++ b/packages/limpetwalk/limpetwalk/records/store.py
@@ -33,7 +33,7 @@
     :param is_live: tells whether the node that a holder's name stands for
         may still be at work; a wrong answer costs a claim, never a second
         run.
-    :param ttl: lifetime of a record, in seconds.
+    :param ttl: returns the lifetime of a record in force, in seconds.
     :param objects: store of large answers; None refuses them.
     """
 
@@ -43,7 +43,7 @@
         clock: clocks.Clock,
         holder: str,
         is_live: Callable[[str], bool],
-        ttl: float,
+        ttl: Callable[[], float],
         objects: platform.ObjectStore | None = None,
     ) -> None:
         self._table = table
@@ -228,7 +228,7 @@
         :raises StoreUnavailable: when it is not known to be written.
         """
         text = value.model_dump_json(exclude_defaults=True)
-        expires_at = int(self._clock.wall() + self._ttl)
+        expires_at = int(self._clock.wall() + self._ttl())
         put = platform.Put(key, text, version, expires_at)
         write_id = uuid.uuid4().hex
         try:
--- a/tests/limpetwalk/records/test_store.py
+++ b/tests/limpetwalk/records/test_store.py
@@ -13,6 +13,7 @@
 from limpetwalk.platform import memory
 from limpetwalk.records import answers
 from limpetwalk.records import base
+from limpetwalk.records import rows
 from limpetwalk.records import store
 
 from ... import machines
@@ -39,10 +40,21 @@
             self.clock,
             holder,
             lambda name: name not in self.gone,
-            TTL,
+            lambda: TTL,
             self.objects,
         )
 
+    async def test_the_lifetime_in_force_counts_at_each_write(self):
+        lifetime = 60.0
+        held = store.TableRecordStore(
+            self.table, self.clock, "n1", lambda name: True, lambda: lifetime
+        )
+        record = await self.claimed(held)
+        lifetime = 600.0
+        (await held.dispatch(record, "a1", "s1")).unwrap()
+        row = await self.table.get(rows.row_key(IDENT.workspace, IDENT.key))
+        self.assertEqual(self.clock.wall() + 600.0, row.expires_at)
+
     async def claimed(self, held, request_id="r1"):
         outcome = await held.claim(IDENT, request_id)
         self.assertIsInstance(outcome, base.Claimed)
@@ -260,7 +272,7 @@
             self.clock,
             holder,
             lambda name: name in self.live,
-            TTL,
+            lambda: TTL,
         )
 
     async def serve(self, holder):
--- a/tests/limpetwalk_node/test_services.py
+++ b/tests/limpetwalk_node/test_services.py
@@ -38,7 +38,7 @@
             clocks.SystemClock(),
             holder,
             lambda name: True,
-            3600.0,
+            lambda: 3600.0,
         )
 
     async def pay(self, key="k-1", body=b'{"amount": 5}', path=PAYMENTS):
