--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -56,6 +56,7 @@
 measure choice limpetwalk_bench.choice
 measure guards limpetwalk_bench.experiments.guards --trials=100 \
     --plot="$OUT/guards.png"
+measure cascades limpetwalk_bench.experiments.cascades
 SITE=run/overhead bash scripts/overhead.sh || failed=1
 for nodes in 3 9; do
     SITE=run/idle bash scripts/idle.sh $nodes >"$OUT/idle_$nodes.md" ||
