--- a/packages/limpetwalk-node/limpetwalk_node/main.py
+++ b/packages/limpetwalk-node/limpetwalk_node/main.py
@@ -29,7 +29,7 @@
 # and collections of a generation before one of the next.
 COLLECTOR_THRESHOLDS = (10_000, 20, 50)
 
-_SETTINGS = flags.DEFINE_string("settings", "", "YAML file of settings.")
+_SETTINGS = flags.DEFINE_string("settings", None, "YAML file of settings.")
 
 
 def run() -> None:
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -62,4 +62,6 @@
     SITE=run/idle bash scripts/idle.sh $nodes >"$OUT/idle_$nodes.md" ||
         failed=1
 done
+SITE=run/last_request bash scripts/last_request.sh 9 >"$OUT/last_request.md" ||
+    failed=1
 exit $failed
