Load the node's plug-ins by the kernel's own list

The node kept a second list of the built-in plug-ins, which a new one would have had to join by hand; limpetwalk.plugins.load is what the configuration's checks call already.

--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -8,7 +8,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk import leases
 from limpetwalk import metrics as measures
-from limpetwalk import registry
+from limpetwalk import plugins
 from limpetwalk.conf import compile as compiler
 from limpetwalk.conf import head as heads
 from limpetwalk.conf import snapshot
@@ -38,14 +38,6 @@
 from . import settings
 from . import status
 
-PLUGINS = [
-    "limpetwalk.backends.openai",
-    "limpetwalk.backends.plain",
-    "limpetwalk.rollouts.guard",
-    "limpetwalk.routing.adaptive",
-    "limpetwalk.routing.cascade",
-]
-
 
 class Node(aiomisc.Service):
     """All parts of a node behind its HTTP interfaces.
@@ -61,7 +53,7 @@
 
     def __init__(self, **kwargs: Any) -> None:
         super().__init__(**kwargs)
-        registry.load_plugins(PLUGINS)
+        plugins.load()
         self.clock = clocks.SystemClock()
         self.metrics = measures.Metrics()
         self.rng = random.Random()
