Group the node's modules by subject; call other providers' clients providers

Only moves: the node's flat modules go into folders, and the folder of clients of other providers gets a name of its own, since a root folder platform/ is about to hold the users' platform.

--- a/packages/limpetwalk-bench/limpetwalk_bench/client_cost.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/client_cost.py
@@ -18,10 +18,10 @@
 from aiobotocore import session as aiosession
 import uvloop
 
-from limpetwalk.platform import base
-from limpetwalk.platform import dynamodb
-from limpetwalk.platform import dynamodb_wire as wire
-from limpetwalk.platform import settings
+from limpetwalk.providers import base
+from limpetwalk.providers import dynamodb
+from limpetwalk.providers import dynamodb_wire as wire
+from limpetwalk.providers import settings
 
 VALUE = "x" * 1000
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/ledger_rate.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/ledger_rate.py
@@ -22,10 +22,10 @@
 from limpetwalk.ledger import base
 from limpetwalk.ledger import partition
 from limpetwalk.ledger import rows
-from limpetwalk.platform import base as platform
-from limpetwalk.platform import dynamodb
-from limpetwalk.platform import memory
-from limpetwalk.platform import settings
+from limpetwalk.providers import base as platform
+from limpetwalk.providers import dynamodb
+from limpetwalk.providers import memory
+from limpetwalk.providers import settings
 
 LOADS = (10, 77, 385, 770, 1540)
 PARTITIONS = 16
--- a/packages/limpetwalk-bench/limpetwalk_bench/load/runner.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/load/runner.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from limpetwalk.ledger import base as ledger
-from limpetwalk.platform import factory
+from limpetwalk.providers import factory
 
 from . import balancer as balancers
 from . import caller as callers
--- a/packages/limpetwalk-bench/limpetwalk_bench/load/witnesses.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/load/witnesses.py
@@ -7,8 +7,8 @@
 
 from limpetwalk.ledger import base as ledger
 from limpetwalk.ledger import reader
-from limpetwalk.platform import factory
-from limpetwalk.platform import settings
+from limpetwalk.providers import factory
+from limpetwalk.providers import settings
 
 from . import checks
 from . import workload
--- a/packages/limpetwalk-bench/limpetwalk_bench/mesh_cost.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/mesh_cost.py
@@ -25,7 +25,7 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.peers import hub as hubs
 from limpetwalk.peers import hub_status
-from limpetwalk.platform import memory
+from limpetwalk.providers import memory
 
 from . import node_links
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/node_links.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/node_links.py
@@ -8,8 +8,8 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.peers import hub as hubs
 from limpetwalk.peers import topology
-from limpetwalk.platform import base as platform
-from limpetwalk.platform import memory
+from limpetwalk.providers import base as platform
+from limpetwalk.providers import memory
 
 POLL_INTERVAL = 0.02
 MEET_TIMEOUT = 60.0
--- a/packages/limpetwalk-bench/limpetwalk_bench/propagation.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/propagation.py
@@ -29,8 +29,8 @@
 from limpetwalk.conf import document
 from limpetwalk.conf import head as heads
 from limpetwalk.conf import snapshot
-from limpetwalk.platform import memory
-from limpetwalk_node import config
+from limpetwalk.providers import memory
+from limpetwalk_node.configuration import config
 
 from . import node_links
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/__main__.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/providers/__main__.py
@@ -1,4 +1,4 @@
-"""Runs the platform's stand-ins: ``python -m limpetwalk_bench.platform``."""
+"""Runs the platform's stand-ins: ``python -m limpetwalk_bench.providers``."""
 
 import asyncio
 import json
--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/instances.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/providers/instances.py
@@ -5,8 +5,8 @@
 import xxhash
 
 from limpetwalk import clock as clocks
-from limpetwalk.platform import base
-from limpetwalk.platform import http_sd
+from limpetwalk.providers import base
+from limpetwalk.providers import http_sd
 
 from . import faults
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/standin.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/providers/standin.py
@@ -4,7 +4,7 @@
 import random
 
 from limpetwalk import clock as clocks
-from limpetwalk.platform import settings
+from limpetwalk.providers import settings
 
 from . import control
 from . import faults
--- a/packages/limpetwalk-bench/limpetwalk_bench/platform/table.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/providers/table.py
@@ -6,8 +6,8 @@
 from aiohttp import web
 from result import Err
 
-from limpetwalk.platform import base
-from limpetwalk.platform import memory
+from limpetwalk.providers import base
+from limpetwalk.providers import memory
 
 from . import faults
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/site/layout.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/site/layout.py
@@ -116,7 +116,7 @@
     table, objects, instances, ratings, _ = range(
         control + 1, control + PLATFORM_PORTS
     )
-    command = ("-m", "limpetwalk_bench.platform", f"--port={control}")
+    command = ("-m", "limpetwalk_bench.providers", f"--port={control}")
     layout.processes.append(Process("platform", 0, command))
     site["platform"] = {"url": _url(control)}
     return {
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/base.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/base.py
@@ -10,7 +10,7 @@
 
 from limpetwalk import clock as clocks
 from limpetwalk.conf import head
-from limpetwalk.platform import factory
+from limpetwalk.providers import factory
 
 from . import exits
 from . import output
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/commands/status.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/commands/status.py
@@ -10,7 +10,7 @@
 from limpetwalk.conf import diff
 from limpetwalk.conf import document
 from limpetwalk.conf import head as heads
-from limpetwalk.platform import base as platform
+from limpetwalk.providers import base as platform
 
 from .. import base
 from .. import changes
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/handover.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/handover.py
@@ -6,7 +6,7 @@
 
 from limpetwalk import clock as clocks
 from limpetwalk.conf import editor
-from limpetwalk.platform import base as platform
+from limpetwalk.providers import base as platform
 
 from . import nodes
 
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
@@ -14,7 +14,7 @@
 from limpetwalk import exceptions
 from limpetwalk import registry
 from limpetwalk.conf import head as heads
-from limpetwalk.platform import factory
+from limpetwalk.providers import factory
 
 from . import arguments
 from . import base
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/nodes.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/nodes.py
@@ -11,7 +11,7 @@
 import pydantic
 
 from limpetwalk import exceptions
-from limpetwalk.platform import base as platform
+from limpetwalk.providers import base as platform
 
 T = TypeVar("T")
 
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/settings.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/settings.py
@@ -11,7 +11,7 @@
 from limpetwalk.conf import marked
 from limpetwalk.conf import validation
 from limpetwalk.conf import yamlfile
-from limpetwalk.platform import settings as platform_settings
+from limpetwalk.providers import settings as platform_settings
 
 
 class CtlSettings(pydantic.BaseModel):
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/api/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' interface of the node."""
--- a/packages/limpetwalk-node/limpetwalk_node/callers.py
+++ b/packages/limpetwalk-node/limpetwalk_node/api/callers.py
@@ -13,14 +13,14 @@
 from limpetwalk import refusals
 from limpetwalk.conf import snapshot
 
+from .. import lifecycle
+from .. import parts
+from .. import readers
 from . import admission
 from . import authentication
 from . import calls
 from . import errors
 from . import keyed
-from . import lifecycle
-from . import parts
-from . import readers
 from . import request_ids
 
 SHUTDOWN_RETRY_AFTER = 1.0
--- a/packages/limpetwalk-node/limpetwalk_node/chat.py
+++ b/packages/limpetwalk-node/limpetwalk_node/api/chat.py
@@ -18,12 +18,12 @@
 from limpetwalk.routing import climb
 from limpetwalk.routing import sessions as routing_sessions
 
-from . import bills
+from .. import readers
+from .. import sessions
+from ..billing import bills
 from . import border
 from . import calls
 from . import errors
-from . import readers
-from . import sessions
 from . import streams
 
 VERSION_HEADER = "X-Model-Version"
--- a/packages/limpetwalk-node/limpetwalk_node/services.py
+++ b/packages/limpetwalk-node/limpetwalk_node/api/services.py
@@ -18,13 +18,13 @@
 from limpetwalk.routing import service_routes
 from limpetwalk.routing import work
 
-from . import bills
+from .. import parts
+from ..billing import bills
+from ..records import record_flow
+from ..records import record_refusals
 from . import calls
 from . import chat
 from . import errors
-from . import parts
-from . import record_flow
-from . import record_refusals
 
 SERVICES_PREFIX = "/services/"
 OUTCOMES_PREFIX = "/outcomes/"
--- a/packages/limpetwalk-node/limpetwalk_node/app.py
+++ b/packages/limpetwalk-node/limpetwalk_node/app.py
@@ -10,21 +10,21 @@
 from limpetwalk import metrics as measures
 from limpetwalk.conf import snapshot
 from limpetwalk.ledger import base as ledger
-from limpetwalk.platform import base as platform
+from limpetwalk.providers import base as platform
 from limpetwalk.records import base as records
 from limpetwalk.routing import climb
 
-from . import bills
-from . import callers
-from . import chat
 from . import lifecycle
-from . import operators
 from . import parts
-from . import record_flow
-from . import record_notes
-from . import record_settling
-from . import services
 from . import sessions
+from .api import callers
+from .api import chat
+from .api import services
+from .billing import bills
+from .operations import operators
+from .records import record_flow
+from .records import record_notes
+from .records import record_settling
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/billing/__init__.py
@@ -0,0 +1,1 @@
+"""Bill entries and their way to the ledger."""
--- a/packages/limpetwalk-node/limpetwalk_node/bill_spill.py
+++ b/packages/limpetwalk-node/limpetwalk_node/billing/bill_spill.py
@@ -15,7 +15,7 @@
 
 from limpetwalk import clock as clocks
 from limpetwalk.ledger import base as ledger
-from limpetwalk.platform import base as platform
+from limpetwalk.providers import base as platform
 
 SPILL_PREFIX = "ledger-spill/"
 DONE_PREFIX = "ledger-spill-done/"
--- a/packages/limpetwalk-node/limpetwalk_node/bills.py
+++ b/packages/limpetwalk-node/limpetwalk_node/billing/bills.py
@@ -7,7 +7,7 @@
 from limpetwalk import metrics as measures
 from limpetwalk.ledger import base as ledger
 
-from . import lifecycle
+from .. import lifecycle
 
 
 class Bills:
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration in force on the node."""
--- a/packages/limpetwalk-node/limpetwalk_node/listeners.py
+++ b/packages/limpetwalk-node/limpetwalk_node/listeners.py
@@ -7,10 +7,10 @@
 import aiomisc
 from aiomisc.service import aiohttp as aiomisc_aiohttp
 
-from . import callers
-from . import operators
-from . import server
 from . import settings
+from .api import callers
+from .api import server
+from .operations import operators
 
 BACKLOG = 1024
 CLOSE_TIMEOUT = 2.0
--- a/packages/limpetwalk-node/limpetwalk_node/main.py
+++ b/packages/limpetwalk-node/limpetwalk_node/main.py
@@ -14,7 +14,7 @@
 from result import Err
 import uvloop
 
-from limpetwalk.platform import factory
+from limpetwalk.providers import factory
 
 from . import lifecycle
 from . import listeners
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' interface of the node."""
--- a/packages/limpetwalk-node/limpetwalk_node/operators.py
+++ b/packages/limpetwalk-node/limpetwalk_node/operations/operators.py
@@ -9,8 +9,8 @@
 
 from limpetwalk import metrics as measures
 
-from . import lifecycle
-from . import parts
+from .. import lifecycle
+from .. import parts
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SNAPSHOT_LIMIT_BYTES = 16 * 1024 * 1024
--- a/packages/limpetwalk-node/limpetwalk_node/status.py
+++ b/packages/limpetwalk-node/limpetwalk_node/operations/status.py
@@ -5,9 +5,9 @@
 
 from limpetwalk.peers import base as peers
 
-from . import lifecycle
-from . import parts
-from . import settings
+from .. import lifecycle
+from .. import parts
+from .. import settings
 
 
 class Status:
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/records/__init__.py
@@ -0,0 +1,1 @@
+"""Durable records of non-idempotent requests."""
--- a/packages/limpetwalk-node/limpetwalk_node/record_flow.py
+++ b/packages/limpetwalk-node/limpetwalk_node/records/record_flow.py
@@ -15,14 +15,14 @@
 from limpetwalk.records import base as records
 from limpetwalk.routing import work
 
-from . import bills
-from . import lifecycle
-from . import parts
+from .. import lifecycle
+from .. import parts
+from ..api import request_ids
+from ..billing import bills
 from . import record_dispatch
 from . import record_notes
 from . import record_refusals
 from . import record_settling
-from . import request_ids
 
 _AT_WORK = (records.RecordState.CLAIMED, records.RecordState.DISPATCHED)
 # Age of a request in seconds up to which its replay is billed again; the
--- a/packages/limpetwalk-node/limpetwalk_node/record_notes.py
+++ b/packages/limpetwalk-node/limpetwalk_node/records/record_notes.py
@@ -12,7 +12,7 @@
 from limpetwalk.backends import base as backends
 from limpetwalk.records import base as records
 
-from . import lifecycle
+from .. import lifecycle
 
 Moved = Result[records.Record, records.LostClaim]
 
--- a/packages/limpetwalk-node/limpetwalk_node/record_settling.py
+++ b/packages/limpetwalk-node/limpetwalk_node/records/record_settling.py
@@ -6,9 +6,9 @@
 
 from limpetwalk.records import base as records
 
-from . import bills
+from ..billing import bills
+from ..servers import server_outcomes
 from . import record_notes
-from . import server_outcomes
 
 Ask = Callable[[records.Record], Awaitable[server_outcomes.Found | None]]
 
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs as the node leads and observes them."""
--- a/packages/limpetwalk-node/limpetwalk_node/rollout_lead.py
+++ b/packages/limpetwalk-node/limpetwalk_node/rollouts/rollout_lead.py
@@ -25,8 +25,8 @@
 from limpetwalk.peers import loops
 from limpetwalk.peers import messages
 from limpetwalk.peers import rendezvous
-from limpetwalk.platform import base as platform
-from limpetwalk.platform import settle
+from limpetwalk.providers import base as platform
+from limpetwalk.providers import settle
 from limpetwalk.rollouts import guard as guards
 
 from . import rollout_halt
--- a/packages/limpetwalk-node/limpetwalk_node/rollout_rows.py
+++ b/packages/limpetwalk-node/limpetwalk_node/rollouts/rollout_rows.py
@@ -4,7 +4,7 @@
 
 from limpetwalk.conf import snapshot
 from limpetwalk.peers import messages
-from limpetwalk.platform import base as platform
+from limpetwalk.providers import base as platform
 from limpetwalk.rollouts import evidence
 
 PARTITION = "rollout"
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/servers/__init__.py
@@ -0,0 +1,1 @@
+"""What the node knows of backend servers."""
--- a/packages/limpetwalk-node/limpetwalk_node/crashes.py
+++ b/packages/limpetwalk-node/limpetwalk_node/servers/crashes.py
@@ -18,7 +18,7 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.peers import hub as hubs
 from limpetwalk.peers import messages
-from limpetwalk.platform import base as platform
+from limpetwalk.providers import base as platform
 from limpetwalk.routing import quarantine as quarantines
 
 PARTITION = "crash"
--- a/packages/limpetwalk-node/limpetwalk_node/instances.py
+++ b/packages/limpetwalk-node/limpetwalk_node/servers/instances.py
@@ -1,6 +1,6 @@
 """The platform's instance list, read once for all parts of the node."""
 
-from limpetwalk.platform import base as platform
+from limpetwalk.providers import base as platform
 
 
 class WatchedInstances:
--- a/packages/limpetwalk-node/limpetwalk_node/sessions.py
+++ b/packages/limpetwalk-node/limpetwalk_node/sessions.py
@@ -9,8 +9,8 @@
 from limpetwalk.routing import rollout_share
 from limpetwalk.routing import sessions
 
-from . import border
-from . import calls
+from .api import border
+from .api import calls
 
 SESSION_ID_BITS = 96
 
--- a/packages/limpetwalk-node/limpetwalk_node/settings.py
+++ b/packages/limpetwalk-node/limpetwalk_node/settings.py
@@ -9,7 +9,7 @@
 from result import Result
 import yaml
 
-from limpetwalk.platform import settings as platform
+from limpetwalk.providers import settings as platform
 
 
 class _Settings(pydantic.BaseModel):
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Permits for backend servers in cold start."""
--- a/packages/limpetwalk-node/limpetwalk_node/wiring.py
+++ b/packages/limpetwalk-node/limpetwalk_node/wiring.py
@@ -14,7 +14,7 @@
 from limpetwalk.conf import snapshot
 from limpetwalk.ledger import partition
 from limpetwalk.peers import hub as hubs
-from limpetwalk.platform import factory
+from limpetwalk.providers import factory
 from limpetwalk.records import store as record_stores
 from limpetwalk.routing import core as cores
 from limpetwalk.routing import dispatch
@@ -22,21 +22,21 @@
 from limpetwalk.routing import replicas
 
 from . import app
-from . import bill_spill
-from . import bill_sweeper
-from . import billing
-from . import config
-from . import crashes
-from . import evidence
-from . import holders
-from . import instances
-from . import permit_grantor
-from . import permits
-from . import reports
-from . import rollout_lead
-from . import server_outcomes
 from . import settings
-from . import status
+from .billing import bill_spill
+from .billing import bill_sweeper
+from .billing import billing
+from .configuration import config
+from .operations import status
+from .records import holders
+from .rollouts import evidence
+from .rollouts import rollout_lead
+from .servers import crashes
+from .servers import instances
+from .servers import reports
+from .servers import server_outcomes
+from .warmup import permit_grantor
+from .warmup import permits
 
 
 class Node(aiomisc.Service):
--- a/packages/limpetwalk/limpetwalk/conf/head.py
+++ b/packages/limpetwalk/limpetwalk/conf/head.py
@@ -19,8 +19,8 @@
 
 from .. import clock as clocks
 from .. import exceptions
-from ..platform import base as platform
-from ..platform import settle
+from ..providers import base as platform
+from ..providers import settle
 from . import compile as compiler
 from . import diff
 from . import document
--- a/packages/limpetwalk/limpetwalk/leases.py
+++ b/packages/limpetwalk/limpetwalk/leases.py
@@ -15,8 +15,8 @@
 
 from . import clock as clocks
 from . import exceptions
-from .platform import base
-from .platform import settle
+from .providers import base
+from .providers import settle
 
 PARTITION = "lease"
 # Nobody takes a lease over before it has been over for this long, so that
--- a/packages/limpetwalk/limpetwalk/ledger/partition.py
+++ b/packages/limpetwalk/limpetwalk/ledger/partition.py
@@ -16,8 +16,8 @@
 from result import Result
 
 from .. import clock as clocks
-from ..platform import base as platform
-from ..platform import settle
+from ..providers import base as platform
+from ..providers import settle
 from . import base
 from . import rows
 
--- a/packages/limpetwalk/limpetwalk/ledger/reader.py
+++ b/packages/limpetwalk/limpetwalk/ledger/reader.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
-from ..platform import base as platform
+from ..providers import base as platform
 from . import base
 from . import rows
 
--- a/packages/limpetwalk/limpetwalk/ledger/retention.py
+++ b/packages/limpetwalk/limpetwalk/ledger/retention.py
@@ -6,8 +6,8 @@
 
 from result import Ok
 
-from ..platform import base as platform
-from ..platform import settle
+from ..providers import base as platform
+from ..providers import settle
 from . import rows
 
 PAGE_ROWS = 90
--- a/packages/limpetwalk/limpetwalk/ledger/rows.py
+++ b/packages/limpetwalk/limpetwalk/ledger/rows.py
@@ -5,7 +5,7 @@
 import pydantic
 import xxhash
 
-from ..platform import base as platform
+from ..providers import base as platform
 from . import base
 
 # A row may take 400 KB with its key and its other attributes.
--- a/packages/limpetwalk/limpetwalk/peers/hub.py
+++ b/packages/limpetwalk/limpetwalk/peers/hub.py
@@ -19,7 +19,7 @@
 from .. import clock as clocks
 from .. import exceptions
 from .. import metrics as metrics_
-from ..platform import base as platform
+from ..providers import base as platform
 from . import base
 from . import calls
 from . import codec
--- a/packages/limpetwalk/limpetwalk/peers/membership.py
+++ b/packages/limpetwalk/limpetwalk/peers/membership.py
@@ -13,7 +13,7 @@
 
 from .. import clock as clocks
 from .. import metrics as metrics_
-from ..platform import base as platform
+from ..providers import base as platform
 from . import base
 from . import messages
 from . import node_counts
--- a/packages/limpetwalk/limpetwalk/platform/factory.py
+++ b/packages/limpetwalk/limpetwalk/providers/factory.py
@@ -10,10 +10,10 @@
 from . import settings
 
 PLUGINS = [
-    "limpetwalk.platform.dynamodb",
-    "limpetwalk.platform.s3",
-    "limpetwalk.platform.http_sd",
-    "limpetwalk.platform.ratings",
+    "limpetwalk.providers.dynamodb",
+    "limpetwalk.providers.s3",
+    "limpetwalk.providers.http_sd",
+    "limpetwalk.providers.ratings",
 ]
 
 
--- a/packages/limpetwalk/limpetwalk/records/answers.py
+++ b/packages/limpetwalk/limpetwalk/records/answers.py
@@ -5,7 +5,7 @@
 
 from .. import exceptions
 from ..backends import base as backends
-from ..platform import base as platform
+from ..providers import base as platform
 from . import rows
 
 # Larger bodies go to the object store; base 64 makes 4/3 of them and the
--- a/packages/limpetwalk/limpetwalk/records/rows.py
+++ b/packages/limpetwalk/limpetwalk/records/rows.py
@@ -3,7 +3,7 @@
 import pydantic
 
 from ..backends import base as backends
-from ..platform import base as platform
+from ..providers import base as platform
 from . import base
 
 
--- a/packages/limpetwalk/limpetwalk/records/store.py
+++ b/packages/limpetwalk/limpetwalk/records/store.py
@@ -11,8 +11,8 @@
 from .. import clock as clocks
 from .. import exceptions
 from ..backends import base as backends
-from ..platform import base as platform
-from ..platform import settle
+from ..providers import base as platform
+from ..providers import settle
 from . import answers
 from . import base
 from . import rows
--- a/packages/limpetwalk/limpetwalk/routing/climb.py
+++ b/packages/limpetwalk/limpetwalk/routing/climb.py
@@ -14,7 +14,7 @@
 from .. import refusals
 from ..backends import base as backends
 from ..conf import snapshot
-from ..platform import base as platform
+from ..providers import base as platform
 from . import access
 from . import answers
 from . import cascade as policies
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -36,7 +36,7 @@
     . scripts/site.sh
     trap stop_site EXIT
     mkdir -p "$SITE/logs" "$SITE/pids"
-    "$PY" -m limpetwalk_bench.platform --port=0 \
+    "$PY" -m limpetwalk_bench.providers --port=0 \
         >"$SITE/logs/platform.out" 2>"$SITE/logs/platform.err" &
     echo $! >"$SITE/pids/platform"
     STARTED="$STARTED $!"
--- a/tests/limpetwalk/conf/test_editor_stateful.py
+++ b/tests/limpetwalk/conf/test_editor_stateful.py
@@ -19,8 +19,8 @@
 from limpetwalk.conf import rollout_edits
 from limpetwalk.conf import snapshot
 from limpetwalk.conf import version_edits
-from limpetwalk.platform import base as platform
-from limpetwalk.platform import memory
+from limpetwalk.providers import base as platform
+from limpetwalk.providers import memory
 
 from . import sites
 
--- a/tests/limpetwalk/conf/test_head.py
+++ b/tests/limpetwalk/conf/test_head.py
@@ -11,8 +11,8 @@
 from limpetwalk import exceptions
 from limpetwalk.conf import compile as compiler
 from limpetwalk.conf import head
-from limpetwalk.platform import base as platform
-from limpetwalk.platform import memory
+from limpetwalk.providers import base as platform
+from limpetwalk.providers import memory
 
 from . import sites
 
--- a/tests/limpetwalk/ledger/test_partition.py
+++ b/tests/limpetwalk/ledger/test_partition.py
@@ -14,8 +14,8 @@
 from limpetwalk.ledger import reader
 from limpetwalk.ledger import retention
 from limpetwalk.ledger import rows
-from limpetwalk.platform import base as platform
-from limpetwalk.platform import memory
+from limpetwalk.providers import base as platform
+from limpetwalk.providers import memory
 
 from ... import machines
 from .. import stepped
--- a/tests/limpetwalk/ledger/test_reader.py
+++ b/tests/limpetwalk/ledger/test_reader.py
@@ -7,7 +7,7 @@
 from limpetwalk.ledger import reader
 from limpetwalk.ledger import reconciliation
 from limpetwalk.ledger import rows
-from limpetwalk.platform import memory
+from limpetwalk.providers import memory
 
 from . import test_partition as ledger
 
--- a/tests/limpetwalk/peers/fakes.py
+++ b/tests/limpetwalk/peers/fakes.py
@@ -12,8 +12,8 @@
 from limpetwalk.ledger import rows as ledger_rows
 from limpetwalk.peers import hub as hubs
 from limpetwalk.peers import topology
-from limpetwalk.platform import base as platform
-from limpetwalk.platform import memory
+from limpetwalk.providers import base as platform
+from limpetwalk.providers import memory
 
 # Tests look at counters; lines of links that come and go hide failures.
 logger.disable("limpetwalk.peers")
--- a/tests/limpetwalk/platform/harness.py
+++ b/tests/limpetwalk/providers/harness.py
@@ -3,10 +3,10 @@
 import asyncio
 import enum
 
-from limpetwalk.platform import memory
-from limpetwalk.platform import settings
-from limpetwalk_bench.platform import faults
-from limpetwalk_bench.platform import standin
+from limpetwalk.providers import memory
+from limpetwalk.providers import settings
+from limpetwalk_bench.providers import faults
+from limpetwalk_bench.providers import standin
 
 TIMEOUT = 1.0
 
--- a/tests/limpetwalk/platform/test_dynamodb.py
+++ b/tests/limpetwalk/providers/test_dynamodb.py
@@ -8,9 +8,9 @@
 from result import Err
 
 from limpetwalk import exceptions
-from limpetwalk.platform import base
-from limpetwalk.platform import dynamodb
-from limpetwalk.platform import settings
+from limpetwalk.providers import base
+from limpetwalk.providers import dynamodb
+from limpetwalk.providers import settings
 
 KEY = base.RowKey("p", "k")
 OTHER = base.RowKey("p", "o")
--- a/tests/limpetwalk/platform/test_instances.py
+++ b/tests/limpetwalk/providers/test_instances.py
@@ -6,11 +6,11 @@
 
 from limpetwalk import clock
 from limpetwalk import exceptions
-from limpetwalk.platform import base
-from limpetwalk.platform import http_sd
-from limpetwalk.platform import memory
-from limpetwalk_bench.platform import faults
-from limpetwalk_bench.platform import instances
+from limpetwalk.providers import base
+from limpetwalk.providers import http_sd
+from limpetwalk.providers import memory
+from limpetwalk_bench.providers import faults
+from limpetwalk_bench.providers import instances
 
 from . import harness
 
--- a/tests/limpetwalk/platform/test_ratings.py
+++ b/tests/limpetwalk/providers/test_ratings.py
@@ -4,13 +4,13 @@
 import unittest
 
 from limpetwalk import exceptions
-from limpetwalk.platform import base
-from limpetwalk.platform import memory
-from limpetwalk.platform import ratings
+from limpetwalk.providers import base
+from limpetwalk.providers import memory
+from limpetwalk.providers import ratings
 from limpetwalk_bench.engine import answers
 from limpetwalk_bench.engine import settings as engine
-from limpetwalk_bench.platform import faults
-from limpetwalk_bench.platform import ratings as standin
+from limpetwalk_bench.providers import faults
+from limpetwalk_bench.providers import ratings as standin
 
 from . import harness
 
--- a/tests/limpetwalk/platform/test_settle.py
+++ b/tests/limpetwalk/providers/test_settle.py
@@ -8,9 +8,9 @@
 from result import Ok
 
 from limpetwalk import exceptions
-from limpetwalk.platform import base
-from limpetwalk.platform import memory
-from limpetwalk.platform import settle
+from limpetwalk.providers import base
+from limpetwalk.providers import memory
+from limpetwalk.providers import settle
 
 from ... import machines
 from .. import stepped
--- a/tests/limpetwalk/platform/test_table.py
+++ b/tests/limpetwalk/providers/test_table.py
@@ -8,10 +8,10 @@
 from result import Ok
 
 from limpetwalk import exceptions
-from limpetwalk.platform import base
-from limpetwalk.platform import dynamodb
-from limpetwalk.platform import memory
-from limpetwalk_bench.platform import faults
+from limpetwalk.providers import base
+from limpetwalk.providers import dynamodb
+from limpetwalk.providers import memory
+from limpetwalk_bench.providers import faults
 
 from . import harness
 
--- a/tests/limpetwalk/records/test_store.py
+++ b/tests/limpetwalk/records/test_store.py
@@ -10,7 +10,7 @@
 from limpetwalk import clock
 from limpetwalk import exceptions
 from limpetwalk.backends import base as backends
-from limpetwalk.platform import memory
+from limpetwalk.providers import memory
 from limpetwalk.records import answers
 from limpetwalk.records import base
 from limpetwalk.records import rows
--- a/tests/limpetwalk/stepped.py
+++ b/tests/limpetwalk/stepped.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies
 
 from limpetwalk import exceptions
-from limpetwalk.platform import memory
+from limpetwalk.providers import memory
 
 
 class Fate(enum.Enum):
--- a/tests/limpetwalk/test_leases.py
+++ b/tests/limpetwalk/test_leases.py
@@ -11,8 +11,8 @@
 from limpetwalk import clock
 from limpetwalk import exceptions
 from limpetwalk import leases
-from limpetwalk.platform import base
-from limpetwalk.platform import memory
+from limpetwalk.providers import base
+from limpetwalk.providers import memory
 
 from .. import machines
 from . import stepped
--- a/tests/limpetwalk_bench/platform/test_program.py
+++ b/tests/limpetwalk_bench/platform/test_program.py
@@ -9,9 +9,9 @@
 import aiohttp
 
 from limpetwalk import exceptions
-from limpetwalk.platform import base
-from limpetwalk.platform import factory
-from limpetwalk.platform import settings
+from limpetwalk.providers import base
+from limpetwalk.providers import factory
+from limpetwalk.providers import settings
 
 START_TIMEOUT = 30.0
 KEY = base.RowKey("p", "k")
@@ -28,7 +28,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "limpetwalk_bench.platform",
+            "limpetwalk_bench.providers",
             "--port=0",
             stdout=asyncio.subprocess.PIPE,
         )
--- a/tests/limpetwalk_ctl/changes.py
+++ b/tests/limpetwalk_ctl/changes.py
@@ -9,7 +9,7 @@
 from limpetwalk.conf import edits
 from limpetwalk.conf import head
 from limpetwalk.conf import snapshot
-from limpetwalk.platform import memory
+from limpetwalk.providers import memory
 
 from . import shell
 
--- a/tests/limpetwalk_ctl/shell.py
+++ b/tests/limpetwalk_ctl/shell.py
@@ -11,9 +11,9 @@
 from aiohttp import web
 import yaml
 
-from limpetwalk.platform import base as platform
-from limpetwalk.platform import factory
-from limpetwalk.platform import memory
+from limpetwalk.providers import base as platform
+from limpetwalk.providers import factory
+from limpetwalk.providers import memory
 from limpetwalk_ctl import main
 
 ROOT = pathlib.Path(__file__).parents[2]
--- a/tests/limpetwalk_ctl/test_platform.py
+++ b/tests/limpetwalk_ctl/test_platform.py
@@ -10,8 +10,8 @@
 import yaml
 
 from limpetwalk.conf import head
-from limpetwalk_bench.platform import faults
-from limpetwalk_bench.platform import standin
+from limpetwalk_bench.providers import faults
+from limpetwalk_bench.providers import standin
 from limpetwalk_ctl import exits
 from limpetwalk_ctl import main
 
--- a/tests/limpetwalk_node/fakes.py
+++ b/tests/limpetwalk_node/fakes.py
@@ -16,9 +16,9 @@
 from limpetwalk.conf import snapshot
 from limpetwalk_node import app
 from limpetwalk_node import lifecycle
-from limpetwalk_node import record_flow
-from limpetwalk_node import record_notes
-from limpetwalk_node import server
+from limpetwalk_node.api import server
+from limpetwalk_node.records import record_flow
+from limpetwalk_node.records import record_notes
 
 KEY = "key-of-bercvar"
 OTHER_KEY = "key-of-navarrete"
--- a/tests/limpetwalk_node/processes.py
+++ b/tests/limpetwalk_node/processes.py
@@ -16,8 +16,8 @@
 from limpetwalk.conf import document
 from limpetwalk.conf import head
 from limpetwalk.ledger import reader
-from limpetwalk.platform import factory
-from limpetwalk.platform import settings as platform_settings
+from limpetwalk.providers import factory
+from limpetwalk.providers import settings as platform_settings
 
 KEY = "key-of-bercvar"
 OTHER_KEY = "key-of-navarrete"
@@ -78,7 +78,7 @@
             "large:v1": {"*": 0.95},
         }
         self.processes = [
-            Process("limpetwalk_bench.platform", self.folder),
+            Process("limpetwalk_bench.providers", self.folder),
             Process(
                 "limpetwalk_bench.engine",
                 self.folder,
--- a/tests/limpetwalk_node/rollouts.py
+++ b/tests/limpetwalk_node/rollouts.py
@@ -15,10 +15,10 @@
 from limpetwalk.conf import snapshot
 from limpetwalk.peers import base as peers
 from limpetwalk.peers import rendezvous
-from limpetwalk.platform import memory
-from limpetwalk_node import evidence
-from limpetwalk_node import rollout_lead
-from limpetwalk_node import rollout_rows
+from limpetwalk.providers import memory
+from limpetwalk_node.rollouts import evidence
+from limpetwalk_node.rollouts import rollout_lead
+from limpetwalk_node.rollouts import rollout_rows
 from tests.limpetwalk.conf import sites
 
 registry.load_plugins(["limpetwalk.rollouts.guard"])
--- a/tests/limpetwalk_node/test_billing.py
+++ b/tests/limpetwalk_node/test_billing.py
@@ -12,11 +12,11 @@
 from limpetwalk.ledger import partition
 from limpetwalk.ledger import rows as ledger_rows
 from limpetwalk.peers import rendezvous
-from limpetwalk.platform import memory
-from limpetwalk_node import bill_protection
-from limpetwalk_node import bill_spill
-from limpetwalk_node import bill_sweeper
-from limpetwalk_node import billing
+from limpetwalk.providers import memory
+from limpetwalk_node.billing import bill_protection
+from limpetwalk_node.billing import bill_spill
+from limpetwalk_node.billing import bill_sweeper
+from limpetwalk_node.billing import billing
 from tests.limpetwalk.peers import fakes
 
 PARTITIONS = 4
--- a/tests/limpetwalk_node/test_callers.py
+++ b/tests/limpetwalk_node/test_callers.py
@@ -11,9 +11,9 @@
 
 from limpetwalk import refusals
 from limpetwalk.conf import snapshot
-from limpetwalk_node import bodies
 from limpetwalk_node import lifecycle
-from limpetwalk_node import server
+from limpetwalk_node.api import bodies
+from limpetwalk_node.api import server
 
 from . import fakes
 
--- a/tests/limpetwalk_node/test_config.py
+++ b/tests/limpetwalk_node/test_config.py
@@ -14,10 +14,10 @@
 from limpetwalk import metrics
 from limpetwalk.conf import snapshot
 from limpetwalk.peers import messages
-from limpetwalk_node import config
+from limpetwalk_node.configuration import config
 from tests.limpetwalk.peers import fakes
 
-logger.disable("limpetwalk_node.config")
+logger.disable("limpetwalk_node.configuration.config")
 
 
 @dataclass
--- a/tests/limpetwalk_node/test_crashes.py
+++ b/tests/limpetwalk_node/test_crashes.py
@@ -4,9 +4,9 @@
 
 from limpetwalk import clock as clocks
 from limpetwalk import metrics
-from limpetwalk.platform import memory
+from limpetwalk.providers import memory
 from limpetwalk.routing import quarantine
-from limpetwalk_node import crashes
+from limpetwalk_node.servers import crashes
 from tests.limpetwalk.peers import fakes
 
 LIMIT = 2
--- a/tests/limpetwalk_node/test_errors.py
+++ b/tests/limpetwalk_node/test_errors.py
@@ -6,7 +6,7 @@
 
 from limpetwalk import metrics as measures
 from limpetwalk import refusals
-from limpetwalk_node import errors
+from limpetwalk_node.api import errors
 
 ROOT = pathlib.Path(__file__).parents[2]
 ROW = re.compile(r"^\| `(\w+)` \| ([\d, ]+) \|", re.MULTILINE)
--- a/tests/limpetwalk_node/test_evidence.py
+++ b/tests/limpetwalk_node/test_evidence.py
@@ -1,7 +1,7 @@
 """Tests of the evidence of roll-outs."""
 
 from limpetwalk.conf import snapshot
-from limpetwalk_node import evidence
+from limpetwalk_node.rollouts import evidence
 from tests.limpetwalk.peers import fakes
 
 from . import rollouts
--- a/tests/limpetwalk_node/test_holders.py
+++ b/tests/limpetwalk_node/test_holders.py
@@ -4,7 +4,7 @@
 import unittest
 
 from limpetwalk.peers import base as peers
-from limpetwalk_node import holders
+from limpetwalk_node.records import holders
 
 
 class FakeHub:
--- a/tests/limpetwalk_node/test_permits.py
+++ b/tests/limpetwalk_node/test_permits.py
@@ -10,9 +10,9 @@
 from limpetwalk.peers import messages
 from limpetwalk.peers import node_counts
 from limpetwalk.peers import rendezvous
-from limpetwalk.platform import memory
-from limpetwalk_node import permit_grantor
-from limpetwalk_node import permits
+from limpetwalk.providers import memory
+from limpetwalk_node.warmup import permit_grantor
+from limpetwalk_node.warmup import permits
 from tests.limpetwalk.peers import fakes
 
 NAMES = "abc"
--- a/tests/limpetwalk_node/test_reports.py
+++ b/tests/limpetwalk_node/test_reports.py
@@ -8,7 +8,7 @@
 from limpetwalk.backends import base as backends
 from limpetwalk.conf import snapshot
 from limpetwalk.routing import replicas
-from limpetwalk_node import reports
+from limpetwalk_node.servers import reports
 from tests.limpetwalk.peers import fakes
 
 ZONES = {"a": "z1", "b": "z1", "c": "z2"}
--- a/tests/limpetwalk_node/test_rollout_lead.py
+++ b/tests/limpetwalk_node/test_rollout_lead.py
@@ -4,8 +4,8 @@
 
 from limpetwalk.conf import rollout_edits
 from limpetwalk.peers import messages
-from limpetwalk_node import rollout_halt
-from limpetwalk_node import rollout_rows
+from limpetwalk_node.rollouts import rollout_halt
+from limpetwalk_node.rollouts import rollout_rows
 
 from . import rollouts
 
--- a/tests/limpetwalk_node/test_services.py
+++ b/tests/limpetwalk_node/test_services.py
@@ -8,12 +8,12 @@
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk import refusals
-from limpetwalk.platform import memory
+from limpetwalk.providers import memory
 from limpetwalk.records import base as records
 from limpetwalk.records import store
 from limpetwalk_node import lifecycle
-from limpetwalk_node import server_outcomes
-from limpetwalk_node import services
+from limpetwalk_node.api import services
+from limpetwalk_node.servers import server_outcomes
 
 from . import fakes
 
