--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entry node that forwards requests by route on a platform's machines."""
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/beliefs.py
@@ -0,0 +1,211 @@
+"""What this node believes, and how rows of the platform change it."""
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics as metrics_
+from limpetwalk.gateway import catalog
+from limpetwalk.gateway import fleet
+from limpetwalk.gateway import ports
+from limpetwalk.gateway import rollout
+from limpetwalk.gateway import types
+
+from . import events
+from . import logs
+
+NODE_PREFIX = "node/"
+ROLLOUT_PREFIX = "rollout/"
+CRASH_PREFIX = "crash/"
+
+
+class Beliefs:
+    """Configuration, servers, roll-outs and nodes known to this node.
+
+    :param clock: source of time.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        journal: logs.Journal,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self._clock = clock
+        self._journal = journal
+        self.catalog: catalog.Catalog | None = None
+        self.fleet = fleet.Fleet(clock)
+        self.rollouts = rollout.Rollouts(clock)
+        self.nodes: frozenset[str] = frozenset()
+        self.crashes: dict[str, set[str]] = {}
+        self.config_at = 0.0
+        self.servers_at = 0.0
+        self._evacuated: dict[str, str] = {}
+        self._unreadable = metrics.counter(
+            "limpetwalk_unreadable_rows",
+            "Rows that could not be decoded, by table.",
+            ("table",),
+        )
+        metrics.gauge(
+            "limpetwalk_config_version", "Version in force."
+        ).set_function(lambda: self.catalog.version if self.catalog else 0)
+        metrics.gauge(
+            "limpetwalk_servers", "Backend servers known."
+        ).set_function(lambda: len(self.fleet))
+
+    @property
+    def ready(self) -> bool:
+        """Whether enough is known to serve."""
+        return self.catalog is not None and self.fleet.known
+
+    def apply_operator(self, batch: ports.Batch[ports.OperatorEntry]) -> None:
+        """Take over what the operator wrote."""
+        self.config_at = self._clock.monotonic()
+        zones = {} if batch.whole else dict(self._evacuated)
+        if batch.whole:
+            self.rollouts.keep_orders(
+                {
+                    each.entry.service
+                    for each in batch.changes
+                    if isinstance(each.entry, types.RolloutOrder)
+                }
+            )
+        for change in batch.changes:
+            entry = change.entry
+            if isinstance(entry, types.Config):
+                self._apply_config(entry, batch.whole)
+            elif isinstance(entry, types.RolloutOrder):
+                self.rollouts.order(entry)
+            elif isinstance(entry, ports.ZoneEvacuated):
+                zones[change.key] = entry.zone
+            elif isinstance(entry, ports.Removed):
+                zones.pop(change.key, None)
+                self.rollouts.withdraw(change.key)
+            else:
+                self._note_unreadable("operator", entry)
+        self._apply_zones(zones)
+
+    def apply_servers(self, batch: ports.Batch[types.Server]) -> None:
+        """Take over entries of backend servers."""
+        self.servers_at = self._clock.monotonic()
+        shown = set()
+        for change in batch.changes:
+            entry = change.entry
+            if isinstance(entry, types.Server):
+                shown.add(change.key)
+                self._put_server(entry, change.version)
+                continue
+            if isinstance(entry, ports.Unreadable):
+                self._note_unreadable("servers", entry)
+            self._remove_server(change.key, change.version)
+        if batch.whole:
+            for server_id in self.fleet.keep_only(shown):
+                self._log_gone(server_id, batch.version)
+
+    def apply_shared(self, batch: ports.Batch[ports.SharedRow]) -> None:
+        """Take over rows that the nodes share."""
+        nodes = set() if batch.whole else set(self.nodes)
+        for change in batch.changes:
+            kind, _, name = change.key.partition("/")
+            gone = not isinstance(change.entry, ports.SharedRow)
+            if kind == "node":
+                (nodes.discard if gone else nodes.add)(name)
+            elif kind == "crash" and not gone:
+                fingerprint, _, server = name.partition("/")
+                self.crashes.setdefault(fingerprint, set()).add(server)
+            elif kind == "rollout" and isinstance(
+                change.entry, ports.SharedRow
+            ):
+                self._apply_stage(name, change.entry.value, change.version)
+        self.nodes = frozenset(nodes)
+
+    def _apply_stage(self, service: str, text: str, version: int) -> None:
+        stage = self.rollouts.take_stage(service, text, version)
+        if stage is None:
+            return
+        self._journal.emit(
+            events.RolloutChanged(
+                service=service,
+                target=stage.target,
+                phase=stage.phase.value,
+                share=stage.share,
+                failures=stage.failures,
+                successes=stage.successes,
+                reason=stage.reason,
+            )
+        )
+
+    def _apply_config(self, config: types.Config, whole: bool) -> None:
+        before = self.catalog.version if self.catalog else 0
+        if config.version <= before:
+            if config.version < before:
+                self._journal.emit(
+                    events.ConfigIgnored(config.version, before)
+                )
+            return
+        self.catalog = catalog.Catalog(config)
+        self._journal.emit(
+            events.ConfigApplied(
+                version=config.version,
+                before=before,
+                routes=len(config.routes),
+                keys=len(config.keys),
+                whole_read=whole,
+            )
+        )
+
+    def _apply_zones(self, zones: dict[str, str]) -> None:
+        self._evacuated = zones
+        evacuated = frozenset(zones.values())
+        if evacuated != self.fleet.evacuated:
+            self.fleet.evacuated = evacuated
+            self._journal.emit(events.ZoneChanged(tuple(sorted(evacuated))))
+
+    def _put_server(self, entry: types.Server, version: int) -> None:
+        before = self.fleet.get(entry.id)
+        was = (
+            (
+                before.entry.leaving,
+                before.entry.boot_ms,
+                before.entry.cold_left,
+            )
+            if before
+            else None
+        )
+        held = self.fleet.put(entry, version)
+        if held is None:
+            return
+        if was != (entry.leaving, entry.boot_ms, entry.cold_left):
+            state = "cold" if entry.cold_left > 0 else "ready"
+            self._log_server(
+                entry, "leaving" if entry.leaving else state, version
+            )
+
+    def _remove_server(self, server_id: str, version: int) -> None:
+        held = self.fleet.get(server_id)
+        if held is None:
+            return
+        out = self.fleet.remove(server_id)
+        self._log_server(held.entry, "gone" if out else "lapsed", version)
+
+    def _log_gone(self, server_id: str, version: int) -> None:
+        self._journal.emit(
+            events.ServerChanged(server_id, "", "gone", "", "", version)
+        )
+
+    def _log_server(
+        self, entry: types.Server, state: str, version: int
+    ) -> None:
+        self._journal.emit(
+            events.ServerChanged(
+                server=entry.id,
+                service=entry.service,
+                state=state,
+                zone=entry.zone,
+                version=entry.version,
+                row_version=version,
+            )
+        )
+
+    def _note_unreadable(self, table: str, entry: ports.Unreadable) -> None:
+        self._unreadable.labels(table).inc()
+        self._journal.emit(
+            events.RowUnreadable(table, entry.key, entry.findings[:5])
+        )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -0,0 +1,419 @@
+"""Sending a request to one server after another."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics as metrics_
+from limpetwalk.gateway import affinity
+from limpetwalk.gateway import answers
+from limpetwalk.gateway import budget
+from limpetwalk.gateway import call as calls
+from limpetwalk.gateway import coldshare
+from limpetwalk.gateway import fleet
+from limpetwalk.gateway import placing
+from limpetwalk.gateway import ports
+from limpetwalk.gateway import refusal
+from limpetwalk.gateway import repeats
+from limpetwalk.gateway import types
+
+from . import beliefs
+from . import events
+from . import logs
+from . import suspects
+from . import upstream
+
+T = TypeVar("T")
+
+# Time to connect to a server, seconds: a few round trips within a region,
+# less than the second after which a lost packet is sent again.
+CONNECT_TIMEOUT = 0.3
+# Engine ranks between which priorities are laid out.
+MOST_URGENT, LEAST_URGENT = 0, 9
+# Least deadline that is told a server, milliseconds.
+LEAST_DEADLINE_MS = 1
+
+
+@dataclass(slots=True)
+class Tried:
+    """Try that did not bring the answer.
+
+    :param answer: head of a failure that may be passed on as it is.
+    """
+
+    outcome: repeats.Outcome
+    detail: str
+    answer: "WholeAnswer | None" = None
+
+
+@dataclass(slots=True)
+class WholeAnswer:
+    """Answer that was received whole."""
+
+    head: upstream.Head
+    body: bytes
+    server: str
+
+
+@dataclass(slots=True)
+class Started:
+    """Answer whose head serves and whose body is still to be read.
+
+    :param sent_at: instant at which the request was sent.
+    """
+
+    exchange: upstream.Exchange
+    head: upstream.Head
+    member: fleet.Member
+    model: str
+    sent_at: float
+
+
+class Dispatcher:
+    """Offers requests to servers and keeps count of what comes of it.
+
+    :param node: name of this node.
+    """
+
+    def __init__(
+        self,
+        settings: Callable[[], types.NodeSettings],
+        wire: ports.Wire,
+        held: beliefs.Beliefs,
+        watch: suspects.Suspects,
+        clock: clocks.Clock,
+        journal: logs.Journal,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self.wire = wire
+        self.beliefs = held
+        self.clock = clock
+        self.journal = journal
+        self.suspects = watch
+        self._settings = settings
+        self._memory = affinity.PrefixMemory(
+            clock, settings().bounds.reuse_window
+        )
+        self._cold = coldshare.ColdShare(
+            settings().name,
+            lambda: held.nodes,
+            lambda: settings().bounds,
+            clock,
+        )
+        self._placer = placing.Placer(
+            settings().zone,
+            held.fleet,
+            self._memory,
+            clock,
+            self._may_send_cold,
+        )
+        self._budgets: dict[str, budget.RepeatBudget] = {}
+        self._tries = metrics.counter(
+            "limpetwalk_tries",
+            "Requests sent to servers, by outcome.",
+            ("outcome",),
+        )
+        self._stops = metrics.counter(
+            "limpetwalk_repeats_denied",
+            "Requests that were not sent again, by reason.",
+            ("reason",),
+        )
+        self._repeats = metrics.counter(
+            "limpetwalk_repeats",
+            "Requests sent once more, by the reason.",
+            ("reason",),
+        )
+        self.first_event = metrics.latency(
+            "limpetwalk_first_byte", "Time to the head of an answer."
+        )
+
+    @property
+    def bounds(self) -> types.Bounds:
+        """Bounds of the settings in force."""
+        return self._settings().bounds
+
+    def budget(self, service: str) -> budget.RepeatBudget:
+        """Return the repeat budget of a service."""
+        held = self._budgets.get(service)
+        if held is None:
+            held = budget.RepeatBudget(
+                self.clock,
+                lambda: self.bounds,
+                lambda: len(self.beliefs.nodes),
+            )
+            self._budgets[service] = held
+        return held
+
+    def time_left(self, call: calls.Call) -> float:
+        """Return the seconds until the answer of a call must be out."""
+        return call.deadline - self.clock.monotonic()
+
+    def place(
+        self, call: calls.Call, model: str = "", version: str = ""
+    ) -> fleet.Member | None:
+        """Choose a server for a call, None when there is none.
+
+        :param version: version that should answer if it still may.
+        """
+        for versions in self._versions(call, version):
+            member = self._placer.choose(
+                placing.Need(
+                    call.service, versions, model, call.prompt, call.tried
+                )
+            )
+            if member is not None:
+                return member
+        return None
+
+    async def start(
+        self,
+        call: calls.Call,
+        member: fleet.Member,
+        model: str,
+        last_event: str,
+        patience: float,
+    ) -> Started | Tried:
+        """Offer a call to a server and wait for the head of the answer.
+
+        :param last_event: event after which the stream goes on, or empty.
+        :param patience: longest time to wait, in seconds.
+        """
+        left = self.time_left(call)
+        member.condition.in_flight += 1
+        call.tried.add(member.id)
+        self._note_placed(call, member, model, left)
+        try:
+            return await self._start(
+                call, member, model, last_event, min(left, patience)
+            )
+        finally:
+            member.condition.in_flight -= 1
+
+    def note(
+        self, call: calls.Call, member: fleet.Member, tried: Tried | None
+    ) -> None:
+        """Note how a try ended; None for a whole answer."""
+        now = self.clock.monotonic()
+        outcome = tried.outcome if tried else None
+        failed = outcome not in (None, repeats.Outcome.NOT_RUN)
+        member.condition.note(failed, now)
+        if member.condition.rests_until > now and failed:
+            self.journal.emit(
+                events.ServerResting(
+                    member.id,
+                    member.condition.failures_in_row,
+                    round(member.condition.rests_until - now, 2),
+                )
+            )
+        self._tries.labels(outcome.value if outcome else "answered").inc()
+        if outcome is not None:
+            call.tries.note(outcome)
+            if outcome is repeats.Outcome.UNKNOWN:
+                self.suspects.note_broken(call, member)
+
+    def may_repeat(
+        self, call: calls.Call, member: fleet.Member, tried: Tried
+    ) -> bool:
+        """Whether a call may be sent once more; takes from the budget."""
+        spent = self.budget(call.service)
+        stop = repeats.why_stop(
+            call.route, call.tries, tried.outcome, self.time_left(call)
+        )
+        if stop is None and self.suspects.blocks(call.fingerprint):
+            stop = repeats.Stop.POISON
+        # A request that never left is no arrival at the service.
+        costs = tried.outcome is not repeats.Outcome.UNREACHED
+        if stop is None and costs and not spent.take():
+            stop = repeats.Stop.BUDGET
+        self.journal.emit(
+            events.TryEnded(
+                request=call.id,
+                server=member.id,
+                outcome=tried.outcome.value,
+                detail=tried.detail[:200],
+                stop=stop.value if stop else "",
+                budget_left=round(spent.left(), 1),
+            )
+        )
+        if stop is None:
+            self._repeats.labels(tried.outcome.value).inc()
+            return True
+        self._stops.labels(stop.value).inc()
+        return False
+
+    def give_up(self, call: calls.Call, last: Tried | None) -> refusal.Refusal:
+        """Return the refusal for a call that no server answered."""
+        if self.suspects.blocks(call.fingerprint):
+            return refusal.Refusal(refusal.Reason.POISON)
+        if call.tries.ran:
+            reason = (
+                refusal.Reason.TIMED_OUT
+                if self.time_left(call) <= repeats.LEAST_TIME
+                else refusal.Reason.BROKEN
+            )
+            return refusal.Refusal(reason)
+        if last is not None:
+            return refusal.Refusal(
+                refusal.Reason.REJECTED, self._come_back(call)
+            )
+        return refusal.Refusal(refusal.Reason.NO_SERVER, self._come_back(call))
+
+    def _come_back(self, call: calls.Call) -> float:
+        """Return when a caller should come back, in seconds."""
+        return round(max(0.1, min(1.0, self.time_left(call) / 4)), 2)
+
+    async def _start(
+        self,
+        call: calls.Call,
+        member: fleet.Member,
+        model: str,
+        last_event: str,
+        patience: float,
+    ) -> Started | Tried:
+        if member.is_cold(self.clock.monotonic()):
+            self._note_cold(member)
+        entry = member.entry
+        try:
+            exchange = await upstream.Exchange.connect(
+                entry.host, entry.port, min(CONNECT_TIMEOUT, patience)
+            )
+        except upstream.Unreached as exc:
+            return Tried(repeats.Outcome.UNREACHED, str(exc))
+        keep = False
+        try:
+            headers = self._headers(call, member, model, last_event)
+            exchange.send(call.method, call.target, headers, call.body)
+            sent_at = self.clock.monotonic()
+            async with asyncio.timeout(patience):
+                head = await exchange.head()
+                verdict = answers.judge(
+                    head.status, head.headers, self.wire.names, call.id
+                )
+                if verdict.outcome is None:
+                    keep = True
+                    self._note_head(call, member, model, sent_at)
+                    return Started(exchange, head, member, model, sent_at)
+                answer = None
+                if verdict.final:
+                    body = await exchange.body()
+                    answer = WholeAnswer(head, body, member.id)
+                return Tried(verdict.outcome, verdict.detail, answer)
+        except upstream.Unreached as exc:
+            return Tried(repeats.Outcome.UNREACHED, str(exc))
+        except upstream.Broken as exc:
+            return Tried(repeats.Outcome.UNKNOWN, str(exc))
+        except TimeoutError:
+            return Tried(
+                repeats.Outcome.UNKNOWN, f"no answer in {patience:.2f} s"
+            )
+        finally:
+            if not keep:
+                exchange.close()
+
+    def _headers(
+        self,
+        call: calls.Call,
+        member: fleet.Member,
+        model: str,
+        last_event: str,
+    ) -> list[tuple[bytes, bytes]]:
+        names = self.wire.names
+        replaced = set()
+        added = {
+            names.deadline: str(
+                max(LEAST_DEADLINE_MS, int(self.time_left(call) * 1000))
+            ),
+            names.target: member.id,
+        }
+        if call.workspace is not None:
+            added[names.workspace] = call.workspace.name
+        if call.route.streaming:
+            rank = min(LEAST_URGENT, max(MOST_URGENT, call.priority))
+            added[names.urgency] = str(rank)
+        if model:
+            added[names.model] = model
+        if last_event:
+            added[names.last_event] = last_event
+        replaced = {name.lower().encode() for name in added}
+        kept = [
+            (name, value)
+            for name, value in call.headers
+            if name.lower() not in replaced
+        ]
+        return kept + [
+            (name.encode(), value.encode()) for name, value in added.items()
+        ]
+
+    def _versions(
+        self, call: calls.Call, version: str
+    ) -> list[frozenset[str] | None]:
+        held = self.beliefs
+        present = {
+            each.entry.version for each in held.fleet.usable(call.service)
+        }
+        split = held.rollouts.allowed(
+            call.service, present, held.fleet.trusted_versions(call.service)
+        )
+        chosen = held.rollouts.draw(
+            split, call.session or call.id, self.bounds.session
+        )
+        if version and version in split.base | split.candidate:
+            chosen = frozenset((version,))
+        others = (split.base | split.candidate) - chosen
+        if chosen == split.base:
+            # A version on trial gets no more than its share.
+            others = frozenset() if split.share < 1 else others
+        return [each for each in (chosen, others) if each]
+
+    def _may_send_cold(self, member: fleet.Member) -> bool:
+        return self._cold.may_send(member.id, self._cold_rate(member))
+
+    def _note_cold(self, member: fleet.Member) -> None:
+        self._cold.note_sent(member.id, self._cold_rate(member))
+
+    def _cold_rate(self, member: fleet.Member) -> float:
+        known = self.beliefs.catalog
+        service = known.service(member.entry.service) if known else None
+        return service.cold_rate if service else 0.0
+
+    def _note_placed(
+        self, call: calls.Call, member: fleet.Member, model: str, left: float
+    ) -> None:
+        self.journal.emit(
+            events.Placed(
+                request=call.id,
+                server=member.id,
+                model=model,
+                offer=call.tries.offered + 1,
+                left_ms=int(left * 1000),
+                in_flight=member.condition.in_flight,
+                row_version=member.row_version,
+                config=call.config_version,
+            )
+        )
+
+    def _note_head(
+        self,
+        call: calls.Call,
+        member: fleet.Member,
+        model: str,
+        sent_at: float,
+    ) -> None:
+        self.first_event.record(self.clock.monotonic() - sent_at)
+        self._memory.note_read(member.id, model, call.prompt)
+        if call.session:
+            self.beliefs.rollouts.note_session(
+                call.session, member.entry.version, self.bounds.session
+            )
+
+
+async def within(awaited: Awaitable[T], timeout: float) -> T:
+    """Await something for a limited time.
+
+    :raises TimeoutError: when the time is up.
+    """
+    async with asyncio.timeout(max(0.0, timeout)):
+        return await awaited
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
@@ -0,0 +1,244 @@
+"""Callers' side: reading requests, answering them, watching them leave."""
+
+import asyncio
+import logging
+from typing import Any
+
+from aiohttp import web
+from result import Err
+
+from limpetwalk import clock as clocks
+from limpetwalk import metrics as metrics_
+from limpetwalk.gateway import call as calls
+from limpetwalk.gateway import refusal
+
+from . import admission
+from . import beliefs
+from . import dispatch
+from . import events
+from . import logs
+from . import plain
+from . import replies
+from . import streaming
+
+# Idle time of a caller's connection beyond the operator's limit, seconds.
+# Callers stop reusing a connection well before the limit.
+IDLE_MARGIN = 5.0
+# Time for a request body, seconds.
+BODY_TIMEOUT = 10.0
+# Headers of a request, at most.
+HEADERS_LIMIT = 200
+
+_NO_ACCESS_LOG = logging.getLogger("limpetwalk.access")
+_NO_ACCESS_LOG.setLevel(logging.CRITICAL)
+
+
+class Front(web.Server):
+    """HTTP server for callers."""
+
+    def __init__(
+        self,
+        held: beliefs.Beliefs,
+        door: admission.Door,
+        dispatcher: dispatch.Dispatcher,
+        clock: clocks.Clock,
+        journal: logs.Journal,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        super().__init__(self._handle, handler_cancellation=True)
+        self._beliefs = held
+        self._door = door
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._journal = journal
+        self._plain = plain.PlainForwarder(dispatcher)
+        self._streams = streaming.StreamForwarder(dispatcher)
+        self._background: set[asyncio.Task[Any]] = set()
+        self.open_requests = 0
+        self.closing = False
+        self._requests = metrics.counter(
+            "limpetwalk_requests", "Requests by status.", ("status",)
+        )
+        self._refusals = metrics.counter(
+            "limpetwalk_refusals",
+            "Answers of the gateway's own, by reason.",
+            ("reason",),
+        )
+        self._latency = metrics.latency(
+            "limpetwalk_request", "Time from a request's header to its end."
+        )
+        metrics.gauge(
+            "limpetwalk_open_requests", "Requests under way."
+        ).set_function(lambda: self.open_requests)
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        known = self._beliefs.catalog
+        idle = known.config.limits.idle_timeout if known else 15.0
+        header = known.config.limits.header_bytes if known else 16384
+        return web.RequestHandler(
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=_NO_ACCESS_LOG,
+            keepalive_timeout=idle + IDLE_MARGIN,
+            max_line_size=header,
+            max_field_size=header,
+            max_headers=HEADERS_LIMIT,
+            auto_decompress=False,
+        )
+
+    @property
+    def busy(self) -> bool:
+        """Whether requests or runs are under way."""
+        return bool(self.open_requests or self._background)
+
+    async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        self.open_requests += 1
+        arrived = self._clock.monotonic()
+        attempt = req.headers.get(self._dispatcher.wire.names.attempt, "")
+        try:
+            resp = await self._answer(req, arrived, attempt)
+        except asyncio.CancelledError:
+            took = int((self._clock.monotonic() - arrived) * 1000)
+            self._journal.emit(events.Abandoned(attempt, took, 0))
+            raise
+        except Exception as exc:
+            self._journal.emit(
+                events.Unexpected("handling a request", repr(exc), attempt)
+            )
+            resp = self._refuse(
+                refusal.Refusal(refusal.Reason.INTERNAL), attempt, arrived
+            )
+        finally:
+            self.open_requests -= 1
+        if self.closing and not resp.prepared:
+            resp.force_close()
+        self._requests.labels(str(resp.status)).inc()
+        self._latency.record(self._clock.monotonic() - arrived)
+        return resp
+
+    async def _answer(
+        self, req: web.BaseRequest, arrived: float, attempt: str
+    ) -> web.StreamResponse:
+        entered = self._door.enter(req)
+        if isinstance(entered, Err):
+            return self._refuse(entered.err_value, attempt, arrived)
+        try:
+            body = await dispatch.within(
+                self._door.read_body(req), BODY_TIMEOUT
+            )
+        except TimeoutError:
+            late = refusal.Refusal(refusal.Reason.SLOW_BODY)
+            return self._refuse(late, attempt, arrived)
+        if body is None:
+            big = refusal.Refusal(refusal.Reason.BODY_TOO_LARGE)
+            return self._refuse(big, attempt, arrived)
+        call = self._door.call(req, entered.ok_value, body, arrived)
+        self._dispatcher.budget(call.service).note_first()
+        if call.route.streaming:
+            return await self._stream(call, req)
+        if call.route.repeatable:
+            return self._finish_plain(call, await self._plain.serve(call))
+        return await self._serve_once(call)
+
+    async def _serve_once(self, call: calls.Call) -> web.StreamResponse:
+        """Serve a call whose run goes on when the caller has left."""
+        task = asyncio.create_task(self._plain.serve(call))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return self._finish_plain(call, await asyncio.shield(task))
+
+    def _finish_plain(
+        self,
+        call: calls.Call,
+        result: dispatch.WholeAnswer | refusal.Refusal,
+    ) -> web.StreamResponse:
+        if isinstance(result, refusal.Refusal):
+            return self._refuse(result, call.id, call.arrived, call)
+        took = self._clock.monotonic() - call.arrived
+        self._note_end(call, result.head.status, result.server, took)
+        return replies.whole(result)
+
+    async def _stream(
+        self, call: calls.Call, req: web.BaseRequest
+    ) -> web.StreamResponse:
+        result = await self._streams.serve(call, req)
+        if not isinstance(result, streaming.Relay):
+            return self._finish_plain(call, result)
+        assert result.response is not None
+        if result.complete:
+            self._note_end(
+                call,
+                result.status,
+                result.server,
+                result.first_at - call.arrived,
+                result.model,
+                result.confidence,
+            )
+            return result.response
+        await result.close()
+        took = int((self._clock.monotonic() - call.arrived) * 1000)
+        self._journal.emit(
+            events.Failed(
+                call.id, 0, "stream_broken_off", took, call.tries.offered
+            )
+        )
+        return result.response
+
+    def _note_end(
+        self,
+        call: calls.Call,
+        status: int,
+        server: str,
+        first: float,
+        model: str = "",
+        confidence: int = -1,
+    ) -> None:
+        took = self._clock.monotonic() - call.arrived
+        self._journal.emit(
+            events.Ended(
+                request=call.id,
+                status=status,
+                server=server,
+                model=model,
+                confidence=confidence,
+                first_ms=int(first * 1000),
+                took_ms=int(took * 1000),
+                offers=call.tries.offered + 1,
+            )
+        )
+
+    def _refuse(
+        self,
+        held: refusal.Refusal,
+        attempt: str,
+        arrived: float,
+        call: calls.Call | None = None,
+    ) -> web.StreamResponse:
+        self._refusals.labels(held.reason.label).inc()
+        known = self._beliefs.catalog
+        if held.reason.status in (500, 502, 504):
+            took = int((self._clock.monotonic() - arrived) * 1000)
+            self._journal.emit(
+                events.Failed(
+                    attempt,
+                    held.reason.status,
+                    held.reason.label,
+                    took,
+                    call.tries.offered if call else 0,
+                )
+            )
+        else:
+            self._journal.emit(
+                events.Refused(
+                    request=attempt,
+                    status=held.reason.status,
+                    reason=held.reason.label,
+                    retry_after_s=held.retry_after or 0.0,
+                    config=known.version if known else 0,
+                    route=call.route.name if call else "",
+                    servers=len(self._beliefs.fleet),
+                )
+            )
+        names = self._dispatcher.wire.names
+        return replies.refused(held, names.attempt, attempt)
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -0,0 +1,183 @@
+"""Parts of the gateway, put together, and its life from start to stop."""
+
+import asyncio
+import json
+import random
+
+from aiohttp import web
+import aiomisc
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import metrics as metrics_
+from limpetwalk.gateway import ports
+
+from . import admission
+from . import beliefs
+from . import dispatch
+from . import events
+from . import front
+from . import logs
+from . import pauses
+from . import status
+from . import suspects
+from . import watch
+
+# Queue of connections that wait to be accepted.
+BACKLOG = 512
+# Time in which the balancer notices that a node is not ready, seconds: it
+# asks once a second and acts on the second miss.
+BALANCER_NOTICES = 2.3
+# Part of the grace period after which requests still open are cut.
+GRACE_SHARE = 5 / 6
+# Pause between two looks whether a stopping node is idle, seconds.
+IDLE_CHECK = 0.05
+# Pause between tries to tell the other nodes of this one, seconds.
+PRESENCE_PAUSE = 1.0
+
+
+class Gateway(aiomisc.Service):
+    """Entry node on a platform.
+
+    :param platform: the platform's adapter.
+    """
+
+    __required__ = ("platform", "journal", "metrics")
+
+    platform: ports.Platform
+    journal: logs.Journal
+    metrics: metrics_.Metrics
+
+    async def start(self) -> None:
+        """Start to read the platform's tables and to listen."""
+        clock = clocks.SystemClock()
+        platform = self.platform
+        await platform.open()
+        self.beliefs = beliefs.Beliefs(clock, self.journal, self.metrics)
+        self.dispatcher = dispatch.Dispatcher(
+            lambda: platform.settings,
+            platform.wire,
+            self.beliefs,
+            suspects.Suspects(
+                self.beliefs, lambda: platform.shared, self.journal
+            ),
+            clock,
+            self.journal,
+            self.metrics,
+        )
+        self.front = front.Front(
+            self.beliefs,
+            admission.Door(self.beliefs, platform.wire, random.Random()),
+            self.dispatcher,
+            clock,
+            self.journal,
+            self.metrics,
+        )
+        self.readiness = status.Readiness(
+            self.beliefs, self.journal, platform.readiness_path
+        )
+        self._watches = self._make_watches(clock)
+        self._tasks = [
+            asyncio.create_task(each.run()) for each in self._watches
+        ]
+        self._tasks.append(asyncio.create_task(self._tell_presence()))
+        self._tasks.append(
+            asyncio.create_task(
+                pauses.watch_pauses(self.journal, self._distrust)
+            )
+        )
+        self._runners = [
+            await _serve(self.front, platform.settings.callers),
+            await _serve(
+                web.Server(self.readiness.handle),
+                platform.settings.readiness,
+            ),
+            await _serve(
+                web.Server(
+                    status.MetricsPage(
+                        self.metrics, platform.metrics_path
+                    ).handle
+                ),
+                platform.settings.metrics,
+            ),
+        ]
+
+    async def drain(self) -> None:
+        """Finish what is open, within the grace period."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        end = started + self.platform.settings.bounds.grace * GRACE_SHARE
+        self.readiness.draining = True
+        self.journal.emit(events.NodeStopping(self.front.open_requests))
+        await asyncio.sleep(BALANCER_NOTICES)
+        self.front.closing = True
+        self.front.pre_shutdown()
+        while self.front.busy and loop.time() < end:
+            await asyncio.sleep(IDLE_CHECK)
+            self.front.pre_shutdown()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Close the listeners and the platform's connections."""
+        for task in self._tasks:
+            task.cancel()
+        for runner in self._runners:
+            await runner.cleanup()
+        await self.platform.close()
+
+    def reload(self) -> None:
+        """Read the settings again."""
+        try:
+            self.platform.reload_settings()
+        except exceptions.SettingsError as exc:
+            self.journal.emit(events.SettingsReloaded(tuple(exc.findings)))
+        else:
+            self.journal.emit(events.SettingsReloaded())
+
+    def _make_watches(self, clock: clocks.Clock) -> list[watch.Watch]:
+        held = self.beliefs
+        pairs = (
+            (self.platform.operator, held.apply_operator, lambda: None),
+            (
+                self.platform.servers,
+                held.apply_servers,
+                held.fleet.note_store_back,
+            ),
+            (self.platform.shared, held.apply_shared, lambda: None),
+        )
+        return [
+            watch.Watch(
+                feed, apply, on_back, clock, self.journal, self.metrics
+            )
+            for feed, apply, on_back in pairs
+        ]
+
+    async def _distrust(self) -> None:
+        """Read everything again after this process stood still."""
+        for each in self._watches:
+            each.restart()
+        await self.platform.renew_connections()
+
+    async def _tell_presence(self) -> None:
+        """Write the row by which other nodes know of this one."""
+        key = beliefs.NODE_PREFIX + self.platform.settings.name
+        value = json.dumps({"zone": self.platform.settings.zone})
+        while True:
+            try:
+                await self.platform.shared.put([ports.SharedPut(key, value)])
+            except exceptions.StoreError:
+                # The watch of the same table logs the outage.
+                await asyncio.sleep(PRESENCE_PAUSE)
+            else:
+                return
+
+
+async def _serve(
+    server: web.Server, address: tuple[str, int]
+) -> web.ServerRunner:
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(
+        runner, address[0], address[1], backlog=BACKLOG, reuse_address=True
+    )
+    await site.start()
+    return runner
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
@@ -0,0 +1,74 @@
+"""Forwarding of calls whose answer is taken in whole."""
+
+from limpetwalk.gateway import call as calls
+from limpetwalk.gateway import fleet
+from limpetwalk.gateway import refusal
+from limpetwalk.gateway import repeats
+
+from . import dispatch
+from . import upstream
+
+# Multiple of the aimed latency after which a call that may be repeated is
+# tried elsewhere. Above it the answer is late anyway.
+PATIENCE_FACTOR = 1.5
+# Part of the time left that one try may take while others remain.
+PATIENCE_SHARE = 0.5
+
+
+class PlainForwarder:
+    """Forwards calls to plain services."""
+
+    def __init__(self, dispatcher: dispatch.Dispatcher) -> None:
+        self._dispatcher = dispatcher
+
+    async def serve(
+        self, call: calls.Call
+    ) -> dispatch.WholeAnswer | refusal.Refusal:
+        """Return a server's answer, or why there is none."""
+        last: dispatch.Tried | None = None
+        while self._dispatcher.time_left(call) > repeats.LEAST_TIME:
+            member = self._dispatcher.place(call)
+            if member is None:
+                break
+            result = await self._try(call, member)
+            if isinstance(result, dispatch.WholeAnswer):
+                self._dispatcher.note(call, member, None)
+                return result
+            last = result
+            self._dispatcher.note(call, member, result)
+            if not self._dispatcher.may_repeat(call, member, result):
+                break
+        if last is not None and last.answer is not None:
+            return last.answer
+        return self._dispatcher.give_up(call, last)
+
+    async def _try(
+        self, call: calls.Call, member: fleet.Member
+    ) -> dispatch.WholeAnswer | dispatch.Tried:
+        started = await self._dispatcher.start(
+            call, member, "", "", self._patience(call)
+        )
+        if isinstance(started, dispatch.Tried):
+            return started
+        try:
+            body = await dispatch.within(
+                started.exchange.body(), self._dispatcher.time_left(call)
+            )
+        except upstream.Broken as exc:
+            return dispatch.Tried(repeats.Outcome.UNKNOWN, str(exc))
+        except TimeoutError:
+            return dispatch.Tried(
+                repeats.Outcome.UNKNOWN, "body not received in time"
+            )
+        finally:
+            started.exchange.close()
+        return dispatch.WholeAnswer(started.head, body, member.id)
+
+    def _patience(self, call: calls.Call) -> float:
+        """Return how long a server may take to begin its answer."""
+        left = self._dispatcher.time_left(call)
+        others = call.route.attempts - call.tries.ran - 1
+        if not call.route.repeatable or others <= 0:
+            return left
+        aim = call.route.target_latency * PATIENCE_FACTOR
+        return min(aim, left * PATIENCE_SHARE)
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/status.py
@@ -0,0 +1,58 @@
+"""Readiness check and metrics page."""
+
+from aiohttp import web
+
+from limpetwalk import metrics as metrics_
+
+from . import beliefs
+from . import events
+from . import logs
+
+
+class Readiness:
+    """Answers the balancer's question whether callers may come."""
+
+    def __init__(
+        self, held: beliefs.Beliefs, journal: logs.Journal, path: str
+    ) -> None:
+        self._beliefs = held
+        self._journal = journal
+        self._path = path
+        self._told: bool | None = None
+        self.draining = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may come."""
+        return self._beliefs.ready and not self.draining
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Answer the check."""
+        if req.path != self._path:
+            return web.Response(status=404)
+        ready = self.ready
+        if ready is not self._told:
+            self._told = ready
+            self._journal.emit(events.ReadyChanged(ready, self._reason()))
+        return web.Response(status=200 if ready else 503)
+
+    def _reason(self) -> str:
+        if self.draining:
+            return "stopping"
+        return "beliefs read" if self._beliefs.ready else "nothing read yet"
+
+
+class MetricsPage:
+    """Serves the metrics in the Prometheus text format."""
+
+    def __init__(self, metrics: metrics_.Metrics, path: str) -> None:
+        self._metrics = metrics
+        self._path = path
+
+    async def handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        """Answer a scrape."""
+        if req.path != self._path:
+            return web.Response(status=404)
+        return web.Response(
+            body=self._metrics.expose(), content_type="text/plain"
+        )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -0,0 +1,272 @@
+"""Forwarding of streams, and their continuation at other servers."""
+
+from aiohttp import web
+
+from limpetwalk.gateway import call as calls
+from limpetwalk.gateway import eventstream
+from limpetwalk.gateway import fleet
+from limpetwalk.gateway import refusal
+from limpetwalk.gateway import repeats
+from limpetwalk.gateway import sizes
+
+from . import dispatch
+from . import events
+from . import replies
+from . import upstream
+
+# Part of the aimed latency that a server may take to its first event while
+# others may still be tried.
+FIRST_EVENT_SHARE = 0.6
+# Part of the largest gap after which a stream goes on elsewhere: reading the
+# prompt again must fit into what is left of the gap.
+GAP_SHARE = 0.75
+# Shortest of these times, seconds; a long prompt of another request may
+# hold an engine up for as long.
+LEAST_PATIENCE = 0.5
+
+
+class StreamForwarder:
+    """Forwards streams of events.
+
+    :param dispatcher: offers calls to servers.
+    """
+
+    def __init__(self, dispatcher: dispatch.Dispatcher) -> None:
+        self._dispatcher = dispatcher
+
+    async def serve(
+        self, call: calls.Call, req: web.BaseRequest
+    ) -> "Relay | dispatch.WholeAnswer | refusal.Refusal":
+        """Relay the answer of one server after another.
+
+        :returns: the relay, complete or broken off, once the caller has
+            received something; an answer or a refusal otherwise.
+        """
+        relay = Relay(call, req, self._dispatcher)
+        last: dispatch.Tried | None = None
+        model = self._start_model(call)
+        while self._dispatcher.time_left(call) > repeats.LEAST_TIME:
+            member = self._dispatcher.place(call, model, relay.version)
+            if member is None:
+                break
+            result = await self._try(call, member, model, relay)
+            if result is None:
+                self._dispatcher.note(call, member, None)
+                relay.complete = True
+                return relay
+            if isinstance(result, _Climb):
+                model = result.model
+                continue
+            last = result
+            self._dispatcher.note(call, member, result)
+            if not self._dispatcher.may_repeat(call, member, result):
+                break
+            model = relay.model or model
+        if relay.started:
+            return relay
+        if last is not None and last.answer is not None:
+            return last.answer
+        return self._dispatcher.give_up(call, last)
+
+    async def _try(
+        self,
+        call: calls.Call,
+        member: fleet.Member,
+        model: str,
+        relay: "Relay",
+    ) -> "dispatch.Tried | _Climb | None":
+        if relay.started:
+            self._note_resumed(call, member, relay)
+        started = await self._dispatcher.start(
+            call, member, model, relay.last_event, self._patience(call)
+        )
+        if isinstance(started, dispatch.Tried):
+            return started
+        member.condition.in_flight += 1
+        try:
+            climb = self._climb(call, started, relay)
+            if climb is not None:
+                return climb
+            return await relay.run(started)
+        finally:
+            member.condition.in_flight -= 1
+            started.exchange.close()
+
+    def _climb(
+        self, call: calls.Call, started: dispatch.Started, relay: "Relay"
+    ) -> "_Climb | None":
+        """Return the larger model to ask, None when the answer will do."""
+        if relay.started or not started.model:
+            return None
+        known = self._dispatcher.beliefs.catalog
+        service = known.service(call.service) if known else None
+        engine = service.engine if service else None
+        confidence = _confidence(
+            started.head.headers.get(
+                self._dispatcher.wire.names.confidence, ""
+            )
+        )
+        relay.confidence = -1 if confidence is None else confidence
+        model = sizes.next_model(
+            call.route.models,
+            started.model,
+            confidence,
+            engine.costs if engine else {},
+        )
+        if model is None or call.tries.ran + 1 >= call.route.attempts:
+            return None
+        if not self._dispatcher.budget(call.service).take():
+            return None
+        call.tries.note(repeats.Outcome.FAILED)
+        call.tried.discard(started.member.id)
+        self._dispatcher.journal.emit(
+            events.Climbed(call.id, started.model, model, relay.confidence)
+        )
+        return _Climb(model)
+
+    def _start_model(self, call: calls.Call) -> str:
+        return sizes.start_model(
+            call.route.models, self._dispatcher.time_left(call)
+        )
+
+    def _patience(self, call: calls.Call) -> float:
+        """Return how long a server may take to begin its answer."""
+        left = self._dispatcher.time_left(call)
+        if call.tries.ran + 1 >= call.route.attempts:
+            return left
+        aim = call.route.target_latency * FIRST_EVENT_SHARE
+        return min(left, max(LEAST_PATIENCE, aim))
+
+    def _note_resumed(
+        self, call: calls.Call, member: fleet.Member, relay: "Relay"
+    ) -> None:
+        self._dispatcher.journal.emit(
+            events.Resumed(call.id, member.id, relay.last_event, "")
+        )
+
+
+class _Climb:
+    """Answer that is dropped for one of a larger model."""
+
+    def __init__(self, model: str) -> None:
+        self.model = model
+
+
+class Relay:
+    """One stream towards the caller, whichever servers it comes from.
+
+    :param call: request that is answered.
+    """
+
+    def __init__(
+        self,
+        call: calls.Call,
+        req: web.BaseRequest,
+        dispatcher: dispatch.Dispatcher,
+    ) -> None:
+        self._call = call
+        self._req = req
+        self._dispatcher = dispatcher
+        self._resp: web.StreamResponse | None = None
+        self.last_event = call.last_event
+        self.model = ""
+        self.version = ""
+        self.server = ""
+        self.confidence = -1
+        self.first_at = 0.0
+        self.complete = False
+        self.status = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has received anything."""
+        return self._resp is not None
+
+    @property
+    def response(self) -> web.StreamResponse | None:
+        """The caller's answer, None before it was started."""
+        return self._resp
+
+    async def run(self, started: dispatch.Started) -> dispatch.Tried | None:
+        """Pass events on until the stream ends or breaks off.
+
+        :returns: None for a whole stream.
+        """
+        splitter = eventstream.EventSplitter()
+        try:
+            while True:
+                chunk = await dispatch.within(
+                    started.exchange.chunk(), self._patience()
+                )
+                if not chunk:
+                    break
+                for event in splitter.feed(chunk):
+                    await self._pass_on(started, event)
+        except upstream.Broken as exc:
+            return self._broken(str(exc))
+        except TimeoutError:
+            return self._broken("no event in time")
+        except ValueError as exc:
+            return self._broken(str(exc))
+        if splitter.partial:
+            return self._broken("ended within an event")
+        await self._finish(started)
+        return None
+
+    async def close(self) -> None:
+        """Break the caller's stream off, so that it can't look complete."""
+        if self._req.transport is not None:
+            self._req.transport.close()
+
+    def _broken(self, detail: str) -> dispatch.Tried:
+        return dispatch.Tried(repeats.Outcome.UNKNOWN, detail)
+
+    def _patience(self) -> float:
+        left = self._dispatcher.time_left(self._call)
+        if not self._call.route.resumable:
+            return left
+        gap = self._call.route.largest_gap * GAP_SHARE
+        return min(left, max(LEAST_PATIENCE, gap))
+
+    async def _pass_on(
+        self, started: dispatch.Started, event: eventstream.StreamEvent
+    ) -> None:
+        await self._open(started)
+        if self._is_repeated(event):
+            return
+        if event.id:
+            self.last_event = event.id
+        assert self._resp is not None
+        await self._resp.write(event.data)
+
+    def _is_repeated(self, event: eventstream.StreamEvent) -> bool:
+        """Whether the caller has an event already; ids only grow."""
+        if not event.id.isdecimal() or not self.last_event.isdecimal():
+            return False
+        return int(event.id) <= int(self.last_event)
+
+    async def _open(self, started: dispatch.Started) -> None:
+        if self._resp is not None:
+            return
+        self.model = started.model
+        self.version = started.member.entry.version
+        self.server = started.member.id
+        self.status = started.head.status
+        self.first_at = self._dispatcher.clock.monotonic()
+        self._resp = web.StreamResponse(
+            status=started.head.status,
+            headers=replies.passed_headers(started.head.headers),
+        )
+        await self._resp.prepare(self._req)
+
+    async def _finish(self, started: dispatch.Started) -> None:
+        await self._open(started)
+        assert self._resp is not None
+        await self._resp.write_eof()
+
+
+def _confidence(text: str) -> int | None:
+    try:
+        return int(float(text))
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/suspects.py
@@ -0,0 +1,84 @@
+"""Requests that crash the servers that run them."""
+
+import asyncio
+from collections.abc import Callable
+import json
+
+from limpetwalk import exceptions
+from limpetwalk.gateway import call as calls
+from limpetwalk.gateway import fleet
+from limpetwalk.gateway import ports
+
+from . import beliefs
+from . import events
+from . import logs
+from . import upstream
+
+# Servers that a request may crash before no node sends it any more. The
+# platform allows three.
+CRASHES_TO_BLOCK = 3
+# Time for a connection that tells a crash from a lost answer, seconds.
+PROBE_TIMEOUT = 0.25
+# Prefix of the shared rows that tell of crashes.
+CRASH_PREFIX = "crash/"
+
+
+class Suspects:
+    """Counts the servers that each request crashed, over all nodes."""
+
+    def __init__(
+        self,
+        held: beliefs.Beliefs,
+        shared: Callable[[], ports.SharedTable],
+        journal: logs.Journal,
+    ) -> None:
+        self._beliefs = held
+        self._shared = shared
+        self._journal = journal
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def blocks(self, fingerprint: str) -> bool:
+        """Whether a request has crashed too many servers."""
+        crashed = self._beliefs.crashes.get(fingerprint, ())
+        return len(crashed) >= CRASHES_TO_BLOCK
+
+    def note_broken(self, call: calls.Call, member: fleet.Member) -> None:
+        """Look after a server whose answer broke off."""
+        task = asyncio.create_task(self._look_after(call, member))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _look_after(
+        self, call: calls.Call, member: fleet.Member
+    ) -> None:
+        try:
+            exchange = await upstream.Exchange.connect(
+                member.entry.host, member.entry.port, PROBE_TIMEOUT
+            )
+        except upstream.Unreached:
+            await self._note_crash(call, member)
+        else:
+            exchange.close()
+
+    async def _note_crash(
+        self, call: calls.Call, member: fleet.Member
+    ) -> None:
+        crashed = self._beliefs.crashes.setdefault(call.fingerprint, set())
+        if member.id in crashed:
+            return
+        crashed.add(member.id)
+        self._journal.emit(
+            events.Suspected(
+                call.id, call.fingerprint, member.id, len(crashed)
+            )
+        )
+        put = ports.SharedPut(
+            f"{CRASH_PREFIX}{call.fingerprint}/{member.id}",
+            json.dumps({"request": call.id}),
+        )
+        try:
+            await self._shared().put([put])
+        except exceptions.StoreError as exc:
+            self._journal.emit(
+                events.Unexpected("sharing a crash", str(exc), call.id)
+            )
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/watch.py
@@ -0,0 +1,111 @@
+"""Following the platform's tables, through outages and lost history."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Generic
+from typing import TypeVar
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk import metrics as metrics_
+from limpetwalk.gateway import ports
+
+from . import events
+from . import logs
+
+T = TypeVar("T")
+
+# Longest wait for a change, seconds. A connection that went silent is found
+# out after it, which must be within the time that a change may take.
+WAIT = 2.0
+# Pauses between calls while the store gives no answer, seconds. All nodes
+# together stay far below the store's rate.
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 0.6
+
+
+class Watch(Generic[T]):
+    """Keeps a belief in step with a table.
+
+    :param feed: table to follow.
+    :param apply: called with each batch.
+    :param on_back: called when the store answers again.
+    """
+
+    def __init__(
+        self,
+        feed: ports.Feed[T],
+        apply: Callable[[ports.Batch[T]], None],
+        on_back: Callable[[], None],
+        clock: clocks.Clock,
+        journal: logs.Journal,
+        metrics: metrics_.Metrics,
+    ) -> None:
+        self._feed = feed
+        self._apply = apply
+        self._on_back = on_back
+        self._clock = clock
+        self._journal = journal
+        self._since: int | None = None
+        self._lost_at: float | None = None
+        self._calls = metrics.counter(
+            "limpetwalk_store_reads",
+            "Reads of the store's tables, by outcome.",
+            ("table", "outcome"),
+        )
+        self.heard_at = 0.0
+
+    def restart(self) -> None:
+        """Read the whole table at the next call."""
+        self._since = None
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        pause = FIRST_PAUSE
+        while True:
+            try:
+                batch = await self._next()
+            except exceptions.HistoryLost:
+                self._note("history_lost")
+                self._journal.emit(
+                    events.HistoryDropped(self._feed.name, self._since or 0)
+                )
+                self._since = None
+                continue
+            except exceptions.StoreError as exc:
+                self._note("unavailable")
+                self._note_lost(str(exc))
+                await asyncio.sleep(pause)
+                pause = min(LONGEST_PAUSE, pause * 2)
+                continue
+            pause = FIRST_PAUSE
+            self._note("ok")
+            self._note_heard()
+            if batch.changes or batch.whole:
+                self._apply(batch)
+            self._since = max(self._since or 0, batch.version)
+
+    async def _next(self) -> ports.Batch[T]:
+        if self._since is None:
+            return await self._feed.read()
+        return await self._feed.follow(self._since, WAIT)
+
+    def _note(self, outcome: str) -> None:
+        self._calls.labels(self._feed.name, outcome).inc()
+
+    def _note_lost(self, reason: str) -> None:
+        if self._lost_at is None:
+            self._lost_at = self._clock.monotonic()
+            self._journal.emit(
+                events.DependencyLost(self._feed.name, reason[:200])
+            )
+
+    def _note_heard(self) -> None:
+        self.heard_at = self._clock.monotonic()
+        if self._lost_at is not None:
+            away = self.heard_at - self._lost_at
+            self._lost_at = None
+            self._on_back()
+            self._journal.emit(
+                events.DependencyRegained(self._feed.name, round(away, 3))
+            )
--- a/packages/limpetwalk/limpetwalk/exceptions.py
+++ b/packages/limpetwalk/limpetwalk/exceptions.py
@@ -33,6 +33,21 @@
     """The store may or may not have applied a write."""
 
 
+class HistoryLost(StoreError):
+    """The store no longer knows what changed since a version."""
+
+
+class SettingsError(LimpetwalkError):
+    """Settings can't be used.
+
+    :param findings: what is wrong, each with its place.
+    """
+
+    def __init__(self, findings: list[str]) -> None:
+        super().__init__("; ".join(findings))
+        self.findings = findings
+
+
 class PeerUnavailable(LimpetwalkError):
     """A peer did not answer within the timeout."""
 
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/affinity.py
@@ -0,0 +1,48 @@
+"""Which servers are likely to hold parts of a prompt in their cache."""
+
+import collections
+
+from .. import clock as clocks
+from . import types
+
+# Most part and server pairs remembered; about 100 bytes each.
+KEPT = 20_000
+
+
+class PrefixMemory:
+    """Parts that this node saw servers read, by model.
+
+    :param reuse: seconds after which a part is taken for forgotten.
+    """
+
+    def __init__(self, clock: clocks.Clock, reuse: float) -> None:
+        self._clock = clock
+        self._reuse = reuse
+        self._read_at: collections.OrderedDict[tuple[str, str, str], float] = (
+            collections.OrderedDict()
+        )
+
+    def cached_tokens(
+        self, server_id: str, model: str, prompt: types.Prompt
+    ) -> int:
+        """Return how many leading tokens a server has probably read."""
+        oldest = self._clock.monotonic() - self._reuse
+        tokens = 0
+        for part in prompt.parts:
+            at = self._read_at.get((server_id, model, part.id))
+            if at is None or at < oldest:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def note_read(
+        self, server_id: str, model: str, prompt: types.Prompt
+    ) -> None:
+        """Note that a server has read a prompt."""
+        now = self._clock.monotonic()
+        for part in prompt.parts:
+            key = (server_id, model, part.id)
+            self._read_at[key] = now
+            self._read_at.move_to_end(key)
+        while len(self._read_at) > KEPT:
+            self._read_at.popitem(last=False)
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/call.py
@@ -0,0 +1,50 @@
+"""One request of a caller, as the gateway's decisions see it."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+
+from . import repeats
+from . import types
+
+
+@dataclass(slots=True)
+class Call:
+    """Request of a caller, read whole.
+
+    :param id: identifier of the caller's attempt.
+    :param target: path and query, as they were sent.
+    :param headers: headers to pass on, as they were sent.
+    :param arrived: instant at which its header was read.
+    :param deadline: instant by which the answer must be out.
+    :param caller_deadline: instant at which the caller gives up.
+    :param last_event: last event that the caller has received, or empty.
+    :param session: conversation it belongs to, or empty.
+    :param fingerprint: equal for a repeat of the same request.
+    """
+
+    id: str
+    method: str
+    target: str
+    headers: Sequence[tuple[bytes, bytes]]
+    body: bytes
+    route: types.Route
+    service: str
+    workspace: types.Workspace | None
+    config_version: int
+    arrived: float
+    deadline: float
+    caller_deadline: float
+    prompt: types.Prompt
+    last_event: str
+    session: str
+    fingerprint: str
+    tries: repeats.Tries = field(default_factory=repeats.Tries)
+    tried: set[str] = field(default_factory=set)
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request, 0 first."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/coldshare.py
@@ -0,0 +1,70 @@
+"""Pacing of requests to a cold server among nodes that do not talk.
+
+Answers the load of many nodes that all find the same cold, idle server.
+Rendezvous hashing gives each cold server a few owners among the nodes; each
+owner may send it one request in each interval. A lost owner leaves its part
+unused, which is safe.
+"""
+
+from collections.abc import Callable
+
+from .. import clock as clocks
+from ..peers import rendezvous
+from . import types
+
+# Part of the allowed rate that is handed out. The rest covers requests that
+# were on their way when the server turned cold.
+USED_SHARE = 0.6
+# Shortest interval between two requests of one owner, seconds. An owner of
+# several parts gets a shorter one.
+INTERVAL = 1.0
+
+
+class ColdShare:
+    """This node's part of what cold servers may be sent.
+
+    :param node: name of this node.
+    :param nodes: returns the names of all known nodes.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        nodes: Callable[[], frozenset[str]],
+        bounds: Callable[[], types.Bounds],
+        clock: clocks.Clock,
+    ) -> None:
+        self._node = node
+        self._nodes = nodes
+        self._bounds = bounds
+        self._clock = clock
+        self._next_at: dict[str, float] = {}
+
+    def may_send(self, server_id: str, rate: float) -> bool:
+        """Whether a request may be sent to a cold server now.
+
+        :param rate: requests a second that the server tolerates.
+        """
+        if self._interval(server_id, rate) is None:
+            return False
+        return self._clock.monotonic() >= self._next_at.get(server_id, 0.0)
+
+    def note_sent(self, server_id: str, rate: float) -> None:
+        """Note that a request is sent to a cold server."""
+        interval = self._interval(server_id, rate)
+        if interval is not None:
+            now = self._clock.monotonic()
+            self._next_at[server_id] = now + interval
+
+    def _interval(self, server_id: str, rate: float) -> float | None:
+        """Return the pause between requests, None when it owns no part."""
+        bounds = self._bounds()
+        allowed = rate * bounds.cold_factor + bounds.cold_extra
+        parts = int(allowed * USED_SHARE * INTERVAL)
+        nodes = self._nodes() | {self._node}
+        if parts < 1:
+            return None
+        if parts >= len(nodes):
+            return INTERVAL / (parts // len(nodes))
+        owners = rendezvous.rank(server_id, nodes)[:parts]
+        return INTERVAL if self._node in owners else None
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/refusal.py
@@ -0,0 +1,42 @@
+"""Refusals and failures of the gateway's own."""
+
+from dataclasses import dataclass
+import enum
+
+
+class Reason(enum.Enum):
+    """Why a request got no server's answer, with the status it gets.
+
+    Statuses 408, 421, 429 and 503 promise that the request has not run.
+    """
+
+    NO_CONFIG = ("no_configuration", 503)
+    NO_ROUTE = ("no_route", 404)
+    NO_KEY = ("unknown_key", 401)
+    BODY_TOO_LARGE = ("body_too_large", 413)
+    UNREADABLE = ("unreadable_request", 400)
+    SLOW_BODY = ("body_not_received", 408)
+    NO_SERVER = ("no_server", 503)
+    REJECTED = ("rejected_by_servers", 503)
+    OVERLOADED = ("queue_full", 503)
+    EXPIRED_UNRUN = ("expired_before_running", 503)
+    TIMED_OUT = ("timed_out", 504)
+    BROKEN = ("answer_broken", 502)
+    POISON = ("crashes_servers", 502)
+    INTERNAL = ("internal_error", 500)
+
+    def __init__(self, label: str, status: int) -> None:
+        self.label = label
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Answer that the gateway gives itself.
+
+    :param retry_after: seconds after which the caller should come back, or
+        None when that would not help.
+    """
+
+    reason: Reason
+    retry_after: float | None = None
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -0,0 +1,257 @@
+"""Domain types shared by the gateway, its decisions and its adapters.
+
+All durations are seconds and all instants monotonic seconds of this node,
+unless a name says otherwise.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+import enum
+
+
+class Repeat(enum.Enum):
+    """What may be done again with a request that was sent once."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Rule that sends requests of a host and path prefix to services.
+
+    :param prefix: begins and ends with a slash; the longest one wins.
+    :param streaming: whether the answer is a series of events.
+    :param resumable: whether a stream may go on at another server.
+    :param timeout: longest time a caller is kept waiting.
+    :param target_latency: time to the answer, or to the first event, that
+        the operator aims at.
+    :param largest_gap: longest pause between events that is still on time.
+    :param attempts: most servers that may run one request.
+    :param priority: rank, 0 first.
+    :param public: whether callers need no key.
+    :param models: models that may serve it, smallest first; empty when the
+        caller names the model.
+    :param targets: services and their weights.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    streaming: bool
+    resumable: bool
+    timeout: float
+    target_latency: float
+    largest_gap: float
+    attempts: int
+    priority: int
+    public: bool
+    models: tuple[str, ...]
+    targets: tuple[tuple[str, int], ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        if self.streaming:
+            return self.resumable
+        return self.repeat is Repeat.IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """Limits of the model engines of a service.
+
+    :param slots: requests that one engine batches.
+    :param memory_tokens: tokens that fit into its cache.
+    :param costs: price of 1,000 generated tokens by model.
+    """
+
+    slots: int
+    memory_tokens: int
+    costs: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Service that a configuration routes to.
+
+    :param cold_seconds: how long a started server stays cold; 0 for never.
+    :param cold_rate: requests a second that a cold server tolerates.
+    """
+
+    name: str
+    cold_seconds: float
+    cold_rate: float
+    engine: Engine | None
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """Paying workspace.
+
+    :param priority: rank that replaces a route's, or None.
+    """
+
+    name: str
+    priority: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a caller may send and how long it may take.
+
+    :param header_bytes: most bytes of a request's header.
+    :param body_bytes: most bytes of a request's body.
+    :param idle_timeout: longest idle time of a caller's connection.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    idle_timeout: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Configuration as the operator last wrote it.
+
+    :param version: grows with each change, in uneven steps.
+    :param keys: workspaces by API key.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    keys: dict[str, Workspace]
+    limits: Limits
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """Backend server as it registered itself.
+
+    :param id: unique to each start of a server, mostly.
+    :param boot_ms: Unix milliseconds of its start; 0 when not told. A
+        server that starts again under its id has another one.
+    :param leaving: whether it takes no new work.
+    :param cold_left: how much longer it stays cold, when the entry was
+        written.
+    :param models: models it holds.
+    """
+
+    id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    version: str
+    slots: int
+    leaving: bool
+    cold_left: float
+    boot_ms: int
+    models: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """Operator's order to move a service to a version.
+
+    :param period: time until it is to be done.
+    :param order_id: tells one order of the same version from another.
+    """
+
+    service: str
+    target: str
+    period: float
+    order_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """Part of a prompt that requests may share.
+
+    :param id: equal for equal text.
+    """
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """Size of a generation and the parts of its prompt in order.
+
+    :param output_tokens: most tokens that may be generated.
+    """
+
+    input_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def shared_key(self) -> str:
+        """Return the last part that other requests may share, or empty."""
+        if len(self.parts) >= 2:
+            return self.parts[-2].id
+        return self.parts[0].id if self.parts else ""
+
+
+class RolloutState(enum.Enum):
+    """State of a roll-out as the operator sees it."""
+
+    IN_PROGRESS = "in_progress"
+    COMPLETE = "complete"
+    REVERTED = "reverted"
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds that the platform's operator promises to callers.
+
+    :param contact: quiet time after which a node counts as in touch.
+    :param drain: time in which nodes must stop using a leaving server.
+    :param config_apply: time in which a configuration must be in force.
+    :param grace: time between the order to stop and the kill.
+    :param repeat_share: repeats allowed for each first request.
+    :param repeat_extra: repeats allowed besides, over ``repeat_window``.
+    :param cold_factor: multiple of a cold server's rate that is allowed.
+    :param cold_extra: requests a second allowed on top of it.
+    :param exposure_share: share of a service's requests that a bad version
+        may get.
+    :param session: longest pause between requests of one session.
+    :param event_lag: longest time an event may spend in the node.
+    """
+
+    contact: float = 3.0
+    drain: float = 2.0
+    config_apply: float = 2.0
+    grace: float = 8.0
+    repeat_share: float = 0.9
+    repeat_window: float = 10.0
+    repeat_extra: float = 50.0
+    cold_factor: float = 1.5
+    cold_extra: float = 5.0
+    exposure_share: float = 0.15
+    exposure_extra: float = 30.0
+    session: float = 5.0
+    event_lag: float = 0.12
+    reuse_window: float = 9.2
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Settings of one entry node.
+
+    :param callers: ``(host, port)`` for callers.
+    :param readiness: ``(host, port)`` of the readiness check.
+    :param metrics: ``(host, port)`` of the metrics page.
+    """
+
+    name: str
+    zone: str
+    callers: tuple[str, int]
+    readiness: tuple[str, int]
+    metrics: tuple[str, int]
+    memory_mb: int
+    max_fds: int
+    bounds: Bounds = field(default_factory=Bounds)
--- a/packages/limpetwalk/limpetwalk/registry.py
+++ b/packages/limpetwalk/limpetwalk/registry.py
@@ -18,6 +18,7 @@
 class Kind(enum.Enum):
     """Kinds of plug-in that the kernel knows."""
 
+    PLATFORM = "platform"
     TABLE_STORE = "table store"
     OBJECT_STORE = "object store"
     INSTANCE_LIST = "instance list"
