Lead roll-outs by a lease; finish what is open on SIGTERM

Ruled out: requests cut by the grace period. Callers' connections are now closed with their answers from the signal on, and streams that come later than the balancer's two looks are turned away with 503. Roll-outs: a canary share by session hash, evidence in rows, a sequential test, all work after half of the period.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/__main__.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/__main__.py
@@ -42,7 +42,9 @@
         raise absl_app.UsageError(f"unexpected argument {argv[1]!r}")
     registry.load_plugins([_ADAPTER.value or ""])
     try:
-        platform = registry.get(registry.Kind.PLATFORM, _PLATFORM.value or "")()
+        platform = registry.get(
+            registry.Kind.PLATFORM, _PLATFORM.value or ""
+        )()
     except exceptions.SettingsError as exc:
         for finding in exc.findings:
             print(finding, file=sys.stderr)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -18,6 +18,7 @@
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import refusal
 from limpetwalk.gateway import repeats
+from limpetwalk.gateway import tallies
 from limpetwalk.gateway import types
 
 from . import beliefs
@@ -110,6 +111,7 @@
             clock,
             self._may_send_cold,
         )
+        self.tallies = tallies.Tallies(held.fleet.members)
         self._budgets: dict[str, budget.RepeatBudget] = {}
         self._tries = metrics.counter(
             "limpetwalk_tries",
@@ -209,6 +211,13 @@
                 )
             )
         self._tries.labels(outcome.value if outcome else "answered").inc()
+        if outcome not in (
+            repeats.Outcome.NOT_RUN,
+            repeats.Outcome.UNREACHED,
+        ):
+            self.tallies.note(
+                call.service, member.entry.version, outcome is None
+            )
         if outcome is not None:
             call.tries.note(outcome)
             if outcome is repeats.Outcome.UNKNOWN:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
@@ -26,6 +26,8 @@
 IDLE_MARGIN = 5.0
 # Time for a request body, seconds.
 BODY_TIMEOUT = 10.0
+# When a caller that met a stopping node should try another, seconds.
+STOPPING_RETRY_AFTER = 0.05
 # Headers of a request, at most.
 HEADERS_LIMIT = 200
 
@@ -52,10 +54,13 @@
         self._clock = clock
         self._journal = journal
         self._plain = plain.PlainForwarder(dispatcher)
-        self._streams = streaming.StreamForwarder(dispatcher)
+        self._streams = streaming.StreamForwarder(
+            dispatcher, lambda: self.closing
+        )
         self._background: set[asyncio.Task[Any]] = set()
         self.open_requests = 0
         self.closing = False
+        self.turning_away = False
         self._requests = metrics.counter(
             "limpetwalk_requests", "Requests by status.", ("status",)
         )
@@ -134,6 +139,11 @@
             big = refusal.Refusal(refusal.Reason.BODY_TOO_LARGE)
             return self._refuse(big, attempt, arrived)
         call = self._door.call(req, entered.ok_value, body, arrived)
+        if self.turning_away and call.route.streaming:
+            stopping = refusal.Refusal(
+                refusal.Reason.STOPPING, STOPPING_RETRY_AFTER
+            )
+            return self._refuse(stopping, attempt, arrived, call)
         self._dispatcher.budget(call.service).note_first()
         if call.route.streaming:
             return await self._stream(call, req)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -19,6 +19,7 @@
 from . import front
 from . import logs
 from . import pauses
+from . import rollouts
 from . import status
 from . import suspects
 from . import watch
@@ -26,8 +27,9 @@
 # Queue of connections that wait to be accepted.
 BACKLOG = 512
 # Time in which the balancer notices that a node is not ready, seconds: it
-# asks once a second and acts on the second miss.
-BALANCER_NOTICES = 2.3
+# asks once a second and acts on the second miss. What is taken later than
+# this may not be finished in time, so streams are turned away.
+BALANCER_NOTICES = 2.6
 # Part of the grace period after which requests still open are cut.
 GRACE_SHARE = 5 / 6
 # Pause between two looks whether a stopping node is idle, seconds.
@@ -81,6 +83,7 @@
             asyncio.create_task(each.run()) for each in self._watches
         ]
         self._tasks.append(asyncio.create_task(self._tell_presence()))
+        self._lead_rollouts(clock)
         self._tasks.append(
             asyncio.create_task(
                 pauses.watch_pauses(self.journal, self._distrust)
@@ -108,13 +111,12 @@
         started = loop.time()
         end = started + self.platform.settings.bounds.grace * GRACE_SHARE
         self.readiness.draining = True
+        self.front.closing = True
         self.journal.emit(events.NodeStopping(self.front.open_requests))
         await asyncio.sleep(BALANCER_NOTICES)
-        self.front.closing = True
-        self.front.pre_shutdown()
+        self.front.turning_away = True
         while self.front.busy and loop.time() < end:
             await asyncio.sleep(IDLE_CHECK)
-            self.front.pre_shutdown()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close the listeners and the platform's connections."""
@@ -151,6 +153,20 @@
             for feed, apply, on_back in pairs
         ]
 
+    def _lead_rollouts(self, clock: clocks.Clock) -> None:
+        teller = rollouts.RolloutTeller(
+            self.platform.settings.name,
+            self.beliefs,
+            self.dispatcher.tallies,
+            self.platform.work,
+            self.journal,
+        )
+        lead = rollouts.RolloutLead(
+            self.platform, self.beliefs, clock, self.journal
+        )
+        self._tasks.append(asyncio.create_task(teller.run()))
+        self._tasks.append(asyncio.create_task(lead.run()))
+
     async def _distrust(self) -> None:
         """Read everything again after this process stood still."""
         for each in self._watches:
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -0,0 +1,250 @@
+"""Evidence of roll-outs, and their lead on the node that holds the lease."""
+
+import asyncio
+from collections.abc import Mapping
+import json
+from typing import Any
+
+from result import Err
+
+from limpetwalk import clock as clocks
+from limpetwalk import exceptions
+from limpetwalk.gateway import ports
+from limpetwalk.gateway import rollout
+from limpetwalk.gateway import rollout_policy
+from limpetwalk.gateway import tallies
+from limpetwalk.gateway import types
+from limpetwalk.peers import rendezvous
+from limpetwalk.rollouts import evidence
+
+from . import beliefs
+from . import events
+from . import logs
+
+# Pause between two rounds of evidence of a node, seconds, at the size where
+# the store can take it, and nodes for which it grows by another such pause.
+TELL_PAUSE = 0.8
+NODES_PER_PAUSE = 16
+# Pause between two looks of the lead, seconds.
+LEAD_PAUSE = 0.7
+# Lifetime of the lease, seconds: a few looks, so that a lost one is taken
+# over within the time in which a bad version must be stopped.
+LEASE_TTL = 2.5
+# Nodes that stand by for the lead, and how much later each looks.
+STAND_BY = 5
+STAND_BY_PAUSE = 0.5
+LEASE_KEY = "lease/rollouts"
+TALLY_PREFIX = "tally/"
+
+STATES = {
+    rollout.Phase.COMPLETE: types.RolloutState.COMPLETE,
+    rollout.Phase.REVERTED: types.RolloutState.REVERTED,
+}
+
+
+class RolloutTeller:
+    """Tells the lead what this node sees of a roll-out."""
+
+    def __init__(
+        self,
+        node: str,
+        held: beliefs.Beliefs,
+        counts: tallies.Tallies,
+        work: ports.SharedTable,
+        journal: logs.Journal,
+    ) -> None:
+        self._node = node
+        self._beliefs = held
+        self._counts = counts
+        self._work = work
+        self._journal = journal
+        self._told: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Tell what changed, until cancelled."""
+        while True:
+            nodes = len(self._beliefs.nodes)
+            await asyncio.sleep(TELL_PAUSE * (1 + nodes // NODES_PER_PAUSE))
+            for service, order in list(self._beliefs.rollouts.orders.items()):
+                if _is_open(self._beliefs.rollouts.stage(service)):
+                    await self._tell(service, order)
+
+    async def _tell(self, service: str, order: types.RolloutOrder) -> None:
+        stage = self._beliefs.rollouts.stage(service)
+        phase = stage.phase.value if stage else ""
+        text = self._counts.to_json(service, order.target, phase)
+        key = f"{TALLY_PREFIX}{service}/{order.order_id}/{self._node}"
+        if self._told.get(key) == text:
+            return
+        try:
+            await self._work.put([ports.SharedPut(key, text)])
+        except exceptions.StoreError as exc:
+            self._journal.emit(
+                events.Unexpected("telling evidence", str(exc)[:200])
+            )
+        else:
+            self._told[key] = text
+
+
+class RolloutLead:
+    """Moves roll-outs on while this node holds the lease."""
+
+    def __init__(
+        self,
+        platform: ports.Platform,
+        held: beliefs.Beliefs,
+        clock: clocks.Clock,
+        journal: logs.Journal,
+    ) -> None:
+        self._platform = platform
+        self._node = platform.settings.name
+        self._beliefs = held
+        self._clock = clock
+        self._journal = journal
+        self._leads = False
+        self._reported: dict[int, rollout.Phase] = {}
+
+    async def run(self) -> None:
+        """Lead or stand by, until cancelled."""
+        while True:
+            rank = self._rank()
+            await asyncio.sleep(LEAD_PAUSE + STAND_BY_PAUSE * rank)
+            if rank >= STAND_BY or not self._open_orders():
+                continue
+            try:
+                await self._look()
+            except exceptions.StoreError as exc:
+                self._note_lease(False, str(exc)[:200])
+
+    def _rank(self) -> int:
+        nodes = self._beliefs.nodes | {self._node}
+        return rendezvous.rank(LEASE_KEY, nodes).index(self._node)
+
+    def _open_orders(self) -> list[types.RolloutOrder]:
+        found = []
+        for order in self._beliefs.rollouts.orders.values():
+            stage = self._beliefs.rollouts.stage(order.service)
+            reported = self._reported.get(order.order_id)
+            if _is_open(stage) or (stage and stage.phase is not reported):
+                found.append(order)
+        return found
+
+    async def _look(self) -> None:
+        table = await self._platform.work.read()
+        rows = {
+            change.key: (change.entry.value, change.version)
+            for change in table.changes
+            if isinstance(change.entry, ports.SharedRow)
+        }
+        version = await self._hold_lease(rows, table.now)
+        if version is None:
+            return
+        for order in self._open_orders():
+            await self._advance(order, rows, version, table.now)
+
+    async def _hold_lease(
+        self, rows: Mapping[str, tuple[str, int]], now: float
+    ) -> int | None:
+        """Take or renew the lease.
+
+        :returns: the version of its row, None when another node has it.
+        """
+        text, version = rows.get(LEASE_KEY, ("{}", 0))
+        lease = _mapping(text)
+        mine = lease.get("holder") == self._node
+        if not mine and now < float(lease.get("until", 0.0)):
+            self._note_lease(False, f"held by {lease.get('holder')}")
+            return None
+        value = json.dumps({"holder": self._node, "until": now + LEASE_TTL})
+        put = ports.SharedPut(LEASE_KEY, value, version)
+        written = await self._platform.work.put([put])
+        if isinstance(written, Err):
+            self._note_lease(False, "another node took it")
+            return None
+        self._note_lease(True, "")
+        return written.ok_value
+
+    async def _advance(
+        self,
+        order: types.RolloutOrder,
+        rows: Mapping[str, tuple[str, int]],
+        lease_version: int,
+        now: float,
+    ) -> None:
+        held = self._beliefs.rollouts
+        stage = held.stage(order.service)
+        found = self._pool(order, stage, rows)
+        ready = any(
+            member.entry.version == order.target
+            for member in self._beliefs.fleet.usable(order.service)
+        )
+        following = rollout_policy.decide(
+            stage,
+            order,
+            found,
+            self._platform.settings.bounds,
+            ready,
+            now,
+        )
+        settled = following or stage
+        if settled is None:
+            return
+        if (
+            following is None
+            and self._reported.get(order.order_id) is settled.phase
+        ):
+            return
+        published = await self._platform.rollouts.publish(
+            order,
+            STATES.get(settled.phase, types.RolloutState.IN_PROGRESS),
+            ports.SharedPut(
+                beliefs.ROLLOUT_PREFIX + order.service,
+                settled.to_json(),
+                held.stage_versions.get(order.service, 0),
+            ),
+            ports.SharedPut(LEASE_KEY, "", lease_version),
+        )
+        if isinstance(published, Err):
+            self._note_lease(False, "the stage or the lease has changed")
+            return
+        self._reported[order.order_id] = settled.phase
+
+    def _pool(
+        self,
+        order: types.RolloutOrder,
+        stage: rollout.Stage | None,
+        rows: Mapping[str, tuple[str, int]],
+    ) -> rollout_policy.Evidence:
+        base, candidate = evidence.Tally(), evidence.Tally()
+        prefix = f"{TALLY_PREFIX}{order.service}/{order.order_id}/"
+        phase = stage.phase.value if stage else ""
+        old_in_flight, heard = 0, set()
+        for key, (text, _) in rows.items():
+            if not key.startswith(prefix):
+                continue
+            told = tallies.Told.from_json(text)
+            base.add(told.base)
+            candidate.add(told.candidate)
+            old_in_flight += told.old_in_flight
+            if told.phase == phase:
+                heard.add(key.removeprefix(prefix))
+        return rollout_policy.Evidence(
+            base, candidate, old_in_flight, heard >= self._beliefs.nodes
+        )
+
+    def _note_lease(self, leads: bool, reason: str) -> None:
+        if leads is not self._leads:
+            self._leads = leads
+            self._journal.emit(events.LeaseChanged("rollouts", leads, reason))
+
+
+def _is_open(stage: rollout.Stage | None) -> bool:
+    return stage is None or stage.phase not in STATES
+
+
+def _mapping(text: str) -> dict[str, Any]:
+    try:
+        held = json.loads(text)
+    except ValueError:
+        return {}
+    return held if isinstance(held, dict) else {}
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -1,5 +1,7 @@
 """Forwarding of streams, and their continuation at other servers."""
 
+from collections.abc import Callable
+
 from aiohttp import web
 
 from limpetwalk.gateway import call as calls
@@ -16,7 +18,7 @@
 
 # Part of the aimed latency that a server may take to its first event while
 # others may still be tried.
-FIRST_EVENT_SHARE = 0.6
+FIRST_EVENT_SHARE = 1.0
 # Part of the largest gap after which a stream goes on elsewhere: reading the
 # prompt again must fit into what is left of the gap.
 GAP_SHARE = 0.75
@@ -29,10 +31,16 @@
     """Forwards streams of events.
 
     :param dispatcher: offers calls to servers.
+    :param closing: whether callers' connections are to be closed.
     """
 
-    def __init__(self, dispatcher: dispatch.Dispatcher) -> None:
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        closing: Callable[[], bool],
+    ) -> None:
         self._dispatcher = dispatcher
+        self._closing = closing
 
     async def serve(
         self, call: calls.Call, req: web.BaseRequest
@@ -42,7 +50,7 @@
         :returns: the relay, complete or broken off, once the caller has
             received something; an answer or a refusal otherwise.
         """
-        relay = Relay(call, req, self._dispatcher)
+        relay = Relay(call, req, self._dispatcher, self._closing)
         last: dispatch.Tried | None = None
         model = self._start_model(call)
         while self._dispatcher.time_left(call) > repeats.LEAST_TIME:
@@ -163,7 +171,9 @@
         call: calls.Call,
         req: web.BaseRequest,
         dispatcher: dispatch.Dispatcher,
+        closing: Callable[[], bool],
     ) -> None:
+        self._closing = closing
         self._call = call
         self._req = req
         self._dispatcher = dispatcher
@@ -257,6 +267,8 @@
             status=started.head.status,
             headers=replies.passed_headers(started.head.headers),
         )
+        if self._closing():
+            self._resp.force_close()
         await self._resp.prepare(self._req)
 
     async def _finish(self, started: dispatch.Started) -> None:
--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -151,11 +151,18 @@
 class RolloutReports(Protocol):
     """Where the operator reads how a roll-out stands."""
 
-    async def report(
-        self, order: types.RolloutOrder, state: types.RolloutState
-    ) -> None:
-        """Tell the operator the state of a roll-out.
-
+    async def publish(
+        self,
+        order: types.RolloutOrder,
+        state: types.RolloutState,
+        stage: SharedPut,
+        lease: SharedPut,
+    ) -> Result[int, Stale]:
+        """Tell the operator and the nodes how a roll-out stands, at once.
+
+        :param stage: row of the shared table to write.
+        :param lease: row of the work table that must still have its
+            expected version; it is not written.
         :raises StoreError: when the store gives no answer.
         """
         ...
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -0,0 +1,128 @@
+"""When a roll-out goes on, is complete or is taken back.
+
+Answers the load of a version that fails, or turns slow, from its start,
+later, under load or on one route only: a small share of sessions tries it,
+a sequential test over the evidence of all nodes may stop it at any moment,
+and only after half of the period does it get all work.
+"""
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+from ..rollouts import evidence
+from ..rollouts import guard
+from . import rollout
+from . import types
+
+# Part of the allowed exposure that the canary share uses. Sessions differ
+# in how much they send.
+CANARY_PART = 0.65
+# Part of the period before which sessions keep the old version, and the
+# margin in seconds for nodes that heard of the order late.
+FIRST_HALF = 0.5
+HALF_MARGIN = 0.4
+# Good answers of the new version that are wanted before it gets all work,
+# and the part of the period after which fewer have to do.
+ENOUGH_GOOD = 8
+PATIENCE_PART = 0.7
+# Least time with all work on the new version before the old one is stopped,
+# seconds: several rounds of evidence.
+LEAST_FULL = 4.0
+# Time kept before the end of the period for the last writes, seconds.
+END_MARGIN = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What all nodes have seen since the order.
+
+    :param base: outcomes of the version in force.
+    :param candidate: outcomes of the new version.
+    :param old_in_flight: requests that still run on old versions.
+    :param all_heard: whether every node known has told of itself since the
+        new version gets all work.
+    """
+
+    base: evidence.Tally
+    candidate: evidence.Tally
+    old_in_flight: int
+    all_heard: bool
+
+
+def decide(
+    stage: rollout.Stage | None,
+    order: types.RolloutOrder,
+    found: Evidence,
+    bounds: types.Bounds,
+    candidate_ready: bool,
+    now: float,
+) -> rollout.Stage | None:
+    """Return the stage that follows, None when nothing changes.
+
+    :param stage: stage of this order, None before the first.
+    :param candidate_ready: whether a server of the new version is there.
+    :param now: the store's clock, in seconds.
+    """
+    if stage is None:
+        if not candidate_ready:
+            return None
+        return rollout.Stage(
+            order_id=order.order_id,
+            target=order.target,
+            phase=rollout.Phase.CANARY,
+            share=bounds.exposure_share * CANARY_PART,
+            started=now,
+            since=now,
+            reason="ordered",
+        )
+    if stage.phase in (rollout.Phase.COMPLETE, rollout.Phase.REVERTED):
+        return None
+    halt = guard.SequentialGuard().judge(found.base, found.candidate)
+    if halt is not None:
+        reason = f"{halt.cause.value}, evidence {halt.e_value:.0f}"
+        return _next(stage, rollout.Phase.REVERTED, 0.0, found, now, reason)
+    elapsed = now - stage.started
+    if stage.phase is rollout.Phase.FULL:
+        return _after_full(stage, order, found, elapsed, now)
+    if elapsed < order.period * FIRST_HALF + HALF_MARGIN:
+        return None
+    wanted = ENOUGH_GOOD if elapsed < order.period * PATIENCE_PART else 1
+    if found.candidate.successes < wanted:
+        return None
+    return _next(stage, rollout.Phase.FULL, 1.0, found, now, "no harm seen")
+
+
+def _after_full(
+    stage: rollout.Stage,
+    order: types.RolloutOrder,
+    found: Evidence,
+    elapsed: float,
+    now: float,
+) -> rollout.Stage | None:
+    if now - stage.since < LEAST_FULL:
+        return None
+    idle = found.all_heard and found.old_in_flight == 0
+    late = elapsed >= order.period - END_MARGIN
+    if not idle and not late:
+        return None
+    reason = "old version idle" if idle else "end of the period"
+    return _next(stage, rollout.Phase.COMPLETE, 1.0, found, now, reason)
+
+
+def _next(
+    stage: rollout.Stage,
+    phase: rollout.Phase,
+    share: float,
+    found: Evidence,
+    now: float,
+    reason: str,
+) -> rollout.Stage:
+    return replace(
+        stage,
+        phase=phase,
+        share=share,
+        since=now,
+        failures=found.candidate.failures,
+        successes=found.candidate.successes,
+        reason=reason,
+    )
--- a/packages/limpetwalk/limpetwalk/gateway/sizes.py
+++ b/packages/limpetwalk/limpetwalk/gateway/sizes.py
@@ -6,13 +6,15 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+ENOUGH = 45
+
 
 def start_model(models: Sequence[str], time_left: float) -> str:
     """Return the model that is tried first, or empty without a choice.
 
     :param models: models of the route, smallest first.
     """
-    return models[-1] if models else ""
+    return models[0] if models else ""
 
 
 def next_model(
@@ -26,4 +28,6 @@
     :param confidence: the model's opinion of its answer, 0 to 100; None
         when it gave none.
     """
-    return None
+    if confidence is None or confidence >= ENOUGH or model == models[-1]:
+        return None
+    return models[-1]
