--- a/packages/limpetwalk-node/limpetwalk_node/gateway/beliefs.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/beliefs.py
@@ -1,5 +1,7 @@
 """What this node believes, and how rows of the platform change it."""
 
+import json
+
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import catalog
@@ -33,6 +35,7 @@
         self.catalog: catalog.Catalog | None = None
         self.fleet = fleet.Fleet(clock)
         self.rollouts = rollout.Rollouts(clock)
+        self.peers: dict[str, tuple[str, int]] = {}
         self.nodes: frozenset[str] = frozenset()
         self.crashes: dict[str, set[str]] = {}
         self.config_at = 0.0
@@ -101,20 +104,22 @@
 
     def apply_shared(self, batch: ports.Batch[ports.SharedRow]) -> None:
         """Take over rows that the nodes share."""
-        nodes = set() if batch.whole else set(self.nodes)
+        peers = {} if batch.whole else dict(self.peers)
         for change in batch.changes:
             kind, _, name = change.key.partition("/")
-            gone = not isinstance(change.entry, ports.SharedRow)
-            if kind == "node":
-                (nodes.discard if gone else nodes.add)(name)
-            elif kind == "crash" and not gone:
+            row = change.entry
+            if not isinstance(row, ports.SharedRow):
+                if kind == "node":
+                    peers.pop(name, None)
+            elif kind == "node":
+                peers[name] = _peer_address(row.value)
+            elif kind == "crash":
                 fingerprint, _, server = name.partition("/")
                 self.crashes.setdefault(fingerprint, set()).add(server)
-            elif kind == "rollout" and isinstance(
-                change.entry, ports.SharedRow
-            ):
-                self._apply_stage(name, change.entry.value, change.version)
-        self.nodes = frozenset(nodes)
+            elif kind == "rollout":
+                self._apply_stage(name, row.value, change.version)
+        self.peers = peers
+        self.nodes = frozenset(peers)
 
     def _apply_stage(self, service: str, text: str, version: int) -> None:
         stage = self.rollouts.take_stage(service, text, version)
@@ -209,3 +214,12 @@
         self._journal.emit(
             events.RowUnreadable(table, entry.key, entry.findings[:5])
         )
+
+
+def _peer_address(text: str) -> tuple[str, int]:
+    """Return where a node hears its peers, an unused port when unreadable."""
+    try:
+        held = json.loads(text)
+        return str(held["host"]), int(held["port"])
+    except (KeyError, TypeError, ValueError):
+        return "127.0.0.1", 9
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -14,8 +14,10 @@
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import coldshare
 from limpetwalk.gateway import fleet
+from limpetwalk.gateway import pace
 from limpetwalk.gateway import placing
 from limpetwalk.gateway import ports
+from limpetwalk.gateway import pressure
 from limpetwalk.gateway import refusal
 from limpetwalk.gateway import repeats
 from limpetwalk.gateway import tallies
@@ -104,10 +106,14 @@
             lambda: settings().bounds,
             clock,
         )
+        self.pressure = pressure.Pressure(clock)
+        self.paces = pace.Pace()
         self._placer = placing.Placer(
             settings().zone,
             held.fleet,
             self._memory,
+            self.pressure,
+            self.paces,
             clock,
             self._may_send_cold,
         )
@@ -155,25 +161,25 @@
 
     def place(
         self, call: calls.Call, model: str = "", version: str = ""
-    ) -> fleet.Member | None:
+    ) -> placing.Choice | None:
         """Choose a server for a call, None when there is none.
 
         :param version: version that should answer if it still may.
         """
         for versions in self._versions(call, version):
-            member = self._placer.choose(
+            choice = self._placer.choose(
                 placing.Need(
                     call.service, versions, model, call.prompt, call.tried
                 )
             )
-            if member is not None:
-                return member
+            if choice is not None:
+                return choice
         return None
 
     async def start(
         self,
         call: calls.Call,
-        member: fleet.Member,
+        choice: placing.Choice,
         model: str,
         last_event: str,
         patience: float,
@@ -184,15 +190,31 @@
         :param patience: longest time to wait, in seconds.
         """
         left = self.time_left(call)
-        member.condition.in_flight += 1
+        member = choice.member
         call.tried.add(member.id)
-        self._note_placed(call, member, model, left)
+        self._note_placed(call, choice, model, left)
+        self._begin(choice)
+        started: Started | Tried | None = None
         try:
-            return await self._start(
+            started = await self._start(
                 call, member, model, last_event, min(left, patience)
             )
         finally:
-            member.condition.in_flight -= 1
+            self.pressure.begin_answer(member.id, choice.reading)
+            if not isinstance(started, Started):
+                self.finish(member)
+        if isinstance(started, Started):
+            self._note_head(call, choice, started)
+        return started
+
+    def finish(self, member: fleet.Member) -> None:
+        """Note that a request at a server has ended."""
+        member.condition.in_flight -= 1
+        self.pressure.end(member.id)
+
+    def _begin(self, choice: placing.Choice) -> None:
+        choice.member.condition.in_flight += 1
+        self.pressure.begin(choice.member.id, choice.reading)
 
     def note(
         self, call: calls.Call, member: fleet.Member, tried: Tried | None
@@ -303,7 +325,6 @@
                 )
                 if verdict.outcome is None:
                     keep = True
-                    self._note_head(call, member, model, sent_at)
                     return Started(exchange, head, member, model, sent_at)
                 answer = None
                 if verdict.final:
@@ -389,8 +410,9 @@
         return service.cold_rate if service else 0.0
 
     def _note_placed(
-        self, call: calls.Call, member: fleet.Member, model: str, left: float
+        self, call: calls.Call, choice: placing.Choice, model: str, left: float
     ) -> None:
+        member = choice.member
         self.journal.emit(
             events.Placed(
                 request=call.id,
@@ -399,20 +421,23 @@
                 offer=call.tries.offered + 1,
                 left_ms=int(left * 1000),
                 in_flight=member.condition.in_flight,
+                waiting_ms=int(choice.waiting * 1000),
+                reading_ms=int(choice.reading * 1000),
                 row_version=member.row_version,
                 config=call.config_version,
             )
         )
 
     def _note_head(
-        self,
-        call: calls.Call,
-        member: fleet.Member,
-        model: str,
-        sent_at: float,
+        self, call: calls.Call, choice: placing.Choice, started: Started
     ) -> None:
-        self.first_event.record(self.clock.monotonic() - sent_at)
-        self._memory.note_read(member.id, model, call.prompt)
+        member, model = started.member, started.model
+        took = self.clock.monotonic() - started.sent_at
+        self.first_event.record(took)
+        if model:
+            tokens = choice.reading / self.paces.per_token(model)
+            self.paces.note(model, tokens, took)
+            self._memory.note_read(member.id, model, call.prompt)
         if call.session:
             self.beliefs.rollouts.note_session(
                 call.session, member.entry.version, self.bounds.session
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -225,6 +225,8 @@
 
     :param left_ms: time left until the answer must be out.
     :param in_flight: this node's requests at the server.
+    :param waiting_ms: reading that waits there, as all nodes tell.
+    :param reading_ms: reading that the request itself needs.
     :param row_version: version of the server's entry.
     """
 
@@ -236,6 +238,8 @@
     offer: int
     left_ms: int
     in_flight: int
+    waiting_ms: int
+    reading_ms: int
     row_version: int
     config: int
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -17,6 +17,7 @@
 from . import dispatch
 from . import events
 from . import front
+from . import gossip
 from . import logs
 from . import pauses
 from . import rollouts
@@ -84,6 +85,15 @@
         ]
         self._tasks.append(asyncio.create_task(self._tell_presence()))
         self._lead_rollouts(clock)
+        teller = gossip.Gossip(
+            platform.settings.name,
+            lambda: self.beliefs.peers,
+            self.dispatcher.pressure,
+            self.journal,
+        )
+        self._tasks.append(
+            asyncio.create_task(teller.run(platform.settings.peers))
+        )
         self._tasks.append(
             asyncio.create_task(
                 pauses.watch_pauses(self.journal, self._distrust)
@@ -176,7 +186,8 @@
     async def _tell_presence(self) -> None:
         """Write the row by which other nodes know of this one."""
         key = beliefs.NODE_PREFIX + self.platform.settings.name
-        value = json.dumps({"zone": self.platform.settings.zone})
+        host, port = self.platform.settings.peers
+        value = json.dumps({"host": host, "port": port})
         while True:
             try:
                 await self.platform.shared.put([ports.SharedPut(key, value)])
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
@@ -1,7 +1,7 @@
 """Forwarding of calls whose answer is taken in whole."""
 
 from limpetwalk.gateway import call as calls
-from limpetwalk.gateway import fleet
+from limpetwalk.gateway import placing
 from limpetwalk.gateway import refusal
 from limpetwalk.gateway import repeats
 
@@ -27,10 +27,11 @@
         """Return a server's answer, or why there is none."""
         last: dispatch.Tried | None = None
         while self._dispatcher.time_left(call) > repeats.LEAST_TIME:
-            member = self._dispatcher.place(call)
-            if member is None:
+            choice = self._dispatcher.place(call)
+            if choice is None:
                 break
-            result = await self._try(call, member)
+            member = choice.member
+            result = await self._try(call, choice)
             if isinstance(result, dispatch.WholeAnswer):
                 self._dispatcher.note(call, member, None)
                 return result
@@ -43,10 +44,10 @@
         return self._dispatcher.give_up(call, last)
 
     async def _try(
-        self, call: calls.Call, member: fleet.Member
+        self, call: calls.Call, choice: placing.Choice
     ) -> dispatch.WholeAnswer | dispatch.Tried:
         started = await self._dispatcher.start(
-            call, member, "", "", self._patience(call)
+            call, choice, "", "", self._patience(call)
         )
         if isinstance(started, dispatch.Tried):
             return started
@@ -62,7 +63,8 @@
             )
         finally:
             started.exchange.close()
-        return dispatch.WholeAnswer(started.head, body, member.id)
+            self._dispatcher.finish(choice.member)
+        return dispatch.WholeAnswer(started.head, body, choice.member.id)
 
     def _patience(self, call: calls.Call) -> float:
         """Return how long a server may take to begin its answer."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -23,7 +23,7 @@
 
 # Pause between two rounds of evidence of a node, seconds, at the size where
 # the store can take it, and nodes for which it grows by another such pause.
-TELL_PAUSE = 0.8
+TELL_PAUSE = 1.2
 NODES_PER_PAUSE = 16
 # Pause between two looks of the lead, seconds.
 LEAD_PAUSE = 0.7
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -7,6 +7,7 @@
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import eventstream
 from limpetwalk.gateway import fleet
+from limpetwalk.gateway import placing
 from limpetwalk.gateway import refusal
 from limpetwalk.gateway import repeats
 from limpetwalk.gateway import sizes
@@ -22,6 +23,9 @@
 # Part of the largest gap after which a stream goes on elsewhere: reading the
 # prompt again must fit into what is left of the gap.
 GAP_SHARE = 0.75
+# Multiple of the expected time to the first event of a larger model that
+# must be left of the aimed latency.
+CLIMB_MARGIN = 1.3
 # Shortest of these times, seconds; a long prompt of another request may
 # hold an engine up for as long.
 LEAST_PATIENCE = 0.5
@@ -54,10 +58,11 @@
         last: dispatch.Tried | None = None
         model = self._start_model(call)
         while self._dispatcher.time_left(call) > repeats.LEAST_TIME:
-            member = self._dispatcher.place(call, model, relay.version)
-            if member is None:
+            choice = self._dispatcher.place(call, model, relay.version)
+            if choice is None:
                 break
-            result = await self._try(call, member, model, relay)
+            member = choice.member
+            result = await self._try(call, choice, model, relay)
             if result is None:
                 self._dispatcher.note(call, member, None)
                 relay.complete = True
@@ -79,26 +84,25 @@
     async def _try(
         self,
         call: calls.Call,
-        member: fleet.Member,
+        choice: placing.Choice,
         model: str,
         relay: "Relay",
     ) -> "dispatch.Tried | _Climb | None":
         if relay.started:
-            self._note_resumed(call, member, relay)
+            self._note_resumed(call, choice.member, relay)
         started = await self._dispatcher.start(
-            call, member, model, relay.last_event, self._patience(call)
+            call, choice, model, relay.last_event, self._patience(call)
         )
         if isinstance(started, dispatch.Tried):
             return started
-        member.condition.in_flight += 1
         try:
             climb = self._climb(call, started, relay)
             if climb is not None:
                 return climb
             return await relay.run(started)
         finally:
-            member.condition.in_flight -= 1
             started.exchange.close()
+            self._dispatcher.finish(choice.member)
 
     def _climb(
         self, call: calls.Call, started: dispatch.Started, relay: "Relay"
@@ -123,6 +127,8 @@
         )
         if model is None or call.tries.ran + 1 >= call.route.attempts:
             return None
+        if not self._is_in_time(call, model):
+            return None
         if not self._dispatcher.budget(call.service).take():
             return None
         call.tries.note(repeats.Outcome.FAILED)
@@ -132,6 +138,15 @@
         )
         return _Climb(model)
 
+    def _is_in_time(self, call: calls.Call, model: str) -> bool:
+        """Whether a larger model would still answer on time."""
+        choice = self._dispatcher.place(call, model)
+        if choice is None:
+            return False
+        now = self._dispatcher.clock.monotonic()
+        aim = call.arrived + call.route.target_latency
+        return now + choice.expected * CLIMB_MARGIN < aim
+
     def _start_model(self, call: calls.Call) -> str:
         return sizes.start_model(
             call.route.models, self._dispatcher.time_left(call)
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/pace.py
@@ -0,0 +1,45 @@
+"""How fast models read prompts, learnt from the answers."""
+
+# Seconds a prompt token takes before anything is known of a model.
+FIRST_GUESS = 0.1e-3
+# Least seconds a token takes; faster answers were cached.
+LEAST_PACE = 1e-6
+# Seconds from a request to its first byte that reading does not explain.
+OVERHEAD = 0.08
+# Prompts shorter than this tell little, tokens.
+LEAST_TOKENS = 400
+# Weight of a sample below and above what is believed. Waiting only adds, so
+# the belief follows the fast answers.
+WEIGHT_DOWN = 0.3
+WEIGHT_UP = 0.03
+
+
+class Pace:
+    """Seconds that a token of a prompt takes, by model."""
+
+    def __init__(self) -> None:
+        self._per_token: dict[str, float] = {}
+
+    def per_token(self, model: str) -> float:
+        """Return the seconds that a model takes to read a token."""
+        return self._per_token.get(model, FIRST_GUESS)
+
+    def reading(self, model: str, tokens: float) -> float:
+        """Return the seconds that a model takes to read tokens."""
+        return tokens * self.per_token(model)
+
+    def note(self, model: str, tokens: float, latency: float) -> None:
+        """Note how long a first byte took.
+
+        :param tokens: tokens that had to be read.
+        :param latency: time from the request to the first byte, in seconds.
+        """
+        if tokens < LEAST_TOKENS:
+            return
+        sample = max(LEAST_PACE, (latency - OVERHEAD) / tokens)
+        held = self._per_token.get(model)
+        if held is None:
+            self._per_token[model] = sample
+            return
+        weight = WEIGHT_DOWN if sample < held else WEIGHT_UP
+        self._per_token[model] = held + weight * (sample - held)
--- a/packages/limpetwalk/limpetwalk/gateway/placing.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placing.py
@@ -2,7 +2,7 @@
 
 Answers two loads: plain calls that want the idlest sound server, and
 generations whose shared prompt parts are dear to read again. The cost of a
-server is counted in prompt tokens that the request would have to wait for.
+server is the time in seconds that a caller would probably wait for it.
 """
 
 from collections.abc import Callable
@@ -15,18 +15,22 @@
 from .. import clock as clocks
 from . import affinity
 from . import fleet
+from . import pace
+from . import pressure
 from . import types
 
-# Prompt tokens that one more request at a server is worth. A request of
-# this node stands for some of the other nodes.
-TOKENS_PER_REQUEST = 400.0
-# Prompt tokens that a path to another zone is worth: it costs about a
-# millisecond and is billed by the byte.
-TOKENS_PER_ZONE = 120.0
-# Prompt tokens that a sure failure is worth: about a second of reading.
-TOKENS_PER_FAILURE = 30_000.0
-# Prompt tokens that a cold server is worth, since it is slow.
-TOKENS_PER_COLD = 4_000.0
+# Seconds that one more request at a server is worth beside the reading that
+# it waits for: it slows each token of an engine a little, and takes one of
+# the few slots of a plain service.
+PER_REQUEST_ENGINE = 0.002
+PER_REQUEST_PLAIN = 0.010
+# Seconds that a path to another zone is worth: it costs a millisecond and
+# is billed by the byte.
+PER_ZONE = 0.004
+# Seconds that a sure failure is worth: about the time that is lost by it.
+PER_FAILURE = 1.5
+# Seconds that a cold server is worth, since it is slow.
+PER_COLD = 0.5
 # Part of the shared tokens that the server which rendezvous hashing names
 # probably holds, because other nodes send it the same parts.
 OTHERS_WARM_SHARE = 0.7
@@ -50,6 +54,24 @@
     avoided: Collection[str] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Server that was chosen.
+
+    :param waiting: seconds of reading that wait there before the request.
+    :param reading: seconds of reading that the request itself needs.
+    """
+
+    member: fleet.Member
+    waiting: float
+    reading: float
+
+    @property
+    def expected(self) -> float:
+        """Seconds until the first byte, probably."""
+        return self.waiting + self.reading + pace.OVERHEAD
+
+
 class Placer:
     """Chooses servers by their cost.
 
@@ -62,16 +84,20 @@
         zone: str,
         servers: fleet.Fleet,
         memory: affinity.PrefixMemory,
+        loads: pressure.Pressure,
+        paces: pace.Pace,
         clock: clocks.Clock,
         may_send_cold: Callable[[fleet.Member], bool],
     ) -> None:
         self._zone = zone
         self._fleet = servers
         self._memory = memory
+        self._loads = loads
+        self._paces = paces
         self._clock = clock
         self._may_send_cold = may_send_cold
 
-    def choose(self, need: Need) -> fleet.Member | None:
+    def choose(self, need: Need) -> Choice | None:
         """Return the cheapest server, or None when none may be used."""
         now = self._clock.monotonic()
         able = [
@@ -85,10 +111,12 @@
         if not candidates:
             return None
         preferred = self._preferred(need, candidates)
-        return min(
-            candidates,
-            key=lambda held: self._cost(held, need, preferred, now),
-        )
+        loads = self._loads.at([held.id for held in candidates])
+        rated = [
+            self._rate(held, need, preferred, loads[held.id], now)
+            for held in candidates
+        ]
+        return min(rated, key=lambda each: each[:2])[2]
 
     def _fits(self, held: fleet.Member, need: Need, now: float) -> bool:
         entry = held.entry
@@ -109,18 +137,26 @@
             ),
         ).id
 
-    def _cost(
-        self, held: fleet.Member, need: Need, preferred: str, now: float
-    ) -> tuple[float, int]:
-        cost = TOKENS_PER_REQUEST * held.condition.in_flight
-        cost += self._unread(held, need, preferred)
+    def _rate(
+        self,
+        held: fleet.Member,
+        need: Need,
+        preferred: str,
+        load: pressure.Load,
+        now: float,
+    ) -> tuple[float, int, Choice]:
+        unread = self._unread(held, need, preferred)
+        reading = self._paces.reading(need.model, unread)
+        choice = Choice(held, load.waiting, reading)
+        per_request = PER_REQUEST_ENGINE if need.model else PER_REQUEST_PLAIN
+        cost = load.waiting + reading + per_request * load.active
         if held.entry.zone != self._zone:
-            cost += TOKENS_PER_ZONE
-        cost += TOKENS_PER_FAILURE * held.condition.failure_share(now)
+            cost += PER_ZONE
+        cost += PER_FAILURE * held.condition.failure_share(now)
         if held.is_cold(now):
-            cost += TOKENS_PER_COLD
+            cost += PER_COLD
         tie = xxhash.xxh32_intdigest(f"{held.id}{now}".encode())
-        return cost, tie
+        return cost, tie, choice
 
     def _unread(self, held: fleet.Member, need: Need, preferred: str) -> float:
         """Return the tokens that a server would have to read."""
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -252,6 +252,7 @@
     callers: tuple[str, int]
     readiness: tuple[str, int]
     metrics: tuple[str, int]
+    peers: tuple[str, int]
     memory_mb: int
     max_fds: int
     bounds: Bounds = field(default_factory=Bounds)
--- a/scripts/build_platform.sh
+++ b/scripts/build_platform.sh
@@ -14,7 +14,7 @@
 for package in packages/limpetwalk/limpetwalk \
     packages/limpetwalk-node/limpetwalk_node platform/limpetwalk_platform; do
     rm -rf "$deps/$(basename "$package")"
-    cp -R "$package" "$deps/"
+    cp -Rp "$package" "$deps/"
 done
 python3 -m compileall -q "$deps/limpetwalk" "$deps/limpetwalk_node" \
     "$deps/limpetwalk_platform"
