--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 
 VENV := .venv
 PY := $(VENV)/bin/python
-PACKAGES := limpetwalk limpetwalk-node limpetwalk-ctl limpetwalk-bench
+PACKAGES := packages/limpetwalk packages/limpetwalk-node packages/limpetwalk-ctl \
+    packages/limpetwalk-bench platform
 STAMP := $(VENV)/.installed
-SOURCES := packages tests
+SOURCES := packages platform tests
 SOAKED := tests.limpetwalk.records tests.limpetwalk.ledger \
     tests.limpetwalk.test_leases
 SEED ?= 7
@@ -22,12 +23,12 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements/dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): requirements/dev.txt $(PACKAGES:%=%/pyproject.toml)
 	@echo "setting up $(VENV) from requirements/dev.txt"
 	@test -x $(PY) || python3.11 -m venv $(VENV)
 	@$(PY) -m pip install --quiet --disable-pip-version-check -r requirements/dev.txt
 	@$(PY) -m pip install --quiet --disable-pip-version-check --no-deps \
-	    --no-build-isolation $(PACKAGES:%=-e packages/%)
+	    --no-build-isolation $(PACKAGES:%=-e ./%)
 	@touch $(STAMP)
 
 format: $(STAMP)
@@ -38,7 +39,7 @@
 	$(VENV)/bin/ruff format --check $(SOURCES)
 	$(VENV)/bin/ruff check --quiet $(SOURCES)
 	$(VENV)/bin/flake8 $(SOURCES)
-	$(VENV)/bin/mypy $(PACKAGES:%=packages/%)
+	$(VENV)/bin/mypy $(PACKAGES)
 
 unit: $(STAMP)
 	$(VENV)/bin/nose2 --config nose2.cfg
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the protocol of the users' platform."""
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/site.py
@@ -0,0 +1,133 @@
+"""Stand-ins of a small site, and the rows by which it is known."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from aiohttp import web
+
+from . import server
+from . import store as stores
+
+KEY = "key-1"
+WORKSPACE = "workspace-1"
+HOST = "api.example"
+ENGINE = "engine"
+PLAIN = "plain"
+MODELS = ("small", "large")
+
+
+def config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return the row of a configuration with one route of each kind."""
+    held = {
+        "version": version,
+        "routes": [
+            route("stream", "streaming", ENGINE, resumable=True, attempts=3),
+            route("once", "non_idempotent", PLAIN),
+            route("again", "idempotent", PLAIN, attempts=2),
+        ],
+        "backends": [
+            {
+                "name": ENGINE,
+                "cold_start_s": 3.0,
+                "cold_per_s": 9.0,
+                "engine": {
+                    "slots": 8,
+                    "kv_capacity": 1000,
+                    "models": [
+                        {"name": name, "cost": cost}
+                        for name, cost in zip(MODELS, (0.02, 0.3), strict=True)
+                    ],
+                },
+            },
+            {"name": PLAIN, "cold_start_s": 0.0, "cold_per_s": 0.0},
+        ],
+        "limits": {"max_body_bytes": 100_000},
+        "tenants": [{"name": WORKSPACE, "api_keys": [KEY], "priority": 1}],
+    }
+    return {**held, **changes}
+
+
+def route(
+    name: str, kind: str, service: str, **changes: Any
+) -> dict[str, Any]:
+    """Return a route of a configuration."""
+    held: dict[str, Any] = {
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "type": kind,
+        "timeout_ms": 3000,
+        "slo_ms": 1000,
+        "priority": 1,
+        "attempts": 1,
+        "backend": service,
+        "itl_slo_ms": 1000,
+    }
+    if kind == "streaming":
+        held["sizes"] = list(MODELS)
+    return {**held, **changes}
+
+
+def entry(service: str, port: int, **changes: Any) -> dict[str, Any]:
+    """Return the entry of a backend server."""
+    held = {
+        "backend": service,
+        "address": f"127.0.0.1:{port}",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": 1,
+        "born": 1,
+    }
+    return {**held, **changes}
+
+
+@dataclass
+class Site:
+    """Store and backend servers on loopback."""
+
+    store: stores.Store = field(default_factory=stores.Store)
+    servers: dict[str, server.Server] = field(default_factory=dict)
+    ports: dict[str, int] = field(default_factory=dict)
+    _runners: list[web.AppRunner] = field(default_factory=list)
+    store_port: int = 0
+
+    async def start(self, services: Mapping[str, str]) -> None:
+        """Start the store and one server for each identifier.
+
+        :param services: service by identifier of its server.
+        """
+        self.store_port = await self._serve(self.store.app())
+        for server_id, service in services.items():
+            await self.add(server_id, service)
+        await self.store.put("op", "config", config())
+
+    async def add(self, server_id: str, service: str, **changes: Any) -> None:
+        """Start a server and write its entry."""
+        held = server.Server(server_id)
+        self.servers[server_id] = held
+        self.ports[server_id] = await self._serve(held.app())
+        await self.store.put(
+            "servers",
+            server_id,
+            entry(service, self.ports[server_id], **changes),
+        )
+
+    async def stop(self) -> None:
+        """Stop all."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _serve(self, app: web.Application) -> int:
+        runner = web.AppRunner(
+            app, shutdown_timeout=0.1, handler_cancellation=True
+        )
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self._runners.append(runner)
+        return runner.addresses[0][1]
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/logs.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/logs.py
@@ -1,6 +1,9 @@
 """Structured log on standard output, bounded and never in the way."""
 
 import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import json
 import logging
@@ -8,6 +11,7 @@
 import sys
 import threading
 import time
+from typing import Protocol
 
 from loguru import logger
 
@@ -24,6 +28,20 @@
 IDLE_PAUSE = 0.05
 
 
+class Writer(Protocol):
+    """Where lines go."""
+
+    dropped: int
+
+    def write(self, line: str) -> None:
+        """Take a line without waiting."""
+        ...
+
+    def flush(self, timeout: float) -> None:
+        """Wait until all is written, at most ``timeout`` seconds."""
+        ...
+
+
 class BoundedWriter:
     """Writes lines from a thread, and drops them when nobody reads.
 
@@ -106,7 +124,7 @@
     """
 
     def __init__(
-        self, node: str, writer: BoundedWriter, metrics: metrics_.Metrics
+        self, node: str, writer: Writer, metrics: metrics_.Metrics
     ) -> None:
         self._node = node
         self._writer = writer
@@ -157,6 +175,16 @@
         return self._written[event.name] <= LINES_PER_SECOND
 
 
+@contextlib.contextmanager
+def lines_go_to(write: Callable[[str], None]) -> Iterator[None]:
+    """Send lines elsewhere while the context lasts."""
+    sink = logger.add(write, format="{message}", level="INFO", catch=False)
+    try:
+        yield
+    finally:
+        logger.remove(sink)
+
+
 def configure(node: str, metrics: metrics_.Metrics) -> Journal:
     """Send the log of this process to standard output.
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -99,21 +99,29 @@
                 pauses.watch_pauses(self.journal, self._distrust)
             )
         )
-        self._runners = [
-            await _serve(self.front, platform.settings.callers),
-            await _serve(
+        metrics_page = status.MetricsPage(self.metrics, platform.metrics_path)
+        listeners = {
+            "callers": (self.front, platform.settings.callers),
+            "readiness": (
                 web.Server(self.readiness.handle),
                 platform.settings.readiness,
             ),
-            await _serve(
-                web.Server(
-                    status.MetricsPage(
-                        self.metrics, platform.metrics_path
-                    ).handle
-                ),
+            "metrics": (
+                web.Server(metrics_page.handle),
                 platform.settings.metrics,
             ),
-        ]
+        }
+        self._runners = {
+            name: await _serve(server, address)
+            for name, (server, address) in listeners.items()
+        }
+
+    @property
+    def addresses(self) -> dict[str, tuple[str, int]]:
+        """Addresses at which it listens, by what it serves there."""
+        return {
+            name: runner.addresses[0] for name, runner in self._runners.items()
+        }
 
     async def drain(self) -> None:
         """Finish what is open, within the grace period."""
@@ -132,7 +140,7 @@
         """Close the listeners and the platform's connections."""
         for task in self._tasks:
             task.cancel()
-        for runner in self._runners:
+        for runner in self._runners.values():
             await runner.cleanup()
         await self.platform.close()
 
--- /dev/null
+++ b/tests/limpetwalk_node/gateway/harness.py
@@ -0,0 +1,137 @@
+"""A gateway in this process, before stand-ins of the platform."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import tempfile
+from typing import Any
+from unittest import mock
+
+import aiohttp
+from loguru import logger
+
+from limpetwalk import metrics as metrics_
+from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import logs
+from limpetwalk_node.gateway import node
+from limpetwalk_platform import adapter
+from limpetwalk_platform import settings
+
+SETTINGS = """
+node_name = "{name}"
+zone = "zone-a"
+ip = "127.0.0.1"
+port_range = [0, 0]
+[listen]
+front_addr = "127.0.0.1:0"
+readiness = "127.0.0.1:0"
+[limits]
+memory_mb = 300
+max_fds = 1000
+[bounds]
+grace_s = 3
+[platform]
+address = "127.0.0.1:{store_port}"
+"""
+PATIENCE = 5.0
+
+
+class Lines:
+    """Writer that keeps the lines of the log."""
+
+    def __init__(self) -> None:
+        self.dropped = 0
+        self.held: list[dict[str, Any]] = []
+
+    def write(self, line: str) -> None:
+        """Take a line."""
+        self.held.append(json.loads(line))
+
+    def flush(self, timeout: float) -> None:
+        """Do nothing."""
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the lines of an event."""
+        return [line for line in self.held if line["event"] == name]
+
+
+class Running:
+    """Gateway with its stand-ins and a client."""
+
+    def __init__(self) -> None:
+        self.site = site.Site()
+        self.lines = Lines()
+        self.metrics = metrics_.Metrics()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(
+        self, services: dict[str, str] | None = None, name: str = "node-1"
+    ) -> None:
+        """Start all, and wait until the gateway is ready."""
+        await self.site.start(
+            services or {"e-1": site.ENGINE, "p-1": site.PLAIN}
+        )
+        folder = self._stack.enter_context(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder) / "node.toml"
+        path.write_text(
+            SETTINGS.format(name=name, store_port=self.site.store_port)
+        )
+        self._stack.enter_context(
+            mock.patch.dict(os.environ, {settings.PATH_VARIABLE: str(path)})
+        )
+        self._stack.enter_context(
+            mock.patch.object(settings, "METRICS_PORT", 0)
+        )
+        journal = logs.Journal(name, self.lines, self.metrics)
+        logger.remove()
+        self._stack.enter_context(logs.lines_go_to(self.lines.write))
+        self.gateway = node.Gateway(
+            platform=adapter.Adapter(), journal=journal, metrics=self.metrics
+        )
+        await self.gateway.start()
+        self.client = aiohttp.ClientSession()
+        await self.until(lambda: self.gateway.beliefs.ready)
+
+    async def stop(self) -> None:
+        """Stop all."""
+        await self.client.close()
+        await self.gateway.stop()
+        await self.site.stop()
+        await self._stack.aclose()
+
+    async def until(self, condition: Any) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(PATIENCE):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def url(self, path: str) -> str:
+        """Return the URL of a path of the callers' interface."""
+        host, port = self.gateway.addresses["callers"]
+        return f"http://{host}:{port}{path}"
+
+    def request(self, method: str, path: str, **kwargs: Any) -> Any:
+        """Send a request as a caller does."""
+        headers = {
+            "Host": site.HOST,
+            "Attempt-Id": "a-1",
+            "Deadline-Ms": "2000",
+            "Authorization": f"Token {site.KEY}",
+            **kwargs.pop("headers", {}),
+        }
+        kept = {k: v for k, v in headers.items() if v is not None}
+        return self.client.request(
+            method, self.url(path), headers=kept, **kwargs
+        )
+
+    def stream(self, path: str = "/stream/x", **headers: str) -> Any:
+        """Send a generation as a caller does."""
+        held = {
+            "Model": "*",
+            "Token-Usage": "30,10",
+            "Prefix-Hash": "aa:10,bb:10,cc:10",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        return self.request("POST", path, headers=held, data=b"prompt")
--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_front.py
@@ -0,0 +1,386 @@
+"""Requests through a whole gateway, before stand-ins."""
+
+import asyncio
+import unittest
+
+import aiohttp
+from aiohttp import web
+
+from limpetwalk_bench.hub import server
+from limpetwalk_bench.hub import site
+
+from . import harness
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """Gateway before one engine and one plain service."""
+
+    services = {"e-1": site.ENGINE, "p-1": site.PLAIN}
+
+    async def asyncSetUp(self) -> None:
+        self.run_ = harness.Running()
+        await self.run_.start(self.services)
+        self.addAsyncCleanup(self.run_.stop)
+
+    def server(self, server_id: str) -> server.Server:
+        return self.run_.site.servers[server_id]
+
+
+class PlainCall(GatewayCase):
+    """Calls of a plain service that may not be repeated."""
+
+    async def test_answer_comes_unchanged_with_the_seal(self) -> None:
+        async with self.run_.request(
+            "POST", "/once/x%2Fy?q=1", data=b"body"
+        ) as resp:
+            self.assertEqual(200, resp.status)
+            self.assertEqual("seal-p-1", resp.headers["Server-Seal"])
+            self.assertEqual(b"done body", await resp.read())
+        seen = self.server("p-1").ran[0]
+        self.assertEqual("/once/x%2Fy?q=1", seen.path)
+        self.assertEqual(b"body", seen.body)
+
+    async def test_server_learns_workspace_and_deadline_not_the_key(
+        self,
+    ) -> None:
+        forged = {"Tenant": "other", "Hold": "x", "Kv-From": "1.2.3.4:1/x"}
+        async with self.run_.request("POST", "/once/x", headers=forged):
+            pass
+        headers = self.server("p-1").ran[0].headers
+        self.assertEqual(site.WORKSPACE, headers["Tenant"])
+        self.assertLessEqual(int(headers["Deadline-Ms"]), 2000)
+        for name in ("Authorization", "Hold", "Kv-From"):
+            self.assertNotIn(name, headers)
+
+    async def test_reset_after_the_request_is_not_repeated(self) -> None:
+        async def reset(req: web.Request) -> web.StreamResponse:
+            assert req.transport is not None
+            req.transport.abort()
+            raise asyncio.CancelledError
+
+        self.server("p-1").behaviour = reset
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(502, resp.status)
+        self.assertEqual(1, len(self.server("p-1").ran))
+
+    async def test_a_server_that_did_not_run_it_leads_to_a_promise(
+        self,
+    ) -> None:
+        async def full(req: web.Request) -> web.StreamResponse:
+            return web.Response(status=503, headers={"Not-Executed": "1"})
+
+        self.server("p-1").behaviour = full
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
+            self.assertIn("Retry-After", resp.headers)
+
+    async def test_a_false_promise_of_a_server_is_not_passed_on(self) -> None:
+        async def busy(req: web.Request) -> web.StreamResponse:
+            headers = self.server("p-1").sealed(req)
+            return web.Response(status=503, headers=headers)
+
+        self.server("p-1").behaviour = busy
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(502, resp.status)
+            self.assertNotIn("Server-Seal", resp.headers)
+
+    async def test_failure_of_a_server_keeps_status_and_seal(self) -> None:
+        async def fail(req: web.Request) -> web.StreamResponse:
+            headers = self.server("p-1").sealed(req)
+            return web.Response(status=500, headers=headers, body=b"no")
+
+        self.server("p-1").behaviour = fail
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(500, resp.status)
+            self.assertEqual("seal-p-1", resp.headers["Server-Seal"])
+            self.assertEqual(b"no", await resp.read())
+
+    async def test_silent_server_is_given_up_at_the_deadline(self) -> None:
+        async def hang(req: web.Request) -> web.StreamResponse:
+            await asyncio.sleep(30)
+            raise AssertionError
+
+        self.server("p-1").behaviour = hang
+        async with self.run_.request(
+            "POST", "/once/x", headers={"Deadline-Ms": "300"}
+        ) as resp:
+            self.assertEqual(504, resp.status)
+
+    async def test_truncated_answer_is_not_passed_on_as_whole(self) -> None:
+        async def cut(req: web.Request) -> web.StreamResponse:
+            headers = self.server("p-1").sealed(req)
+            resp = web.StreamResponse(headers=headers)
+            resp.content_length = 100
+            await resp.prepare(req)
+            await resp.write(b"half")
+            assert req.transport is not None
+            req.transport.close()
+            return resp
+
+        self.server("p-1").behaviour = cut
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(502, resp.status)
+
+    async def test_answer_to_another_request_is_not_passed_on(self) -> None:
+        async def crossed(req: web.Request) -> web.StreamResponse:
+            headers = {**self.server("p-1").sealed(req), "Attempt-Id": "b-9"}
+            return web.Response(headers=headers, body=b"not yours")
+
+        self.server("p-1").behaviour = crossed
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(502, resp.status)
+
+
+class Admission(GatewayCase):
+    """What comes in."""
+
+    async def test_unknown_route(self) -> None:
+        async with self.run_.request("GET", "/nowhere/x") as resp:
+            self.assertEqual(404, resp.status)
+
+    async def test_unknown_key(self) -> None:
+        headers = {"Authorization": "Token wrong"}
+        async with self.run_.request(
+            "POST", "/once/x", headers=headers
+        ) as resp:
+            self.assertEqual(401, resp.status)
+
+    async def test_body_over_the_limit(self) -> None:
+        async with self.run_.request(
+            "POST", "/once/x", data=b"x" * 100_001
+        ) as resp:
+            self.assertEqual(413, resp.status)
+        self.assertEqual([], self.server("p-1").seen)
+
+    async def test_new_configuration_takes_a_key_away(self) -> None:
+        await self.run_.site.store.put(
+            "op",
+            "config",
+            site.config(
+                version=5, tenants=[{"name": "other", "api_keys": ["other"]}]
+            ),
+        )
+        held = self.run_.gateway.beliefs
+        await self.run_.until(lambda: held.catalog.version == 5)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(401, resp.status)
+
+    async def test_older_configuration_is_ignored(self) -> None:
+        await self.run_.site.store.put("op", "config", site.config(version=7))
+        held = self.run_.gateway.beliefs
+        await self.run_.until(lambda: held.catalog.version == 7)
+        await self.run_.site.store.put("op", "config", site.config(version=3))
+        await self.run_.until(lambda: self.run_.lines.events("config.ignored"))
+        self.assertEqual(7, held.catalog.version)
+
+    async def test_leaving_server_gets_nothing_new(self) -> None:
+        await self.run_.site.store.put(
+            "servers",
+            "p-1",
+            site.entry(
+                site.PLAIN, self.run_.site.ports["p-1"], state="draining"
+            ),
+        )
+        held = self.run_.gateway.beliefs.fleet
+        await self.run_.until(lambda: held.get("p-1").entry.leaving)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
+        self.assertEqual([], self.server("p-1").seen)
+
+    async def test_evacuated_zone_gets_nothing_new(self) -> None:
+        await self.run_.site.store.put("op", "evacuate/zone-a", {})
+        held = self.run_.gateway.beliefs.fleet
+        await self.run_.until(lambda: held.evacuated)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
+        await self.run_.site.store.remove("op", "evacuate/zone-a")
+        await self.run_.until(lambda: not held.evacuated)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(200, resp.status)
+
+
+class Repeat(GatewayCase):
+    """Calls that may be sent again."""
+
+    services = {"e-1": site.ENGINE, "p-1": site.PLAIN, "p-2": site.PLAIN}
+
+    async def test_reset_call_is_answered_by_another_server(self) -> None:
+        async def reset(req: web.Request) -> web.StreamResponse:
+            assert req.transport is not None
+            req.transport.abort()
+            raise asyncio.CancelledError
+
+        self.server("p-1").behaviour = reset
+        for _ in range(6):
+            async with self.run_.request("GET", "/again/x") as resp:
+                self.assertEqual(200, resp.status)
+                self.assertEqual("seal-p-2", resp.headers["Server-Seal"])
+
+    async def test_server_that_is_down_costs_no_attempt(self) -> None:
+        await self.run_.site.store.put(
+            "servers", "p-0", site.entry(site.PLAIN, 9)
+        )
+        held = self.run_.gateway.beliefs.fleet
+        await self.run_.until(lambda: held.get("p-0"))
+        for _ in range(6):
+            async with self.run_.request("POST", "/once/x") as resp:
+                self.assertEqual(200, resp.status)
+
+
+class Stream(GatewayCase):
+    """Streams of events."""
+
+    services = {"e-1": site.ENGINE, "e-2": site.ENGINE, "p-1": site.PLAIN}
+    whole = b"".join(server.event(number) for number in range(1, 6))
+
+    async def test_events_come_unchanged(self) -> None:
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+            self.assertIn("Server-Seal", resp.headers)
+            self.assertEqual(self.whole, await resp.read())
+
+    async def test_smallest_model_is_named_first(self) -> None:
+        async with self.run_.stream() as resp:
+            await resp.read()
+        ran = self.server("e-1").ran + self.server("e-2").ran
+        self.assertEqual(["small"], [each.headers["Model"] for each in ran])
+
+    async def test_doubtful_answer_is_dropped_for_a_larger_model(
+        self,
+    ) -> None:
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).confidence = {"small": 10}
+        async with self.run_.stream() as resp:
+            self.assertEqual(self.whole, await resp.read())
+        ran = self.server("e-1").ran + self.server("e-2").ran
+        self.assertEqual(
+            {"small", "large"}, {each.headers["Model"] for each in ran}
+        )
+
+    async def test_broken_stream_goes_on_elsewhere_in_one_answer(
+        self,
+    ) -> None:
+        async def cut(req: web.Request) -> web.StreamResponse | None:
+            if "Last-Event-Id" in req.headers:
+                return None
+            held = self.server(req.headers["Target-Instance"])
+            resp = web.StreamResponse(
+                headers={**held.sealed(req), "Confidence": "100"}
+            )
+            await resp.prepare(req)
+            await resp.write(server.event(1) + server.event(2) + b"id: 3\nda")
+            await asyncio.sleep(0.05)
+            assert req.transport is not None
+            req.transport.abort()
+            return resp
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = cut
+        async with self.run_.stream() as resp:
+            self.assertEqual(self.whole, await resp.read())
+        ran = self.server("e-1").ran + self.server("e-2").ran
+        again = [each for each in ran if "Last-Event-Id" in each.headers]
+        self.assertEqual(["2"], [e.headers["Last-Event-Id"] for e in again])
+
+    async def test_stream_that_cannot_go_on_never_looks_whole(self) -> None:
+        async def cut(req: web.Request) -> web.StreamResponse | None:
+            if "Last-Event-Id" in req.headers:
+                return web.Response(status=503, headers={"Not-Executed": "1"})
+            held = self.server(req.headers["Target-Instance"])
+            resp = web.StreamResponse(
+                headers={**held.sealed(req), "Confidence": "100"}
+            )
+            await resp.prepare(req)
+            await resp.write(server.event(1))
+            await asyncio.sleep(0.05)
+            assert req.transport is not None
+            req.transport.abort()
+            return resp
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = cut
+        async with self.run_.stream() as resp:
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await resp.read()
+
+    async def test_caller_that_leaves_stops_the_work(self) -> None:
+        stopped = asyncio.Event()
+
+        async def slow(req: web.Request) -> web.StreamResponse | None:
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                stopped.set()
+                raise
+            return None
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = slow
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                async with self.run_.stream():
+                    pass
+        async with asyncio.timeout(2):
+            await stopped.wait()
+
+
+class Stopping(GatewayCase):
+    """The order to stop."""
+
+    async def test_open_stream_is_finished_and_connections_close(
+        self,
+    ) -> None:
+        self.server("e-1").pause = 0.1
+        async with self.run_.stream() as resp:
+            stop = asyncio.create_task(self.run_.gateway.drain())
+            await asyncio.sleep(0.01)
+            self.assertFalse(self.run_.gateway.readiness.ready)
+            self.assertTrue((await resp.read()).endswith(server.event(5)))
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual("close", resp.headers["Connection"].lower())
+        await stop
+
+    async def test_late_stream_is_turned_away_with_a_promise(self) -> None:
+        self.run_.gateway.front.closing = True
+        self.run_.gateway.front.turning_away = True
+        async with self.run_.stream() as resp:
+            self.assertEqual(503, resp.status)
+            self.assertIn("Retry-After", resp.headers)
+        self.assertEqual([], self.server("e-1").seen)
+
+
+class StoreAway(GatewayCase):
+    """Outages of the store."""
+
+    async def test_requests_go_on_and_changes_come_after(self) -> None:
+        store = self.run_.site.store
+        store.faults.status = 503
+        await self.run_.until(
+            lambda: self.run_.lines.events("dependency.lost")
+        )
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(200, resp.status)
+        await store.put("op", "config", site.config(version=9))
+        store.faults.status = 0
+        held = self.run_.gateway.beliefs
+        await self.run_.until(lambda: held.catalog.version == 9)
+        await self.run_.until(
+            lambda: self.run_.lines.events("dependency.regained")
+        )
+
+    async def test_forgotten_history_is_read_whole(self) -> None:
+        store = self.run_.site.store
+        store.rows.pop(("servers", "p-1"))
+        await store.forget_history()
+        held = self.run_.gateway.beliefs.fleet
+        await self.run_.until(lambda: held.get("p-1") is None)
+
+    async def test_unreadable_entry_names_no_server_and_others_hold(
+        self,
+    ) -> None:
+        await self.run_.site.store.put("servers", "p-1", b"\xff\x00")
+        await self.run_.until(lambda: self.run_.lines.events("row.unreadable"))
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
