--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
@@ -71,7 +71,8 @@
 
     def app(self) -> web.Application:
         """Return the application of the store's interface."""
-        app = web.Application(middlewares=[self._fault])
+        app = web.Application()
+        app.middlewares.append(self._fault)
         app.router.add_get("/v1/rows-get", self._get)
         app.router.add_get("/v1/rows-feed", self._feed)
         app.router.add_post("/v1/rows-tx", self._tx)
