--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
@@ -71,8 +71,7 @@
 
     def app(self) -> web.Application:
         """Return the application of the store's interface."""
-        app = web.Application()
-        app.middlewares.append(self._fault)
+        app = web.Application(middlewares=[self._fault])
         app.router.add_get("/v1/rows-get", self._get)
         app.router.add_get("/v1/rows-feed", self._feed)
         app.router.add_post("/v1/rows-tx", self._tx)
@@ -120,18 +119,18 @@
     @web.middleware
     async def _fault(
         self,
-        req: web.Request,
+        request: web.Request,
         handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
-        self.calls.append(req.path)
+        self.calls.append(request.path)
         if self.faults.silent:
             await asyncio.sleep(3600)
         if self.faults.status:
             return web.Response(status=self.faults.status)
-        resp = await handler(req)
-        if self.faults.lose_writes and req.method == "POST":
-            assert req.transport is not None
-            req.transport.abort()
+        resp = await handler(request)
+        if self.faults.lose_writes and request.method == "POST":
+            assert request.transport is not None
+            request.transport.abort()
         return resp
 
     async def _get(self, req: web.Request) -> web.Response:
