Listen before the import; read no certificates; wait for the first read

Ruled out: the read of the store (10 ms). The callers' socket now listens before the import, and a request may wait for the first read.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/__main__.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/__main__.py
@@ -1,90 +1,43 @@
-"""Program ``limpetwalk`` on a platform with an adapter of its own."""
+"""Program ``limpetwalk`` on a platform with an adapter of its own.
 
-import asyncio
-import gc
-import signal
-import sys
-import time
-
-from absl import app as absl_app
-from absl import flags
-import aiomisc
-import uvloop
-
-from limpetwalk import exceptions
-from limpetwalk import metrics as metrics_
-from limpetwalk import registry
+Importing the program takes longer than anything else at a start, and a
+caller that is refused a connection is lost. So the callers' socket listens
+before the import, and connections wait in its queue.
+"""
 
-from . import events
-from . import logs
-from . import node
-
-EXIT_OK = 0
-EXIT_SETTINGS = 1
+import os
+import socket
+import sys
 
-_ADAPTER = flags.DEFINE_string(
-    "adapter", None, "Module whose import registers the platform."
-)
-_PLATFORM = flags.DEFINE_string(
-    "platform", None, "Name under which the platform is registered."
-)
+LISTEN_FLAG = "--listen="
+# Connections that may wait until the program accepts them.
+BACKLOG = 512
+# aiohttp reads the system's certificates when it is imported, which takes a
+# tenth of a second; nothing here speaks TLS.
+NO_CERTIFICATES = {"SSL_CERT_FILE": os.devnull, "SSL_CERT_DIR": os.devnull}
+
+
+def listen(argv: list[str]) -> socket.socket | None:
+    """Return a listening socket for the flag, None without one."""
+    for word in argv:
+        if word.startswith(LISTEN_FLAG):
+            host, _, port = word.removeprefix(LISTEN_FLAG).rpartition(":")
+            return socket.create_server(
+                (host, int(port)), backlog=BACKLOG, reuse_port=False
+            )
+    return None
 
 
 def run() -> None:
     """Run the program."""
-    flags.mark_flags_as_required(["adapter", "platform"])
-    absl_app.run(_main)
-
-
-def _main(argv: list[str]) -> int:
-    started = time.monotonic()
-    if len(argv) > 1:
-        raise absl_app.UsageError(f"unexpected argument {argv[1]!r}")
-    registry.load_plugins([_ADAPTER.value or ""])
     try:
-        platform = registry.get(
-            registry.Kind.PLATFORM, _PLATFORM.value or ""
-        )()
-    except exceptions.SettingsError as exc:
-        for finding in exc.findings:
-            print(finding, file=sys.stderr)
-        return EXIT_SETTINGS
-    metrics = metrics_.Metrics()
-    journal = logs.configure(platform.settings.name, metrics)
-    uvloop.run(_serve(platform, journal, metrics, started))
-    return EXIT_OK
+        sock = listen(sys.argv)
+    except (OSError, ValueError) as exc:
+        sys.exit(f"can't listen: {exc}")
+    os.environ.update(NO_CERTIFICATES)
+    from . import program
 
-
-async def _serve(
-    platform: node.ports.Platform,
-    journal: logs.Journal,
-    metrics: metrics_.Metrics,
-    started: float,
-) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    gateway = node.Gateway(platform=platform, journal=journal, metrics=metrics)
-    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
-    entry = aiomisc.entrypoint(log_config=False, catch_signals=())
-    async with entry as services:
-        await services.start_services(gateway)
-        gc.collect()
-        gc.freeze()
-        journal.emit(
-            events.NodeStarted(
-                platform.settings.name,
-                platform.settings.zone,
-                int((time.monotonic() - started) * 1000),
-            )
-        )
-        await stop.wait()
-        await gateway.drain()
-        journal.emit(
-            events.NodeStopped(gateway.front.open_requests, journal.dropped)
-        )
-    journal.flush(0.2)
+    program.run(sock)
 
 
 if __name__ == "__main__":
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
@@ -24,6 +24,11 @@
 # Idle time of a caller's connection beyond the operator's limit, seconds.
 # Callers stop reusing a connection well before the limit.
 IDLE_MARGIN = 5.0
+# Time that a request may wait for the node's first read of the store, and
+# the pause between two looks, seconds. A read takes some milliseconds;
+# callers give a request up that isn't read within a third of their time.
+FIRST_READ = 0.25
+FIRST_READ_CHECK = 0.01
 # Time for a request body, seconds.
 BODY_TIMEOUT = 10.0
 # When a caller that met a stopping node should try another, seconds.
@@ -125,6 +130,8 @@
     async def _answer(
         self, req: web.BaseRequest, arrived: float, attempt: str
     ) -> web.StreamResponse:
+        if not self._beliefs.ready:
+            await self._wait_until_ready()
         entered = self._door.enter(req)
         if isinstance(entered, Err):
             return self._refuse(entered.err_value, attempt, arrived)
@@ -151,6 +158,12 @@
             return self._finish_plain(call, await self._plain.serve(call))
         return await self._serve_once(call)
 
+    async def _wait_until_ready(self) -> None:
+        """Let a request wait for the first read of the store."""
+        end = self._clock.monotonic() + FIRST_READ
+        while not self._beliefs.ready and self._clock.monotonic() < end:
+            await asyncio.sleep(FIRST_READ_CHECK)
+
     async def _serve_once(self, call: calls.Call) -> web.StreamResponse:
         """Serve a call whose run goes on when the caller has left."""
         task = asyncio.create_task(self._plain.serve(call))
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import socket
 
 from aiohttp import web
 import aiomisc
@@ -47,6 +48,9 @@
 
     __required__ = ("platform", "journal", "metrics")
 
+    # Listening socket for callers; None opens one.
+    sock: socket.socket | None = None
+
     platform: ports.Platform
     journal: logs.Journal
     metrics: metrics_.Metrics
@@ -112,7 +116,9 @@
             ),
         }
         self._runners = {
-            name: await _serve(server, address)
+            name: await _serve(
+                server, address, self.sock if name == "callers" else None
+            )
             for name, (server, address) in listeners.items()
         }
 
@@ -207,12 +213,22 @@
 
 
 async def _serve(
-    server: web.Server, address: tuple[str, int]
+    server: web.Server,
+    address: tuple[str, int],
+    sock: socket.socket | None = None,
 ) -> web.ServerRunner:
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
-    site = web.TCPSite(
-        runner, address[0], address[1], backlog=BACKLOG, reuse_address=True
-    )
+    site: web.BaseSite
+    if sock is not None:
+        site = web.SockSite(runner, sock, backlog=BACKLOG)
+    else:
+        site = web.TCPSite(
+            runner,
+            address[0],
+            address[1],
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
     await site.start()
     return runner
--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
@@ -0,0 +1,99 @@
+"""The program behind its early socket: flags, signals, start and stop."""
+
+import asyncio
+import gc
+import signal
+import socket
+import sys
+import time
+
+from absl import app as absl_app
+from absl import flags
+import aiomisc
+import uvloop
+
+from limpetwalk import exceptions
+from limpetwalk import metrics as metrics_
+from limpetwalk import registry
+
+from . import events
+from . import logs
+from . import node
+
+EXIT_OK = 0
+EXIT_SETTINGS = 1
+
+_ADAPTER = flags.DEFINE_string(
+    "adapter", None, "Module whose import registers the platform."
+)
+_PLATFORM = flags.DEFINE_string(
+    "platform", None, "Name under which the platform is registered."
+)
+
+
+flags.DEFINE_string(
+    "listen", None, "HOST:PORT for callers; the settings name it too."
+)
+
+
+def run(sock: socket.socket | None) -> None:
+    """Run the program.
+
+    :param sock: listening socket for callers, None to open one.
+    """
+    flags.mark_flags_as_required(["adapter", "platform"])
+    absl_app.run(lambda argv: _main(argv, sock))
+
+
+def _main(argv: list[str], sock: socket.socket | None) -> int:
+    started = time.monotonic()
+    if len(argv) > 1:
+        raise absl_app.UsageError(f"unexpected argument {argv[1]!r}")
+    registry.load_plugins([_ADAPTER.value or ""])
+    try:
+        platform = registry.get(
+            registry.Kind.PLATFORM, _PLATFORM.value or ""
+        )()
+    except exceptions.SettingsError as exc:
+        for finding in exc.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    metrics = metrics_.Metrics()
+    journal = logs.configure(platform.settings.name, metrics)
+    uvloop.run(_serve(platform, journal, metrics, started, sock))
+    return EXIT_OK
+
+
+async def _serve(
+    platform: node.ports.Platform,
+    journal: logs.Journal,
+    metrics: metrics_.Metrics,
+    started: float,
+    sock: socket.socket | None,
+) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    gateway = node.Gateway(
+        platform=platform, journal=journal, metrics=metrics, sock=sock
+    )
+    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
+    entry = aiomisc.entrypoint(log_config=False, catch_signals=())
+    async with entry as services:
+        await services.start_services(gateway)
+        gc.collect()
+        gc.freeze()
+        journal.emit(
+            events.NodeStarted(
+                platform.settings.name,
+                platform.settings.zone,
+                int((time.monotonic() - started) * 1000),
+            )
+        )
+        await stop.wait()
+        await gateway.drain()
+        journal.emit(
+            events.NodeStopped(gateway.front.open_requests, journal.dropped)
+        )
+    journal.flush(0.2)
--- a/packages/limpetwalk/limpetwalk/gateway/coldshare.py
+++ b/packages/limpetwalk/limpetwalk/gateway/coldshare.py
@@ -39,6 +39,8 @@
         self._bounds = bounds
         self._clock = clock
         self._next_at: dict[str, float] = {}
+        self._ranked_nodes: frozenset[str] = frozenset()
+        self._owned: dict[tuple[str, int], bool] = {}
 
     def may_send(self, server_id: str, rate: float) -> bool:
         """Whether a request may be sent to a cold server now.
@@ -66,5 +68,14 @@
             return None
         if parts >= len(nodes):
             return INTERVAL / (parts // len(nodes))
-        owners = rendezvous.rank(server_id, nodes)[:parts]
-        return INTERVAL if self._node in owners else None
+        return INTERVAL if self._owns(server_id, nodes, parts) else None
+
+    def _owns(self, server_id: str, nodes: frozenset[str], parts: int) -> bool:
+        key = (server_id, parts)
+        if nodes != self._ranked_nodes:
+            self._ranked_nodes = nodes
+            self._owned.clear()
+        if key not in self._owned:
+            owners = rendezvous.rank(server_id, nodes)[:parts]
+            self._owned[key] = self._node in owners
+        return self._owned[key]
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -21,6 +21,11 @@
 # margin in seconds for nodes that heard of the order late.
 FIRST_HALF = 0.5
 HALF_MARGIN = 0.4
+# Share of new sessions while the evidence for all work is too thin.
+WIDER_SHARE = 0.3
+# Share of failures beyond the old version's with which the new one does not
+# get all work.
+DOUBTFUL_EXCESS = 0.08
 # Good answers of the new version that are wanted before it gets all work,
 # and the part of the period after which fewer have to do.
 ENOUGH_GOOD = 8
@@ -86,10 +91,27 @@
         return _after_full(stage, order, found, elapsed, now)
     if elapsed < order.period * FIRST_HALF + HALF_MARGIN:
         return None
-    wanted = ENOUGH_GOOD if elapsed < order.period * PATIENCE_PART else 1
-    if found.candidate.successes < wanted:
-        return None
-    return _next(stage, rollout.Phase.FULL, 1.0, found, now, "no harm seen")
+    if _looks_good(found, elapsed < order.period * PATIENCE_PART):
+        reason = "no harm seen"
+        return _next(stage, rollout.Phase.FULL, 1.0, found, now, reason)
+    if stage.phase is rollout.Phase.CANARY:
+        reason = "more evidence wanted"
+        return _next(
+            stage, rollout.Phase.WIDER, WIDER_SHARE, found, now, reason
+        )
+    return None
+
+
+def _looks_good(found: Evidence, early: bool) -> bool:
+    """Whether the new version may get all work.
+
+    :param early: whether there is still time to wait for more evidence.
+    """
+    if found.candidate.successes < (ENOUGH_GOOD if early else 1):
+        return False
+    base = found.base.failures / max(1, found.base.requests)
+    candidate = found.candidate.failures / found.candidate.requests
+    return candidate <= base + DOUBTFUL_EXCESS
 
 
 def _after_full(
--- /dev/null
+++ b/tests/limpetwalk/gateway/builders.py
@@ -0,0 +1,50 @@
+"""Short ways to make the gateway's domain objects."""
+
+from typing import Any
+
+from limpetwalk.gateway import types
+
+
+def route(**changes: Any) -> types.Route:
+    """Return a route of a plain service that may be called again."""
+    held: dict[str, Any] = {
+        "name": "r",
+        "host": "api.example",
+        "prefix": "/r/",
+        "repeat": types.Repeat.IDEMPOTENT,
+        "streaming": False,
+        "resumable": False,
+        "timeout": 1.0,
+        "target_latency": 0.2,
+        "largest_gap": 0.0,
+        "attempts": 2,
+        "priority": 1,
+        "public": False,
+        "models": (),
+        "targets": (("s", 1),),
+    }
+    return types.Route(**{**held, **changes})
+
+
+def server(server_id: str, **changes: Any) -> types.Server:
+    """Return a server of the service ``s``."""
+    held: dict[str, Any] = {
+        "id": server_id,
+        "service": "s",
+        "host": "127.0.0.1",
+        "port": 1,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 8,
+        "leaving": False,
+        "cold_left": 0.0,
+        "boot_ms": 1,
+        "models": (),
+    }
+    return types.Server(**{**held, **changes})
+
+
+def prompt(*parts: tuple[str, int]) -> types.Prompt:
+    """Return a prompt of parts and their tokens."""
+    held = tuple(types.PromptPart(part, tokens) for part, tokens in parts)
+    return types.Prompt(sum(each.tokens for each in held), 10, held)
--- /dev/null
+++ b/tests/limpetwalk/gateway/test_placing.py
@@ -0,0 +1,276 @@
+"""Choice of a server."""
+
+import collections
+import unittest
+
+from limpetwalk import clock as clocks
+from limpetwalk.gateway import affinity
+from limpetwalk.gateway import fleet
+from limpetwalk.gateway import pace
+from limpetwalk.gateway import placing
+from limpetwalk.gateway import pressure
+from limpetwalk.gateway import types
+
+from . import builders
+
+
+class Node:
+    """One node's view, with everything that its choice depends on."""
+
+    def __init__(self, clock: clocks.ManualClock, zone: str = "z1") -> None:
+        self.fleet = fleet.Fleet(clock)
+        self.memory = affinity.PrefixMemory(clock, 9.0)
+        self.loads = pressure.Pressure(clock)
+        self.paces = pace.Pace()
+        self.placer = placing.Placer(
+            zone,
+            self.fleet,
+            self.memory,
+            self.loads,
+            self.paces,
+            clock,
+            lambda member: False,
+        )
+
+    def choose(self, **need: object) -> placing.Choice:
+        choice = self.placer.choose(placing.Need("s", **need))  # type: ignore
+        assert choice is not None
+        return choice
+
+
+class PlacingCase(unittest.TestCase):
+    """A node with four servers in two zones."""
+
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock()
+        self.node = Node(self.clock)
+        for number in range(4):
+            zone = f"z{number % 2 + 1}"
+            self.node.fleet.put(
+                builders.server(f"s{number}", zone=zone), number + 1
+            )
+
+    def member(self, server_id: str) -> fleet.Member:
+        held = self.node.fleet.get(server_id)
+        assert held is not None
+        return held
+
+
+class PlainCalls(PlacingCase):
+    """Calls without a prompt."""
+
+    def test_calls_spread_over_the_own_zone_first(self) -> None:
+        first = self.node.choose().member
+        self.assertEqual("z1", first.entry.zone)
+        self.node.loads.begin(first.id, 0.0)
+        second = self.node.choose().member
+        self.assertNotEqual(first.id, second.id)
+
+    def test_load_of_other_nodes_counts(self) -> None:
+        busy = {f"s{number}": pressure.Load(0.0, 5) for number in (0, 2, 3)}
+        self.node.loads.take("other", 1, busy)
+        self.assertEqual("s1", self.node.choose().member.id)
+
+    def test_failing_server_is_avoided(self) -> None:
+        for server_id in ("s0", "s1", "s2"):
+            for _ in range(2):
+                self.member(server_id).condition.note(
+                    True, self.clock.monotonic()
+                )
+        for _ in range(20):
+            self.assertEqual("s3", self.node.choose().member.id)
+
+    def test_when_all_rest_one_is_tried_all_the_same(self) -> None:
+        for held in list(self.node.fleet):
+            for _ in range(3):
+                held.condition.note(True, self.clock.monotonic())
+        self.assertIsNotNone(self.node.choose())
+
+    def test_tried_servers_are_not_offered_again(self) -> None:
+        tried = {"s0", "s1", "s2"}
+        self.assertEqual("s3", self.node.choose(avoided=tried).member.id)
+        self.assertIsNone(
+            self.node.placer.choose(placing.Need("s", avoided=tried | {"s3"}))
+        )
+
+    def test_cold_server_without_a_part_of_its_rate_is_left_alone(
+        self,
+    ) -> None:
+        for number in range(3):
+            self.node.fleet.put(
+                builders.server(f"s{number}", cold_left=5.0), 10 + number
+            )
+        self.assertEqual("s3", self.node.choose().member.id)
+
+
+class Generations(PlacingCase):
+    """Requests that share parts of their prompts."""
+
+    shared = builders.prompt(("a", 2500), ("b", 3800), ("own", 100))
+
+    def test_nodes_agree_on_a_server_without_talking(self) -> None:
+        other = Node(self.clock)
+        for number in range(4):
+            other.fleet.put(
+                builders.server(f"s{number}", zone=f"z{number % 2 + 1}"), 1
+            )
+        for key in range(20):
+            prompt = builders.prompt(("a", 2500), (f"b{key}", 3800), ("o", 9))
+            self.assertEqual(
+                self.node.choose(model="m", prompt=prompt).member.id,
+                other.choose(model="m", prompt=prompt).member.id,
+            )
+
+    def test_keys_spread_over_the_servers(self) -> None:
+        counts = collections.Counter(
+            self.node.choose(
+                model="m",
+                prompt=builders.prompt(
+                    ("a", 2500), (f"b{key}", 3800), ("o", 9)
+                ),
+            ).member.id
+            for key in range(400)
+        )
+        self.assertEqual(4, len(counts))
+        self.assertLess(max(counts.values()), 160)
+
+    def test_warm_server_is_left_when_its_queue_is_longer_than_reading(
+        self,
+    ) -> None:
+        self.node.paces.note("m", 1000, 0.18)
+        warm = self.node.choose(model="m", prompt=self.shared).member
+        self.node.memory.note_read(warm.id, "m", self.shared)
+        again = self.node.choose(model="m", prompt=self.shared)
+        self.assertEqual(warm.id, again.member.id)
+        self.assertLess(again.reading, 0.1)
+        self.node.loads.begin(warm.id, 5.0)
+        moved = self.node.choose(model="m", prompt=self.shared)
+        self.assertNotEqual(warm.id, moved.member.id)
+
+    def test_burst_of_many_nodes_spreads_by_what_they_tell(self) -> None:
+        """Plays a burst on one key over nine nodes that hear each other."""
+        nodes = [Node(self.clock) for _ in range(9)]
+        for node in nodes:
+            for number in range(5):
+                node.fleet.put(builders.server(f"s{number}"), 1)
+            node.paces.note("m", 1000, 0.18)
+        reading: collections.Counter[str] = collections.Counter()
+        for turn in range(90):
+            node = nodes[turn % 9]
+            choice = node.choose(
+                model="m", prompt=builders.prompt(("hot", 4000), ("o", 500))
+            )
+            node.loads.begin(choice.member.id, choice.reading)
+            reading[choice.member.id] += choice.reading
+            self.clock.advance(0.04)
+            for sender, other in enumerate(nodes):
+                for hearer in nodes:
+                    if hearer is not other:
+                        hearer.loads.take(
+                            f"n{sender}", turn, other.loads.own()
+                        )
+        self.assertEqual(5, len(reading))
+        mean = sum(reading.values()) / 5
+        self.assertLess(max(reading.values()), 1.5 * mean)
+
+    def test_only_wanted_versions_and_models_serve(self) -> None:
+        self.node.fleet.put(
+            builders.server("s9", version="v2", models=("m",)), 50
+        )
+        found = self.node.choose(versions=frozenset(("v2",)), model="m")
+        self.assertEqual("s9", found.member.id)
+        self.assertIsNone(
+            self.node.placer.choose(
+                placing.Need("s", frozenset(("v2",)), "other")
+            )
+        )
+
+
+class ToldLoads(unittest.TestCase):
+    """What nodes tell each other of loads."""
+
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock()
+        self.loads = pressure.Pressure(self.clock)
+
+    def test_late_datagram_is_ignored(self) -> None:
+        self.loads.take("n", 2, {"s": pressure.Load(1.0, 1)})
+        self.loads.take("n", 1, {"s": pressure.Load(9.0, 9)})
+        self.assertEqual(1.0, self.loads.at(["s"])["s"].waiting)
+
+    def test_silent_node_no_longer_counts(self) -> None:
+        self.loads.take("n", 2, {"s": pressure.Load(1.0, 1)})
+        self.clock.advance(pressure.TOLD_LIFETIME + 0.1)
+        self.assertEqual(0, self.loads.at(["s"])["s"].active)
+
+    def test_node_that_starts_again_is_heard(self) -> None:
+        self.loads.take("n", 200, {"s": pressure.Load(1.0, 1)})
+        self.clock.advance(pressure.TOLD_LIFETIME + 0.1)
+        self.loads.take("n", 1, {"s": pressure.Load(3.0, 1)})
+        self.assertEqual(3.0, self.loads.at(["s"])["s"].waiting)
+
+    def test_own_work_is_taken_back_when_it_ends(self) -> None:
+        self.loads.begin("s", 2.0)
+        self.loads.begin("s", 1.0)
+        self.loads.begin_answer("s", 2.0)
+        self.loads.end("s")
+        self.assertEqual(pressure.Load(1.0, 1), self.loads.own()["s"])
+        self.loads.begin_answer("s", 1.0)
+        self.loads.end("s")
+        self.assertEqual({}, self.loads.own())
+
+
+class LearntPace(unittest.TestCase):
+    """How fast models read."""
+
+    def test_follows_the_fast_answers(self) -> None:
+        held = pace.Pace()
+        for latency in (0.58, 2.0, 0.6, 5.0, 0.58, 1.0):
+            held.note("m", 5000, latency)
+        self.assertAlmostEqual(0.5, held.reading("m", 5000), delta=0.2)
+
+    def test_short_prompts_and_cached_ones_do_no_harm(self) -> None:
+        held = pace.Pace()
+        held.note("m", 10, 3.0)
+        self.assertEqual(pace.FIRST_GUESS, held.per_token("m"))
+        held.note("m", 5000, 0.01)
+        self.assertGreater(held.per_token("m"), 0.0)
+
+
+class Prefixes(unittest.TestCase):
+    """Parts that servers have read."""
+
+    def test_only_leading_parts_count(self) -> None:
+        clock = clocks.ManualClock()
+        memory = affinity.PrefixMemory(clock, 9.0)
+        memory.note_read("s", "m", builders.prompt(("a", 10), ("b", 20)))
+        for parts, cached in (
+            ((("a", 10), ("b", 20), ("c", 5)), 30),
+            ((("a", 10), ("x", 20), ("b", 20)), 10),
+            ((("b", 20), ("a", 10)), 30),
+            ((("x", 1), ("a", 10)), 0),
+        ):
+            held = builders.prompt(*parts)
+            self.assertEqual(cached, memory.cached_tokens("s", "m", held))
+        prompt = builders.prompt(("a", 10))
+        self.assertEqual(0, memory.cached_tokens("s", "other", prompt))
+        clock.advance(9.1)
+        self.assertEqual(0, memory.cached_tokens("s", "m", prompt))
+
+    def test_memory_is_bounded(self) -> None:
+        memory = affinity.PrefixMemory(clocks.ManualClock(), 9.0)
+        for number in range(affinity.KEPT + 10):
+            memory.note_read("s", "m", builders.prompt((str(number), 1)))
+        first = builders.prompt(("0", 1))
+        self.assertEqual(0, memory.cached_tokens("s", "m", first))
+
+
+class Types(unittest.TestCase):
+    """Keys by which prompts are kept together."""
+
+    def test_last_shared_part_is_the_key(self) -> None:
+        self.assertEqual(
+            "b", builders.prompt(("a", 1), ("b", 1), ("c", 1)).shared_key
+        )
+        self.assertEqual("a", builders.prompt(("a", 1)).shared_key)
+        self.assertEqual("", types.Prompt().shared_key)
--- /dev/null
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -0,0 +1,197 @@
+"""Roll-outs: which version answers, and when one goes on or back."""
+
+import random
+import unittest
+
+from limpetwalk import clock as clocks
+from limpetwalk.gateway import rollout
+from limpetwalk.gateway import rollout_policy
+from limpetwalk.gateway import types
+from limpetwalk.rollouts import evidence
+
+ORDER = types.RolloutOrder("s", "v2", 24.0, 7)
+BOUNDS = types.Bounds()
+BOTH = ("v1", "v2")
+
+
+def stage(phase: rollout.Phase, share: float = 0.1) -> rollout.Stage:
+    return rollout.Stage(7, "v2", phase, share, 0.0, 0.0)
+
+
+class Versions(unittest.TestCase):
+    """Which versions may get work."""
+
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock()
+        self.rollouts = rollout.Rollouts(self.clock)
+
+    def take(self, held: rollout.Stage, version: int = 1) -> None:
+        self.rollouts.take_stage("s", held.to_json(), version)
+
+    def allowed(self) -> rollout.Split:
+        return self.rollouts.allowed("s", BOTH, {"v1"})
+
+    def test_unknown_version_waits_for_an_order(self) -> None:
+        self.assertEqual(frozenset(("v1",)), self.allowed().base)
+        self.assertEqual(frozenset(), self.allowed().candidate)
+
+    def test_ordered_version_waits_for_its_first_stage(self) -> None:
+        self.rollouts.order(ORDER)
+        self.assertEqual(frozenset(), self.allowed().candidate)
+
+    def test_reverted_version_gets_nothing_even_without_its_order(
+        self,
+    ) -> None:
+        self.rollouts.order(ORDER)
+        self.take(stage(rollout.Phase.REVERTED))
+        self.rollouts.withdraw("rollout/s")
+        split = self.allowed()
+        self.assertEqual(frozenset(("v1",)), split.base)
+        self.assertEqual(frozenset(), split.candidate)
+
+    def test_new_order_makes_the_old_stage_void(self) -> None:
+        self.take(stage(rollout.Phase.FULL))
+        self.rollouts.order(types.RolloutOrder("s", "v3", 24.0, 9))
+        self.assertIsNone(self.rollouts.stage("s"))
+
+    def test_older_stage_is_ignored(self) -> None:
+        self.take(stage(rollout.Phase.REVERTED), 5)
+        self.take(stage(rollout.Phase.CANARY), 4)
+        held = self.rollouts.stage("s")
+        assert held is not None
+        self.assertIs(rollout.Phase.REVERTED, held.phase)
+
+    def test_unreadable_stage_is_ignored(self) -> None:
+        for text in ("", "[]", "{}", '{"phase": "x"}'):
+            self.assertIsNone(self.rollouts.take_stage("s", text, 9))
+
+    def test_share_of_new_sessions_is_kept_and_nodes_agree(self) -> None:
+        other = rollout.Rollouts(self.clock)
+        split = rollout.Split(frozenset(("v1",)), frozenset(("v2",)), 0.1)
+        drawn = 0
+        for number in range(3000):
+            mine = self.rollouts.draw(split, f"c{number}", 5.0)
+            self.assertEqual(mine, other.draw(split, f"c{number}", 5.0))
+            drawn += mine == split.candidate
+        self.assertAlmostEqual(0.1, drawn / 3000, delta=0.02)
+
+    def test_session_keeps_its_version_while_it_goes_on(self) -> None:
+        split = rollout.Split(frozenset(("v1",)), frozenset(("v2",)), 0.999)
+        self.rollouts.note_session("c", "v1", 5.0)
+        self.clock.advance(4.9)
+        self.assertEqual(split.base, self.rollouts.draw(split, "c", 5.0))
+        self.clock.advance(0.2)
+        self.assertEqual(split.candidate, self.rollouts.draw(split, "c", 5.0))
+
+
+class Decisions(unittest.TestCase):
+    """Stages that follow from evidence."""
+
+    def decide(
+        self,
+        held: rollout.Stage | None,
+        now: float,
+        failures: int = 0,
+        successes: int = 0,
+        old: int = 0,
+        heard: bool = True,
+        ready: bool = True,
+    ) -> rollout.Stage | None:
+        found = rollout_policy.Evidence(
+            evidence.Tally(failures=2, successes=200),
+            evidence.Tally(failures=failures, successes=successes),
+            old,
+            heard,
+        )
+        return rollout_policy.decide(held, ORDER, found, BOUNDS, ready, now)
+
+    def test_starts_small_once_a_server_is_there(self) -> None:
+        self.assertIsNone(self.decide(None, 0.0, ready=False))
+        first = self.decide(None, 0.0)
+        assert first is not None
+        self.assertIs(rollout.Phase.CANARY, first.phase)
+        self.assertLess(first.share, BOUNDS.exposure_share)
+
+    def test_sessions_stay_through_the_first_half(self) -> None:
+        held = stage(rollout.Phase.CANARY)
+        self.assertIsNone(self.decide(held, 12.0, successes=50))
+        following = self.decide(held, 12.5, successes=50)
+        assert following is not None
+        self.assertIs(rollout.Phase.FULL, following.phase)
+
+    def test_failures_take_it_back_at_any_phase(self) -> None:
+        for phase in (rollout.Phase.CANARY, rollout.Phase.FULL):
+            following = self.decide(stage(phase), 3.0, 4, 6)
+            assert following is not None
+            self.assertIs(rollout.Phase.REVERTED, following.phase)
+
+    def test_complete_only_when_nothing_runs_on_the_old_version(
+        self,
+    ) -> None:
+        held = stage(rollout.Phase.FULL)
+        self.assertIsNone(self.decide(held, 10.0, 0, 50, old=3))
+        self.assertIsNone(self.decide(held, 10.0, 0, 50, heard=False))
+        self.assertIsNone(self.decide(held, 1.0, 0, 50))
+        following = self.decide(held, 10.0, 0, 50)
+        assert following is not None
+        self.assertIs(rollout.Phase.COMPLETE, following.phase)
+        late = self.decide(held, 23.0, 0, 50, old=3)
+        assert late is not None
+        self.assertIs(rollout.Phase.COMPLETE, late.phase)
+
+    def test_ended_roll_outs_stay_ended(self) -> None:
+        for phase in (rollout.Phase.COMPLETE, rollout.Phase.REVERTED):
+            self.assertIsNone(self.decide(stage(phase), 5.0, 50, 0))
+
+    def test_exposure_to_a_bad_version_stays_bounded(self) -> None:
+        """Plays 200 roll-outs of a version that fails at 10 requests/s."""
+        for fault_from, failing in ((0.0, 0.34), (3.0, 0.5), (13.0, 0.34)):
+            for seed in range(70):
+                rng = random.Random(seed)
+                exposed, total = self.play(rng, fault_from, failing)
+                allowed = BOUNDS.exposure_share * total + BOUNDS.exposure_extra
+                self.assertLessEqual(exposed, allowed, (fault_from, seed))
+
+    def play(
+        self, rng: random.Random, fault_from: float, failing: float
+    ) -> tuple[int, int]:
+        """Return requests at the new version and all until the deadline.
+
+        The lead sees evidence 2.5 s late and nodes hear of a stage at once.
+        """
+        held: rollout.Stage | None = None
+        told: list[tuple[float, bool]] = []
+        exposed = total = 0
+        for tick in range(int(ORDER.period * 10)):
+            now = tick / 10
+            total += 1
+            share = held.share if held else 0.0
+            if rng.random() < share:
+                exposed += 1
+                bad = now >= fault_from and rng.random() < failing
+                told.append((now + 2.5, bad))
+            seen = [bad for at, bad in told if at <= now]
+            if tick % 7 == 0:
+                failures = sum(seen)
+                held = (
+                    self.decide(held, now, failures, len(seen) - failures, 9)
+                    or held
+                )
+        return exposed, total
+
+    def test_good_version_is_hardly_ever_taken_back(self) -> None:
+        """Plays 200 roll-outs of a version that fails as the old one does."""
+        reverted = 0
+        for seed in range(200):
+            rng = random.Random(seed)
+            held: rollout.Stage | None = stage(rollout.Phase.CANARY)
+            failures = successes = 0
+            for _ in range(150):
+                if rng.random() < 0.01:
+                    failures += 1
+                else:
+                    successes += 1
+                held = self.decide(held, 5.0, failures, successes) or held
+            assert held is not None
+            reverted += held.phase is rollout.Phase.REVERTED
+        self.assertLessEqual(reverted, 4)
--- /dev/null
+++ b/tests/limpetwalk/gateway/test_shares.py
@@ -0,0 +1,72 @@
+"""Counts that nodes keep together without talking."""
+
+import unittest
+
+from limpetwalk import clock as clocks
+from limpetwalk.gateway import budget
+from limpetwalk.gateway import coldshare
+from limpetwalk.gateway import types
+
+BOUNDS = types.Bounds()
+
+
+class ColdPacing(unittest.TestCase):
+    """Many nodes find the same cold server idle."""
+
+    def most_in_a_second(self, count: int, rate: float) -> int:
+        clock = clocks.ManualClock()
+        names = frozenset(f"n{number}" for number in range(count))
+        nodes = [
+            coldshare.ColdShare(name, lambda: names, lambda: BOUNDS, clock)
+            for name in names
+        ]
+        sent: list[float] = []
+        for _ in range(300):
+            for node in nodes:
+                if node.may_send("cold", rate):
+                    node.note_sent("cold", rate)
+                    sent.append(clock.monotonic())
+            clock.advance(0.01)
+        return max(
+            sum(1 for at in sent if start <= at < start + 1.0)
+            for start in sent
+        )
+
+    def test_all_nodes_together_stay_within_the_rate(self) -> None:
+        for count in (1, 9, 74, 380):
+            for rate in (2.0, 9.0, 40.0):
+                allowed = rate * BOUNDS.cold_factor + BOUNDS.cold_extra
+                most = self.most_in_a_second(count, rate)
+                self.assertLessEqual(most, allowed, (count, rate))
+                self.assertGreater(most, 0, (count, rate))
+
+
+class RepeatBudgets(unittest.TestCase):
+    """Every request fails somewhere."""
+
+    def test_sum_over_the_nodes_stays_within_the_bound(self) -> None:
+        for count in (1, 9, 74):
+            clock = clocks.ManualClock()
+            nodes = [
+                budget.RepeatBudget(clock, lambda: BOUNDS, lambda: count)
+                for _ in range(count)
+            ]
+            first, repeats = 0, 0
+            for _ in range(100):
+                for node in nodes:
+                    node.note_first()
+                    first += 1
+                    repeats += sum(node.take() for _ in range(3))
+                clock.advance(0.09)
+            allowed = BOUNDS.repeat_share * first + BOUNDS.repeat_extra
+            self.assertLessEqual(repeats, allowed, count)
+            self.assertGreater(repeats, 0.7 * BOUNDS.repeat_share * first)
+
+    def test_old_requests_no_longer_count(self) -> None:
+        clock = clocks.ManualClock()
+        held = budget.RepeatBudget(clock, lambda: BOUNDS, lambda: 100)
+        for _ in range(20):
+            held.note_first()
+        before = held.left()
+        clock.advance(BOUNDS.repeat_window + 0.1)
+        self.assertLess(held.left(), before)
