Let silence alone not break the last try of a stream off

The gap now is the route's own, and only bounds a try that others may follow. The test fails without the change.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -20,9 +20,6 @@
 # Part of the aimed latency that a server may take to its first event while
 # others may still be tried.
 FIRST_EVENT_SHARE = 1.0
-# Part of the largest gap after which a stream goes on elsewhere: reading the
-# prompt again must fit into what is left of the gap.
-GAP_SHARE = 0.75
 # Multiple of the expected time to the first event of a larger model that
 # must be left of the aimed latency.
 CLIMB_MARGIN = 1.3
@@ -248,10 +245,12 @@
 
     def _patience(self) -> float:
         left = self._dispatcher.time_left(self._call)
-        if not self._call.route.resumable:
+        route = self._call.route
+        others = route.attempts - self._call.tries.ran - 1
+        if not route.resumable or others <= 0:
+            # Silence alone is no reason to break the last try off.
             return left
-        gap = self._call.route.largest_gap * GAP_SHARE
-        return min(left, max(LEAST_PATIENCE, gap))
+        return min(left, max(LEAST_PATIENCE, route.largest_gap))
 
     async def _pass_on(
         self, started: dispatch.Started, event: eventstream.StreamEvent
--- a/tests/limpetwalk_node/gateway/test_front.py
+++ b/tests/limpetwalk_node/gateway/test_front.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import aiohttp
 from aiohttp import web
 
 from limpetwalk_bench.hub import server
 from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import streaming
 
 from . import harness
 
@@ -303,6 +305,33 @@
             with self.assertRaises(aiohttp.ClientPayloadError):
                 await resp.read()
 
+    async def test_silence_does_not_break_the_last_try_off(self) -> None:
+        async def pause(req: web.Request) -> web.StreamResponse | None:
+            held = self.server(req.headers["Target-Instance"])
+            first = int(req.headers.get("Last-Event-Id", "0")) + 1
+            resp = web.StreamResponse(
+                headers={**held.sealed(req), "Confidence": "100"}
+            )
+            await resp.prepare(req)
+            await resp.write(server.event(first))
+            # Longer than the largest gap of the route.
+            await asyncio.sleep(0.5)
+            for number in range(first + 1, 6):
+                await resp.write(server.event(number))
+            await resp.write_eof()
+            return resp
+
+        config = site.config(version=2)
+        config["routes"][0].update(attempts=2, itl_slo_ms=200)
+        await self.run_.site.store.put("op", "config", config)
+        held = self.run_.gateway.beliefs
+        await self.run_.until(lambda: held.catalog.version == 2)
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = pause
+        with mock.patch.object(streaming, "LEAST_PATIENCE", 0.1):
+            async with self.run_.stream() as resp:
+                self.assertEqual(self.whole, await resp.read())
+
     async def test_caller_that_leaves_stops_the_work(self) -> None:
         stopped = asyncio.Event()
 
