Bound the exposure to versions that turn bad late or by chance look good

A wider share now comes before all work, evidence is also judged since the stage began, doubt is enough near the bound, and evidence travels faster once more work is exposed.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -21,12 +21,14 @@
 from . import events
 from . import logs
 
-# Pause between two rounds of evidence of a node, seconds, at the size where
-# the store can take it, and nodes for which it grows by another such pause.
+# Pause between two rounds of evidence of a node, seconds, while a small share
+# of work tries the new version and while more does, and nodes for which it
+# grows by another such pause.
 TELL_PAUSE = 1.2
+TELL_PAUSE_EXPOSED = 0.6
 NODES_PER_PAUSE = 16
 # Pause between two looks of the lead, seconds.
-LEAD_PAUSE = 0.7
+LEAD_PAUSE = 0.5
 # Lifetime of the lease, seconds: a few looks, so that a lost one is taken
 # over within the time in which a bad version must be stopped.
 LEASE_TTL = 2.5
@@ -63,12 +65,19 @@
     async def run(self) -> None:
         """Tell what changed, until cancelled."""
         while True:
-            nodes = len(self._beliefs.nodes)
-            await asyncio.sleep(TELL_PAUSE * (1 + nodes // NODES_PER_PAUSE))
+            await asyncio.sleep(self._pause())
             for service, order in list(self._beliefs.rollouts.orders.items()):
                 if _is_open(self._beliefs.rollouts.stage(service)):
                     await self._tell(service, order)
 
+    def _pause(self) -> float:
+        exposed = any(
+            stage.phase in (rollout.Phase.WIDER, rollout.Phase.FULL)
+            for stage in self._beliefs.rollouts.stages.values()
+        )
+        pause = TELL_PAUSE_EXPOSED if exposed else TELL_PAUSE
+        return pause * (1 + len(self._beliefs.nodes) // NODES_PER_PAUSE)
+
     async def _tell(self, service: str, order: types.RolloutOrder) -> None:
         stage = self._beliefs.rollouts.stage(service)
         phase = stage.phase.value if stage else ""
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -14,6 +14,9 @@
 from . import rollout
 from . import types
 
+# Chance that a good version is taken back. That costs the operator another
+# order; a bad version that stays breaks a promise.
+ALPHA = 0.05
 # Part of the allowed exposure that the canary share uses. Sessions differ
 # in how much they send.
 CANARY_PART = 0.65
@@ -21,11 +24,18 @@
 # margin in seconds for nodes that heard of the order late.
 FIRST_HALF = 0.5
 HALF_MARGIN = 0.4
-# Share of new sessions while the evidence for all work is too thin.
-WIDER_SHARE = 0.3
+# Share of new sessions after the first half, and the least time with it,
+# seconds: the canary's answers alone may all be good by chance.
+WIDER_SHARE = 0.4
+LEAST_WIDER = 2.0
 # Share of failures beyond the old version's with which the new one does not
 # get all work.
 DOUBTFUL_EXCESS = 0.08
+# Least failures that take it back for doubt alone.
+DOUBTFUL_FAILURES = 2
+# Part of the allowed exposure at which doubt is enough to take it back; the
+# rest is on its way while evidence travels.
+LIMIT_PART = 0.5
 # Good answers of the new version that are wanted before it gets all work,
 # and the part of the period after which fewer have to do.
 ENOUGH_GOOD = 8
@@ -82,24 +92,35 @@
         )
     if stage.phase in (rollout.Phase.COMPLETE, rollout.Phase.REVERTED):
         return None
-    halt = guard.SequentialGuard().judge(found.base, found.candidate)
-    if halt is not None:
-        reason = f"{halt.cause.value}, evidence {halt.e_value:.0f}"
-        return _next(stage, rollout.Phase.REVERTED, 0.0, found, now, reason)
+    recent = replace(found, candidate=_since(stage, found.candidate))
+    for each in (found, recent):
+        halt = guard.SequentialGuard(ALPHA).judge(each.base, each.candidate)
+        if halt is not None:
+            reason = f"{halt.cause.value}, evidence {halt.e_value:.0f}"
+            return _next(
+                stage, rollout.Phase.REVERTED, 0.0, found, now, reason
+            )
+        enough = each.candidate.failures >= DOUBTFUL_FAILURES
+        if enough and _near_the_limit(found, bounds) and _is_doubtful(each):
+            reason = "doubtful, and exposure near its bound"
+            return _next(
+                stage, rollout.Phase.REVERTED, 0.0, found, now, reason
+            )
     elapsed = now - stage.started
     if stage.phase is rollout.Phase.FULL:
         return _after_full(stage, order, found, elapsed, now)
     if elapsed < order.period * FIRST_HALF + HALF_MARGIN:
         return None
-    if _looks_good(found, elapsed < order.period * PATIENCE_PART):
-        reason = "no harm seen"
-        return _next(stage, rollout.Phase.FULL, 1.0, found, now, reason)
     if stage.phase is rollout.Phase.CANARY:
-        reason = "more evidence wanted"
+        reason = "half of the period without harm"
         return _next(
             stage, rollout.Phase.WIDER, WIDER_SHARE, found, now, reason
         )
-    return None
+    if now - stage.since < LEAST_WIDER:
+        return None
+    if not _looks_good(found, elapsed < order.period * PATIENCE_PART):
+        return None
+    return _next(stage, rollout.Phase.FULL, 1.0, found, now, "no harm seen")
 
 
 def _looks_good(found: Evidence, early: bool) -> bool:
@@ -109,9 +130,32 @@
     """
     if found.candidate.successes < (ENOUGH_GOOD if early else 1):
         return False
+    return not _is_doubtful(found)
+
+
+def _is_doubtful(found: Evidence) -> bool:
+    """Whether the new version fails more, though it may be by chance."""
     base = found.base.failures / max(1, found.base.requests)
     candidate = found.candidate.failures / found.candidate.requests
-    return candidate <= base + DOUBTFUL_EXCESS
+    return candidate > base + DOUBTFUL_EXCESS
+
+
+def _since(stage: rollout.Stage, candidate: evidence.Tally) -> evidence.Tally:
+    """Return what was seen since a stage began.
+
+    A version that turns bad later hides behind its earlier good answers.
+    """
+    return evidence.Tally(
+        failures=max(0, candidate.failures - stage.failures),
+        successes=max(0, candidate.successes - stage.successes),
+    )
+
+
+def _near_the_limit(found: Evidence, bounds: types.Bounds) -> bool:
+    """Whether a bad version would soon have got too many requests."""
+    total = found.base.requests + found.candidate.requests
+    allowed = bounds.exposure_share * total + bounds.exposure_extra
+    return found.candidate.requests >= LIMIT_PART * allowed
 
 
 def _after_full(
