--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_logs.py
@@ -0,0 +1,107 @@
+"""The structured log: bounded, never in the way, and documented."""
+
+import inspect
+import os
+import pathlib
+import re
+import time
+import unittest
+
+from limpetwalk import metrics as metrics_
+from limpetwalk_node.gateway import events
+from limpetwalk_node.gateway import logs
+
+ROOT = pathlib.Path(__file__).parents[3]
+
+
+def all_events() -> list[type[events.Event]]:
+    return [
+        held
+        for _, held in inspect.getmembers(events, inspect.isclass)
+        if issubclass(held, events.Event) and held is not events.Event
+    ]
+
+
+class Volume(unittest.TestCase):
+    """Bounds of the log's volume."""
+
+    def journal(self, lines: list[str]) -> logs.Journal:
+        class Writer:
+            dropped = 0
+
+            def write(self, line: str) -> None:
+                lines.append(line)
+
+            def flush(self, timeout: float) -> None:
+                pass
+
+        return logs.Journal("n", Writer(), metrics_.Metrics())
+
+    def test_sampled_events_are_bounded_and_counted(self) -> None:
+        lines: list[str] = []
+        metrics = metrics_.Metrics()
+        writer = logs.BoundedWriter(os.open(os.devnull, os.O_WRONLY))
+        journal = logs.Journal("n", writer, metrics)
+        with logs.lines_go_to(lines.append):
+            started = int(time.monotonic())
+            for _ in range(500):
+                journal.emit(events.Climbed("r", "a", "b", 1))
+            seconds = int(time.monotonic()) - started + 1
+        self.assertLessEqual(len(lines), logs.LINES_PER_SECOND * seconds)
+        left_out = metrics.value(
+            "limpetwalk_log_lines_left_out_total",
+            {"event": "request.climbed"},
+        )
+        self.assertEqual(500, len(lines) + left_out)
+
+    def test_failures_are_never_left_out(self) -> None:
+        for held in (events.Failed, events.Refused, events.TryEnded):
+            self.assertIs(events.Sampling.NEVER, held.sampling)
+        lines: list[str] = []
+        journal = self.journal(lines)
+        with logs.lines_go_to(lines.append):
+            for _ in range(500):
+                journal.emit(events.Failed("r", 502, "x", 1, 1))
+        self.assertEqual(500, len(lines))
+
+
+class StalledReader(unittest.TestCase):
+    """Nobody reads the pipe."""
+
+    def test_writing_goes_on_and_drops_are_counted(self) -> None:
+        read_fd, write_fd = os.pipe()
+        self.addCleanup(os.close, read_fd)
+        writer = logs.BoundedWriter(write_fd, limit_bytes=200_000)
+        writer.start()
+        line = "x" * 999 + "\n"
+        for _ in range(1000):
+            writer.write(line)
+        self.assertGreater(writer.dropped, 500)
+        self.assertLess(writer.dropped, 1000)
+
+    def test_all_is_written_to_a_reader(self) -> None:
+        read_fd, write_fd = os.pipe()
+        self.addCleanup(os.close, read_fd)
+        writer = logs.BoundedWriter(write_fd)
+        writer.start()
+        for number in range(50):
+            writer.write(f"{number}\n")
+        writer.flush(5.0)
+        data = os.read(read_fd, 10_000)
+        self.assertEqual(50, data.count(b"\n"))
+
+
+class Reference(unittest.TestCase):
+    """The page of all events."""
+
+    def test_page_and_code_name_the_same_events_and_fields(self) -> None:
+        page = (ROOT / "docs/reference/events.md").read_text()
+        told = {}
+        for name, fields in re.findall(
+            r"^\| `([a-z_.]+)` \| ([^|]*) \|", page, re.MULTILINE
+        ):
+            told[name] = set(re.findall(r"`(\w+)`", fields))
+        for held in all_events():
+            fields_ = set(held.__dataclass_fields__)
+            self.assertEqual(fields_, told.get(held.name), held.name)
+        self.assertEqual({held.name for held in all_events()}, set(told))
