--- a/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
@@ -26,6 +26,7 @@
     "limpetwalk_ctl.commands.apply",
     "limpetwalk_ctl.commands.check",
     "limpetwalk_ctl.commands.diff",
+    "limpetwalk_ctl.commands.explain",
     "limpetwalk_ctl.commands.history",
     "limpetwalk_ctl.commands.ledger",
     "limpetwalk_ctl.commands.outcome",
--- a/tests/limpetwalk_ctl/test_main.py
+++ b/tests/limpetwalk_ctl/test_main.py
@@ -14,8 +14,8 @@
 from . import shell
 
 COMMANDS = (
-    "apply", "check", "diff", "history", "ledger", "outcome", "rollout",
-    "server", "show", "status", "version", "zone",
+    "apply", "check", "diff", "explain", "history", "ledger", "outcome",
+    "rollout", "server", "show", "status", "version", "zone",
 )  # fmt: skip
 REFERENCE = shell.ROOT / "docs" / "reference" / "limpetctl.md"
 
