Ask the next size on a near miss; fewer calls of the store

Opinions are about linear in difficulty, so those just below enough need only the next size, at half the price and a quarter of the time. Long polls wait 3 s instead of 2 s; the lead renews its lease at half its life.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -161,9 +161,12 @@
         text, version = rows.get(LEASE_KEY, ("{}", 0))
         lease = _mapping(text)
         mine = lease.get("holder") == self._node
-        if not mine and now < float(lease.get("until", 0.0)):
+        left = float(lease.get("until", 0.0)) - now
+        if not mine and left > 0:
             self._note_lease(False, f"held by {lease.get('holder')}")
             return None
+        if mine and left > LEASE_TTL / 2 and self._leads:
+            return version
         value = json.dumps({"holder": self._node, "until": now + LEASE_TTL})
         put = ports.SharedPut(LEASE_KEY, value, version)
         written = await self._platform.work.put([put])
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -107,9 +107,6 @@
         """Return the larger model to ask, None when the answer will do."""
         if relay.started or not started.model:
             return None
-        known = self._dispatcher.beliefs.catalog
-        service = known.service(call.service) if known else None
-        engine = service.engine if service else None
         confidence = _confidence(
             started.head.headers.get(
                 self._dispatcher.wire.names.confidence, ""
@@ -120,7 +117,6 @@
             call.route.models,
             started.model,
             confidence,
-            engine.costs if engine else {},
         )
         if model is None or call.tries.ran + 1 >= call.route.attempts:
             return None
@@ -145,9 +141,7 @@
         return now + choice.expected * CLIMB_MARGIN < aim
 
     def _start_model(self, call: calls.Call) -> str:
-        return sizes.start_model(
-            call.route.models, self._dispatcher.time_left(call)
-        )
+        return sizes.start_model(call.route.models)
 
     def _patience(self, call: calls.Call) -> float:
         """Return how long a server may take to begin its answer."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/watch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/watch.py
@@ -15,9 +15,10 @@
 
 T = TypeVar("T")
 
-# Longest wait for a change, seconds. A connection that went silent is found
-# out after it, which must be within the time that a change may take.
-WAIT = 2.0
+# Longest wait for a change, seconds. A call whose answer was lost is found
+# out after it, which must be within the time after an outage in which a
+# change may still be missed.
+WAIT = 3.0
 # Pauses between calls while the store gives no answer, seconds. All nodes
 # together stay far below the store's rate.
 FIRST_PAUSE = 0.1
--- a/packages/limpetwalk/limpetwalk/gateway/sizes.py
+++ b/packages/limpetwalk/limpetwalk/gateway/sizes.py
@@ -1,15 +1,22 @@
 """Which model answers, and whether its answer is good enough.
 
-Answers the load of mixed requests of which only some need a strong model.
+Answers the load of mixed requests of which only some need a strong model:
+the smallest model answers first, and its own opinion of the answer, which
+comes before any of it is passed on, says how much larger a model is worth
+its price.
 """
 
-from collections.abc import Mapping
 from collections.abc import Sequence
 
-ENOUGH = 45
+# Opinion from which an answer is passed on, 0 to 100. Below it more answers
+# are poor than good.
+ENOUGH = 50
+# Opinion below ``ENOUGH`` by at most this much is a near miss, which the next
+# size mostly answers well; the rest goes to the largest at once.
+NEAR_MISS = 14
 
 
-def start_model(models: Sequence[str], time_left: float) -> str:
+def start_model(models: Sequence[str]) -> str:
     """Return the model that is tried first, or empty without a choice.
 
     :param models: models of the route, smallest first.
@@ -18,16 +25,20 @@
 
 
 def next_model(
-    models: Sequence[str],
-    model: str,
-    confidence: int | None,
-    costs: Mapping[str, float],
+    models: Sequence[str], model: str, confidence: int | None
 ) -> str | None:
     """Return the model that should answer instead, None when it is fine.
 
-    :param confidence: the model's opinion of its answer, 0 to 100; None
-        when it gave none.
+    :param models: models of the route, smallest first.
+    :param model: model that has answered.
+    :param confidence: its opinion of the answer, 0 to 100; None when it
+        gave none.
     """
-    if confidence is None or confidence >= ENOUGH or model == models[-1]:
+    if confidence is None or confidence >= ENOUGH or model not in models:
+        return None
+    larger = models[models.index(model) + 1 :]
+    if not larger:
         return None
-    return models[-1]
+    if confidence >= ENOUGH - NEAR_MISS:
+        return larger[0]
+    return larger[-1]
