Read changes that come in a row in few calls; hear of the store's return at once

A pause that grows with the nodes follows each batch. The wait is the time to be in touch again, and none after an outage: a test of the gateway waited for the end of an outage until the long poll had ended.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -36,6 +36,9 @@
 GRACE_SHARE = 5 / 6
 # Pause between two looks whether a stopping node is idle, seconds.
 IDLE_CHECK = 0.05
+# Multiple of the usual wait for changes of the nodes' shared rows: to miss
+# one for a while only slows a roll-out down.
+SHARED_WAIT = 2.0
 # Pause between tries to tell the other nodes of this one, seconds.
 PRESENCE_PAUSE = 1.0
 
@@ -161,20 +164,40 @@
 
     def _make_watches(self, clock: clocks.Clock) -> list[watch.Watch]:
         held = self.beliefs
-        pairs = (
-            (self.platform.operator, held.apply_operator, lambda: None),
-            (
-                self.platform.servers,
+        platform = self.platform
+
+        def contact() -> float:
+            return platform.settings.bounds.contact
+
+        def nodes() -> int:
+            return len(held.nodes)
+
+        def ignore() -> None:
+            pass
+
+        common = (nodes, clock, self.journal, self.metrics)
+        return [
+            watch.Watch(
+                platform.operator,
+                held.apply_operator,
+                ignore,
+                contact,
+                *common,
+            ),
+            watch.Watch(
+                platform.servers,
                 held.apply_servers,
                 held.fleet.note_store_back,
+                contact,
+                *common,
             ),
-            (self.platform.shared, held.apply_shared, lambda: None),
-        )
-        return [
             watch.Watch(
-                feed, apply, on_back, clock, self.journal, self.metrics
-            )
-            for feed, apply, on_back in pairs
+                platform.shared,
+                held.apply_shared,
+                ignore,
+                lambda: SHARED_WAIT * contact(),
+                *common,
+            ),
         ]
 
     def _lead_rollouts(self, clock: clocks.Clock) -> None:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/watch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/watch.py
@@ -15,10 +15,11 @@
 
 T = TypeVar("T")
 
-# Longest wait for a change, seconds. A call whose answer was lost is found
-# out after it, which must be within the time after an outage in which a
-# change may still be missed.
-WAIT = 3.0
+# Pause after a batch of changes for each node that follows the table, and
+# the longest one, seconds. Changes that come in a row reach each node in few
+# answers, while the first one of a row still comes at once.
+PAUSE_PER_NODE = 0.01
+LONGEST_BATCH_PAUSE = 0.8
 # Pauses between calls while the store gives no answer, seconds. All nodes
 # together stay far below the store's rate.
 FIRST_PAUSE = 0.1
@@ -31,6 +32,10 @@
     :param feed: table to follow.
     :param apply: called with each batch.
     :param on_back: called when the store answers again.
+    :param wait: returns the longest wait for a change, in seconds. A call
+        whose answer was lost is found out after it, which must be within
+        the time after an outage in which a change may still be missed.
+    :param nodes: returns the number of nodes that follow the table.
     """
 
     def __init__(
@@ -38,6 +43,8 @@
         feed: ports.Feed[T],
         apply: Callable[[ports.Batch[T]], None],
         on_back: Callable[[], None],
+        wait: Callable[[], float],
+        nodes: Callable[[], int],
         clock: clocks.Clock,
         journal: logs.Journal,
         metrics: metrics_.Metrics,
@@ -45,6 +52,8 @@
         self._feed = feed
         self._apply = apply
         self._on_back = on_back
+        self._wait = wait
+        self._nodes = nodes
         self._clock = clock
         self._journal = journal
         self._since: int | None = None
@@ -85,11 +94,18 @@
             if batch.changes or batch.whole:
                 self._apply(batch)
             self._since = max(self._since or 0, batch.version)
+            if batch.changes and not batch.whole:
+                await asyncio.sleep(self._batch_pause())
+
+    def _batch_pause(self) -> float:
+        return min(LONGEST_BATCH_PAUSE, PAUSE_PER_NODE * self._nodes())
 
     async def _next(self) -> ports.Batch[T]:
         if self._since is None:
             return await self._feed.read()
-        return await self._feed.follow(self._since, WAIT)
+        # The first answer after an outage is wanted at once.
+        wait = self._wait() if self._lost_at is None else 0.0
+        return await self._feed.follow(self._since, wait)
 
     def _note(self, outcome: str) -> None:
         self._calls.labels(self._feed.name, outcome).inc()
--- a/tests/limpetwalk_node/gateway/harness.py
+++ b/tests/limpetwalk_node/gateway/harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -14,6 +15,7 @@
 
 from limpetwalk import metrics as metrics_
 from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import events
 from limpetwalk_node.gateway import logs
 from limpetwalk_node.gateway import node
 from limpetwalk_platform import adapter
@@ -57,6 +59,18 @@
         return [line for line in self.held if line["event"] == name]
 
 
+def journal(lines: Lines) -> logs.Journal:
+    """Return a log that is kept; its lines don't go through loguru."""
+
+    class Kept(logs.Journal):
+        def emit(self, event: events.Event) -> None:
+            lines.held.append(
+                {"event": event.name, **dataclasses.asdict(event)}
+            )
+
+    return Kept("node-1", lines, metrics_.Metrics())
+
+
 class Running:
     """Gateway with its stand-ins and a client."""
 
