Report a stage once: it is known only with its report

Stage and report stand in one transaction, so a stage that is known has been reported. The test fails without the change.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -111,7 +111,6 @@
         self._clock = clock
         self._journal = journal
         self._leads = False
-        self._reported: dict[int, rollout.Phase] = {}
 
     async def run(self) -> None:
         """Lead or stand by, until cancelled."""
@@ -130,13 +129,12 @@
         return rendezvous.rank(LEASE_KEY, nodes).index(self._node)
 
     def _open_orders(self) -> list[types.RolloutOrder]:
-        found = []
-        for order in self._beliefs.rollouts.orders.values():
-            stage = self._beliefs.rollouts.stage(order.service)
-            reported = self._reported.get(order.order_id)
-            if _is_open(stage) or (stage and stage.phase is not reported):
-                found.append(order)
-        return found
+        held = self._beliefs.rollouts
+        return [
+            order
+            for order in held.orders.values()
+            if _is_open(held.stage(order.service))
+        ]
 
     async def _look(self) -> None:
         table = await self._platform.work.read()
@@ -198,28 +196,22 @@
             ready,
             now,
         )
-        settled = following or stage
-        if settled is None:
-            return
-        if (
-            following is None
-            and self._reported.get(order.order_id) is settled.phase
-        ):
+        if following is None:
             return
+        # The report stands or falls with the stage, so that a stage that is
+        # known has been reported.
         published = await self._platform.rollouts.publish(
             order,
-            STATES.get(settled.phase, types.RolloutState.IN_PROGRESS),
+            STATES.get(following.phase, types.RolloutState.IN_PROGRESS),
             ports.SharedPut(
                 beliefs.ROLLOUT_PREFIX + order.service,
-                settled.to_json(),
+                following.to_json(),
                 held.stage_versions.get(order.service, 0),
             ),
             ports.SharedPut(LEASE_KEY, "", lease_version),
         )
         if isinstance(published, Err):
             self._note_lease(False, "the stage or the lease has changed")
-            return
-        self._reported[order.order_id] = settled.phase
 
     def _pool(
         self,
--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -0,0 +1,132 @@
+"""Lead of roll-outs, over nodes that share a store."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from limpetwalk import clock as clocks
+from limpetwalk.gateway import rollout
+from limpetwalk.gateway import rollout_policy
+from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import rollouts
+
+from . import harness
+
+ORDER = {"backend": site.ENGINE, "to": "v2", "period_s": 2}
+
+
+class RolloutCase(unittest.IsolatedAsyncioTestCase):
+    """A gateway before an engine of each version."""
+
+    async def asyncSetUp(self) -> None:
+        for module, name, value in (
+            (rollouts, "LEAD_PAUSE", 0.05),
+            (rollouts, "TELL_PAUSE", 0.05),
+            (rollouts, "TELL_PAUSE_EXPOSED", 0.05),
+            (rollouts, "LEASE_TTL", 0.3),
+            (rollout_policy, "LEAST_WIDER", 0.1),
+            (rollout_policy, "LEAST_FULL", 0.1),
+        ):
+            patch = mock.patch.object(module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.run_ = harness.Running()
+        await self.run_.start({"e-1": site.ENGINE, "p-1": site.PLAIN})
+        self.addAsyncCleanup(self.run_.stop)
+        self.held = self.run_.gateway.beliefs
+        self.store = self.run_.site.store
+
+    async def order(self) -> None:
+        await self.run_.site.add("e-2", site.ENGINE, version="v2")
+        await self.store.put("op", f"rollout/{site.ENGINE}", ORDER)
+
+    def phase(self) -> rollout.Phase | None:
+        stage = self.held.rollouts.stage(site.ENGINE)
+        return stage.phase if stage else None
+
+    def status(self) -> object:
+        held = self.store.value("status", f"rollout/{site.ENGINE}")
+        return held["state"] if held else None
+
+    async def answer(self, version: str, good: bool, count: int) -> None:
+        for _ in range(count):
+            self.run_.gateway.dispatcher.tallies.note(
+                site.ENGINE, version, good
+            )
+
+
+class Lead(RolloutCase):
+    """One node leads."""
+
+    async def test_good_version_gets_all_work_and_is_complete(self) -> None:
+        await self.order()
+        await self.run_.until(lambda: self.status() == "in_progress")
+        await self.answer("v2", True, 20)
+        await self.run_.until(lambda: self.status() == "complete")
+        self.assertIs(rollout.Phase.COMPLETE, self.phase())
+
+    async def test_bad_version_is_reverted_and_gets_nothing(self) -> None:
+        await self.order()
+        await self.run_.until(lambda: self.phase() is rollout.Phase.CANARY)
+        await self.answer("v1", True, 50)
+        await self.answer("v2", False, 5)
+        await self.run_.until(lambda: self.status() == "reverted")
+        await self.run_.until(lambda: self.phase() is rollout.Phase.REVERTED)
+        for _ in range(20):
+            async with self.run_.stream() as resp:
+                await resp.read()
+        self.assertEqual([], self.run_.site.servers["e-2"].seen)
+
+    async def test_version_without_servers_does_not_start(self) -> None:
+        await self.store.put("op", f"rollout/{site.ENGINE}", ORDER)
+        await asyncio.sleep(0.4)
+        self.assertIsNone(self.status())
+
+
+class TakeOver(RolloutCase):
+    """The lead is another node's, or was."""
+
+    async def test_lapsed_lease_is_taken_over(self) -> None:
+        gone = {"holder": "gone", "until": 0.0}
+        await self.store.put("limpetwalk-work", rollouts.LEASE_KEY, gone)
+        await self.order()
+        await self.run_.until(lambda: self.status() == "in_progress")
+
+    async def test_lease_in_force_is_respected(self) -> None:
+        taken = {"holder": "other", "until": 1e12}
+        await self.store.put("limpetwalk-work", rollouts.LEASE_KEY, taken)
+        await self.order()
+        await asyncio.sleep(0.5)
+        self.assertIsNone(self.status())
+
+    async def test_next_lead_does_not_report_an_ended_roll_out_again(
+        self,
+    ) -> None:
+        """Each lead that followed wrote the last report once more."""
+        await self.order()
+        await self.run_.until(lambda: self.phase() is rollout.Phase.CANARY)
+        await self.answer("v1", True, 50)
+        await self.answer("v2", False, 5)
+        await self.run_.until(lambda: self.phase() is rollout.Phase.REVERTED)
+        next_lead = rollouts.RolloutLead(
+            self.run_.gateway.platform,
+            self.held,
+            clocks.SystemClock(),
+            self.run_.gateway.journal,
+        )
+        before = self.store.ver
+        task = asyncio.create_task(next_lead.run())
+        await asyncio.sleep(0.6)
+        task.cancel()
+        self.assertEqual(before, self.store.ver)
+
+    async def test_a_lead_that_was_paused_can_not_write_its_stage(
+        self,
+    ) -> None:
+        await self.order()
+        await self.run_.until(lambda: self.phase() is rollout.Phase.CANARY)
+        taken = {"holder": "other", "until": 1e12}
+        await self.store.put("limpetwalk-work", rollouts.LEASE_KEY, taken)
+        await self.answer("v2", False, 9)
+        await asyncio.sleep(0.5)
+        self.assertIs(rollout.Phase.CANARY, self.phase())
