--- a/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
@@ -114,7 +114,6 @@
             config_version=entered.catalog.version,
             arrived=arrived,
             deadline=arrived + allowed - DEADLINE_MARGIN,
-            caller_deadline=arrived + (wait or route.timeout),
             prompt=self._wire.prompt(req.headers),
             last_event=req.headers.get(names.last_event, ""),
             session=req.headers.get(names.session, ""),
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/beliefs.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/beliefs.py
@@ -15,7 +15,6 @@
 
 NODE_PREFIX = "node/"
 ROLLOUT_PREFIX = "rollout/"
-CRASH_PREFIX = "crash/"
 
 
 class Beliefs:
@@ -30,7 +29,6 @@
         journal: logs.Journal,
         metrics: metrics_.Metrics,
     ) -> None:
-        self._clock = clock
         self._journal = journal
         self.catalog: catalog.Catalog | None = None
         self.fleet = fleet.Fleet(clock)
@@ -38,8 +36,6 @@
         self.peers: dict[str, tuple[str, int]] = {}
         self.nodes: frozenset[str] = frozenset()
         self.crashes: dict[str, set[str]] = {}
-        self.config_at = 0.0
-        self.servers_at = 0.0
         self._evacuated: dict[str, str] = {}
         self._unreadable = metrics.counter(
             "limpetwalk_unreadable_rows",
@@ -60,7 +56,6 @@
 
     def apply_operator(self, batch: ports.Batch[ports.OperatorEntry]) -> None:
         """Take over what the operator wrote."""
-        self.config_at = self._clock.monotonic()
         zones = {} if batch.whole else dict(self._evacuated)
         if batch.whole:
             self.rollouts.keep_orders(
@@ -87,7 +82,6 @@
 
     def apply_servers(self, batch: ports.Batch[types.Server]) -> None:
         """Take over entries of backend servers."""
-        self.servers_at = self._clock.monotonic()
         shown = set()
         for change in batch.changes:
             entry = change.entry
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -1,10 +1,7 @@
 """Sending a request to one server after another."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import TypeVar
 
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
@@ -26,53 +23,13 @@
 from . import beliefs
 from . import events
 from . import logs
+from . import outbound
 from . import suspects
 from . import upstream
 
-T = TypeVar("T")
-
 # Time to connect to a server, seconds: a few round trips within a region,
 # less than the second after which a lost packet is sent again.
 CONNECT_TIMEOUT = 0.3
-# Engine ranks between which priorities are laid out.
-MOST_URGENT, LEAST_URGENT = 0, 9
-# Least deadline that is told a server, milliseconds.
-LEAST_DEADLINE_MS = 1
-
-
-@dataclass(slots=True)
-class Tried:
-    """Try that did not bring the answer.
-
-    :param answer: head of a failure that may be passed on as it is.
-    """
-
-    outcome: repeats.Outcome
-    detail: str
-    answer: "WholeAnswer | None" = None
-
-
-@dataclass(slots=True)
-class WholeAnswer:
-    """Answer that was received whole."""
-
-    head: upstream.Head
-    body: bytes
-    server: str
-
-
-@dataclass(slots=True)
-class Started:
-    """Answer whose head serves and whose body is still to be read.
-
-    :param sent_at: instant at which the request was sent.
-    """
-
-    exchange: upstream.Exchange
-    head: upstream.Head
-    member: fleet.Member
-    model: str
-    sent_at: float
 
 
 class Dispatcher:
@@ -183,7 +140,7 @@
         model: str,
         last_event: str,
         patience: float,
-    ) -> Started | Tried:
+    ) -> outbound.Started | outbound.Tried:
         """Offer a call to a server and wait for the head of the answer.
 
         :param last_event: event after which the stream goes on, or empty.
@@ -194,16 +151,16 @@
         call.tried.add(member.id)
         self._note_placed(call, choice, model, left)
         self._begin(choice)
-        started: Started | Tried | None = None
+        started: outbound.Started | outbound.Tried | None = None
         try:
             started = await self._start(
                 call, member, model, last_event, min(left, patience)
             )
         finally:
             self.pressure.begin_answer(member.id, choice.reading)
-            if not isinstance(started, Started):
+            if not isinstance(started, outbound.Started):
                 self.finish(member)
-        if isinstance(started, Started):
+        if isinstance(started, outbound.Started):
             self._note_head(call, choice, started)
         return started
 
@@ -217,7 +174,10 @@
         self.pressure.begin(choice.member.id, choice.reading)
 
     def note(
-        self, call: calls.Call, member: fleet.Member, tried: Tried | None
+        self,
+        call: calls.Call,
+        member: fleet.Member,
+        tried: outbound.Tried | None,
     ) -> None:
         """Note how a try ended; None for a whole answer."""
         now = self.clock.monotonic()
@@ -246,7 +206,7 @@
                 self.suspects.note_broken(call, member)
 
     def may_repeat(
-        self, call: calls.Call, member: fleet.Member, tried: Tried
+        self, call: calls.Call, member: fleet.Member, tried: outbound.Tried
     ) -> bool:
         """Whether a call may be sent once more; takes from the budget."""
         spent = self.budget(call.service)
@@ -275,7 +235,9 @@
         self._stops.labels(stop.value).inc()
         return False
 
-    def give_up(self, call: calls.Call, last: Tried | None) -> refusal.Refusal:
+    def give_up(
+        self, call: calls.Call, last: outbound.Tried | None
+    ) -> refusal.Refusal:
         """Return the refusal for a call that no server answered."""
         if self.suspects.blocks(call.fingerprint):
             return refusal.Refusal(refusal.Reason.POISON)
@@ -303,7 +265,7 @@
         model: str,
         last_event: str,
         patience: float,
-    ) -> Started | Tried:
+    ) -> outbound.Started | outbound.Tried:
         if member.is_cold(self.clock.monotonic()):
             self._note_cold(member)
         entry = member.entry
@@ -312,10 +274,17 @@
                 entry.host, entry.port, min(CONNECT_TIMEOUT, patience)
             )
         except upstream.Unreached as exc:
-            return Tried(repeats.Outcome.UNREACHED, str(exc))
+            return outbound.Tried(repeats.Outcome.UNREACHED, str(exc))
         keep = False
         try:
-            headers = self._headers(call, member, model, last_event)
+            headers = outbound.server_headers(
+                self.wire.names,
+                call,
+                member,
+                model,
+                last_event,
+                self.time_left(call),
+            )
             exchange.send(call.method, call.target, headers, call.body)
             sent_at = self.clock.monotonic()
             async with asyncio.timeout(patience):
@@ -325,58 +294,26 @@
                 )
                 if verdict.outcome is None:
                     keep = True
-                    return Started(exchange, head, member, model, sent_at)
+                    return outbound.Started(
+                        exchange, head, member, model, sent_at
+                    )
                 answer = None
                 if verdict.final:
                     body = await exchange.body()
-                    answer = WholeAnswer(head, body, member.id)
-                return Tried(verdict.outcome, verdict.detail, answer)
+                    answer = outbound.WholeAnswer(head, body, member.id)
+                return outbound.Tried(verdict.outcome, verdict.detail, answer)
         except upstream.Unreached as exc:
-            return Tried(repeats.Outcome.UNREACHED, str(exc))
+            return outbound.Tried(repeats.Outcome.UNREACHED, str(exc))
         except upstream.Broken as exc:
-            return Tried(repeats.Outcome.UNKNOWN, str(exc))
+            return outbound.Tried(repeats.Outcome.UNKNOWN, str(exc))
         except TimeoutError:
-            return Tried(
+            return outbound.Tried(
                 repeats.Outcome.UNKNOWN, f"no answer in {patience:.2f} s"
             )
         finally:
             if not keep:
                 exchange.close()
 
-    def _headers(
-        self,
-        call: calls.Call,
-        member: fleet.Member,
-        model: str,
-        last_event: str,
-    ) -> list[tuple[bytes, bytes]]:
-        names = self.wire.names
-        replaced = set()
-        added = {
-            names.deadline: str(
-                max(LEAST_DEADLINE_MS, int(self.time_left(call) * 1000))
-            ),
-            names.target: member.id,
-        }
-        if call.workspace is not None:
-            added[names.workspace] = call.workspace.name
-        if call.route.streaming:
-            rank = min(LEAST_URGENT, max(MOST_URGENT, call.priority))
-            added[names.urgency] = str(rank)
-        if model:
-            added[names.model] = model
-        if last_event:
-            added[names.last_event] = last_event
-        replaced = {name.lower().encode() for name in added}
-        kept = [
-            (name, value)
-            for name, value in call.headers
-            if name.lower() not in replaced
-        ]
-        return kept + [
-            (name.encode(), value.encode()) for name, value in added.items()
-        ]
-
     def _versions(
         self, call: calls.Call, version: str
     ) -> list[frozenset[str] | None]:
@@ -429,7 +366,10 @@
         )
 
     def _note_head(
-        self, call: calls.Call, choice: placing.Choice, started: Started
+        self,
+        call: calls.Call,
+        choice: placing.Choice,
+        started: outbound.Started,
     ) -> None:
         member, model = started.member, started.model
         took = self.clock.monotonic() - started.sent_at
@@ -442,12 +382,3 @@
             self.beliefs.rollouts.note_session(
                 call.session, member.entry.version, self.bounds.session
             )
-
-
-async def within(awaited: Awaitable[T], timeout: float) -> T:
-    """Await something for a limited time.
-
-    :raises TimeoutError: when the time is up.
-    """
-    async with asyncio.timeout(max(0.0, timeout)):
-        return await awaited
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
@@ -17,6 +17,7 @@
 from . import dispatch
 from . import events
 from . import logs
+from . import outbound
 from . import plain
 from . import replies
 from . import streaming
@@ -136,7 +137,7 @@
         if isinstance(entered, Err):
             return self._refuse(entered.err_value, attempt, arrived)
         try:
-            body = await dispatch.within(
+            body = await outbound.within(
                 self._door.read_body(req), BODY_TIMEOUT
             )
         except TimeoutError:
@@ -174,7 +175,7 @@
     def _finish_plain(
         self,
         call: calls.Call,
-        result: dispatch.WholeAnswer | refusal.Refusal,
+        result: outbound.WholeAnswer | refusal.Refusal,
     ) -> web.StreamResponse:
         if isinstance(result, refusal.Refusal):
             return self._refuse(result, call.id, call.arrived, call)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
@@ -6,6 +6,7 @@
 from limpetwalk.gateway import repeats
 
 from . import dispatch
+from . import outbound
 from . import upstream
 
 # Multiple of the aimed latency after which a call that may be repeated is
@@ -23,16 +24,16 @@
 
     async def serve(
         self, call: calls.Call
-    ) -> dispatch.WholeAnswer | refusal.Refusal:
+    ) -> outbound.WholeAnswer | refusal.Refusal:
         """Return a server's answer, or why there is none."""
-        last: dispatch.Tried | None = None
+        last: outbound.Tried | None = None
         while self._dispatcher.time_left(call) > repeats.LEAST_TIME:
             choice = self._dispatcher.place(call)
             if choice is None:
                 break
             member = choice.member
             result = await self._try(call, choice)
-            if isinstance(result, dispatch.WholeAnswer):
+            if isinstance(result, outbound.WholeAnswer):
                 self._dispatcher.note(call, member, None)
                 return result
             last = result
@@ -45,26 +46,26 @@
 
     async def _try(
         self, call: calls.Call, choice: placing.Choice
-    ) -> dispatch.WholeAnswer | dispatch.Tried:
+    ) -> outbound.WholeAnswer | outbound.Tried:
         started = await self._dispatcher.start(
             call, choice, "", "", self._patience(call)
         )
-        if isinstance(started, dispatch.Tried):
+        if isinstance(started, outbound.Tried):
             return started
         try:
-            body = await dispatch.within(
+            body = await outbound.within(
                 started.exchange.body(), self._dispatcher.time_left(call)
             )
         except upstream.Broken as exc:
-            return dispatch.Tried(repeats.Outcome.UNKNOWN, str(exc))
+            return outbound.Tried(repeats.Outcome.UNKNOWN, str(exc))
         except TimeoutError:
-            return dispatch.Tried(
+            return outbound.Tried(
                 repeats.Outcome.UNKNOWN, "body not received in time"
             )
         finally:
             started.exchange.close()
             self._dispatcher.finish(choice.member)
-        return dispatch.WholeAnswer(started.head, body, choice.member.id)
+        return outbound.WholeAnswer(started.head, body, choice.member.id)
 
     def _patience(self, call: calls.Call) -> float:
         """Return how long a server may take to begin its answer."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/replies.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/replies.py
@@ -8,7 +8,7 @@
 
 from limpetwalk.gateway import refusal
 
-from . import dispatch
+from . import outbound
 
 # Headers that concern one connection only, or that frame a body.
 CONNECTION_HEADERS = frozenset(
@@ -40,7 +40,7 @@
     )
 
 
-def whole(answer: dispatch.WholeAnswer) -> web.Response:
+def whole(answer: outbound.WholeAnswer) -> web.Response:
     """Return a server's answer as it is."""
     return web.Response(
         status=answer.head.status,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -14,6 +14,7 @@
 
 from . import dispatch
 from . import events
+from . import outbound
 from . import replies
 from . import upstream
 
@@ -45,14 +46,14 @@
 
     async def serve(
         self, call: calls.Call, req: web.BaseRequest
-    ) -> "Relay | dispatch.WholeAnswer | refusal.Refusal":
+    ) -> "Relay | outbound.WholeAnswer | refusal.Refusal":
         """Relay the answer of one server after another.
 
         :returns: the relay, complete or broken off, once the caller has
             received something; an answer or a refusal otherwise.
         """
         relay = Relay(call, req, self._dispatcher, self._closing)
-        last: dispatch.Tried | None = None
+        last: outbound.Tried | None = None
         model = self._start_model(call)
         while self._dispatcher.time_left(call) > repeats.LEAST_TIME:
             choice = self._dispatcher.place(call, model, relay.version)
@@ -84,13 +85,13 @@
         choice: placing.Choice,
         model: str,
         relay: "Relay",
-    ) -> "dispatch.Tried | _Climb | None":
+    ) -> "outbound.Tried | _Climb | None":
         if relay.started:
             self._note_resumed(call, choice.member, relay)
         started = await self._dispatcher.start(
             call, choice, model, relay.last_event, self._patience(call)
         )
-        if isinstance(started, dispatch.Tried):
+        if isinstance(started, outbound.Tried):
             return started
         try:
             climb = self._climb(call, started, relay)
@@ -102,7 +103,7 @@
             self._dispatcher.finish(choice.member)
 
     def _climb(
-        self, call: calls.Call, started: dispatch.Started, relay: "Relay"
+        self, call: calls.Call, started: outbound.Started, relay: "Relay"
     ) -> "_Climb | None":
         """Return the larger model to ask, None when the answer will do."""
         if relay.started or not started.model:
@@ -203,7 +204,7 @@
         """The caller's answer, None before it was started."""
         return self._resp
 
-    async def run(self, started: dispatch.Started) -> dispatch.Tried | None:
+    async def run(self, started: outbound.Started) -> outbound.Tried | None:
         """Pass events on until the stream ends or breaks off.
 
         :returns: None for a whole stream.
@@ -211,7 +212,7 @@
         splitter = eventstream.EventSplitter()
         try:
             while True:
-                chunk = await dispatch.within(
+                chunk = await outbound.within(
                     started.exchange.chunk(), self._patience()
                 )
                 if not chunk:
@@ -234,8 +235,8 @@
         if self._req.transport is not None:
             self._req.transport.close()
 
-    def _broken(self, detail: str) -> dispatch.Tried:
-        return dispatch.Tried(repeats.Outcome.UNKNOWN, detail)
+    def _broken(self, detail: str) -> outbound.Tried:
+        return outbound.Tried(repeats.Outcome.UNKNOWN, detail)
 
     def _patience(self) -> float:
         left = self._dispatcher.time_left(self._call)
@@ -247,7 +248,7 @@
         return min(left, max(LEAST_PATIENCE, route.largest_gap))
 
     async def _pass_on(
-        self, started: dispatch.Started, event: eventstream.StreamEvent
+        self, started: outbound.Started, event: eventstream.StreamEvent
     ) -> None:
         await self._open(started)
         if self._is_repeated(event):
@@ -263,7 +264,7 @@
             return False
         return int(event.id) <= int(self.last_event)
 
-    async def _open(self, started: dispatch.Started) -> None:
+    async def _open(self, started: outbound.Started) -> None:
         if self._resp is not None:
             return
         self.model = started.model
@@ -279,7 +280,7 @@
             self._resp.force_close()
         await self._resp.prepare(self._req)
 
-    async def _finish(self, started: dispatch.Started) -> None:
+    async def _finish(self, started: outbound.Started) -> None:
         await self._open(started)
         assert self._resp is not None
         await self._resp.write_eof()
--- a/packages/limpetwalk/limpetwalk/gateway/call.py
+++ b/packages/limpetwalk/limpetwalk/gateway/call.py
@@ -17,7 +17,6 @@
     :param headers: headers to pass on, as they were sent.
     :param arrived: instant at which its header was read.
     :param deadline: instant by which the answer must be out.
-    :param caller_deadline: instant at which the caller gives up.
     :param last_event: last event that the caller has received, or empty.
     :param session: conversation it belongs to, or empty.
     :param fingerprint: equal for a repeat of the same request.
@@ -34,7 +33,6 @@
     config_version: int
     arrived: float
     deadline: float
-    caller_deadline: float
     prompt: types.Prompt
     last_event: str
     session: str
--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -176,7 +176,6 @@
     :param deadline: milliseconds that the sender will wait.
     :param seal: server's mark on an answer of its own.
     :param not_run: server's promise that it did not run the request.
-    :param server: identifier of the server that answers.
     :param target: identifier of the server that a request is meant for.
     :param workspace: name of the workspace, set by the node.
     :param last_event: identifier of the last event received.
@@ -186,7 +185,6 @@
     :param urgency: rank in the engine's queue, 0 first.
     :param confidence: engine's opinion of its answer, 0 to 100.
     :param session: conversation that requests belong to.
-    :param cold_left: milliseconds that a server stays cold.
     :param reserved: headers that only nodes may set.
     """
 
@@ -194,7 +192,6 @@
     deadline: str
     seal: str
     not_run: str
-    server: str
     target: str
     workspace: str
     last_event: str
@@ -204,7 +201,6 @@
     urgency: str
     confidence: str
     session: str
-    cold_left: str
     reserved: frozenset[str] = field(default_factory=frozenset)
 
 
--- a/packages/limpetwalk/limpetwalk/gateway/refusal.py
+++ b/packages/limpetwalk/limpetwalk/gateway/refusal.py
@@ -19,8 +19,6 @@
     SLOW_BODY = ("body_not_received", 408)
     NO_SERVER = ("no_server", 503)
     REJECTED = ("rejected_by_servers", 503)
-    OVERLOADED = ("queue_full", 503)
-    EXPIRED_UNRUN = ("expired_before_running", 503)
     TIMED_OUT = ("timed_out", 504)
     BROKEN = ("answer_broken", 502)
     POISON = ("crashes_servers", 502)
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -58,20 +58,6 @@
         return self.repeat is Repeat.IDEMPOTENT
 
 
-@dataclass(frozen=True, slots=True)
-class Engine:
-    """Limits of the model engines of a service.
-
-    :param slots: requests that one engine batches.
-    :param memory_tokens: tokens that fit into its cache.
-    :param costs: price of 1,000 generated tokens by model.
-    """
-
-    slots: int
-    memory_tokens: int
-    costs: dict[str, float]
-
-
 @dataclass(frozen=True, slots=True)
 class Service:
     """Service that a configuration routes to.
@@ -83,7 +69,6 @@
     name: str
     cold_seconds: float
     cold_rate: float
-    engine: Engine | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,8 +194,6 @@
     """Bounds that the platform's operator promises to callers.
 
     :param contact: quiet time after which a node counts as in touch.
-    :param drain: time in which nodes must stop using a leaving server.
-    :param config_apply: time in which a configuration must be in force.
     :param grace: time between the order to stop and the kill.
     :param repeat_share: repeats allowed for each first request.
     :param repeat_extra: repeats allowed besides, over ``repeat_window``.
@@ -218,13 +201,12 @@
     :param cold_extra: requests a second allowed on top of it.
     :param exposure_share: share of a service's requests that a bad version
         may get.
+    :param exposure_extra: requests that it may get besides.
     :param session: longest pause between requests of one session.
-    :param event_lag: longest time an event may spend in the node.
+    :param reuse_window: time for which a part that was read counts as kept.
     """
 
     contact: float = 3.0
-    drain: float = 2.0
-    config_apply: float = 2.0
     grace: float = 8.0
     repeat_share: float = 0.9
     repeat_window: float = 10.0
@@ -234,7 +216,6 @@
     exposure_share: float = 0.15
     exposure_extra: float = 30.0
     session: float = 5.0
-    event_lag: float = 0.12
     reuse_window: float = 9.2
 
 
@@ -253,6 +234,4 @@
     readiness: tuple[str, int]
     metrics: tuple[str, int]
     peers: tuple[str, int]
-    memory_mb: int
-    max_fds: int
     bounds: Bounds = field(default_factory=Bounds)
--- a/tests/limpetwalk_node/gateway/harness.py
+++ b/tests/limpetwalk_node/gateway/harness.py
@@ -8,12 +8,14 @@
 import pathlib
 import tempfile
 from typing import Any
+import unittest
 from unittest import mock
 
 import aiohttp
 from loguru import logger
 
 from limpetwalk import metrics as metrics_
+from limpetwalk_bench.hub import server
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import events
 from limpetwalk_node.gateway import logs
@@ -29,9 +31,6 @@
 [listen]
 front_addr = "127.0.0.1:0"
 readiness = "127.0.0.1:0"
-[limits]
-memory_mb = 300
-max_fds = 1000
 [bounds]
 grace_s = 3
 [platform]
@@ -149,3 +148,17 @@
             **{k.replace("_", "-"): v for k, v in headers.items()},
         }
         return self.request("POST", path, headers=held, data=b"prompt")
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """Gateway before one engine and one plain service."""
+
+    services = {"e-1": site.ENGINE, "p-1": site.PLAIN}
+
+    async def asyncSetUp(self) -> None:
+        self.run_ = Running()
+        await self.run_.start(self.services)
+        self.addAsyncCleanup(self.run_.stop)
+
+    def server(self, server_id: str) -> server.Server:
+        return self.run_.site.servers[server_id]
--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_streams.py
@@ -0,0 +1,162 @@
+"""Streams through a whole gateway, and the order to stop."""
+
+import asyncio
+from unittest import mock
+
+import aiohttp
+from aiohttp import web
+
+from limpetwalk_bench.hub import server
+from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import streaming
+
+from . import harness
+
+
+class Stream(harness.GatewayCase):
+    """Streams of events."""
+
+    services = {"e-1": site.ENGINE, "e-2": site.ENGINE, "p-1": site.PLAIN}
+    whole = b"".join(server.event(number) for number in range(1, 6))
+
+    async def test_events_come_unchanged(self) -> None:
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+            self.assertIn("Server-Seal", resp.headers)
+            self.assertEqual(self.whole, await resp.read())
+
+    async def test_smallest_model_is_named_first(self) -> None:
+        async with self.run_.stream() as resp:
+            await resp.read()
+        ran = self.server("e-1").ran + self.server("e-2").ran
+        self.assertEqual(["small"], [each.headers["Model"] for each in ran])
+
+    async def test_doubtful_answer_is_dropped_for_a_larger_model(
+        self,
+    ) -> None:
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).confidence = {"small": 10}
+        async with self.run_.stream() as resp:
+            self.assertEqual(self.whole, await resp.read())
+        ran = self.server("e-1").ran + self.server("e-2").ran
+        self.assertEqual(
+            {"small", "large"}, {each.headers["Model"] for each in ran}
+        )
+
+    async def test_broken_stream_goes_on_elsewhere_in_one_answer(
+        self,
+    ) -> None:
+        async def cut(req: web.Request) -> web.StreamResponse | None:
+            if "Last-Event-Id" in req.headers:
+                return None
+            held = self.server(req.headers["Target-Instance"])
+            resp = web.StreamResponse(
+                headers={**held.sealed(req), "Confidence": "100"}
+            )
+            await resp.prepare(req)
+            await resp.write(server.event(1) + server.event(2) + b"id: 3\nda")
+            await asyncio.sleep(0.05)
+            assert req.transport is not None
+            req.transport.abort()
+            return resp
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = cut
+        async with self.run_.stream() as resp:
+            self.assertEqual(self.whole, await resp.read())
+        ran = self.server("e-1").ran + self.server("e-2").ran
+        again = [each for each in ran if "Last-Event-Id" in each.headers]
+        self.assertEqual(["2"], [e.headers["Last-Event-Id"] for e in again])
+
+    async def test_stream_that_cannot_go_on_never_looks_whole(self) -> None:
+        async def cut(req: web.Request) -> web.StreamResponse | None:
+            if "Last-Event-Id" in req.headers:
+                return web.Response(status=503, headers={"Not-Executed": "1"})
+            held = self.server(req.headers["Target-Instance"])
+            resp = web.StreamResponse(
+                headers={**held.sealed(req), "Confidence": "100"}
+            )
+            await resp.prepare(req)
+            await resp.write(server.event(1))
+            await asyncio.sleep(0.05)
+            assert req.transport is not None
+            req.transport.abort()
+            return resp
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = cut
+        async with self.run_.stream() as resp:
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await resp.read()
+
+    async def test_silence_does_not_break_the_last_try_off(self) -> None:
+        async def pause(req: web.Request) -> web.StreamResponse | None:
+            held = self.server(req.headers["Target-Instance"])
+            first = int(req.headers.get("Last-Event-Id", "0")) + 1
+            resp = web.StreamResponse(
+                headers={**held.sealed(req), "Confidence": "100"}
+            )
+            await resp.prepare(req)
+            await resp.write(server.event(first))
+            # Longer than the largest gap of the route.
+            await asyncio.sleep(0.5)
+            for number in range(first + 1, 6):
+                await resp.write(server.event(number))
+            await resp.write_eof()
+            return resp
+
+        config = site.config(version=2)
+        config["routes"][0].update(attempts=2, itl_slo_ms=200)
+        await self.run_.site.store.put("op", "config", config)
+        held = self.run_.gateway.beliefs
+        await self.run_.until(lambda: held.catalog.version == 2)
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = pause
+        with mock.patch.object(streaming, "LEAST_PATIENCE", 0.1):
+            async with self.run_.stream() as resp:
+                self.assertEqual(self.whole, await resp.read())
+
+    async def test_caller_that_leaves_stops_the_work(self) -> None:
+        stopped = asyncio.Event()
+
+        async def slow(req: web.Request) -> web.StreamResponse | None:
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                stopped.set()
+                raise
+            return None
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = slow
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                async with self.run_.stream():
+                    pass
+        async with asyncio.timeout(2):
+            await stopped.wait()
+
+
+class Stopping(harness.GatewayCase):
+    """The order to stop."""
+
+    async def test_open_stream_is_finished_and_connections_close(
+        self,
+    ) -> None:
+        self.server("e-1").pause = 0.1
+        async with self.run_.stream() as resp:
+            stop = asyncio.create_task(self.run_.gateway.drain())
+            await asyncio.sleep(0.01)
+            self.assertFalse(self.run_.gateway.readiness.ready)
+            self.assertTrue((await resp.read()).endswith(server.event(5)))
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual("close", resp.headers["Connection"].lower())
+        await stop
+
+    async def test_late_stream_is_turned_away_with_a_promise(self) -> None:
+        self.run_.gateway.front.closing = True
+        self.run_.gateway.front.turning_away = True
+        async with self.run_.stream() as resp:
+            self.assertEqual(503, resp.status)
+            self.assertIn("Retry-After", resp.headers)
+        self.assertEqual([], self.server("e-1").seen)
