Learn a model's pace from the tokens that no other request shares

Samples divided by tokens that others had already had read made every model look fast, so that the price of reading again was nothing.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -375,8 +375,7 @@
         took = self.clock.monotonic() - started.sent_at
         self.first_event.record(took)
         if model:
-            tokens = choice.reading / self.paces.per_token(model)
-            self.paces.note(model, tokens, took)
+            self.paces.note(model, call.prompt.own_tokens, took)
             self._memory.note_read(member.id, model, call.prompt)
         if call.session:
             self.beliefs.rollouts.note_session(
--- a/packages/limpetwalk/limpetwalk/gateway/pace.py
+++ b/packages/limpetwalk/limpetwalk/gateway/pace.py
@@ -31,7 +31,9 @@
     def note(self, model: str, tokens: float, latency: float) -> None:
         """Note how long a first byte took.
 
-        :param tokens: tokens that had to be read.
+        :param tokens: tokens that had to be read in any case. Shared ones
+            may have been read for another node; where they were not, the
+            sample is slow and hardly counts.
         :param latency: time from the request to the first byte, in seconds.
         """
         if tokens < LEAST_TOKENS:
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -173,6 +173,11 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the tokens of the part that no other request shares."""
+        return self.parts[-1].tokens if self.parts else 0
+
     @property
     def shared_key(self) -> str:
         """Return the last part that other requests may share, or empty."""
