Keep poisoned requests from servers at their return; judge slow versions

Cause, found by reading: a request that had crashed three servers was only stopped between its own tries, so that its return reached a server again; and the measure of slow answers was kept but asked by nobody, so that a version eight times slower would have been taken for good. Both tests fail without the change.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -33,10 +33,7 @@
 
 
 class Dispatcher:
-    """Offers requests to servers and keeps count of what comes of it.
-
-    :param node: name of this node.
-    """
+    """Offers requests to servers and keeps count of what comes of it."""
 
     def __init__(
         self,
@@ -197,9 +194,8 @@
             repeats.Outcome.NOT_RUN,
             repeats.Outcome.UNREACHED,
         ):
-            self.tallies.note(
-                call.service, member.entry.version, outcome is None
-            )
+            good = outcome is None and not call.slow
+            self.tallies.note(call.service, member.entry.version, good)
         if outcome is not None:
             call.tries.note(outcome)
             if outcome is repeats.Outcome.UNKNOWN:
@@ -374,6 +370,7 @@
         member, model = started.member, started.model
         took = self.clock.monotonic() - started.sent_at
         self.first_event.record(took)
+        call.slow = self.tallies.is_slow(call.service, model, took)
         if model:
             self.paces.note(model, call.prompt.own_tokens, took)
             self._memory.note_read(member.id, model, call.prompt)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/front.py
@@ -152,6 +152,9 @@
                 refusal.Reason.STOPPING, STOPPING_RETRY_AFTER
             )
             return self._refuse(stopping, attempt, arrived, call)
+        if self._dispatcher.suspects.blocks(call.fingerprint):
+            poison = refusal.Refusal(refusal.Reason.POISON)
+            return self._refuse(poison, attempt, arrived, call)
         self._dispatcher.budget(call.service).note_first()
         if call.route.streaming:
             return await self._stream(call, req)
--- a/packages/limpetwalk/limpetwalk/gateway/call.py
+++ b/packages/limpetwalk/limpetwalk/gateway/call.py
@@ -19,6 +19,7 @@
     :param deadline: instant by which the answer must be out.
     :param last_event: last event that the caller has received, or empty.
     :param session: conversation it belongs to, or empty.
+    :param slow: whether the latest answer took unusually long to begin.
     :param fingerprint: equal for a repeat of the same request.
     """
 
@@ -37,6 +38,7 @@
     last_event: str
     session: str
     fingerprint: str
+    slow: bool = False
     tries: repeats.Tries = field(default_factory=repeats.Tries)
     tried: set[str] = field(default_factory=set)
 
--- a/tests/limpetwalk_node/gateway/test_front.py
+++ b/tests/limpetwalk_node/gateway/test_front.py
@@ -210,6 +210,50 @@
                 self.assertEqual(200, resp.status)
 
 
+class Poison(harness.GatewayCase):
+    """A request that crashes the servers that run it, and comes again."""
+
+    async def crash(self, *server_ids: str) -> None:
+        """Let other nodes tell that a request crashed servers."""
+        held = self.run_.gateway.beliefs
+        async with self.run_.request("GET", "/again/bad") as resp:
+            self.assertEqual(200, resp.status)
+        (fingerprint,) = self.fingerprints
+        for server_id in server_ids:
+            key = f"crash/{fingerprint}/{server_id}"
+            await self.run_.site.store.put("limpetwalk", key, {})
+        await self.run_.until(
+            lambda: held.crashes.get(fingerprint) == set(server_ids)
+        )
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.fingerprints: set[str] = set()
+        blocks = self.run_.gateway.dispatcher.suspects.blocks
+
+        def note(fingerprint: str) -> bool:
+            self.fingerprints.add(fingerprint)
+            return blocks(fingerprint)
+
+        self.run_.gateway.dispatcher.suspects.blocks = note  # type: ignore
+
+    async def test_third_crash_anywhere_keeps_it_from_all_servers(
+        self,
+    ) -> None:
+        await self.crash("s-1", "s-2", "s-3")
+        before = len(self.server("p-1").seen)
+        async with self.run_.request("GET", "/again/bad") as resp:
+            self.assertEqual(502, resp.status)
+        self.assertEqual(before, len(self.server("p-1").seen))
+        async with self.run_.request("GET", "/again/good") as resp:
+            self.assertEqual(200, resp.status)
+
+    async def test_two_crashes_do_not(self) -> None:
+        await self.crash("s-1", "s-2")
+        async with self.run_.request("GET", "/again/bad") as resp:
+            self.assertEqual(200, resp.status)
+
+
 class StoreAway(harness.GatewayCase):
     """Outages of the store."""
 
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+from aiohttp import web
+
 from limpetwalk import clock as clocks
 from limpetwalk.gateway import rollout
 from limpetwalk.gateway import rollout_policy
@@ -78,6 +80,29 @@
                 await resp.read()
         self.assertEqual([], self.run_.site.servers["e-2"].seen)
 
+    async def test_slow_version_is_reverted(self) -> None:
+        """Plays calls of which the new version takes much longer."""
+        tallies = self.run_.gateway.dispatcher.tallies
+        self.run_.site.servers["e-1"].events = 1
+        for _ in range(30):
+            async with self.run_.stream() as resp:
+                await resp.read()
+        await self.order()
+        await self.run_.until(lambda: self.phase() is rollout.Phase.CANARY)
+
+        async def slow(req: web.Request) -> None:
+            await asyncio.sleep(0.25)
+
+        self.run_.site.servers["e-2"].behaviour = slow
+        with mock.patch.object(self.held.rollouts, "draw") as draw:
+            draw.return_value = frozenset(("v2",))
+            for _ in range(6):
+                async with self.run_.stream() as resp:
+                    await resp.read()
+        told = tallies.to_json(site.ENGINE, "v2", "")
+        self.assertIn('"candidate": {"failures": 6', told)
+        await self.run_.until(lambda: self.status() == "reverted")
+
     async def test_version_without_servers_does_not_start(self) -> None:
         await self.store.put("op", f"rollout/{site.ENGINE}", ORDER)
         await asyncio.sleep(0.4)
