Give a version all work only when the rest of the period fits its exposure

The version fails only under a load that it did not meet, so no evidence could stop it. Counts start with the order, not with its first server; a small canary leaves room for the last seconds.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -22,7 +22,7 @@
 from . import logs
 
 # Pause between two rounds of evidence of a node, seconds, while a small share
-# of work tries the new version and while more does, and nodes for which it
+# of work tries the new version and while all does, and nodes for which it
 # grows by another such pause.
 TELL_PAUSE = 1.2
 TELL_PAUSE_EXPOSED = 0.6
@@ -72,7 +72,7 @@
 
     def _pause(self) -> float:
         exposed = any(
-            stage.phase in (rollout.Phase.WIDER, rollout.Phase.FULL)
+            stage.phase is rollout.Phase.FULL
             for stage in self._beliefs.rollouts.stages.values()
         )
         pause = TELL_PAUSE_EXPOSED if exposed else TELL_PAUSE
@@ -194,6 +194,7 @@
             found,
             self._platform.settings.bounds,
             ready,
+            held.order_age(order.service),
             now,
         )
         if following is None:
--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -20,14 +20,12 @@
     """How far a roll-out has come.
 
     :cvar CANARY: a small share of new sessions tries the new version.
-    :cvar WIDER: a larger share does.
     :cvar FULL: all work goes to the new version; the old one still runs.
     :cvar COMPLETE: the old version is stopped.
     :cvar REVERTED: the new version gets nothing.
     """
 
     CANARY = "canary"
-    WIDER = "wider"
     FULL = "full"
     COMPLETE = "complete"
     REVERTED = "reverted"
@@ -39,8 +37,11 @@
 
     :param order_id: order that it belongs to.
     :param share: part of new sessions for the new version, 0 to 1.
-    :param started: store's clock when the roll-out started, seconds.
+    :param started: store's clock when it was ordered, seconds.
     :param since: store's clock when this phase started, seconds.
+    :param base_requests: requests of the old version seen before the start.
+    :param failures: those of the new version seen when this phase started.
+    :param successes: good answers likewise.
     """
 
     order_id: int
@@ -49,6 +50,7 @@
     share: float
     started: float
     since: float
+    base_requests: int = 0
     failures: int = 0
     successes: int = 0
     reason: str = ""
@@ -92,14 +94,23 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self.orders: dict[str, types.RolloutOrder] = {}
+        self._heard_at: dict[str, float] = {}
         self.stages: dict[str, Stage] = {}
         self.stage_versions: dict[str, int] = {}
         self._sessions: dict[str, tuple[str, float]] = {}
 
     def order(self, order: types.RolloutOrder) -> None:
         """Take over an order."""
+        held = self.orders.get(order.service)
+        if held is None or held.order_id != order.order_id:
+            self._heard_at[order.service] = self._clock.monotonic()
         self.orders[order.service] = order
 
+    def order_age(self, service: str) -> float:
+        """Return for how many seconds the order of a service is known."""
+        now = self._clock.monotonic()
+        return now - self._heard_at.get(service, now)
+
     def withdraw(self, key: str) -> None:
         """Forget an order whose row is gone.
 
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -3,7 +3,8 @@
 Answers the load of a version that fails, or turns slow, from its start,
 later, under load or on one route only: a small share of sessions tries it,
 a sequential test over the evidence of all nodes may stop it at any moment,
-and only after half of the period does it get all work.
+and it gets all work only when even a version that never showed its fault
+would stay within the allowed exposure until the end of the period.
 """
 
 from dataclasses import dataclass
@@ -17,17 +18,16 @@
 # Chance that a good version is taken back. That costs the operator another
 # order; a bad version that stays breaks a promise.
 ALPHA = 0.05
-# Part of the allowed exposure that the canary share uses. Sessions differ
-# in how much they send.
-CANARY_PART = 0.65
+# Part of the allowed exposure share that the canary share uses. What it
+# leaves pays for the last seconds, with all work on the new version.
+CANARY_PART = 0.3
+# Part of the allowed exposure up to which all work may be planned for; counts
+# of the nodes come late, and requests under way are not in them.
+PLANNED_PART = 0.8
 # Part of the period before which sessions keep the old version, and the
 # margin in seconds for nodes that heard of the order late.
 FIRST_HALF = 0.5
 HALF_MARGIN = 0.4
-# Share of new sessions after the first half, and the least time with it,
-# seconds: the canary's answers alone may all be good by chance.
-WIDER_SHARE = 0.4
-LEAST_WIDER = 2.0
 # Share of failures beyond the old version's with which the new one does not
 # get all work.
 DOUBTFUL_EXCESS = 0.08
@@ -37,14 +37,14 @@
 # rest is on its way while evidence travels.
 LIMIT_PART = 0.5
 # Good answers of the new version that are wanted before it gets all work,
-# and the part of the period after which fewer have to do.
+# and the part of the period after which they are no longer waited for.
 ENOUGH_GOOD = 8
 PATIENCE_PART = 0.7
 # Least time with all work on the new version before the old one is stopped,
-# seconds: several rounds of evidence.
-LEAST_FULL = 4.0
+# seconds: a round of evidence.
+LEAST_FULL = 1.0
 # Time kept before the end of the period for the last writes, seconds.
-END_MARGIN = 1.5
+END_MARGIN = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,12 +70,14 @@
     found: Evidence,
     bounds: types.Bounds,
     candidate_ready: bool,
+    order_age: float,
     now: float,
 ) -> rollout.Stage | None:
     """Return the stage that follows, None when nothing changes.
 
     :param stage: stage of this order, None before the first.
     :param candidate_ready: whether a server of the new version is there.
+    :param order_age: seconds for which the order is known.
     :param now: the store's clock, in seconds.
     """
     if stage is None:
@@ -86,8 +88,9 @@
             target=order.target,
             phase=rollout.Phase.CANARY,
             share=bounds.exposure_share * CANARY_PART,
-            started=now,
+            started=now - order_age,
             since=now,
+            base_requests=found.base.requests,
             reason="ordered",
         )
     if stage.phase in (rollout.Phase.COMPLETE, rollout.Phase.REVERTED):
@@ -111,24 +114,36 @@
         return _after_full(stage, order, found, elapsed, now)
     if elapsed < order.period * FIRST_HALF + HALF_MARGIN:
         return None
-    if stage.phase is rollout.Phase.CANARY:
-        reason = "half of the period without harm"
-        return _next(
-            stage, rollout.Phase.WIDER, WIDER_SHARE, found, now, reason
-        )
-    if now - stage.since < LEAST_WIDER:
-        return None
     if not _looks_good(found, elapsed < order.period * PATIENCE_PART):
         return None
+    if not _fits_to_the_end(stage, order, found, bounds, elapsed):
+        return None
     return _next(stage, rollout.Phase.FULL, 1.0, found, now, "no harm seen")
 
 
+def _fits_to_the_end(
+    stage: rollout.Stage,
+    order: types.RolloutOrder,
+    found: Evidence,
+    bounds: types.Bounds,
+    elapsed: float,
+) -> bool:
+    """Whether all work until the end stays within the allowed exposure."""
+    exposed = found.candidate.requests
+    seen = found.base.requests - stage.base_requests + exposed
+    rate = seen / elapsed
+    left = max(0.0, order.period - elapsed)
+    allowed = bounds.exposure_share * (seen + rate * left)
+    allowed += bounds.exposure_extra
+    return exposed + rate * left <= PLANNED_PART * allowed
+
+
 def _looks_good(found: Evidence, early: bool) -> bool:
     """Whether the new version may get all work.
 
     :param early: whether there is still time to wait for more evidence.
     """
-    if found.candidate.successes < (ENOUGH_GOOD if early else 1):
+    if found.candidate.successes < (ENOUGH_GOOD if early else 0):
         return False
     return not _is_doubtful(found)
 
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -98,14 +98,17 @@
         old: int = 0,
         heard: bool = True,
         ready: bool = True,
+        base: int = 200,
     ) -> rollout.Stage | None:
         found = rollout_policy.Evidence(
-            evidence.Tally(failures=2, successes=200),
+            evidence.Tally(failures=2, successes=base),
             evidence.Tally(failures=failures, successes=successes),
             old,
             heard,
         )
-        return rollout_policy.decide(held, ORDER, found, BOUNDS, ready, now)
+        return rollout_policy.decide(
+            held, ORDER, found, BOUNDS, ready, 0.0, now
+        )
 
     def test_starts_small_once_a_server_is_there(self) -> None:
         self.assertIsNone(self.decide(None, 0.0, ready=False))
@@ -116,14 +119,16 @@
 
     def test_sessions_stay_through_the_first_half(self) -> None:
         held = stage(rollout.Phase.CANARY)
-        self.assertIsNone(self.decide(held, 12.0, successes=50))
-        following = self.decide(held, 12.5, successes=50)
-        assert following is not None
-        self.assertIs(rollout.Phase.WIDER, following.phase)
-        self.assertIsNone(self.decide(following, 13.0, successes=50))
-        following = self.decide(following, 15.0, successes=50)
-        assert following is not None
-        self.assertIs(rollout.Phase.FULL, following.phase)
+        self.assertIsNone(self.decide(held, 12.0, successes=10, base=10))
+
+    def test_all_work_only_when_it_fits_to_the_end(self) -> None:
+        """Ten requests a second, of which 104 in all may be exposed."""
+        held = stage(rollout.Phase.CANARY)
+        for now, expected in ((13.0, None), (20.0, rollout.Phase.FULL)):
+            base = int(now * 10)
+            following = self.decide(held, now, successes=10, base=base)
+            phase = following.phase if following else None
+            self.assertIs(expected, phase, now)
 
     def test_doubt_is_enough_where_exposure_nears_its_bound(self) -> None:
         following = self.decide(stage(rollout.Phase.FULL), 15.0, 4, 30)
@@ -131,8 +136,8 @@
         self.assertIs(rollout.Phase.REVERTED, following.phase)
 
     def test_doubtful_version_does_not_get_all_work(self) -> None:
-        held = stage(rollout.Phase.WIDER)
-        self.assertIsNone(self.decide(held, 15.0, 1, 8))
+        held = stage(rollout.Phase.CANARY)
+        self.assertIsNone(self.decide(held, 22.0, 1, 5))
         self.assertIsNone(self.decide(held, 15.0, 0, 3))
 
     def test_failures_take_it_back_at_any_phase(self) -> None:
@@ -147,7 +152,7 @@
         held = stage(rollout.Phase.FULL)
         self.assertIsNone(self.decide(held, 10.0, 0, 50, old=3))
         self.assertIsNone(self.decide(held, 10.0, 0, 50, heard=False))
-        self.assertIsNone(self.decide(held, 1.0, 0, 50))
+        self.assertIsNone(self.decide(held, 0.5, 0, 50))
         following = self.decide(held, 10.0, 0, 50)
         assert following is not None
         self.assertIs(rollout.Phase.COMPLETE, following.phase)
@@ -160,18 +165,36 @@
             self.assertIsNone(self.decide(stage(phase), 5.0, 50, 0))
 
     def test_exposure_to_a_bad_version_stays_bounded(self) -> None:
-        """Plays 200 roll-outs of a version that fails at 10 requests/s."""
-        for fault_from, failing in ((0.0, 0.34), (3.0, 0.5), (13.0, 0.34)):
-            for seed in range(70):
-                rng = random.Random(seed)
-                exposed, total = self.play(rng, fault_from, failing)
-                allowed = BOUNDS.exposure_share * total + BOUNDS.exposure_extra
-                self.assertLessEqual(exposed, allowed, (fault_from, seed))
+        """Plays 200 roll-outs of a version that fails at several rates."""
+        for rate in (5, 10, 40):
+            for fault_from, failing in (
+                (0.0, 0.34),
+                (3.0, 0.5),
+                (13.0, 0.34),
+                (99.0, 0.0),
+            ):
+                for seed in range(40):
+                    rng = random.Random(seed)
+                    played = self.play(rng, rate, fault_from, failing)
+                    exposed, total, _ = played
+                    allowed = BOUNDS.exposure_share * total
+                    allowed += BOUNDS.exposure_extra
+                    self.assertLessEqual(
+                        exposed, allowed, (rate, fault_from, seed)
+                    )
+
+    def test_good_versions_get_all_work_in_time(self) -> None:
+        """Plays 120 roll-outs of a version that never fails."""
+        for rate in (5, 10, 40):
+            for seed in range(40):
+                _, _, held = self.play(random.Random(seed), rate, 99.0, 0.0)
+                assert held is not None
+                self.assertIs(rollout.Phase.COMPLETE, held.phase, (rate, seed))
 
     def play(
-        self, rng: random.Random, fault_from: float, failing: float
-    ) -> tuple[int, int]:
-        """Return requests at the new version and all until the deadline.
+        self, rng: random.Random, rate: int, fault_from: float, failing: float
+    ) -> tuple[int, int, rollout.Stage | None]:
+        """Return requests at the new version, all of them, and the stage.
 
         The lead sees evidence ``LAG`` late: a node tells it after 0.6 s at
         most once the new version gets more work, the lead looks each 0.5 s,
@@ -180,22 +203,32 @@
         held: rollout.Stage | None = None
         told: list[tuple[float, bool]] = []
         exposed = total = 0
+        base: list[float] = []
         for tick in range(int(ORDER.period * 10)):
             now = tick / 10
-            total += 1
             share = held.share if held else 0.0
-            if rng.random() < share:
-                exposed += 1
-                bad = now >= fault_from and rng.random() < failing
-                told.append((now + LAG, bad))
+            for _ in range(rate // 10 or tick % 2):
+                total += 1
+                if rng.random() < share:
+                    exposed += 1
+                    bad = now >= fault_from and rng.random() < failing
+                    told.append((now + LAG, bad))
+                else:
+                    base.append(now + LAG)
+            if tick % 5:
+                continue
             seen = [bad for at, bad in told if at <= now]
-            if tick % 5 == 0:
-                failures = sum(seen)
-                held = (
-                    self.decide(held, now, failures, len(seen) - failures, 9)
-                    or held
-                )
-        return exposed, total
+            failures = sum(seen)
+            following = self.decide(
+                held,
+                now,
+                failures,
+                len(seen) - failures,
+                9,
+                base=sum(at <= now for at in base),
+            )
+            held = following or held
+        return exposed, total, held
 
     def test_good_version_is_hardly_ever_taken_back(self) -> None:
         """Plays 200 roll-outs of a version that fails as the old one does."""
