--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -1,9 +1,11 @@
 """Parts of the gateway, put together, and its life from start to stop."""
 
 import asyncio
+from collections.abc import Coroutine
 import json
 import random
 import socket
+from typing import Any
 
 from aiohttp import web
 import aiomisc
@@ -87,10 +89,10 @@
             self.beliefs, self.journal, platform.readiness_path
         )
         self._watches = self._make_watches(clock)
-        self._tasks = [
-            asyncio.create_task(each.run()) for each in self._watches
-        ]
-        self._tasks.append(asyncio.create_task(self._tell_presence()))
+        self._tasks: list[asyncio.Task[None]] = []
+        for each in self._watches:
+            self._spawn(each.run(), "watch")
+        self._spawn(self._tell_presence(), "presence")
         self._lead_rollouts(clock)
         teller = gossip.Gossip(
             platform.settings.name,
@@ -98,13 +100,9 @@
             self.dispatcher.pressure,
             self.journal,
         )
-        self._tasks.append(
-            asyncio.create_task(teller.run(platform.settings.peers))
-        )
-        self._tasks.append(
-            asyncio.create_task(
-                pauses.watch_pauses(self.journal, self._distrust)
-            )
+        self._spawn(teller.run(platform.settings.peers), "gossip")
+        self._spawn(
+            pauses.watch_pauses(self.journal, self._distrust), "pauses"
         )
         metrics_page = status.MetricsPage(self.metrics, platform.metrics_path)
         listeners = {
@@ -211,8 +209,24 @@
         lead = rollouts.RolloutLead(
             self.platform, self.beliefs, clock, self.journal
         )
-        self._tasks.append(asyncio.create_task(teller.run()))
-        self._tasks.append(asyncio.create_task(lead.run()))
+        self._spawn(teller.run(), "evidence")
+        self._spawn(lead.run(), "roll-out lead")
+
+    def _spawn(self, running: Coroutine[Any, Any, None], place: str) -> None:
+        """Start a task whose end by an error is logged.
+
+        :param place: what it does, for the log.
+        """
+
+        def note_end(task: asyncio.Task[None]) -> None:
+            if not task.cancelled() and task.exception() is not None:
+                self.journal.emit(
+                    events.Unexpected(place, repr(task.exception())[:500])
+                )
+
+        task = asyncio.create_task(running)
+        task.add_done_callback(note_end)
+        self._tasks.append(task)
 
     async def _distrust(self) -> None:
         """Read everything again after this process stood still."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -123,6 +123,11 @@
                 await self._look()
             except exceptions.StoreError as exc:
                 self._note_lease(False, str(exc)[:200])
+            except Exception as exc:
+                # Another look may succeed, and others stand by.
+                self._journal.emit(
+                    events.Unexpected("leading roll-outs", repr(exc)[:500])
+                )
 
     def _rank(self) -> int:
         nodes = self._beliefs.nodes | {self._node}
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -43,8 +43,10 @@
 # Least time with all work on the new version before the old one is stopped,
 # seconds: a round of evidence.
 LEAST_FULL = 1.0
+# Least time over which a rate of requests is told, seconds.
+LEAST_ELAPSED = 0.5
 # Time kept before the end of the period for the last writes, seconds.
-END_MARGIN = 1.0
+END_MARGIN = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +133,7 @@
     """Whether all work until the end stays within the allowed exposure."""
     exposed = found.candidate.requests
     seen = found.base.requests - stage.base_requests + exposed
-    rate = seen / elapsed
+    rate = seen / max(elapsed, LEAST_ELAPSED)
     left = max(0.0, order.period - elapsed)
     allowed = bounds.exposure_share * (seen + rate * left)
     allowed += bounds.exposure_extra
@@ -151,7 +153,7 @@
 def _is_doubtful(found: Evidence) -> bool:
     """Whether the new version fails more, though it may be by chance."""
     base = found.base.failures / max(1, found.base.requests)
-    candidate = found.candidate.failures / found.candidate.requests
+    candidate = found.candidate.failures / max(1, found.candidate.requests)
     return candidate > base + DOUBTFUL_EXCESS
 
 
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -102,6 +102,17 @@
         self.assertIn('"candidate": {"failures": 6', told)
         await self.run_.until(lambda: self.status() == "reverted")
 
+    async def test_lead_goes_on_after_an_error(self) -> None:
+        decide = rollout_policy.decide
+        with mock.patch.object(rollout_policy, "decide") as broken:
+            broken.side_effect = ZeroDivisionError
+            await self.order()
+            await self.run_.until(
+                lambda: self.run_.lines.events("error.unexpected")
+            )
+            broken.side_effect = decide
+            await self.run_.until(lambda: self.status() == "in_progress")
+
     async def test_version_without_servers_does_not_start(self) -> None:
         await self.store.put("op", f"rollout/{site.ENGINE}", ORDER)
         await asyncio.sleep(0.4)
