Complete a roll-out only on proof; try versions on a larger share

Ruled out: a version that hides its fault until it has all work; it fails half of its answers from the start.

Change: canary share 7.5 in 100, all work once 16 good answers (or 8 in 100 of the old version's) were seen or 4 s are left, complete only when neither all of the evidence nor that since all work is doubtful; taken back at the end otherwise. The new tests fail on the former policy.

--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -19,11 +19,12 @@
 # order; a bad version that stays breaks a promise.
 ALPHA = 0.05
 # Part of the allowed exposure share that the canary share uses. What it
-# leaves pays for the last seconds, with all work on the new version.
-CANARY_PART = 0.3
+# leaves pays for the last seconds, with all work on the new version; a
+# smaller one shows a service of ten requests a second too few answers.
+CANARY_PART = 0.5
 # Part of the allowed exposure up to which all work may be planned for; counts
 # of the nodes come late, and requests under way are not in them.
-PLANNED_PART = 0.8
+PLANNED_PART = 0.9
 # Part of the period before which sessions keep the old version, and the
 # margin in seconds for nodes that heard of the order late.
 FIRST_HALF = 0.5
@@ -36,17 +37,23 @@
 # Part of the allowed exposure at which doubt is enough to take it back; the
 # rest is on its way while evidence travels.
 LIMIT_PART = 0.5
-# Good answers of the new version that are wanted before it gets all work,
-# and the part of the period after which they are no longer waited for.
-ENOUGH_GOOD = 8
-PATIENCE_PART = 0.7
+# Good answers of the new version that are wanted before it gets all work, and
+# again before the old one is stopped, since there is no way back then.
+ENOUGH_GOOD = 16
+# Part of the answers of the old version that is enough instead, where a
+# service gets too few requests for that many.
+ENOUGH_PART = 0.08
+# Time in which all work proves a version, seconds: a few rounds of evidence.
+# That long before the end, a version that has got few requests gets all work.
+PROOF_TIME = 3.0
 # Least time with all work on the new version before the old one is stopped,
 # seconds: a round of evidence.
 LEAST_FULL = 1.0
 # Least time over which a rate of requests is told, seconds.
 LEAST_ELAPSED = 0.5
-# Time kept before the end of the period for the last writes, seconds.
-END_MARGIN = 1.5
+# Time kept before the end of the period for the last writes, seconds: two looks
+# of the lead.
+END_MARGIN = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +123,10 @@
         return _after_full(stage, order, found, elapsed, now)
     if elapsed < order.period * FIRST_HALF + HALF_MARGIN:
         return None
-    if not _looks_good(found, elapsed < order.period * PATIENCE_PART):
+    waits = elapsed < order.period - END_MARGIN - PROOF_TIME
+    if waits and not _has_proof(found):
+        return None
+    if _is_doubtful(found):
         return None
     if not _fits_to_the_end(stage, order, found, bounds, elapsed):
         return None
@@ -140,14 +150,10 @@
     return exposed + rate * left <= PLANNED_PART * allowed
 
 
-def _looks_good(found: Evidence, early: bool) -> bool:
-    """Whether the new version may get all work.
-
-    :param early: whether there is still time to wait for more evidence.
-    """
-    if found.candidate.successes < (ENOUGH_GOOD if early else 0):
-        return False
-    return not _is_doubtful(found)
+def _has_proof(found: Evidence) -> bool:
+    """Whether enough good answers were seen, and few failures."""
+    enough = min(ENOUGH_GOOD, ENOUGH_PART * found.base.requests)
+    return found.candidate.successes >= enough and not _is_doubtful(found)
 
 
 def _is_doubtful(found: Evidence) -> bool:
@@ -188,8 +194,14 @@
     late = elapsed >= order.period - END_MARGIN
     if not idle and not late:
         return None
-    reason = "old version idle" if idle else "end of the period"
-    return _next(stage, rollout.Phase.COMPLETE, 1.0, found, now, reason)
+    recent = replace(found, candidate=_since(stage, found.candidate))
+    if _has_proof(found) and not _is_doubtful(recent):
+        reason = "old version idle" if idle else "end of the period"
+        return _next(stage, rollout.Phase.COMPLETE, 1.0, found, now, reason)
+    if not late:
+        return None
+    reason = "not proved by the end of the period"
+    return _next(stage, rollout.Phase.REVERTED, 0.0, found, now, reason)
 
 
 def _next(
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -183,6 +183,30 @@
                         exposed, allowed, (rate, fault_from, seed)
                     )
 
+    def test_bad_versions_are_not_reported_complete(self) -> None:
+        """Plays 480 roll-outs of versions that fail from their start.
+
+        The old version stops at the report, so there is no way back.
+        """
+        for rate in (5, 10, 14, 40):
+            for failing in (0.3, 0.5, 1.0):
+                for seed in range(40):
+                    _, _, held = self.play(
+                        random.Random(seed), rate, 0.0, failing
+                    )
+                    assert held is not None
+                    self.assertIsNot(
+                        rollout.Phase.COMPLETE,
+                        held.phase,
+                        (rate, failing, seed),
+                    )
+
+    def test_two_failures_of_six_do_not_complete(self) -> None:
+        """The day that showed it: three good answers until the last second."""
+        held = self.decide(stage(rollout.Phase.FULL), 23.0, 2, 4)
+        assert held is not None
+        self.assertIs(rollout.Phase.REVERTED, held.phase)
+
     def test_good_versions_get_all_work_in_time(self) -> None:
         """Plays 120 roll-outs of a version that never fails."""
         for rate in (5, 10, 40):
@@ -207,7 +231,9 @@
         for tick in range(int(ORDER.period * 10)):
             now = tick / 10
             share = held.share if held else 0.0
-            for _ in range(rate // 10 or tick % 2):
+            for _ in range(
+                int(rate * (tick + 1) / 10) - int(rate * tick / 10)
+            ):
                 total += 1
                 if rng.random() < share:
                     exposed += 1
