--- a/Makefile
+++ b/Makefile
@@ -10,15 +10,18 @@
 SOAKED := tests.limpetwalk.records tests.limpetwalk.ledger \
     tests.limpetwalk.test_leases
 SEED ?= 7
+SEEDS ?= 1-50
+SECONDS ?= 12
 OUT ?= docs/measurements
 
-.PHONY: help setup test format lint unit demo bench soak clean
+.PHONY: help setup test format lint unit demo bench soak fault-soak clean
 
 help:
 	@echo "make test    set up .venv, then run formatter check, linter and tests"
 	@echo "make demo    set up .venv, then run a router, its stand-ins and a load"
 	@echo "make bench   run the quick measurements into docs/measurements"
 	@echo "make soak SEED=n   run the property tests longer, from another seed"
+	@echo "make fault-soak SEEDS=a-b  run entry nodes as processes under faults"
 	@echo "make format  rewrite the sources in the project's format"
 
 setup: $(STAMP)
@@ -59,3 +62,9 @@
 # from another seed.
 soak: $(STAMP)
 	SOAK_SEED=$(SEED) $(VENV)/bin/nose2 --config nose2.cfg $(SOAKED)
+
+# Entry nodes as processes of their own, under random faults: killed, paused,
+# stopped, and their connections and the store harmed.
+fault-soak: $(STAMP)
+	$(VENV)/bin/python -m limpetwalk_bench.soak --seeds=$(SEEDS) \
+	    --seconds=$(SECONDS)
--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/server.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import time
 
 from aiohttp import web
 import multidict
@@ -15,6 +16,7 @@
     """Request that reached the server.
 
     :param ran: whether the server began to work on it.
+    :param at: instant at which it was there.
     """
 
     method: str
@@ -22,6 +24,7 @@
     headers: multidict.CIMultiDict[str]
     body: bytes
     ran: bool = False
+    at: float = field(default_factory=time.monotonic)
 
 
 Behaviour = Callable[[web.Request], Awaitable[web.StreamResponse | None]]
--- a/packages/limpetwalk-bench/limpetwalk_bench/site/ports.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/site/ports.py
@@ -6,17 +6,19 @@
 TRIES = 100
 
 
-def free_ports(count: int) -> list[int]:
+def free_ports(count: int, host: str = HOST) -> list[int]:
     """Return ports that nothing listens on, all different.
 
     They are free when the function returns; whoever needs them listens soon.
+
+    :param host: loopback address that is to listen.
     """
     held = []
     try:
         for _ in range(count):
             sock = socket.socket()
             held.append(sock)
-            sock.bind((HOST, 0))
+            sock.bind((host, 0))
         return [sock.getsockname()[1] for sock in held]
     finally:
         for sock in held:
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of entry nodes as separate processes, under faults."""
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -51,8 +51,8 @@
 LEAST_FULL = 1.0
 # Least time over which a rate of requests is told, seconds.
 LEAST_ELAPSED = 0.5
-# Time kept before the end of the period for the last writes, seconds: two looks
-# of the lead.
+# Time kept before the end of the period for the last writes, seconds: two
+# looks of the lead.
 END_MARGIN = 1.0
 
 
