Let a server rest at its first refused connection, and try on

Cause: while a zone of servers is down and the store does not tell yet, a node offered a request to five servers that refused the connection and then answered 503 with servers free.

Change: a refused connection is no offer, and it lets the server rest at once instead of at the second failure. The tests fail on the former code (14 tries of 7 servers; 503 with a server free).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -180,7 +180,8 @@
         now = self.clock.monotonic()
         outcome = tried.outcome if tried else None
         failed = outcome not in (None, repeats.Outcome.NOT_RUN)
-        member.condition.note(failed, now)
+        unreached = outcome is repeats.Outcome.UNREACHED
+        member.condition.note(failed, now, unreached)
         if member.condition.rests_until > now and failed:
             self.journal.emit(
                 events.ServerResting(
--- a/packages/limpetwalk/limpetwalk/gateway/fleet.py
+++ b/packages/limpetwalk/limpetwalk/gateway/fleet.py
@@ -43,8 +43,12 @@
     _rest: float = FIRST_REST
     _updated: float = 0.0
 
-    def note(self, failed: bool, now: float) -> None:
-        """Note the outcome of a request."""
+    def note(self, failed: bool, now: float, unreached: bool = False) -> None:
+        """Note the outcome of a request.
+
+        :param unreached: whether there was not even a connection. A server
+            that is down refuses each one, so a single one is enough.
+        """
         self._decay(now)
         self.seen += 1.0
         if not failed:
@@ -53,7 +57,7 @@
             return
         self.failing += 1.0
         self.failures_in_row += 1
-        if self.failures_in_row >= FAILURES_TO_REST:
+        if unreached or self.failures_in_row >= FAILURES_TO_REST:
             self.rests_until = now + self._rest
             self._rest = min(LONGEST_REST, self._rest * 2)
 
--- a/packages/limpetwalk/limpetwalk/gateway/repeats.py
+++ b/packages/limpetwalk/limpetwalk/gateway/repeats.py
@@ -9,7 +9,8 @@
 # and the shortest work of the plain services.
 LEAST_TIME = 0.03
 # Most servers that one request is offered to, rejections included. Each
-# rejected offer counts against the repeat budget of all nodes.
+# rejected offer counts against the repeat budget of all nodes. Servers that
+# are down and refuse the connection don't count: a zone of them may be.
 MOST_OFFERS = 5
 
 
@@ -44,7 +45,7 @@
     """Tries of one request so far.
 
     :param ran: tries that ran or may have run.
-    :param offered: tries at all.
+    :param offered: tries that reached a server.
     """
 
     ran: int = 0
@@ -52,7 +53,8 @@
 
     def note(self, outcome: Outcome) -> None:
         """Count a try."""
-        self.offered += 1
+        if outcome is not Outcome.UNREACHED:
+            self.offered += 1
         if outcome in (Outcome.UNKNOWN, Outcome.FAILED):
             self.ran += 1
 
--- a/tests/limpetwalk/gateway/test_fleet.py
+++ b/tests/limpetwalk/gateway/test_fleet.py
@@ -102,6 +102,11 @@
         self.assertEqual(sorted(rests), rests)
         self.assertLessEqual(rests[-1], fleet.LONGEST_REST)
 
+    def test_refused_connection_lets_it_rest_at_once(self) -> None:
+        held = fleet.Condition()
+        held.note(True, 0.0, unreached=True)
+        self.assertEqual(fleet.FIRST_REST, held.rests_until)
+
     def test_success_ends_the_row(self) -> None:
         held = fleet.Condition()
         held.note(True, 0.0)
--- a/tests/limpetwalk_node/gateway/test_front.py
+++ b/tests/limpetwalk_node/gateway/test_front.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from limpetwalk_bench.hub import site
+from limpetwalk_bench.site import ports
 
 from . import harness
 
@@ -210,6 +211,39 @@
                 self.assertEqual(200, resp.status)
 
 
+class ServersDown(harness.GatewayCase):
+    """Most servers are down, and the store does not tell yet."""
+
+    services = {"e-1": site.ENGINE, "p-1": site.PLAIN}
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        held = self.run_.site
+        for number, port in enumerate(ports.free_ports(7), 2):
+            row = site.entry(site.PLAIN, port)
+            await held.store.put("servers", f"p-{number}", row)
+        known = self.run_.gateway.beliefs.fleet
+        await self.run_.until(lambda: len(known.members(site.PLAIN)) == 8)
+        # The one that is up is busy, so that the others look better.
+        self.run_.gateway.dispatcher.pressure.begin("p-1", 1.0)
+
+    async def test_requests_reach_the_last_one_that_is_up(self) -> None:
+        for number in range(20):
+            async with self.run_.request(
+                "POST", "/once/x", headers={"Attempt-Id": f"a-{number}"}
+            ) as resp:
+                self.assertEqual(200, resp.status)
+
+    async def test_each_one_is_tried_once_and_then_rests(self) -> None:
+        for number in range(5):
+            async with self.run_.request(
+                "POST", "/once/x", headers={"Attempt-Id": f"a-{number}"}
+            ):
+                pass
+        tried = self.run_.lines.events("request.try_ended")
+        self.assertLessEqual(len(tried), 7)
+
+
 class Poison(harness.GatewayCase):
     """A request that crashes the servers that run it, and comes again."""
 
