Read the settings again when they change without a signal

The platform says that the file may change without SIGHUP; the node looked only at the signal. A file that can't be read or used is told once and changes nothing.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -104,6 +104,7 @@
         for each in self._watches:
             self._spawn(each.run(), "watch")
         self._spawn(self._tell_presence(), "presence")
+        self._spawn(self._follow_settings(), "settings")
         self._lead_rollouts(clock)
         teller = gossip.Gossip(
             platform.settings.name,
@@ -246,6 +247,23 @@
         """Read everything again after this process stood still."""
         for each in self._watches:
             each.restart()
+    async def _follow_settings(self) -> None:
+        """Read the settings again when they change without a signal."""
+        readable = True
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK)
+            try:
+                changed = self.platform.settings_changed()
+            except exceptions.SettingsError as exc:
+                if readable:
+                    findings = tuple(exc.findings)
+                    self.journal.emit(events.SettingsReloaded(findings))
+                readable = False
+                continue
+            readable = True
+            if changed:
+                self.reload()
+
         await self.platform.renew_connections()
 
     async def _tell_presence(self) -> None:
--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -243,6 +243,13 @@
         """Drop open connections, which may have gone silent."""
         ...
 
+    def settings_changed(self) -> bool:
+        """Whether the settings differ from those that were last read.
+
+        :raises SettingsError: when they can't be read.
+        """
+        ...
+
     def reload_settings(self) -> types.NodeSettings:
         """Read the settings again.
 
--- a/tests/limpetwalk_platform/test_rows.py
+++ b/tests/limpetwalk_platform/test_rows.py
@@ -165,7 +165,7 @@
             path.write_text(text)
             held = {settings.PATH_VARIABLE: str(path)}
             with mock.patch.dict(os.environ, held):
-                return settings.load()
+                return settings.decode(settings.read())
 
     text = """
 node_name = "n"
@@ -205,4 +205,4 @@
             self.load("not = = toml")
         with mock.patch.dict(os.environ, {settings.PATH_VARIABLE: ""}):
             with self.assertRaises(exceptions.SettingsError):
-                settings.load()
+                settings.decode(settings.read())
