Name both ends of each lasting fault of the soak in one place

Two tables of the same keys become one, and a parameter no longer hides the module of the same name.

--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/strikes.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/strikes.py
@@ -21,7 +21,7 @@
 class World:
     """Everything that faults strike.
 
-    :param nodes: entry nodes by name.
+    :param entry_nodes: entry nodes by name.
     :param store_paths: path to the store by name of the node.
     :param server_paths: path to a server by its identifier.
     :param services: service by identifier of its server.
@@ -30,13 +30,13 @@
     def __init__(
         self,
         held: site.Site,
-        nodes: dict[str, nodes.Node],
+        entry_nodes: dict[str, nodes.Node],
         store_paths: dict[str, proxy.Proxy],
         server_paths: dict[str, proxy.Proxy],
         services: dict[str, str],
     ) -> None:
         self.site = held
-        self.nodes = nodes
+        self.nodes = entry_nodes
         self.store_paths = store_paths
         self.server_paths = server_paths
         self.services = services
@@ -54,15 +54,16 @@
         if fault.harm is not None:
             await self._harm(fault, fault.harm)
             return
+        begin, end = _LASTING[fault.kind]
         key = (fault.kind, fault.target)
         self._in_force[key] += 1
         try:
-            await _BEGIN[fault.kind](self, fault)
+            await begin(self, fault)
             await asyncio.sleep(fault.lasts)
         finally:
             self._in_force[key] -= 1
             if not self._in_force[key]:
-                await _END[fault.kind](self, fault)
+                await end(self, fault)
 
     async def _harm(self, fault: plan.Fault, harm: plan.Harm) -> None:
         paths = (
@@ -181,28 +182,21 @@
         await self.site.store.put("servers", server_id, row)
 
 
-_AT_ONCE: dict[plan.Kind, Callable[[World, plan.Fault], Awaitable[None]]] = {
+Action = Callable[[World, plan.Fault], Awaitable[None]]
+_AT_ONCE: dict[plan.Kind, Action] = {
     plan.Kind.KILL: World.kill,
     plan.Kind.TERM: World.term,
     plan.Kind.RELOAD: World.reload,
     plan.Kind.STORE_FORGETS: World.forget,
     plan.Kind.CHANGE: World.change,
 }
-_BEGIN: dict[plan.Kind, Callable[[World, plan.Fault], Awaitable[None]]] = {
-    plan.Kind.PAUSE: World.pause,
-    plan.Kind.SERVER_FAILS: World.fail,
-    plan.Kind.SERVER_BREAKS: World.break_off,
-    plan.Kind.LEAVE: World.leave,
-    plan.Kind.STORE_DOWN: World.store_down,
-    plan.Kind.STORE_SILENT: World.store_silent,
-    plan.Kind.STORE_LOSES: World.store_loses,
-}
-_END: dict[plan.Kind, Callable[[World, plan.Fault], Awaitable[None]]] = {
-    plan.Kind.PAUSE: World.wake,
-    plan.Kind.SERVER_FAILS: World.behave,
-    plan.Kind.SERVER_BREAKS: World.behave,
-    plan.Kind.LEAVE: World.come_back,
-    plan.Kind.STORE_DOWN: World.store_up,
-    plan.Kind.STORE_SILENT: World.store_speaks,
-    plan.Kind.STORE_LOSES: World.store_answers,
+# How each fault that lasts begins and ends.
+_LASTING: dict[plan.Kind, tuple[Action, Action]] = {
+    plan.Kind.PAUSE: (World.pause, World.wake),
+    plan.Kind.SERVER_FAILS: (World.fail, World.behave),
+    plan.Kind.SERVER_BREAKS: (World.break_off, World.behave),
+    plan.Kind.LEAVE: (World.leave, World.come_back),
+    plan.Kind.STORE_DOWN: (World.store_down, World.store_up),
+    plan.Kind.STORE_SILENT: (World.store_silent, World.store_speaks),
+    plan.Kind.STORE_LOSES: (World.store_loses, World.store_answers),
 }
