Size the canary share by the service's rate; go on from the lead's own stage

A canary share of 6 in 100 uses up, at 200 requests a second, exposure that the last seconds with all work need; and the lead waits for its own stage to come back by the feed.

Change: the share is such that about 40 requests try the version, between 0.15 and 0.5 of the allowed share; the rate is told from the requests of this node since the first one in the window; the lead takes its stage over when it is written.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/beliefs.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/beliefs.py
@@ -111,11 +111,15 @@
                 fingerprint, _, server = name.partition("/")
                 self.crashes.setdefault(fingerprint, set()).add(server)
             elif kind == "rollout":
-                self._apply_stage(name, row.value, change.version)
+                self.apply_stage(name, row.value, change.version)
         self.peers = peers
         self.nodes = frozenset(peers)
 
-    def _apply_stage(self, service: str, text: str, version: int) -> None:
+    def apply_stage(self, service: str, text: str, version: int) -> None:
+        """Take over a stage of a roll-out, unless it is known.
+
+        :param version: version of its row.
+        """
         stage = self.rollouts.take_stage(service, text, version)
         if stage is None:
             return
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -109,6 +109,14 @@
             self._budgets[service] = held
         return held
 
+    def rate(self, service: str) -> float:
+        """Return the requests a second of a service, over all nodes.
+
+        It is told from those of this node; the others get about as many.
+        """
+        nodes = max(1, len(self.beliefs.nodes))
+        return nodes * self.budget(service).first_rate()
+
     def time_left(self, call: calls.Call) -> float:
         """Return the seconds until the answer of a call must be out."""
         return call.deadline - self.clock.monotonic()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -193,24 +193,24 @@
                 ignore,
                 contact,
                 *common,
-            ),
                 OPERATOR_PAUSE,
+            ),
             watch.Watch(
                 platform.servers,
                 held.apply_servers,
                 held.fleet.note_store_back,
                 contact,
                 *common,
-            ),
                 SERVERS_PAUSE,
+            ),
             watch.Watch(
                 platform.shared,
                 held.apply_shared,
                 ignore,
                 lambda: SHARED_WAIT * contact(),
                 *common,
-            ),
                 SHARED_PAUSE,
+            ),
         ]
 
     def _lead_rollouts(self, clock: clocks.Clock) -> None:
@@ -222,7 +222,11 @@
             self.journal,
         )
         lead = rollouts.RolloutLead(
-            self.platform, self.beliefs, clock, self.journal
+            self.platform,
+            self.beliefs,
+            clock,
+            self.journal,
+            self.dispatcher.rate,
         )
         self._spawn(teller.run(), "evidence")
         self._spawn(lead.run(), "roll-out lead")
@@ -243,10 +247,6 @@
         task.add_done_callback(note_end)
         self._tasks.append(task)
 
-    async def _distrust(self) -> None:
-        """Read everything again after this process stood still."""
-        for each in self._watches:
-            each.restart()
     async def _follow_settings(self) -> None:
         """Read the settings again when they change without a signal."""
         readable = True
@@ -264,6 +264,10 @@
             if changed:
                 self.reload()
 
+    async def _distrust(self) -> None:
+        """Read everything again after this process stood still."""
+        for each in self._watches:
+            each.restart()
         await self.platform.renew_connections()
 
     async def _tell_presence(self) -> None:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -1,6 +1,7 @@
 """Evidence of roll-outs, and their lead on the node that holds the lease."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import json
 from typing import Any
@@ -96,7 +97,10 @@
 
 
 class RolloutLead:
-    """Moves roll-outs on while this node holds the lease."""
+    """Moves roll-outs on while this node holds the lease.
+
+    :param rate: returns the requests a second that a service gets, about.
+    """
 
     def __init__(
         self,
@@ -104,7 +108,9 @@
         held: beliefs.Beliefs,
         clock: clocks.Clock,
         journal: logs.Journal,
+        rate: Callable[[str], float],
     ) -> None:
+        self._rate = rate
         self._platform = platform
         self._node = platform.settings.name
         self._beliefs = held
@@ -218,6 +224,11 @@
         )
         if isinstance(published, Err):
             self._note_lease(False, "the stage or the lease has changed")
+            return
+        # The feed may bring it some looks later.
+        self._beliefs.apply_stage(
+            order.service, following.to_json(), published.ok_value
+        )
 
     def _pool(
         self,
@@ -239,7 +250,11 @@
             if told.phase == phase:
                 heard.add(key.removeprefix(prefix))
         return rollout_policy.Evidence(
-            base, candidate, old_in_flight, heard >= self._beliefs.nodes
+            base,
+            candidate,
+            old_in_flight,
+            heard >= self._beliefs.nodes,
+            self._rate(order.service),
         )
 
     def _note_lease(self, leads: bool, reason: str) -> None:
--- a/packages/limpetwalk/limpetwalk/gateway/budget.py
+++ b/packages/limpetwalk/limpetwalk/gateway/budget.py
@@ -14,6 +14,8 @@
 # Part of the stated bound that is used. Requests of callers may be counted
 # half a window apart from their repeats.
 USED_SHARE = 0.85
+# Shortest time over which a rate of requests is told, seconds.
+LEAST_SPAN = 1.0
 
 
 class RepeatBudget:
@@ -39,6 +41,15 @@
         self._first.append(self._clock.monotonic())
         self._forget()
 
+    def first_rate(self) -> float:
+        """Return the requests of callers a second, within the window."""
+        self._forget()
+        if not self._first:
+            return 0.0
+        # Since the first one: at the start the window is not full yet.
+        seen = self._clock.monotonic() - self._first[0]
+        return len(self._first) / max(LEAST_SPAN, seen)
+
     def left(self) -> float:
         """Return how many repeats are allowed now."""
         self._forget()
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -18,10 +18,14 @@
 # Chance that a good version is taken back. That costs the operator another
 # order; a bad version that stays breaks a promise.
 ALPHA = 0.05
-# Part of the allowed exposure share that the canary share uses. What it
-# leaves pays for the last seconds, with all work on the new version; a
-# smaller one shows a service of ten requests a second too few answers.
-CANARY_PART = 0.5
+# Requests that are to try the new version before it gets all work: a few times
+# the good answers that are wanted.
+CANARY_REQUESTS = 40
+# Most and least parts of the allowed exposure share that the canary share
+# uses. What it leaves pays for the last seconds, with all work on the new
+# version; a smaller one shows a service of ten requests a second too little.
+MOST_CANARY_PART = 0.5
+LEAST_CANARY_PART = 0.15
 # Part of the allowed exposure up to which all work may be planned for; counts
 # of the nodes come late, and requests under way are not in them.
 PLANNED_PART = 0.9
@@ -65,12 +69,14 @@
     :param old_in_flight: requests that still run on old versions.
     :param all_heard: whether every node known has told of itself since the
         new version gets all work.
+    :param rate: requests a second that the service gets, about.
     """
 
     base: evidence.Tally
     candidate: evidence.Tally
     old_in_flight: int
     all_heard: bool
+    rate: float
 
 
 def decide(
@@ -96,7 +102,7 @@
             order_id=order.order_id,
             target=order.target,
             phase=rollout.Phase.CANARY,
-            share=bounds.exposure_share * CANARY_PART,
+            share=_canary_share(order, found, bounds),
             started=now - order_age,
             since=now,
             base_requests=found.base.requests,
@@ -133,6 +139,16 @@
     return _next(stage, rollout.Phase.FULL, 1.0, found, now, "no harm seen")
 
 
+def _canary_share(
+    order: types.RolloutOrder, found: Evidence, bounds: types.Bounds
+) -> float:
+    """Return the part of new sessions that tries the new version."""
+    expected = max(1.0, found.rate * order.period)
+    part = CANARY_REQUESTS / expected / bounds.exposure_share
+    part = max(LEAST_CANARY_PART, min(MOST_CANARY_PART, part))
+    return part * bounds.exposure_share
+
+
 def _fits_to_the_end(
     stage: rollout.Stage,
     order: types.RolloutOrder,
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -99,12 +99,14 @@
         heard: bool = True,
         ready: bool = True,
         base: int = 200,
+        rate: float = 10.0,
     ) -> rollout.Stage | None:
         found = rollout_policy.Evidence(
             evidence.Tally(failures=2, successes=base),
             evidence.Tally(failures=failures, successes=successes),
             old,
             heard,
+            rate,
         )
         return rollout_policy.decide(
             held, ORDER, found, BOUNDS, ready, 0.0, now
@@ -117,6 +119,17 @@
         self.assertIs(rollout.Phase.CANARY, first.phase)
         self.assertLess(first.share, BOUNDS.exposure_share)
 
+    def test_busy_service_tries_a_smaller_share(self) -> None:
+        shares = []
+        for rate in (1.0, 10.0, 30.0, 200.0):
+            first = self.decide(None, 0.0, rate=rate)
+            assert first is not None
+            shares.append(first.share)
+        self.assertEqual(sorted(shares, reverse=True), shares)
+        self.assertEqual(shares[0], shares[1])
+        self.assertLess(shares[3], shares[2])
+        self.assertGreater(shares[3], 0.01)
+
     def test_sessions_stay_through_the_first_half(self) -> None:
         held = stage(rollout.Phase.CANARY)
         self.assertIsNone(self.decide(held, 12.0, successes=10, base=10))
@@ -208,8 +221,8 @@
         self.assertIs(rollout.Phase.REVERTED, held.phase)
 
     def test_good_versions_get_all_work_in_time(self) -> None:
-        """Plays 120 roll-outs of a version that never fails."""
-        for rate in (5, 10, 40):
+        """Plays 200 roll-outs of a version that never fails."""
+        for rate in (5, 10, 14, 40, 200):
             for seed in range(40):
                 _, _, held = self.play(random.Random(seed), rate, 99.0, 0.0)
                 assert held is not None
@@ -252,6 +265,7 @@
                 len(seen) - failures,
                 9,
                 base=sum(at <= now for at in base),
+                rate=rate,
             )
             held = following or held
         return exposed, total, held
--- a/tests/limpetwalk/gateway/test_shares.py
+++ b/tests/limpetwalk/gateway/test_shares.py
@@ -70,3 +70,14 @@
         before = held.left()
         clock.advance(BOUNDS.repeat_window + 0.1)
         self.assertLess(held.left(), before)
+
+    def test_rate_is_told_from_the_start(self) -> None:
+        """An order comes 2 s after the traffic, within the first window."""
+        clock = clocks.ManualClock()
+        held = budget.RepeatBudget(clock, lambda: BOUNDS, lambda: 1)
+        self.assertEqual(0.0, held.first_rate())
+        for count in range(300):
+            held.note_first()
+            clock.advance(0.1)
+            if count >= 20:
+                self.assertAlmostEqual(10.0, held.first_rate(), delta=0.6)
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -10,6 +10,7 @@
 from limpetwalk.gateway import rollout
 from limpetwalk.gateway import rollout_policy
 from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import beliefs
 from limpetwalk_node.gateway import rollouts
 
 from . import harness
@@ -119,6 +120,25 @@
         self.assertIsNone(self.status())
 
 
+class SlowFeed(RolloutCase):
+    """The feed of the nodes' rows brings nothing for a while."""
+
+    async def asyncSetUp(self) -> None:
+        patch = mock.patch.object(
+            beliefs.Beliefs, "apply_shared", lambda self, batch: None
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+        await super().asyncSetUp()
+
+    async def test_lead_goes_on_from_its_own_stage(self) -> None:
+        await self.order()
+        await self.run_.until(lambda: self.phase() is rollout.Phase.CANARY)
+        await self.answer("v1", True, 50)
+        await self.answer("v2", False, 9)
+        await self.run_.until(lambda: self.phase() is rollout.Phase.REVERTED)
+
+
 class TakeOver(RolloutCase):
     """The lead is another node's, or was."""
 
@@ -149,6 +169,7 @@
             self.held,
             clocks.SystemClock(),
             self.run_.gateway.journal,
+            self.run_.gateway.dispatcher.rate,
         )
         before = self.store.ver
         task = asyncio.create_task(next_lead.run())
