Let a node that leads look as often at any rank

Cause: stand-bys look 0.5 s later for each rank, also after one of them has taken the lead. A bad version would have been taken back late as well.

Change: a node that leads looks every 0.5 s. The test fails on the former code, which had one pause for all.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -121,9 +121,9 @@
     async def run(self) -> None:
         """Lead or stand by, until cancelled."""
         while True:
-            rank = self._rank()
-            await asyncio.sleep(LEAD_PAUSE + STAND_BY_PAUSE * rank)
-            if rank >= STAND_BY or not self._open_orders():
+            await asyncio.sleep(self.pause())
+            stands_by = self._leads or self._rank() < STAND_BY
+            if not stands_by or not self._open_orders():
                 continue
             try:
                 await self._look()
@@ -135,6 +135,16 @@
                     events.Unexpected("leading roll-outs", repr(exc)[:500])
                 )
 
+    def pause(self) -> float:
+        """Return the pause before the next look, in seconds.
+
+        Nodes that stand by look later the lower they rank; one that leads
+        must renew its lease and act on evidence, whatever its rank.
+        """
+        if self._leads:
+            return LEAD_PAUSE
+        return LEAD_PAUSE + STAND_BY_PAUSE * self._rank()
+
     def _rank(self) -> int:
         nodes = self._beliefs.nodes | {self._node}
         return rendezvous.rank(LEASE_KEY, nodes).index(self._node)
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -9,6 +9,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk.gateway import rollout
 from limpetwalk.gateway import rollout_policy
+from limpetwalk.peers import rendezvous
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import beliefs
 from limpetwalk_node.gateway import rollouts
@@ -138,6 +139,25 @@
         await self.answer("v2", False, 9)
         await self.run_.until(lambda: self.phase() is rollout.Phase.REVERTED)
 
+    async def test_lead_looks_as_often_at_any_rank(self) -> None:
+        """A lead of a low rank lost its lease between two looks."""
+        above = rendezvous.rank(
+            rollouts.LEASE_KEY, [f"n{n}" for n in range(40)]
+        )[:2]
+        self.held.nodes = frozenset((*above, "node-1"))
+        lead = rollouts.RolloutLead(
+            self.run_.gateway.platform,
+            self.held,
+            clocks.SystemClock(),
+            self.run_.gateway.journal,
+            self.run_.gateway.dispatcher.rate,
+        )
+        self.assertGreater(lead.pause(), rollouts.LEAD_PAUSE)
+        await self.order()
+        task = asyncio.create_task(lead.run())
+        await self.run_.until(lambda: lead.pause() == rollouts.LEAD_PAUSE)
+        task.cancel()
+
 
 class TakeOver(RolloutCase):
     """The lead is another node's, or was."""
