Let fewer requests try a version; take it back at the end without proof

With a canary share of 6.8 in 100 and a burst, the 50th bad answer came at 19.9 s and the version was still tried 5 s later; the evidence took it back at 30.2 s.

Ruled out: slow evidence of the nodes or a lost lease.

Change: about 24 requests try a version instead of 40, so that the 50th bad answer does not come before all work does, also when twice the requests come that the rate tells; and a version that is still on trial at the end of its period is taken back.

--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -18,14 +18,16 @@
 # Chance that a good version is taken back. That costs the operator another
 # order; a bad version that stays breaks a promise.
 ALPHA = 0.05
-# Requests that are to try the new version before it gets all work: a few times
-# the good answers that are wanted.
-CANARY_REQUESTS = 40
+# Requests that are to try the new version before it gets all work. The platform
+# counts from the fiftieth bad answer until the version must be taken back, and
+# slow answers are hard to tell; so few that the fiftieth does not come, also
+# when twice the requests come that the rate tells.
+CANARY_REQUESTS = 24
 # Most and least parts of the allowed exposure share that the canary share
 # uses. What it leaves pays for the last seconds, with all work on the new
 # version; a smaller one shows a service of ten requests a second too little.
 MOST_CANARY_PART = 0.5
-LEAST_CANARY_PART = 0.15
+LEAST_CANARY_PART = 0.03
 # Part of the allowed exposure up to which all work may be planned for; counts
 # of the nodes come late, and requests under way are not in them.
 PLANNED_PART = 0.9
@@ -127,6 +129,9 @@
     elapsed = now - stage.started
     if stage.phase is rollout.Phase.FULL:
         return _after_full(stage, order, found, elapsed, now)
+    if elapsed >= order.period - END_MARGIN:
+        reason = "no proof by the end of the period"
+        return _next(stage, rollout.Phase.REVERTED, 0.0, found, now, reason)
     if elapsed < order.period * FIRST_HALF + HALF_MARGIN:
         return None
     waits = elapsed < order.period - END_MARGIN - PROOF_TIME
@@ -216,7 +221,7 @@
         return _next(stage, rollout.Phase.COMPLETE, 1.0, found, now, reason)
     if not late:
         return None
-    reason = "not proved by the end of the period"
+    reason = "no proof by the end of the period"
     return _next(stage, rollout.Phase.REVERTED, 0.0, found, now, reason)
 
 
