--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -18,10 +18,10 @@
 # Chance that a good version is taken back. That costs the operator another
 # order; a bad version that stays breaks a promise.
 ALPHA = 0.05
-# Requests that are to try the new version before it gets all work. The platform
-# counts from the fiftieth bad answer until the version must be taken back, and
-# slow answers are hard to tell; so few that the fiftieth does not come, also
-# when twice the requests come that the rate tells.
+# Requests that are to try the new version before it gets all work. The
+# platform counts from the fiftieth bad answer until the version must be taken
+# back, and slow answers are hard to tell; so few that the fiftieth does not
+# come, also when twice the requests come that the rate tells.
 CANARY_REQUESTS = 24
 # Most and least parts of the allowed exposure share that the canary share
 # uses. What it leaves pays for the last seconds, with all work on the new
