--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -129,10 +129,12 @@
     elapsed = now - stage.started
     if stage.phase is rollout.Phase.FULL:
         return _after_full(stage, order, found, elapsed, now)
-    if elapsed >= order.period - END_MARGIN:
+    # In a short period the first half ends later than the margin begins.
+    half = order.period * FIRST_HALF + HALF_MARGIN
+    if elapsed >= max(order.period - END_MARGIN, half + LEAST_ELAPSED):
         reason = "no proof by the end of the period"
         return _next(stage, rollout.Phase.REVERTED, 0.0, found, now, reason)
-    if elapsed < order.period * FIRST_HALF + HALF_MARGIN:
+    if elapsed < half:
         return None
     waits = elapsed < order.period - END_MARGIN - PROOF_TIME
     if waits and not _has_proof(found):
