Bound what a server may send, and count only new events as progress

Cause: the body of a plain answer was collected without a limit, 1xx responses were skipped without a count, comments and repeated events of a stream were forwarded or dropped without one, and any byte restarted the timeout of a silent stream. One bad server could fill the memory of every node that asks it.

Change: limits by flags; a budget for all incomplete bodies and events of a node, of which the largest gives way; a timeout that restarts with new events only. The receive buffer of a connection is 32 KiB, since the loop reads up to 256 KiB at once whatever the reader's limit is.

Ruled out: tracemalloc and the memory of the test's own process as the measure (the stand-ins' connections take as much as the node's).

Not done here: callers' heads and slow heads.

--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/site.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/site.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from . import raw_server
 from . import server
 from . import store as stores
 
@@ -172,6 +173,7 @@
     servers: dict[str, server.Server] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
     _runners: list[web.AppRunner] = field(default_factory=list)
+    _raw_servers: list[raw_server.RawServer] = field(default_factory=list)
     store_port: int = 0
 
     async def start(self, services: Mapping[str, str]) -> None:
@@ -200,8 +202,24 @@
             server_row(service, self.ports[server_id], **changes),
         )
 
+    async def add_raw_server(
+        self, server_id: str, service: str, script: raw_server.Script
+    ) -> raw_server.RawServer:
+        """Start a server with scripted answers and write its row.
+
+        :param script: sends the answer to a request.
+        """
+        raw = raw_server.RawServer(script)
+        self._raw_servers.append(raw)
+        self.ports[server_id] = await raw.start()
+        row = server_row(service, self.ports[server_id])
+        await self.store.put("servers", server_id, row)
+        return raw
+
     async def stop(self) -> None:
         """Stop the store and all servers."""
+        for raw in self._raw_servers:
+            await raw.stop()
         for runner in self._runners:
             await runner.cleanup()
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
@@ -3,9 +3,12 @@
 import asyncio
 import os
 import pathlib
+import resource
 import signal
 import sys
 
+import aiohttp
+
 from ..hub import site
 from ..site import ports
 from . import proxy
@@ -69,6 +72,23 @@
             self._process.kill()
             await self._process.wait()
 
+    @property
+    def resident_bytes(self) -> int:
+        """Memory that the process occupies, in bytes; 0 when it has ended."""
+        if self._process is None or self._process.returncode is not None:
+            return 0
+        statm = pathlib.Path(f"/proc/{self._process.pid}/statm")
+        return int(statm.read_text().split()[1]) * resource.getpagesize()
+
+    async def is_ready(self, http: aiohttp.ClientSession) -> bool:
+        """Return whether the node's readiness check succeeds."""
+        url = f"http://{self.host}:{self.readiness_port}/v1/readyz"
+        try:
+            async with http.get(url) as resp:
+                return resp.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it is running."""
         if self._process is not None and self._process.returncode is None:
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
@@ -163,15 +163,5 @@
         aiohttp.ClientSession() as http,
     ):
         for node in injector.nodes.values():
-            while not await _is_ready(http, node):
+            while not await node.is_ready(http):
                 await asyncio.sleep(0.1)
-
-
-async def _is_ready(http: aiohttp.ClientSession, node: nodes.Node) -> bool:
-    try:
-        async with http.get(
-            f"http://{node.host}:{node.readiness_port}/v1/readyz"
-        ) as resp:
-            return resp.status == 200
-    except (aiohttp.ClientError, OSError):
-        return False
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -5,6 +5,7 @@
 
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
+from limpetwalk.gateway import buffers
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import cold_pacing
 from limpetwalk.gateway import fleet
@@ -39,6 +40,8 @@
     :param settings: returns the settings in force.
     :param state: configuration, servers and nodes known to this node.
     :param quarantine: requests that have crashed servers.
+    :param buffer_budget: memory for incomplete bodies and events.
+    :param limits: limits of a server's response.
     """
 
     def __init__(
@@ -50,8 +53,12 @@
         clock: clocks.Clock,
         journal: logs.Journal,
         metrics: metrics_.Metrics,
+        buffer_budget: buffers.BufferBudget,
+        limits: buffers.ResponseLimits,
     ) -> None:
         self.header_format = header_format
+        self.buffer_budget = buffer_budget
+        self.limits = limits
         self.cluster_state = state
         self.clock = clock
         self.journal = journal
@@ -86,6 +93,15 @@
             "Requests sent to servers, by outcome.",
             ("outcome",),
         )
+        self._limits_exceeded = metrics.counter(
+            "limpetwalk_answer_limits",
+            "Answers of servers that exceeded a limit, by limit.",
+            ("limit",),
+        )
+        metrics.gauge(
+            "limpetwalk_buffered_bytes",
+            "Size of incomplete bodies and events.",
+        ).set_function(lambda: buffer_budget.total_bytes)
         self._retries_denied = metrics.counter(
             "limpetwalk_repeats_denied",
             "Requests that were not sent again, by reason.",
@@ -218,6 +234,8 @@
                 )
             )
         self._attempts.labels(outcome.value if outcome else "answered").inc()
+        if failure is not None and failure.limit:
+            self._limits_exceeded.labels(failure.limit).inc()
         if outcome not in (
             retries.Outcome.NOT_RUN,
             retries.Outcome.UNREACHED,
@@ -315,7 +333,10 @@
         entry = member.entry
         try:
             exchange = await upstream.Exchange.connect(
-                entry.host, entry.port, min(CONNECT_TIMEOUT, timeout)
+                entry.host,
+                entry.port,
+                min(CONNECT_TIMEOUT, timeout),
+                self.limits,
             )
         except upstream.ServerUnreachable as exc:
             return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
@@ -346,7 +367,7 @@
                     )
                 answer = None
                 if verdict.final:
-                    body = await exchange.body()
+                    body = await exchange.body(self.buffer_budget)
                     answer = outbound.CompleteAnswer(head, body, member.id)
                 return outbound.FailedAttempt(
                     verdict.outcome, verdict.detail, answer
@@ -354,7 +375,7 @@
         except upstream.ServerUnreachable as exc:
             return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
         except upstream.IncompleteAnswer as exc:
-            return outbound.FailedAttempt(retries.Outcome.UNKNOWN, str(exc))
+            return outbound.FailedAttempt.incomplete(exc)
         except TimeoutError:
             return outbound.FailedAttempt(
                 retries.Outcome.UNKNOWN, f"no answer in {timeout:.2f} s"
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -13,6 +13,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk import metrics as metrics_
+from limpetwalk.gateway import buffers
 from limpetwalk.gateway import ports
 
 from . import admission
@@ -67,6 +68,9 @@
 
     # Listening socket for callers; the service opens one if it is None.
     sock: socket.socket | None = None
+    limits: buffers.ResponseLimits = buffers.ResponseLimits()
+    # Maximum size of all incomplete bodies and events together, bytes.
+    max_buffered_bytes: int = 8 * buffers.MIB
 
     platform: ports.Platform
     journal: logs.Journal
@@ -90,6 +94,8 @@
             clock,
             self.journal,
             self.metrics,
+            buffers.BufferBudget(self.max_buffered_bytes),
+            self.limits,
         )
         self.frontend = frontend.Frontend(
             self.cluster_state,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/outbound.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/outbound.py
@@ -25,11 +25,18 @@
     """Attempt that did not yield the answer.
 
     :param answer: answer of a failure that may be passed on unchanged.
+    :param limit: name of the limit that the answer exceeded, or empty.
     """
 
     outcome: retries.Outcome
     detail: str
     answer: "CompleteAnswer | None" = None
+    limit: str = ""
+
+    @classmethod
+    def incomplete(cls, exc: upstream.IncompleteAnswer) -> "FailedAttempt":
+        """Return the attempt whose answer was incomplete."""
+        return cls(retries.Outcome.UNKNOWN, str(exc), limit=exc.limit)
 
 
 @dataclass(slots=True)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
@@ -54,10 +54,11 @@
             return started
         try:
             body = await outbound.with_timeout(
-                started.exchange.body(), self._dispatcher.time_left(call)
+                started.exchange.body(self._dispatcher.buffer_budget),
+                self._dispatcher.time_left(call),
             )
         except upstream.IncompleteAnswer as exc:
-            return outbound.FailedAttempt(retries.Outcome.UNKNOWN, str(exc))
+            return outbound.FailedAttempt.incomplete(exc)
         except TimeoutError:
             return outbound.FailedAttempt(
                 retries.Outcome.UNKNOWN, "body not received in time"
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
@@ -15,6 +15,7 @@
 from limpetwalk import exceptions
 from limpetwalk import metrics as metrics_
 from limpetwalk import registry
+from limpetwalk.gateway import buffers
 
 from . import events
 from . import logs
@@ -29,11 +30,34 @@
 _PLATFORM = flags.DEFINE_string(
     "platform", None, "Name under which the platform is registered."
 )
-
-
 flags.DEFINE_string(
     "listen", None, "HOST:PORT for callers; the settings name it too."
 )
+_DEFAULT_LIMITS = buffers.ResponseLimits()
+_HEAD_KIB = flags.DEFINE_integer(
+    "answer_head_kib",
+    _DEFAULT_LIMITS.head_bytes // buffers.KIB,
+    "Maximum size of the headers of a server's answer, KiB.",
+    lower_bound=4,
+)
+_BODY_KIB = flags.DEFINE_integer(
+    "answer_body_kib",
+    _DEFAULT_LIMITS.body_bytes // buffers.KIB,
+    "Maximum size of the body of an answer that isn't a stream, KiB.",
+    lower_bound=1,
+)
+_EVENT_KIB = flags.DEFINE_integer(
+    "answer_event_kib",
+    _DEFAULT_LIMITS.event_bytes // buffers.KIB,
+    "Maximum size of an event of a stream, KiB.",
+    lower_bound=16,
+)
+_BUFFERED_KIB = flags.DEFINE_integer(
+    "buffered_kib",
+    node.Gateway.max_buffered_bytes // buffers.KIB,
+    "Maximum size of all incomplete bodies and events of the node, KiB.",
+    lower_bound=64,
+)
 
 
 def run(sock: socket.socket | None) -> None:
@@ -76,7 +100,16 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     gateway = node.Gateway(
-        platform=platform, journal=journal, metrics=metrics, sock=sock
+        platform=platform,
+        journal=journal,
+        metrics=metrics,
+        sock=sock,
+        limits=buffers.ResponseLimits(
+            head_bytes=_HEAD_KIB.value * buffers.KIB,
+            body_bytes=_BODY_KIB.value * buffers.KIB,
+            event_bytes=_EVENT_KIB.value * buffers.KIB,
+        ),
+        max_buffered_bytes=_BUFFERED_KIB.value * buffers.KIB,
     )
     loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     entry = aiomisc.entrypoint(log_config=False, catch_signals=())
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from limpetwalk.gateway import buffers
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import eventstream
 from limpetwalk.gateway import fleet
@@ -11,6 +12,7 @@
 from limpetwalk.gateway import placement
 from limpetwalk.gateway import refusal
 from limpetwalk.gateway import retries
+from limpetwalk.gateway import stream_progress
 
 from . import dispatch
 from . import events
@@ -219,36 +221,72 @@
 
         :returns: None for a complete stream, the failure otherwise.
         """
-        splitter = eventstream.EventSplitter()
+        limits = self._dispatcher.limits
+        buffer = self._dispatcher.buffer_budget.open(
+            limits.event_bytes, started.exchange.close
+        )
+        progress = stream_progress.StreamProgress(
+            self._dispatcher.clock, limits.event_bytes
+        )
         try:
-            while True:
-                chunk = await outbound.with_timeout(
-                    started.exchange.chunk(), self._event_timeout()
-                )
-                if not chunk:
-                    break
-                for event in splitter.feed(chunk):
-                    await self._forward_event(started, event)
+            with buffer:
+                await self._forward_events(started, buffer, progress)
         except upstream.IncompleteAnswer as exc:
-            return self._failed_attempt(str(exc))
+            return outbound.FailedAttempt.incomplete(exc)
         except TimeoutError:
-            return self._failed_attempt("no event in time")
-        except ValueError as exc:
-            return self._failed_attempt(str(exc))
-        if splitter.partial:
-            return self._failed_attempt("ended within an event")
+            return self._failed_attempt("no new event in time")
+        except buffers.LimitExceeded as exc:
+            return self._failed_attempt(str(exc), f"event_{exc.limit}")
         await self._finish(started)
         return None
 
+    async def _forward_events(
+        self,
+        started: outbound.StartedAnswer,
+        buffer: buffers.Buffer,
+        progress: stream_progress.StreamProgress,
+    ) -> None:
+        splitter = eventstream.EventSplitter(buffer)
+        while chunk := await self._next_chunk(started, buffer, progress):
+            for event in splitter.feed(chunk):
+                if event.comment or self._is_duplicate(event):
+                    progress.record_filler(len(event.data))
+                else:
+                    await self._forward_event(started, event)
+                    progress.record_event()
+        if splitter.partial:
+            raise upstream.IncompleteAnswer("ended within an event")
+
+    async def _next_chunk(
+        self,
+        started: outbound.StartedAnswer,
+        buffer: buffers.Buffer,
+        progress: stream_progress.StreamProgress,
+    ) -> bytes:
+        try:
+            return await outbound.with_timeout(
+                started.exchange.chunk(), self._event_timeout(progress)
+            )
+        finally:
+            # An evicted buffer has closed the connection.
+            buffer.check()
+
     async def close(self) -> None:
         """Close the caller's connection, so the stream can't look complete."""
         if self._req.transport is not None:
             self._req.transport.close()
 
-    def _failed_attempt(self, detail: str) -> outbound.FailedAttempt:
-        return outbound.FailedAttempt(retries.Outcome.UNKNOWN, detail)
+    def _failed_attempt(
+        self, detail: str, limit: str = ""
+    ) -> outbound.FailedAttempt:
+        return outbound.FailedAttempt(
+            retries.Outcome.UNKNOWN, detail, limit=limit
+        )
 
-    def _event_timeout(self) -> float:
+    def _event_timeout(
+        self, progress: stream_progress.StreamProgress
+    ) -> float:
+        """Return the seconds to wait for the next new event."""
         time_left = self._dispatcher.time_left(self._call)
         route = self._call.route
         attempts_left = route.attempts - self._call.attempt_counts.ran - 1
@@ -256,14 +294,13 @@
             # No other server can resume the stream, so silence alone must not
             # end this attempt.
             return time_left
-        return min(time_left, max(MIN_SILENCE_TIMEOUT, route.largest_gap))
+        longest_pause = max(MIN_SILENCE_TIMEOUT, route.largest_gap)
+        return min(time_left, progress.time_left(longest_pause))
 
     async def _forward_event(
         self, started: outbound.StartedAnswer, event: eventstream.StreamEvent
     ) -> None:
         await self._open(started)
-        if self._is_duplicate(event):
-            return
         if event.id:
             self.last_event = event.id
         assert self._resp is not None
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -14,10 +14,15 @@
 import h11
 import multidict
 
+from limpetwalk.gateway import buffers
+
 # Largest number of bytes per read.
-READ_BYTES = 64 * 1024
-# Largest size of the response headers, bytes.
-MAX_HEADER_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
+# Receive buffer of the kernel for a connection, bytes. The event loop reads
+# all of it at once, up to 256 KiB, whatever the limit of the reader is.
+RECEIVE_BUFFER_BYTES = 32 * 1024
+# Status that h11 suggests when an element other than data is too large.
+HEADERS_TOO_LARGE = 431
 # TCP_USER_TIMEOUT, the time without an acknowledgement after which the kernel
 # closes a connection, milliseconds. Servers acknowledge within milliseconds.
 TCP_USER_TIMEOUT_MS = 2000
@@ -30,7 +35,14 @@
 
 
 class IncompleteAnswer(Exception):
-    """The answer is incomplete; the request may have run."""
+    """The answer is incomplete; the request may have run.
+
+    :param limit: name of the limit that ended the exchange, or empty.
+    """
+
+    def __init__(self, detail: str, limit: str = "") -> None:
+        super().__init__(detail)
+        self.limit = limit
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,19 +57,30 @@
     """A request and its response on one connection."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        limits: buffers.ResponseLimits,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._limits = limits
         self._conn = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+            h11.CLIENT, max_incomplete_event_size=limits.head_bytes
         )
 
     @classmethod
-    async def connect(cls, host: str, port: int, timeout: float) -> "Exchange":
+    async def connect(
+        cls,
+        host: str,
+        port: int,
+        timeout: float,
+        limits: buffers.ResponseLimits = buffers.ResponseLimits(),
+    ) -> "Exchange":
         """Open a connection.
 
         :param timeout: longest time to wait, in seconds.
+        :param limits: limits of the response.
         :raises ServerUnreachable: when the connection fails.
         """
         try:
@@ -73,7 +96,10 @@
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
-        return cls(reader, writer)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        return cls(reader, writer, limits)
 
     def send(
         self, method: str, target: str, headers: RawHeaders, body: bytes
@@ -102,9 +128,10 @@
     async def head(self) -> ResponseHead:
         """Return the status and headers of the response.
 
-        :raises IncompleteAnswer: when the connection ends before them.
+        :raises IncompleteAnswer: when the connection ends before them, or
+            they exceed the limits.
         """
-        while True:
+        for _ in range(self._limits.informational + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -113,6 +140,10 @@
             raise IncompleteAnswer(
                 "connection closed before the response headers"
             )
+        raise IncompleteAnswer(
+            f"more than {self._limits.informational} informational responses",
+            "informational",
+        )
 
     async def chunk(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
@@ -126,15 +157,30 @@
             return b""
         raise IncompleteAnswer("connection closed within the response body")
 
-    async def body(self) -> bytes:
+    async def body(self, budget: buffers.BufferBudget) -> bytes:
         """Return the complete body.
 
-        :raises IncompleteAnswer: when the body is truncated.
+        :param budget: memory for the body until it is complete.
+        :raises IncompleteAnswer: when the body is truncated or exceeds the
+            limits.
         """
-        chunks = []
-        while chunk := await self.chunk():
-            chunks.append(chunk)
-        return b"".join(chunks)
+        with budget.open(self._limits.body_bytes, self.close) as buffer:
+            try:
+                await self._read_body(buffer)
+            except buffers.LimitExceeded as exc:
+                raise IncompleteAnswer(
+                    f"response body: {exc}", f"body_{exc.limit}"
+                ) from exc
+            return bytes(buffer.view())
+
+    async def _read_body(self, buffer: buffers.Buffer) -> None:
+        try:
+            while chunk := await self.chunk():
+                buffer.append(chunk)
+        finally:
+            # An evicted buffer has closed the connection, which ends a body
+            # without a length as if it were complete.
+            buffer.check()
 
     def close(self) -> None:
         """Abort the connection, so that the server stops its work."""
@@ -150,8 +196,10 @@
                     return event
                 self._conn.receive_data(await self._reader.read(READ_BYTES))
         except h11.RemoteProtocolError as exc:
+            too_long = exc.error_status_hint == HEADERS_TOO_LARGE
             raise IncompleteAnswer(
-                f"response is not valid HTTP: {exc}"
+                f"response is not valid HTTP: {exc}",
+                "head_size" if too_long else "",
             ) from exc
         except OSError as exc:
             raise IncompleteAnswer(
--- a/tests/limpetwalk/gateway/test_retries.py
+++ b/tests/limpetwalk/gateway/test_retries.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from limpetwalk.gateway import buffers
 from limpetwalk.gateway import eventstream
 from limpetwalk.gateway import response_check
 from limpetwalk.gateway import retries
@@ -123,9 +124,14 @@
 
     stream_bytes = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
 
+    def splitter(self, limit: int = 1000) -> eventstream.EventSplitter:
+        """Return a splitter with a limit on the size of an event."""
+        buffer = buffers.BufferBudget().open(limit, lambda: None)
+        return eventstream.EventSplitter(buffer)
+
     def test_events_do_not_depend_on_the_chunk_size(self) -> None:
         for size in range(1, len(self.stream_bytes) + 1):
-            splitter = eventstream.EventSplitter()
+            splitter = self.splitter()
             events = []
             for start in range(0, len(self.stream_bytes), size):
                 events += splitter.feed(
@@ -138,11 +144,11 @@
             self.assertFalse(splitter.partial)
 
     def test_incomplete_event_is_buffered(self) -> None:
-        splitter = eventstream.EventSplitter()
+        splitter = self.splitter()
         self.assertEqual([], splitter.feed(b"id: 1\ndata: a\n"))
         self.assertTrue(splitter.partial)
 
     def test_event_above_the_size_limit_raises(self) -> None:
-        splitter = eventstream.EventSplitter()
-        with self.assertRaises(ValueError):
-            splitter.feed(b"x" * (eventstream.MAX_EVENT_BYTES + 1))
+        splitter = self.splitter(buffers.MIB)
+        with self.assertRaises(buffers.LimitExceeded):
+            splitter.feed(b"x" * (buffers.MIB + 1))
