Let a good version go on after a single failure among few requests

One of eight lies more than 8 in 100 above the old version, so the version was doubtful, never got all requests and was taken back at the end: a good roll-out that wasn't done in its time.

Change: whether it gets all requests, which can be undone, is decided by the probability of so many failures if it failed as often as the old one.

--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass
 from dataclasses import replace
+import math
 
 from ..rollouts import evidence
 from ..rollouts import guard
@@ -40,6 +41,10 @@
 # Excess of the new version's failure share over the old one's above which it
 # does not get all requests.
 DOUBTFUL_EXCESS = 0.08
+# Probability below which the failures of the new version are not taken for
+# chance, if it fails as often as the old one. A single failure of a few requests
+# is likely at a service that fails now and then.
+CHANCE_PROBABILITY = 0.1
 # Minimum failures for reverting a version that is only doubtful.
 MIN_DOUBTFUL_FAILURES = 2
 # Fraction of the allowed exposure from which a doubtful version is reverted.
@@ -166,7 +171,7 @@
     may_wait = elapsed < order.period - END_MARGIN - PROOF_TIME
     if may_wait and not _is_proven(observed):
         return None
-    if _is_doubtful(observed):
+    if _fails_beyond_chance(observed):
         return None
     if not _fits_to_the_end(stage, order, observed, bounds, elapsed):
         return None
@@ -221,6 +226,33 @@
     return candidate > base + DOUBTFUL_EXCESS
 
 
+def _fails_beyond_chance(observed: Evidence) -> bool:
+    """Return whether the new version probably fails more than the old one.
+
+    It decides on all requests, which can be undone. What can't be undone is
+    decided by ``_is_doubtful``.
+    """
+    base, candidate = observed.base, observed.candidate
+    # One failure and one success are added, since the share is an estimate.
+    expected_share = (base.failures + 1) / (base.requests + 2)
+    chance = _chance(candidate.failures, candidate.requests, expected_share)
+    return _is_doubtful(observed) and chance < CHANCE_PROBABILITY
+
+
+def _chance(failures: int, requests: int, share: float) -> float:
+    """Return the probability of at least some failures among requests.
+
+    :param share: probability that a request fails.
+    """
+    fewer = sum(
+        math.comb(requests, count)
+        * share**count
+        * (1 - share) ** (requests - count)
+        for count in range(failures)
+    )
+    return 1 - fewer
+
+
 def _recent(stage: rollout.Stage, observed: Evidence) -> Evidence:
     """Return the evidence with the candidate's outcomes of this stage only.
 
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -165,6 +165,23 @@
         self.assertIsNone(self.next_stage(current, 22.0, 1, 5))
         self.assertIsNone(self.next_stage(current, 15.0, 0, 3))
 
+    def test_single_failure_is_no_doubt_where_the_old_one_fails_too(
+        self,
+    ) -> None:
+        current = stage(rollout.Phase.CANARY, share=0.1)
+        observed = rollout_policy.Evidence(
+            evidence.Tally(failures=8, successes=312),
+            evidence.Tally(failures=1, successes=7),
+            0,
+            True,
+            13.0,
+        )
+        later = rollout_policy.next_stage(
+            current, ORDER, observed, BOUNDS, True, 0.0, 22.0
+        )
+        assert later is not None
+        self.assertIs(rollout.Phase.FULL, later.phase)
+
     def test_failures_revert_it_in_any_phase(self) -> None:
         for phase in (rollout.Phase.CANARY, rollout.Phase.FULL):
             following = self.next_stage(stage(phase), 3.0, 4, 6)
