Report loads within groups, and let few nodes watch the store

Cause: each node reported its loads to each other node. At 195 nodes a report came every 2.0 s and counted for 1.5 s: a quarter of the time placing knew nothing, and else what was known was a second old.

Change: nodes form groups of about the square root of their number, within a zone; a node reports to its group every 0.2 s, and the sum of its group to one node or so of each other group every 0.4 s. Up to 24 nodes it stays as it was. Reports carry the version of the latest change of each table that the sender has applied. One watcher a group and table calls twice as often as before; the other nodes wait up to 20 s, and call again at once when peers know more or lose the store. What peers tell is never applied.

Ruled out: owners that sum the loads of a server (every choice needs those of all servers), a node's zone only (five times the reads of shared prompt parts), a longer wait alone (a call whose answer was lost is found out at its end).

--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model of a cluster's load in simulated time, without a network."""
--- /dev/null
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -0,0 +1,381 @@
+"""Many nodes that place generations at shared engines, in simulated time.
+
+The nodes use the product's own classes to choose servers and to report loads.
+A request that a full engine rejects is sent to another one.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+import functools
+import heapq
+import itertools
+import random
+
+from limpetwalk import clock as clocks
+from limpetwalk.gateway import fleet
+from limpetwalk.gateway import peer_groups
+from limpetwalk.gateway import placement
+from limpetwalk.gateway import prefill_time
+from limpetwalk.gateway import prefix_cache
+from limpetwalk.gateway import server_load
+from limpetwalk.gateway import types
+
+from . import engines
+
+SERVICE = "engine"
+# One-way delay of a report or request, in seconds.
+DELAY = 0.001
+MAX_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """Kind of requests.
+
+    :param rate: requests per second.
+    :param shared_tokens: tokens of the part that requests share.
+    :param own_tokens: mean tokens of the part of the request itself.
+    :param contexts: number of different shared parts.
+    :param target: target time to the first event, in seconds.
+    """
+
+    name: str
+    rate: float
+    shared_tokens: int
+    own_tokens: int
+    output_tokens: int
+    contexts: int
+    target: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reporting:
+    """How nodes report their loads.
+
+    :param interval: time between two reports of a node, in seconds.
+    :param grouped: whether reports go to groups, rather than to all nodes.
+    """
+
+    interval: float
+    grouped: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load of a cluster.
+
+    :param models: share of requests and pace, by model.
+    """
+
+    nodes: int
+    zones: int
+    servers: int
+    kinds: tuple[Kind, ...]
+    models: Mapping[str, tuple[float, float]]
+    seconds: float
+    speed: engines.EngineSpeed = engines.EngineSpeed()
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a caller got.
+
+    :param first: seconds to the first event; None when it was refused.
+    """
+
+    kind: str
+    target: float
+    size: int
+    first: float | None
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the first event came within the target."""
+        return self.first is not None and self.first <= self.target
+
+
+@dataclass(slots=True)
+class Result:
+    """Outcomes of a run, and what it cost.
+
+    :param rejected: attempts that full engines rejected.
+    :param reports: reports that were sent.
+    """
+
+    outcomes: list[Outcome] = field(default_factory=list)
+    rejected: int = 0
+    reports: int = 0
+
+    def in_time_share(self, kind: str = "") -> float:
+        """Return the share of requests that were answered in time."""
+        chosen = [o for o in self.outcomes if kind in ("", o.kind)]
+        return sum(o.in_time for o in chosen) / max(1, len(chosen))
+
+    def first_quantile(self, share: float) -> float:
+        """Return a quantile of the time to the first event, in seconds."""
+        times = sorted(
+            o.first if o.first is not None else float("inf")
+            for o in self.outcomes
+        )
+        return times[min(len(times) - 1, int(share * len(times)))]
+
+
+class _Node:
+    def __init__(
+        self, zone: str, servers: fleet.Fleet, clock: clocks.Clock
+    ) -> None:
+        self.loads = server_load.ServerLoads(clock)
+        self.memory = prefix_cache.PrefixCacheTracker(clock, 9.3)
+        self.times = prefill_time.PrefillTimes()
+        self.placer = placement.Placer(
+            zone,
+            servers,
+            self.memory,
+            self.loads,
+            self.times,
+            clock,
+            lambda member: False,
+        )
+
+
+@dataclass(slots=True)
+class _Request:
+    node: _Node
+    kind: Kind
+    work: engines.Work
+    prompt: types.Prompt
+    arrived_at: float
+    tried: set[str] = field(default_factory=set)
+    choice: placement.Choice | None = None
+
+
+class Cluster:
+    """Runs a load.
+
+    :param seed: seed of arrivals and sizes.
+    """
+
+    def __init__(self, load: Load, reporting: Reporting, seed: int) -> None:
+        self._load = load
+        self._reporting = reporting
+        self._rng = random.Random(seed)
+        self._clock = clocks.ManualClock()
+        self._arrivals_end = self._clock.monotonic() + load.seconds
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._sequence = itertools.count(1)
+        self._fleet = fleet.Fleet(self._clock)
+        self._engines: dict[str, engines.Engine] = {}
+        for number in range(load.servers):
+            name = f"s{number}"
+            self._engines[name] = engines.Engine(load.speed)
+            self._fleet.put(_server(name, number, load), number + 1)
+        self._nodes = {
+            f"n{number:03d}": _Node(
+                f"z{number % load.zones}", self._fleet, self._clock
+            )
+            for number in range(load.nodes)
+        }
+        self._queued: dict[str, list[_Request]] = {}
+        self._exchanges = self._plan_exchanges()
+        self._result = Result()
+
+    def run(self) -> Result:
+        """Run the load, until all requests have ended."""
+        for kind in self._load.kinds:
+            self._arrive(kind)
+        for name in self._nodes:
+            start = self._rng.uniform(0, self._reporting.interval)
+            self._after(start, functools.partial(self._report, name, 1))
+        while self._events:
+            at, _, action = heapq.heappop(self._events)
+            self._clock.advance(max(0.0, at - self._clock.monotonic()))
+            action()
+        return self._result
+
+    def _plan_exchanges(self) -> dict[str, peer_groups.Exchange]:
+        if not self._reporting.grouped:
+            names = frozenset(self._nodes)
+            return {
+                name: peer_groups.Exchange(name, names - {name}, frozenset())
+                for name in names
+            }
+        peers = {
+            name: peer_groups.Peer(("", 0), f"z{number % self._load.zones}")
+            for number, name in enumerate(self._nodes)
+        }
+        return {name: peer_groups.plan(name, peers) for name in peers}
+
+    def _at(self, at: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._order), action))
+
+    def _after(self, delay: float, action: Callable[[], None]) -> None:
+        self._at(self._clock.monotonic() + delay, action)
+
+    def _arrive(self, kind: Kind) -> None:
+        pause = self._rng.expovariate(kind.rate)
+        if self._clock.monotonic() + pause > self._arrivals_end:
+            return
+        self._after(pause, lambda: self._admit(kind))
+
+    def _admit(self, kind: Kind) -> None:
+        self._arrive(kind)
+        context = int(kind.contexts * self._rng.random() ** 1.3)
+        own = int(self._rng.lognormvariate(0, 0.8) * kind.own_tokens)
+        number = next(self._order)
+        parts = (
+            (f"{kind.name}-{context}", kind.shared_tokens),
+            (f"own-{number}", own),
+        )
+        model, pace = self._draw_model()
+        req = _Request(
+            self._rng.choice(list(self._nodes.values())),
+            kind,
+            engines.Work(model, pace, parts, kind.output_tokens),
+            types.Prompt(
+                sum(tokens for _, tokens in parts),
+                kind.output_tokens,
+                tuple(types.PromptPart(*part) for part in parts),
+            ),
+            self._clock.monotonic(),
+        )
+        self._place(req)
+
+    def _draw_model(self) -> tuple[str, float]:
+        draw = self._rng.random()
+        for model, (share, pace) in self._load.models.items():
+            draw -= share
+            if draw < 0:
+                break
+        return model, pace
+
+    def _place(self, req: _Request) -> None:
+        choice = req.node.placer.choose(
+            placement.Need(
+                SERVICE, None, req.work.model, req.prompt, req.tried
+            )
+        )
+        if choice is None or len(req.tried) >= MAX_ATTEMPTS:
+            self._finish(req, None)
+            return
+        req.choice = choice
+        req.tried.add(choice.member.id)
+        req.node.loads.start_request(choice.member.id, choice.prefill_seconds)
+        self._after(DELAY, lambda: self._reach(req))
+
+    def _reach(self, req: _Request) -> None:
+        server_id = _server_id(req)
+        engine = self._engines[server_id]
+        if engine.active < engine.speed.slots:
+            self._begin(req)
+        elif engine.is_full:
+            self._result.rejected += 1
+            self._end_at_server(req)
+            self._place(req)
+        else:
+            engine.waiting.append(req.work)
+            self._queued.setdefault(server_id, []).append(req)
+
+    def _begin(self, req: _Request) -> None:
+        engine = self._engines[_server_id(req)]
+        first, end = engine.begin(req.work, self._clock.monotonic())
+        self._at(first, lambda: self._first_event(req))
+        self._at(end, lambda: self._end(req))
+
+    def _first_event(self, req: _Request) -> None:
+        assert req.choice is not None
+        now = self._clock.monotonic()
+        req.node.loads.finish_prefill(
+            _server_id(req), req.choice.prefill_seconds
+        )
+        req.node.times.record(
+            req.work.model, req.prompt.own_tokens, now - req.arrived_at
+        )
+        req.node.memory.record_read(
+            _server_id(req), req.work.model, req.prompt
+        )
+        self._finish(req, now - req.arrived_at)
+
+    def _end(self, req: _Request) -> None:
+        server_id = _server_id(req)
+        engine = self._engines[server_id]
+        engine.active -= 1
+        req.node.loads.end_request(server_id)
+        if engine.waiting:
+            engine.waiting.popleft()
+            self._begin(self._queued[server_id].pop(0))
+
+    def _end_at_server(self, req: _Request) -> None:
+        assert req.choice is not None
+        server_id = _server_id(req)
+        req.node.loads.finish_prefill(server_id, req.choice.prefill_seconds)
+        req.node.loads.end_request(server_id)
+
+    def _finish(self, req: _Request, first: float | None) -> None:
+        self._result.outcomes.append(
+            Outcome(
+                req.kind.name, req.kind.target, req.prompt.input_tokens, first
+            )
+        )
+
+    def _report(self, name: str, turn: int) -> None:
+        if self._clock.monotonic() > self._arrivals_end:
+            return
+        node, exchange = self._nodes[name], self._exchanges[name]
+        self._send(
+            name,
+            server_load.Source(name),
+            node.loads.own_loads(),
+            exchange.members,
+        )
+        if exchange.partners and turn % 2 == 0:
+            self._send(
+                name,
+                server_load.Source(exchange.group, True),
+                node.loads.group_loads(),
+                exchange.partners,
+            )
+        self._after(
+            self._reporting.interval, lambda: self._report(name, turn + 1)
+        )
+
+    def _send(
+        self,
+        sender: str,
+        source: server_load.Source,
+        loads: Mapping[str, server_load.Load],
+        receivers: frozenset[str],
+    ) -> None:
+        sequence = next(self._sequence)
+        self._result.reports += len(receivers)
+
+        def deliver() -> None:
+            for name in receivers:
+                self._nodes[name].loads.apply_report(
+                    source, sender, sequence, loads
+                )
+
+        self._after(DELAY, deliver)
+
+
+def _server_id(req: _Request) -> str:
+    assert req.choice is not None
+    return req.choice.member.id
+
+
+def _server(name: str, number: int, load: Load) -> types.Server:
+    return types.Server(
+        id=name,
+        service=SERVICE,
+        host="127.0.0.1",
+        port=number,
+        zone=f"z{number % load.zones}",
+        version="v1",
+        slots=load.speed.slots,
+        leaving=False,
+        cold_left=0.0,
+        boot_ms=1,
+        models=tuple(load.models),
+    )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -6,6 +6,7 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import catalog
 from limpetwalk.gateway import fleet
+from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import rollout
 from limpetwalk.gateway import types
@@ -35,7 +36,7 @@
         self.catalog: catalog.Catalog | None = None
         self.fleet = fleet.Fleet(clock)
         self.rollouts = rollout.Rollouts(clock)
-        self.peers: dict[str, tuple[str, int]] = {}
+        self.peers: dict[str, peer_groups.Peer] = {}
         self.nodes: frozenset[str] = frozenset()
         self.crashes: dict[str, set[str]] = {}
         self._evacuated: dict[str, str] = {}
@@ -109,7 +110,7 @@
                 if prefix == NODE_PREFIX:
                     peers.pop(name, None)
             elif prefix == NODE_PREFIX:
-                peers[name] = _peer_address(row.value)
+                peers[name] = _peer(row.value)
             elif prefix == CRASH_PREFIX:
                 fingerprint, _, server = name.partition("/")
                 self.crashes.setdefault(fingerprint, set()).add(server)
@@ -222,13 +223,15 @@
         )
 
 
-def _peer_address(text: str) -> tuple[str, int]:
-    """Return the address at which a node receives load reports.
+def _peer(text: str) -> peer_groups.Peer:
+    """Return a node from its row.
 
     An unreadable row gives a local port that is not in use.
     """
     try:
-        address = json.loads(text)
-        return str(address["host"]), int(address["port"])
-    except (KeyError, TypeError, ValueError):
-        return "127.0.0.1", 9
+        row = json.loads(text)
+        return peer_groups.Peer(
+            (str(row["host"]), int(row["port"])), str(row.get("zone", ""))
+        )
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return peer_groups.Peer(("127.0.0.1", 9))
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -1,58 +1,85 @@
-"""Broadcast of this node's load on servers to the other nodes by datagrams.
+"""Load reports between nodes by datagrams.
 
 A lost or late report only makes a choice of server a little worse, so nothing
-is sent again.
+is sent again. Reports also tell which changes of the store their sender has
+read.
 """
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 import importlib
 import pathlib
 import time
 from typing import Any
 
+from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import store_watch
 
 from . import events
 from . import logs
 
-# Interval between two reports to a node, seconds, for fewer than
-# ``NODES_PER_INTERVAL`` nodes. Larger clusters report less often.
+# Interval between two reports of a node in a single group of fewer than
+# ``NODES_PER_INTERVAL`` nodes, in seconds. Larger groups report less often.
 INTERVAL = 0.1
 NODES_PER_INTERVAL = 10
+# Interval between two reports within one of several groups, in seconds, and
+# number of them for each sum that is sent to the other groups.
+GROUP_INTERVAL = 0.2
+REPORTS_PER_SUM = 2
+# Longest interval between two reports of an idle node, in seconds.
+IDLE_INTERVAL = 1.0
 # Largest datagram that is sent, bytes.
 MAX_DATAGRAM_BYTES = 60_000
 SCHEMA = pathlib.Path(__file__).with_name("pressure.capnp")
 
-Address = tuple[str, int]
+Loads = Mapping[str, server_load.Load]
 
 
 class LoadBroadcast(asyncio.DatagramProtocol):
     """Sends load reports to other nodes and receives theirs.
 
     :param node: name of this node.
-    :param peers: returns the addresses of the other nodes by name.
+    :param peers: returns all known nodes by name.
+    :param tables: returns what this node knows of the store's tables.
+    :param news: receives what other nodes know of them.
     """
 
     def __init__(
         self,
         node: str,
-        peers: Callable[[], Mapping[str, Address]],
+        peers: Callable[[], Mapping[str, peer_groups.Peer]],
         loads: server_load.ServerLoads,
+        tables: Callable[[], Collection[store_watch.TableState]],
+        news: store_watch.PeerNews,
         journal: logs.Journal,
     ) -> None:
         self._node = node
         self._peers = peers
         self._server_loads = loads
+        self._tables = tables
+        self._news = news
         self._journal = journal
         self._transport: asyncio.DatagramTransport | None = None
         self._schema: Any = None
+        self._planned_for: Mapping[str, peer_groups.Peer] = {}
+        self._exchange = peer_groups.plan(node, {})
         # Starts at the time of day, so that a restarted node continues above
         # its earlier numbers.
         self._sequence = int(time.time() * 1000)
 
-    async def run(self, address: Address) -> None:
+    @property
+    def exchange(self) -> peer_groups.Exchange:
+        """Peers with which this node exchanges reports."""
+        peers = self._peers()
+        if peers is not self._planned_for:
+            self._planned_for = peers
+            self._exchange = peer_groups.plan(self._node, peers)
+        return self._exchange
+
+    async def run(self, address: peer_groups.Address) -> None:
         """Send load reports until cancelled.
 
         :param address: ``(host, port)`` at which reports are received.
@@ -65,20 +92,31 @@
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=address
         )
-        sent_empty_report = False
+        own = _IdleFilter(loop.time)
+        group = _IdleFilter(loop.time)
+        turn = 0
         try:
             while True:
-                peers = self._peers()
-                intervals = 1 + len(peers) // NODES_PER_INTERVAL
-                await asyncio.sleep(INTERVAL * intervals)
+                await asyncio.sleep(self._interval())
+                turn += 1
+                exchange = self.exchange
                 loads = self._server_loads.own_loads()
-                if not loads and sent_empty_report:
+                if own.is_due(loads):
+                    self._send_report("", loads, exchange.members)
+                if not exchange.partners or turn % REPORTS_PER_SUM:
                     continue
-                sent_empty_report = not loads
-                self._send_report(loads, peers)
+                loads = self._server_loads.group_loads()
+                if group.is_due(loads):
+                    self._send_report(exchange.group, loads, exchange.partners)
         finally:
             self._transport.close()
 
+    def _interval(self) -> float:
+        exchange = self.exchange
+        if exchange.partners:
+            return GROUP_INTERVAL
+        return INTERVAL * (1 + len(exchange.members) // NODES_PER_INTERVAL)
+
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Apply the load report of another node."""
         try:
@@ -89,8 +127,21 @@
                     )
                     for entry in report.loads
                 }
+                sender = report.sender
+                source = server_load.Source(
+                    report.group or sender, bool(report.group)
+                )
                 self._server_loads.apply_report(
-                    report.sender, report.sequence, loads
+                    source, sender, report.sequence, loads
+                )
+                self._news.record(
+                    sender,
+                    [
+                        store_watch.TableState(
+                            table.name, table.version, table.unavailable
+                        )
+                        for table in report.tables
+                    ],
                 )
         except Exception as exc:
             self._journal.emit(
@@ -103,13 +154,16 @@
         """Ignore unreachable nodes, whose rows may outlive them."""
 
     def _send_report(
-        self,
-        loads: Mapping[str, server_load.Load],
-        peers: Mapping[str, Address],
+        self, group: str, loads: Loads, receivers: Collection[str]
     ) -> None:
+        """Send a report.
+
+        :param group: label of the group that the loads are the sum of; empty
+            for this node's own.
+        """
         self._sequence += 1
         report = self._schema.Told.new_message(
-            sender=self._node, sequence=self._sequence
+            sender=self._node, sequence=self._sequence, group=group
         )
         entries = report.init("loads", len(loads))
         for entry, (server_id, load) in zip(
@@ -118,9 +172,37 @@
             entry.server = server_id
             entry.waitingMs = int(load.pending_prefill * 1000)
             entry.active = load.active
+        states = self._tables()
+        for entry, state in zip(
+            report.init("tables", len(states)), states, strict=True
+        ):
+            entry.name = state.table
+            entry.version = state.version
+            entry.unavailable = state.unavailable
         data = report.to_bytes()
         if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
             return
-        for name, address in peers.items():
-            if name != self._node:
-                self._transport.sendto(data, address)
+        peers = self._peers()
+        for name in receivers:
+            self._transport.sendto(data, peers[name].address)
+
+
+class _IdleFilter:
+    """Decides whether a report must be sent, when there is no load.
+
+    :param now: returns the current time, in seconds.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._sent_empty = False
+        self._sent_at = 0.0
+
+    def is_due(self, loads: Loads) -> bool:
+        """Return whether to send a report of loads now."""
+        repeated = not loads and self._sent_empty
+        if repeated and self._now() - self._sent_at < IDLE_INTERVAL:
+            return False
+        self._sent_empty = not loads
+        self._sent_at = self._now()
+        return True
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -1,6 +1,7 @@
 """The gateway service: its components, start, drain and stop."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import json
 import random
@@ -15,6 +16,7 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import ports
+from limpetwalk.gateway import store_watch
 
 from . import admission
 from . import cluster_state
@@ -110,19 +112,32 @@
         self.readiness = status.Readiness(
             self.cluster_state, self.journal, platform.readiness_path
         )
-        self._followers = self._make_followers(clock)
-        self._tasks: list[asyncio.Task[None]] = []
-        for follower in self._followers:
-            self._spawn(follower.run(), "watch")
-        self._spawn(self._publish_presence(), "presence")
-        self._spawn(self._check_settings_file(), "settings")
-        self._start_rollout_tasks(clock)
+        news = store_watch.PeerNews(clock)
         broadcast = load_broadcast.LoadBroadcast(
             platform.settings.name,
             lambda: self.cluster_state.peers,
             self.dispatcher.server_loads,
+            lambda: [follower.state for follower in self._followers],
+            news,
             self.journal,
         )
+        self._followers = self._make_followers(
+            clock,
+            store_watch.WatchPlan(
+                platform.settings.name,
+                lambda: broadcast.exchange,
+                lambda: len(self.cluster_state.nodes),
+                news,
+            ),
+        )
+        for follower in self._followers:
+            news.listen(follower.state.table, follower.note_peer)
+        self._tasks: list[asyncio.Task[None]] = []
+        for follower in self._followers:
+            self._spawn(follower.run(), "watch")
+        self._spawn(self._publish_presence(), "presence")
+        self._spawn(self._check_settings_file(), "settings")
+        self._start_rollout_tasks(clock)
         self._spawn(broadcast.run(platform.settings.peers), "gossip")
         self._spawn(
             pauses.detect_pauses(self.journal, self._reread_tables), "pauses"
@@ -184,13 +199,15 @@
             self.journal.emit(events.SettingsReloaded())
 
     def _make_followers(
-        self, clock: clocks.Clock
+        self, clock: clocks.Clock, watch_plan: store_watch.WatchPlan
     ) -> list[table_follower.TableFollower]:
         state = self.cluster_state
         platform = self.platform
 
-        def contact() -> float:
-            return platform.settings.bounds.contact
+        def wait(table: str, factor: float = 1.0) -> Callable[[], float]:
+            return lambda: watch_plan.wait(
+                table, factor * platform.settings.bounds.contact
+            )
 
         def nodes() -> int:
             return len(state.nodes)
@@ -204,7 +221,7 @@
                 platform.operator,
                 state.apply_operator,
                 ignore,
-                contact,
+                wait(platform.operator.name),
                 *common,
                 OPERATOR_PAUSE,
             ),
@@ -212,7 +229,7 @@
                 platform.servers,
                 state.apply_servers,
                 state.fleet.record_store_recovery,
-                contact,
+                wait(platform.servers.name),
                 *common,
                 SERVERS_PAUSE,
             ),
@@ -220,7 +237,7 @@
                 platform.shared,
                 state.apply_shared,
                 ignore,
-                lambda: SHARED_WAIT_FACTOR * contact(),
+                wait(platform.shared.name, SHARED_WAIT_FACTOR),
                 *common,
                 SHARED_PAUSE,
             ),
@@ -287,7 +304,8 @@
         """Write the row by which other nodes find this one."""
         key = cluster_state.NODE_PREFIX + self.platform.settings.name
         host, port = self.platform.settings.peers
-        value = json.dumps({"host": host, "port": port})
+        zone = self.platform.settings.zone
+        value = json.dumps({"host": host, "port": port, "zone": zone})
         while True:
             try:
                 await self.platform.shared.put([ports.SharedPut(key, value)])
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
@@ -1,10 +1,13 @@
 @0xd2a5c1b87f3e4096;
-# Datagram by which an entry node reports its load on servers to the others.
+# Datagram by which an entry node reports loads on servers, and what it has read
+# of the platform's tables, to other nodes.
 
 struct Told {
   sender @0 :Text;        # name of the node
   sequence @1 :UInt64;    # increases with each datagram of a process
   loads @2 :List(Load);
+  group @3 :Text;         # label of the group whose sum this is; empty: the sender's own loads
+  tables @4 :List(Table);
 }
 
 struct Load {
@@ -12,3 +15,9 @@
   waitingMs @1 :UInt32;   # prefill time of requests that the server has not read yet
   active @2 :UInt32;      # requests at the server
 }
+
+struct Table {
+  name @0 :Text;
+  version @1 :UInt64;     # version of the latest change that the sender knows
+  unavailable @2 :Bool;   # whether the sender can't read the table
+}
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 from typing import Generic
 from typing import TypeVar
 
@@ -9,6 +10,7 @@
 from limpetwalk import exceptions
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import ports
+from limpetwalk.gateway import store_watch
 
 from . import events
 from . import logs
@@ -23,6 +25,11 @@
 # They keep the calls of all nodes far below the store's rate limit.
 MIN_RETRY_PAUSE = 0.1
 MAX_RETRY_PAUSE = 0.6
+# Time in which a call may still return what peers already know, and shortest
+# interval between two calls that are repeated because of what peers know, in
+# seconds.
+NEWS_GRACE = 0.4
+NEWS_INTERVAL = 2.0
 
 
 class TableFollower(Generic[T]):
@@ -61,7 +68,10 @@
         self._clock = clock
         self._journal = journal
         self._since: int | None = None
+        self._last_change = 0
         self._outage_since: float | None = None
+        self._news = asyncio.Event()
+        self._next_news_at = 0.0
         self._calls = metrics.counter(
             "limpetwalk_store_reads",
             "Reads of the store's tables, by outcome.",
@@ -69,6 +79,26 @@
         )
         self.last_answer_at = 0.0
 
+    @property
+    def state(self) -> store_watch.TableState:
+        """What this node knows of the table."""
+        return store_watch.TableState(
+            self._feed.name,
+            self._last_change,
+            self._outage_since is not None,
+        )
+
+    def note_peer(self, version: int, outage_began: bool) -> None:
+        """Call again soon if a peer knows more than the call under way.
+
+        :param version: version of the latest change that a peer knows.
+        :param outage_began: whether peers have lost the store just now.
+        """
+        if self._since is None:
+            return
+        if outage_began or version > self._since:
+            self._news.set()
+
     def restart(self) -> None:
         """Make the next call a full read of the table."""
         self._since = None
@@ -97,6 +127,10 @@
             self._note_answer()
             if batch.changes or batch.full_read:
                 self._apply(batch)
+            self._last_change = max(
+                self._last_change,
+                max((change.version for change in batch.changes), default=0),
+            )
             self._since = max(self._since or 0, batch.version)
             if batch.changes and not batch.full_read:
                 await asyncio.sleep(self._batch_pause())
@@ -110,7 +144,34 @@
         # Don't wait for a change during an outage, so that its end is
         # noticed at once.
         wait = self._wait() if self._outage_since is None else 0.0
-        return await self._feed.follow(self._since, wait)
+        self._news.clear()
+        call = asyncio.ensure_future(self._feed.follow(self._since, wait))
+        try:
+            if await self._answered_before_news(call):
+                return call.result()
+        finally:
+            call.cancel()
+        self._count_read("superseded")
+        return await self._feed.follow(self._since, 0.0)
+
+    async def _answered_before_news(
+        self, call: "asyncio.Future[ports.Batch[T]]"
+    ) -> bool:
+        """Wait for a call, until peers know more than it has returned."""
+        news: asyncio.Future[Any] = asyncio.ensure_future(self._news.wait())
+        try:
+            waited: set[asyncio.Future[Any]] = {call, news}
+            await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            news.cancel()
+        now = self._clock.monotonic()
+        grace = max(NEWS_GRACE, self._next_news_at - now)
+        if not call.done():
+            await asyncio.wait({call}, timeout=grace)
+        if call.done():
+            return True
+        self._next_news_at = self._clock.monotonic() + NEWS_INTERVAL
+        return False
 
     def _count_read(self, outcome: str) -> None:
         self._calls.labels(self._feed.name, outcome).inc()
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/peer_groups.py
@@ -0,0 +1,84 @@
+"""Which nodes exchange load reports with which.
+
+Serves clusters of many nodes, where a report from each node to each other
+costs more than it brings. Nodes form groups of about the square root of their
+number, each within one availability zone. A node reports to its own group, and
+sends the sum of its group to one node or a few of each other group. So each
+node knows the load of all nodes after two steps, and the messages of a node
+grow with the square root of the number of nodes.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+import math
+
+# Largest number of nodes that form a single group.
+MAX_SINGLE_GROUP = 24
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Node as it registered itself.
+
+    :param address: ``(host, port)`` at which it receives reports.
+    :param zone: availability zone, empty when unknown.
+    """
+
+    address: Address
+    zone: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """Peers of one node.
+
+    :param group: label of the node's group.
+    :param members: other nodes of the group, which get the node's reports.
+    :param partners: nodes of other groups, which get the sum of the group.
+    """
+
+    group: str
+    members: frozenset[str]
+    partners: frozenset[str]
+
+
+def plan(node: str, peers: Mapping[str, Peer]) -> Exchange:
+    """Return the peers with which a node exchanges reports.
+
+    :param peers: all known nodes by name.
+    """
+    groups = _groups(peers)
+    own = next((group for group in groups if node in group), None)
+    if own is None:
+        # The node hasn't read its own row yet.
+        others = frozenset(peers) if len(groups) <= 1 else frozenset()
+        return Exchange(node, others, frozenset())
+    position = own.index(node)
+    partners = {
+        name
+        for group in groups
+        if group is not own
+        for index, name in enumerate(group)
+        if index % len(own) == position
+    }
+    return Exchange(
+        group=own[0],
+        members=frozenset(own) - {node},
+        partners=frozenset(partners),
+    )
+
+
+def _groups(peers: Mapping[str, Peer]) -> list[list[str]]:
+    if len(peers) <= MAX_SINGLE_GROUP:
+        return [sorted(peers)] if peers else []
+    size = math.isqrt(len(peers))
+    by_zone: dict[str, list[str]] = {}
+    for name in sorted(peers):
+        by_zone.setdefault(peers[name].zone, []).append(name)
+    groups = []
+    for _, names in sorted(by_zone.items()):
+        count = max(1, round(len(names) / size))
+        groups += [names[start::count] for start in range(count)]
+    return groups
--- a/packages/limpetwalk/limpetwalk/gateway/server_load.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_load.py
@@ -2,7 +2,7 @@
 
 Many nodes send to the same engines, and each sees only its own requests.
 Therefore each node reports to the others what it has sent and which prefill
-time is still pending.
+time is still pending, directly or in the sum of its group of nodes.
 """
 
 from collections.abc import Iterable
@@ -35,9 +35,22 @@
 NO_LOAD = Load()
 
 
+@dataclass(frozen=True, slots=True)
+class Source:
+    """What a report covers.
+
+    :param name: name of a node, or label of a group of nodes.
+    :param is_group: whether the report is the sum of a group.
+    """
+
+    name: str
+    is_group: bool = False
+
+
 @dataclass(slots=True)
 class _Report:
     received_at: float
+    sender: str
     sequence: int
     loads: Mapping[str, Load]
 
@@ -46,14 +59,17 @@
     """Load of servers from this node's requests and from others' reports.
 
     :param clock: source of monotonic time.
+    :ivar oldest_report: age of the oldest report in the current sums, in
+        seconds.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._own: dict[str, Load] = {}
-        self._reports: dict[str, _Report] = {}
+        self._reports: dict[Source, _Report] = {}
         self._others: dict[str, Load] = {}
         self._summed_at = -math.inf
+        self.oldest_report = 0.0
 
     def start_request(self, server_id: str, prefill: float) -> None:
         """Record a request that is sent to a server.
@@ -83,22 +99,38 @@
             self._own[server_id] = Load(load.pending_prefill, load.active - 1)
 
     def apply_report(
-        self, node: str, sequence: int, loads: Mapping[str, Load]
+        self,
+        source: Source,
+        sender: str,
+        sequence: int,
+        loads: Mapping[str, Load],
     ) -> None:
-        """Apply a report of another node; a late one is ignored.
+        """Apply a report; one that was overtaken by a later one is ignored.
 
-        :param node: name of the node.
+        :param source: node or group that the report covers.
+        :param sender: node that sent it. Nodes that know different members
+            may both send the sum of a group.
         :param sequence: number of the report, which grows with each report
-            of the node and may start lower after its restart.
-        :param loads: loads that the node puts on servers.
+            of the sender and may start lower after its restart.
+        :param loads: loads that the source puts on servers.
         """
         now = self._clock.monotonic()
-        previous = self._reports.get(node)
-        expired = (
-            previous is None or now - previous.received_at > REPORT_LIFETIME
-        )
-        if expired or previous is None or sequence > previous.sequence:
-            self._reports[node] = _Report(now, sequence, loads)
+        previous = self._reports.get(source)
+        if (
+            previous is None
+            or previous.sender != sender
+            or now - previous.received_at > REPORT_LIFETIME
+            or sequence > previous.sequence
+        ):
+            self._reports[source] = _Report(now, sender, sequence, loads)
+
+    def group_loads(self) -> dict[str, Load]:
+        """Return the loads that this node and its group put on servers."""
+        nodes = (source for source in self._reports if not source.is_group)
+        total = self._sum_reports(nodes)
+        for server_id, load in self._own.items():
+            total[server_id] = _add(total.get(server_id, NO_LOAD), load)
+        return total
 
     def own_loads(self) -> dict[str, Load]:
         """Return the loads that this node puts on servers."""
@@ -108,7 +140,8 @@
         """Return the loads of servers, summed over all nodes."""
         now = self._clock.monotonic()
         if now - self._summed_at > SUMS_LIFETIME:
-            self._others = self._sum_others(now - REPORT_LIFETIME)
+            self._drop_expired(now)
+            self._others = self._sum_reports(self._reports)
             self._summed_at = now
         return {
             server_id: _add(
@@ -118,9 +151,22 @@
             for server_id in server_ids
         }
 
-    def _sum_others(self, oldest: float) -> dict[str, Load]:
+    def _drop_expired(self, now: float) -> None:
+        self._reports = {
+            source: report
+            for source, report in self._reports.items()
+            if now - report.received_at <= REPORT_LIFETIME
+        }
+        self.oldest_report = max(
+            (now - report.received_at for report in self._reports.values()),
+            default=0.0,
+        )
+
+    def _sum_reports(self, sources: Iterable[Source]) -> dict[str, Load]:
+        oldest = self._clock.monotonic() - REPORT_LIFETIME
         total: dict[str, Load] = {}
-        for report in self._reports.values():
+        for source in sources:
+            report = self._reports[source]
             if report.received_at < oldest:
                 continue
             for server_id, load in report.loads.items():
--- a/tests/limpetwalk/gateway/test_placement.py
+++ b/tests/limpetwalk/gateway/test_placement.py
@@ -69,7 +69,9 @@
 
     def test_load_of_other_nodes_counts(self) -> None:
         busy = {f"s{number}": server_load.Load(0.0, 5) for number in (0, 2, 3)}
-        self.node.loads.apply_report("other", 1, busy)
+        self.node.loads.apply_report(
+            server_load.Source("other"), "other", 1, busy
+        )
         self.assertEqual("s1", self.node.choose().member.id)
 
     def test_failing_server_is_avoided(self) -> None:
@@ -170,7 +172,10 @@
                 for receiver in nodes:
                     if receiver is not other:
                         receiver.loads.apply_report(
-                            f"n{sender}", turn, other.loads.own_loads()
+                            server_load.Source(f"n{sender}"),
+                            f"n{sender}",
+                            turn,
+                            other.loads.own_loads(),
                         )
         self.assertEqual(5, len(prefill))
         mean = sum(prefill.values()) / 5
@@ -196,22 +201,28 @@
         self.clock = clocks.ManualClock()
         self.loads = server_load.ServerLoads(self.clock)
 
+    def report(
+        self, sequence: int, loads: dict[str, server_load.Load]
+    ) -> None:
+        """Apply a report of node ``n``."""
+        self.loads.apply_report(server_load.Source("n"), "n", sequence, loads)
+
     def test_late_report_is_ignored(self) -> None:
-        self.loads.apply_report("n", 2, {"s": server_load.Load(1.0, 1)})
-        self.loads.apply_report("n", 1, {"s": server_load.Load(9.0, 9)})
+        self.report(2, {"s": server_load.Load(1.0, 1)})
+        self.report(1, {"s": server_load.Load(9.0, 9)})
         self.assertEqual(
             1.0, self.loads.total_loads(["s"])["s"].pending_prefill
         )
 
     def test_silent_node_no_longer_counts(self) -> None:
-        self.loads.apply_report("n", 2, {"s": server_load.Load(1.0, 1)})
+        self.report(2, {"s": server_load.Load(1.0, 1)})
         self.clock.advance(server_load.REPORT_LIFETIME + 0.1)
         self.assertEqual(0, self.loads.total_loads(["s"])["s"].active)
 
     def test_reports_of_a_restarted_node_are_applied(self) -> None:
-        self.loads.apply_report("n", 200, {"s": server_load.Load(1.0, 1)})
+        self.report(200, {"s": server_load.Load(1.0, 1)})
         self.clock.advance(server_load.REPORT_LIFETIME + 0.1)
-        self.loads.apply_report("n", 1, {"s": server_load.Load(3.0, 1)})
+        self.report(1, {"s": server_load.Load(3.0, 1)})
         self.assertEqual(
             3.0, self.loads.total_loads(["s"])["s"].pending_prefill
         )
--- /dev/null
+++ b/tests/limpetwalk_bench/model/test_cluster.py
@@ -0,0 +1,41 @@
+"""What callers get from a cluster under load, in simulated time."""
+
+import unittest
+
+from limpetwalk_bench.model import cluster
+from limpetwalk_bench.model import loads
+
+
+class ManyNodes(unittest.TestCase):
+    """195 nodes before 78 engines on a calm day."""
+
+    seconds = 6.0
+    seeds = (1, 2)
+
+    def run_all(self, way: str) -> list[cluster.Result]:
+        """Run the load once for each seed with one way to report loads."""
+        load = loads.cluster_of(195, self.seconds)
+        reporting = loads.reportings(load.nodes)[way]
+        return [
+            cluster.Cluster(load, reporting, seed).run() for seed in self.seeds
+        ]
+
+    def test_reports_to_groups_serve_callers_in_time(self) -> None:
+        grouped = self.run_all("to groups")
+        to_all = self.run_all("to all")
+        for result, former in zip(grouped, to_all, strict=True):
+            self.assertGreaterEqual(result.in_time_share(), 0.99)
+            late = 1 - result.in_time_share()
+            self.assertLess(late, 0.7 * (1 - former.in_time_share()))
+            self.assertLessEqual(result.reports, former.reports * 1.1)
+
+    def test_large_requests_are_served_like_the_others(self) -> None:
+        for result in self.run_all("to groups"):
+            sizes = sorted(outcome.size for outcome in result.outcomes)
+            largest = sizes[int(0.9 * len(sizes))]
+            late = [
+                outcome
+                for outcome in result.outcomes
+                if outcome.size >= largest and not outcome.in_time
+            ]
+            self.assertLess(len(late), 0.05 * len(sizes) / 10)
--- a/tests/limpetwalk_node/gateway/test_table_follower.py
+++ b/tests/limpetwalk_node/gateway/test_table_follower.py
@@ -23,12 +23,15 @@
         self._results = list(results)
         self.calls: list[int | None] = []
         self.waits: list[float] = []
+        self.pause = 0.0
 
     async def read(self) -> ports.Batch[str]:
         return await self._next_result(None)
 
     async def follow(self, since: int, wait: float) -> ports.Batch[str]:
         self.waits.append(wait)
+        if wait:
+            await asyncio.sleep(self.pause)
         return await self._next_result(since)
 
     async def _next_result(self, since: int | None) -> ports.Batch[str]:
@@ -99,6 +102,75 @@
         self.assertEqual([None, 9, 9], feed.calls)
 
 
+class PeersKnowMore(FollowerCase):
+    """A call hangs, because its answer was lost, and peers know more."""
+
+    async def check(
+        self, version: int, outage_began: bool = False, seconds: float = 0.9
+    ) -> Feed:
+        """Follow a feed whose second call hangs, with a report of a peer."""
+        feed = Feed(3)
+        follower = table_follower.TableFollower(
+            feed,
+            lambda batch: None,
+            lambda: None,
+            lambda: 20.0,
+            lambda: 1,
+            clocks.SystemClock(),
+            harness.journal(harness.Lines()),
+            metrics_.Metrics(),
+            LONGEST_PAUSE,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.1)
+        self.assertEqual(
+            (3, False), (follower.state.version, follower.state.unavailable)
+        )
+        for _ in range(20):
+            follower.note_peer(version, outage_began)
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return feed
+
+    async def test_node_that_is_behind_calls_again_without_waiting(
+        self,
+    ) -> None:
+        feed = await self.check(4)
+        self.assertEqual([20.0, 0.0], feed.waits)
+
+    async def test_outage_of_peers_leads_to_a_call(self) -> None:
+        feed = await self.check(3, outage_began=True)
+        self.assertEqual([20.0, 0.0], feed.waits)
+
+    async def test_known_version_leads_to_no_call(self) -> None:
+        feed = await self.check(3)
+        self.assertEqual([20.0], feed.waits)
+
+    async def test_wrong_version_costs_few_calls(self) -> None:
+        self.assertLess(table_follower.NEWS_GRACE, 0.5)
+        feed = Feed(3, *([3] * 50))
+        follower = table_follower.TableFollower(
+            feed,
+            lambda batch: None,
+            lambda: None,
+            lambda: 20.0,
+            lambda: 1,
+            clocks.SystemClock(),
+            harness.journal(harness.Lines()),
+            metrics_.Metrics(),
+            LONGEST_PAUSE,
+        )
+        feed.pause = 3600.0
+        task = asyncio.create_task(follower.run())
+        for _ in range(30):
+            await asyncio.sleep(0.05)
+            follower.note_peer(10**9, False)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertLessEqual(len(feed.waits), 3)
+
+
 class ManyNodes(FollowerCase):
     """Many nodes follow rows that change in quick succession."""
 
