Collect changes for longer where the bounds of a deployment allow it

Cause: pauses after a batch of changes were those of a configuration that must be in force within 2 s. Now they are shares of the bounds, the same as before where those are 2 s.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -17,6 +17,7 @@
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import store_watch
+from limpetwalk.gateway import types
 
 from . import admission
 from . import cluster_state
@@ -44,11 +45,13 @@
 # Factor on the longest wait for changes of the shared rows. A change that is
 # noticed late only slows a roll-out down.
 SHARED_WAIT_FACTOR = 2.0
-# Longest pauses after a batch of changes, seconds. A configuration must be in
-# force within 2 s, and a leaving server must get no requests after 2 s. A
-# reverted version must get none after 5 s, evidence and decision included.
-OPERATOR_PAUSE = 0.8
-SERVERS_PAUSE = 1.2
+# Longest pauses after a batch of changes: of the operator's rows, as a share
+# of the time in which a configuration must be in force; of servers, as a share
+# of that in which a leaving one must get no new requests; of the nodes' rows,
+# in seconds, since a reverted version must get no requests after 5 s, evidence
+# and decision included.
+OPERATOR_PAUSE_SHARE = 0.4
+SERVERS_PAUSE_SHARE = 0.6
 SHARED_PAUSE = 1.2
 # Pause before another attempt to publish this node's address, seconds.
 PRESENCE_RETRY_PAUSE = 1.0
@@ -117,11 +120,11 @@
             platform.settings.name,
             lambda: self.cluster_state.peers,
             self.dispatcher.server_loads,
-            lambda: [follower.state for follower in self._followers],
+            lambda: [follower.state for follower in self.followers],
             news,
             self.journal,
         )
-        self._followers = self._make_followers(
+        self.followers = self._make_followers(
             clock,
             store_watch.WatchPlan(
                 platform.settings.name,
@@ -130,10 +133,10 @@
                 news,
             ),
         )
-        for follower in self._followers:
+        for follower in self.followers:
             news.listen(follower.state.table, follower.note_peer)
         self._tasks: list[asyncio.Task[None]] = []
-        for follower in self._followers:
+        for follower in self.followers:
             self._spawn(follower.run(), "watch")
         self._spawn(self._publish_presence(), "presence")
         self._spawn(self._check_settings_file(), "settings")
@@ -204,10 +207,11 @@
         state = self.cluster_state
         platform = self.platform
 
+        def bounds() -> types.Bounds:
+            return platform.settings.bounds
+
         def wait(table: str, factor: float = 1.0) -> Callable[[], float]:
-            return lambda: watch_plan.wait(
-                table, factor * platform.settings.bounds.contact
-            )
+            return lambda: watch_plan.wait(table, factor * bounds().contact)
 
         def nodes() -> int:
             return len(state.nodes)
@@ -223,7 +227,7 @@
                 ignore,
                 wait(platform.operator.name),
                 *common,
-                OPERATOR_PAUSE,
+                lambda: OPERATOR_PAUSE_SHARE * bounds().config_apply,
             ),
             table_follower.TableFollower(
                 platform.servers,
@@ -231,7 +235,7 @@
                 state.fleet.record_store_recovery,
                 wait(platform.servers.name),
                 *common,
-                SERVERS_PAUSE,
+                lambda: SERVERS_PAUSE_SHARE * bounds().drain,
             ),
             table_follower.TableFollower(
                 platform.shared,
@@ -239,7 +243,7 @@
                 ignore,
                 wait(platform.shared.name, SHARED_WAIT_FACTOR),
                 *common,
-                SHARED_PAUSE,
+                lambda: SHARED_PAUSE,
             ),
         ]
 
@@ -296,7 +300,7 @@
 
     async def _reread_tables(self) -> None:
         """Read all tables again after this process was suspended."""
-        for follower in self._followers:
+        for follower in self.followers:
             follower.restart()
         await self.platform.renew_connections()
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
@@ -43,8 +43,8 @@
         shorter than the time after an outage within which changes must be
         known.
     :param nodes: returns the number of nodes that follow the table.
-    :param longest_pause: longest pause after a batch of changes, in seconds,
-        by which a change may be delayed.
+    :param longest_pause: returns the longest pause after a batch of changes,
+        in seconds, by which a change may be delayed.
     """
 
     def __init__(
@@ -57,10 +57,10 @@
         clock: clocks.Clock,
         journal: logs.Journal,
         metrics: metrics_.Metrics,
-        longest_pause: float,
+        longest_pause: Callable[[], float],
     ) -> None:
         self._feed = feed
-        self._longest_pause = longest_pause
+        self.longest_pause = longest_pause
         self._apply = apply
         self._on_recovery = on_recovery
         self._wait = wait
@@ -136,7 +136,7 @@
                 await asyncio.sleep(self._batch_pause())
 
     def _batch_pause(self) -> float:
-        return min(self._longest_pause, BATCH_PAUSE_PER_NODE * self._nodes())
+        return min(self.longest_pause(), BATCH_PAUSE_PER_NODE * self._nodes())
 
     async def _next(self) -> ports.Batch[T]:
         if self._since is None:
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -42,8 +42,8 @@
 # does not get all requests.
 DOUBTFUL_EXCESS = 0.08
 # Probability below which the failures of the new version are not taken for
-# chance, if it fails as often as the old one. A single failure of a few requests
-# is likely at a service that fails now and then.
+# chance, if it fails as often as the old one. A single failure among a few
+# requests is likely at a service that fails now and then.
 CHANCE_PROBABILITY = 0.1
 # Minimum failures for reverting a version that is only doubtful.
 MIN_DOUBTFUL_FAILURES = 2
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -203,6 +203,8 @@
 
     :param contact: time without disturbance after which a node counts as
         connected to the store.
+    :param config_apply: time after which a configuration must be in force.
+    :param drain: time after which a leaving server must get no new requests.
     :param grace: time between the signal to stop and the kill.
     :param retry_share: retries allowed for each request of a caller.
     :param retry_window: time over which retries and requests are counted.
@@ -218,6 +220,8 @@
     """
 
     contact: float = 3.0
+    config_apply: float = 2.0
+    drain: float = 2.0
     grace: float = 8.0
     retry_share: float = 0.9
     retry_window: float = 10.0
--- a/tests/limpetwalk_node/gateway/test_settings.py
+++ b/tests/limpetwalk_node/gateway/test_settings.py
@@ -43,6 +43,17 @@
         await self.run_.until(lambda: self.grace == 4.0)
         self.assertEqual(2, len(self.lines()))
 
+    async def test_pauses_after_changes_follow_the_bounds(self) -> None:
+        bounds = "grace_s = 3\nconfig_apply_ms = 4000\ndrain_ms = 3000"
+        self.path.write_text(self.text.replace("grace_s = 3", bounds))
+        await self.run_.until(self.lines)
+        operator, servers, _ = (
+            follower.longest_pause()
+            for follower in self.run_.gateway.followers
+        )
+        self.assertAlmostEqual(1.6, operator)
+        self.assertAlmostEqual(1.8, servers)
+
     async def test_missing_file_is_logged_once(self) -> None:
         self.path.rename(self.path.with_suffix(".away"))
         await self.run_.until(self.lines)
--- a/tests/limpetwalk_node/gateway/test_table_follower.py
+++ b/tests/limpetwalk_node/gateway/test_table_follower.py
@@ -68,7 +68,7 @@
             clocks.SystemClock(),
             harness.journal(self.lines),
             metrics_.Metrics(),
-            LONGEST_PAUSE,
+            lambda: LONGEST_PAUSE,
         )
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(seconds):
@@ -119,7 +119,7 @@
             clocks.SystemClock(),
             harness.journal(harness.Lines()),
             metrics_.Metrics(),
-            LONGEST_PAUSE,
+            lambda: LONGEST_PAUSE,
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(0.1)
@@ -159,7 +159,7 @@
             clocks.SystemClock(),
             harness.journal(harness.Lines()),
             metrics_.Metrics(),
-            LONGEST_PAUSE,
+            lambda: LONGEST_PAUSE,
         )
         feed.pause = 3600.0
         task = asyncio.create_task(follower.run())
