Bound the heads of callers, and requests that wait behind another

Cause: aiohttp limits each line of a head to 16 KiB and their number to 200, which makes 3 MB a connection, gives a head any time, and reads and keeps further requests while one is answered. The operator's header_timeout_ms was not read.

Change: a head has the operator's size and time; a connection behind whose request more than a head's size waits is not read until that is answered.

--- /dev/null
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
@@ -0,0 +1,150 @@
+"""Connection of a caller, with limits on heads and on waiting requests.
+
+Serves callers that send a head without end or byte by byte, or further
+requests while one is answered. aiohttp limits each line of a head, but neither
+the head nor the time that it takes.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp import web
+
+TIMEOUT_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+TOO_LARGE_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
+END_OF_HEAD = b"\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class HeadLimits:
+    """Limits of the head of a request.
+
+    :param size: maximum size, in bytes.
+    :param seconds: longest time from its first byte to its end.
+    """
+
+    size: int
+    seconds: float
+
+
+class CallerConnection(web.RequestHandler):
+    """Connection that closes when a head is too large or too slow.
+
+    :param limits: limits of a head.
+    :param on_limit: called with the name of a limit that was reached.
+    """
+
+    __slots__ = (
+        "_head_limits",
+        "_on_limit",
+        "_head_size",
+        "_head_tail",
+        "_head_complete",
+        "_timer",
+        "_busy",
+        "_waiting_size",
+        "_paused",
+    )
+
+    def __init__(
+        self,
+        server: web.Server,
+        *,
+        limits: HeadLimits,
+        on_limit: Callable[[str], None],
+        **options: Any,
+    ) -> None:
+        super().__init__(server, **options)
+        self._head_limits = limits
+        self._on_limit = on_limit
+        self._timer: asyncio.TimerHandle | None = None
+        self._busy: web.BaseRequest | None = None
+        self._paused = False
+        self._expect_head()
+
+    def data_received(self, data: bytes) -> None:
+        """Count bytes of heads and of requests that wait."""
+        if self._busy is not None:
+            self._count_waiting(data)
+        elif not self._head_complete:
+            self._count_head(data)
+        super().data_received(data)
+
+    def begin_request(self, req: web.BaseRequest) -> None:
+        """Record that the head of a request is complete."""
+        self._expect_head()
+        self._busy = req
+
+    def end_request(self) -> None:
+        """Record that a request was answered."""
+        self._busy = None
+        transport = self.transport
+        if self._paused and transport is not None:
+            self._paused = False
+            transport.resume_reading()
+
+    def _expect_head(self) -> None:
+        self._cancel_timer()
+        self._head_size = 0
+        self._head_tail = b""
+        self._head_complete = False
+        self._waiting_size = 0
+
+    def _count_head(self, data: bytes) -> None:
+        joined = self._head_tail + data
+        if END_OF_HEAD in joined:
+            self._head_complete = True
+            self._cancel_timer()
+            return
+        self._head_tail = joined[1 - len(END_OF_HEAD) :]
+        self._head_size += len(data)
+        if self._head_size > self._head_limits.size:
+            self._close_with("head_size", TOO_LARGE_RESPONSE)
+        elif self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(
+                self._head_limits.seconds, self._give_up_slow_head
+            )
+
+    def _count_waiting(self, data: bytes) -> None:
+        """Stop reading when further requests wait behind the current one."""
+        transport = self.transport
+        if transport is None or self._busy is None or self._paused:
+            return
+        if not self._busy.content.is_eof():
+            return
+        self._waiting_size += len(data)
+        if self._waiting_size > self._head_limits.size:
+            self._paused = True
+            self._on_limit("waiting_requests")
+            transport.pause_reading()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the timer."""
+        self._cancel_timer()
+        super().connection_lost(exc)
+
+    def _give_up_slow_head(self) -> None:
+        self._timer = None
+        self._close_with("head_time", TIMEOUT_RESPONSE)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _close_with(self, limit: str, response: bytes) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self._on_limit(limit)
+        self._cancel_timer()
+        transport.write(response)
+        transport.close()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -11,8 +11,10 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import refusal
+from limpetwalk.gateway import types
 
 from . import admission
+from . import caller_connection
 from . import cluster_state
 from . import dispatch
 from . import events
@@ -34,6 +36,8 @@
 BODY_TIMEOUT = 10.0
 # Retry-After of a stopping node, seconds.
 STOPPING_RETRY_AFTER = 0.05
+# Size of a request line that is allowed besides the headers, bytes.
+REQUEST_LINE_BYTES = 8192
 # Largest number of headers of a request.
 MAX_HEADERS = 200
 
@@ -78,6 +82,11 @@
             "Answers of the gateway's own, by reason.",
             ("reason",),
         )
+        self._limits = metrics.counter(
+            "limpetwalk_caller_limits",
+            "Connections of callers closed at a limit of a head, by limit.",
+            ("limit",),
+        )
         self._latency = metrics.latency(
             "limpetwalk_request",
             "Time from a request's header to its end.",
@@ -89,23 +98,22 @@
     def __call__(self) -> web.RequestHandler:
         """Return the protocol handler of a new connection."""
         current_catalog = self._cluster_state.catalog
-        idle_timeout = (
-            current_catalog.config.limits.idle_timeout
-            if current_catalog
-            else 15.0
-        )
-        max_header_bytes = (
-            current_catalog.config.limits.header_bytes
+        limits = (
+            current_catalog.config.limits
             if current_catalog
-            else 16384
+            else types.Limits()
         )
-        return web.RequestHandler(
+        return caller_connection.CallerConnection(
             self,
+            limits=caller_connection.HeadLimits(
+                limits.header_bytes + REQUEST_LINE_BYTES, limits.header_timeout
+            ),
+            on_limit=lambda limit: self._limits.labels(limit).inc(),
             loop=asyncio.get_running_loop(),
             access_log=_NO_ACCESS_LOG,
-            keepalive_timeout=idle_timeout + IDLE_MARGIN,
-            max_line_size=max_header_bytes,
-            max_field_size=max_header_bytes,
+            keepalive_timeout=limits.idle_timeout + IDLE_MARGIN,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
             max_headers=MAX_HEADERS,
             auto_decompress=False,
         )
@@ -116,6 +124,17 @@
         return bool(self.open_requests or self._background)
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        conn = req.protocol
+        assert isinstance(conn, caller_connection.CallerConnection)
+        conn.begin_request(req)
+        try:
+            return await self._handle_request(req)
+        finally:
+            conn.end_request()
+
+    async def _handle_request(
+        self, req: web.BaseRequest
+    ) -> web.StreamResponse:
         self.open_requests += 1
         arrived = self._clock.monotonic()
         caller_attempt_id = req.headers.get(
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -90,10 +90,12 @@
 
     :param header_bytes: maximum size of a request's header.
     :param body_bytes: maximum size of a request's body.
+    :param header_timeout: longest time that a request's header may take.
     :param idle_timeout: longest idle time of a caller's connection.
     """
 
     header_bytes: int = 16384
+    header_timeout: float = 10.0
     body_bytes: int = 4 * 1024 * 1024
     idle_timeout: float = 15.0
 
--- a/tests/limpetwalk_node/gateway/test_endless.py
+++ b/tests/limpetwalk_node/gateway/test_endless.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import aiohttp
+from aiohttp import web
 
 from limpetwalk.gateway import buffers
 from limpetwalk_bench.hub import raw_server
@@ -190,6 +191,100 @@
         await self.run_.until(lambda: fleet.get(server_id) is not None)
 
 
+class EndlessRequests(harness.GatewayCase):
+    """A caller sends without end, or byte by byte."""
+
+    services = {"p-1": site.PLAIN}
+    head = b"GET /again/x HTTP/1.1\r\nHost: api.example\r\n"
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        config = site.config_row(version=2)
+        config["limits"] = {
+            "max_body_bytes": 100_000,
+            "max_header_bytes": 4096,
+            "header_timeout_ms": 300,
+        }
+        await self.run_.site.store.put("op", "config", config)
+        state = self.run_.gateway.cluster_state
+        await self.run_.until(lambda: state.catalog.version == 2)
+
+    async def test_head_without_end_is_refused(self) -> None:
+        for filler in (b"Filler: 1\r\n" * 50, b"x" * 500):
+            with self.subTest(filler[:6]):
+                status = await self._send_until_closed(filler, 0.0)
+                self.assertIn(status.split()[1], (b"431", b"400"))
+
+    async def test_head_byte_by_byte_is_refused_in_time(self) -> None:
+        async with asyncio.timeout(1.0):
+            status = await self._send_until_closed(b"x", 0.02)
+        self.assertEqual(b"HTTP/1.1 408", status)
+        counted = self.run_.metrics.value(
+            "limpetwalk_caller_limits_total", {"limit": "head_time"}
+        )
+        self.assertEqual(1, counted)
+
+    async def test_head_and_body_in_one_packet_are_no_large_head(self) -> None:
+        body = b"x" * 60_000
+        async with self.run_.request("POST", "/once/x", data=body) as resp:
+            self.assertEqual(200, resp.status)
+            self.assertEqual(b"done " + body, await resp.read())
+
+    async def test_requests_in_pieces_are_served_one_after_another(
+        self,
+    ) -> None:
+        reader, writer = await self._connect()
+        for _ in range(3):
+            headers = site.request_headers("a-1", 2000)
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            text = "\r\n".join(["GET /again/x HTTP/1.1", *lines, "", ""])
+            for start in range(0, len(text), 40):
+                writer.write(text[start : start + 40].encode())
+                await asyncio.sleep(0.005)
+            response = await reader.readuntil(b"done ")
+            self.assertTrue(response.startswith(b"HTTP/1.1 200"))
+        writer.close()
+
+    async def test_waiting_requests_are_not_read_without_end(self) -> None:
+        release = asyncio.Event()
+
+        async def wait(req: web.Request) -> None:
+            await release.wait()
+
+        self.server("p-1").behaviour = wait
+        headers = site.request_headers("a-1", 2000)
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        text = "\r\n".join(["GET /once/x HTTP/1.1", *lines, "", ""])
+        reader, writer = await self._connect()
+        block = text.encode() * 2000
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(1.0):
+                for _ in range(200):
+                    writer.write(block)
+                    await writer.drain()
+        release.set()
+        response = await reader.readuntil(b"done ")
+        self.assertTrue(response.startswith(b"HTTP/1.1 200"))
+        writer.transport.abort()
+
+    async def _connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = self.run_.gateway.addresses["callers"]
+        return await asyncio.open_connection(host, port)
+
+    async def _send_until_closed(self, data: bytes, pause: float) -> bytes:
+        """Send a head without end, and return the start of the answer."""
+        reader, writer = await self._connect()
+        writer.write(self.head)
+        answer = asyncio.create_task(reader.read(12))
+        while not answer.done():
+            writer.write(data)
+            await asyncio.sleep(pause)
+        writer.transport.abort()
+        return await answer
+
+
 class Memory(unittest.IsolatedAsyncioTestCase):
     """A node in a process of its own gets many endless answers at once."""
 
