--- a/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
@@ -1,8 +1,8 @@
-"""Connection of a caller, with limits on heads and on waiting requests.
+"""Connection of a caller, with limits on heads.
 
-Serves callers that send a head without end or byte by byte, or further
-requests while one is answered. aiohttp limits each line of a head, but neither
-the head nor the time that it takes.
+Serves callers that send a head without end or byte by byte. aiohttp limits
+each line of a head, but neither the head nor the time that it takes. It reads
+few further requests while one is answered.
 """
 
 import asyncio
@@ -50,8 +50,6 @@
         "_head_complete",
         "_timer",
         "_busy",
-        "_waiting_size",
-        "_paused",
     )
 
     def __init__(
@@ -66,37 +64,29 @@
         self._head_limits = limits
         self._on_limit = on_limit
         self._timer: asyncio.TimerHandle | None = None
-        self._busy: web.BaseRequest | None = None
-        self._paused = False
+        self._busy = False
         self._expect_head()
 
     def data_received(self, data: bytes) -> None:
-        """Count bytes of heads and of requests that wait."""
-        if self._busy is not None:
-            self._count_waiting(data)
-        elif not self._head_complete:
+        """Count the bytes of a head."""
+        if not self._busy and not self._head_complete:
             self._count_head(data)
         super().data_received(data)
 
-    def begin_request(self, req: web.BaseRequest) -> None:
-        """Record that the head of a request is complete."""
+    def begin_request(self) -> None:
+        """Record that a request is being answered."""
         self._expect_head()
-        self._busy = req
+        self._busy = True
 
     def end_request(self) -> None:
         """Record that a request was answered."""
-        self._busy = None
-        transport = self.transport
-        if self._paused and transport is not None:
-            self._paused = False
-            transport.resume_reading()
+        self._busy = False
 
     def _expect_head(self) -> None:
         self._cancel_timer()
         self._head_size = 0
         self._head_tail = b""
         self._head_complete = False
-        self._waiting_size = 0
 
     def _count_head(self, data: bytes) -> None:
         joined = self._head_tail + data
@@ -113,19 +103,6 @@
                 self._head_limits.seconds, self._give_up_slow_head
             )
 
-    def _count_waiting(self, data: bytes) -> None:
-        """Stop reading when further requests wait behind the current one."""
-        transport = self.transport
-        if transport is None or self._busy is None or self._paused:
-            return
-        if not self._busy.content.is_eof():
-            return
-        self._waiting_size += len(data)
-        if self._waiting_size > self._head_limits.size:
-            self._paused = True
-            self._on_limit("waiting_requests")
-            transport.pause_reading()
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer."""
         self._cancel_timer()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -126,7 +126,7 @@
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         conn = req.protocol
         assert isinstance(conn, caller_connection.CallerConnection)
-        conn.begin_request(req)
+        conn.begin_request()
         try:
             return await self._handle_request(req)
         finally:
