--- a/tests/limpetwalk_platform/test_store.py
+++ b/tests/limpetwalk_platform/test_store.py
@@ -1,5 +1,7 @@
 """The client of the metadata store, against its stand-in."""
 
+import asyncio
+import json
 import unittest
 from unittest import mock
 
@@ -9,6 +11,7 @@
 
 from limpetwalk import exceptions
 from limpetwalk.gateway import ports
+from limpetwalk_bench.hub import raw_server
 from limpetwalk_bench.hub import store as store_standin
 from limpetwalk_platform import adapter
 from limpetwalk_platform import store
@@ -127,3 +130,33 @@
         await self.table.put([ports.SharedPut("a", "1")])
         await self.table.remove("a")
         self.assertIsNone(self.store.value("t", "a"))
+
+
+class SecondCopy(unittest.IsolatedAsyncioTestCase):
+    """A server sends an answer once more after it was complete."""
+
+    async def test_late_copy_is_not_the_answer_of_the_next_call(self) -> None:
+        answers = 0
+
+        async def answer_twice(conn: raw_server.Connection) -> None:
+            nonlocal answers
+            answers += 1
+            row = {"table": f"t{answers}", "key": "k", "value": "", "ver": 1}
+            body = json.dumps({"rows": [row], "ver": answers, "now_ms": 0})
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            await conn.send((head + body).encode())
+            await asyncio.sleep(0.02)
+            await conn.send((head + body).encode())
+            await asyncio.sleep(5)
+
+        server = raw_server.RawServer(answer_twice)
+        client = store.StoreClient(f"127.0.0.1:{await server.start()}")
+        self.addAsyncCleanup(server.stop)
+        await client.open()
+        self.addAsyncCleanup(client.close)
+        first = await client.read("t1")
+        await asyncio.sleep(0.1)
+        second = await client.read("t2")
+        self.assertEqual(
+            ["t1", "t2"], [first.rows[0].table, second.rows[0].table]
+        )
