Don't reuse connections to the table, the instance list and the ratings

The same fault as in the platform's store client: the answers of these services carry no id, and aiohttp takes a late copy of an answer for that of the next call. Not changed: the S3 client (aiobotocore keeps its own pool), and connections to backend servers of the product's own interface, whose answers' ids are compared.

--- a/packages/limpetwalk/limpetwalk/providers/dynamodb.py
+++ b/packages/limpetwalk/limpetwalk/providers/dynamodb.py
@@ -22,6 +22,7 @@
 from .. import registry
 from . import base
 from . import dynamodb_wire as wire
+from . import http
 from . import settings
 
 MAX_CONNECTIONS = 32
@@ -74,10 +75,7 @@
         timeout = aiohttp.ClientTimeout(
             total=self._cfg.timeout, connect=self._cfg.timeout / 2
         )
-        self._session = aiohttp.ClientSession(
-            timeout=timeout,
-            connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS),
-        )
+        self._session = http.open_session(timeout, MAX_CONNECTIONS)
 
     async def get(self, key: base.RowKey) -> base.Row | None:
         """Return a row by a consistent read."""
--- a/packages/limpetwalk/limpetwalk/providers/http_sd.py
+++ b/packages/limpetwalk/limpetwalk/providers/http_sd.py
@@ -9,6 +9,7 @@
 from .. import exceptions
 from .. import registry
 from . import base
+from . import http
 from . import settings
 
 NOT_MODIFIED = 304
@@ -92,7 +93,7 @@
     async def open(self) -> None:
         """Create the HTTP session; no connection is opened yet."""
         timeout = aiohttp.ClientTimeout(total=self._cfg.timeout)
-        self._session = aiohttp.ClientSession(timeout=timeout)
+        self._session = http.open_session(timeout)
 
     async def fetch(self) -> list[base.Instance]:
         """Return the current list."""
--- a/packages/limpetwalk/limpetwalk/providers/ratings.py
+++ b/packages/limpetwalk/limpetwalk/providers/ratings.py
@@ -9,6 +9,7 @@
 from .. import exceptions
 from .. import registry
 from . import base
+from . import http
 from . import settings
 
 
@@ -29,7 +30,7 @@
 
     async def open(self) -> None:
         """Create the HTTP session; no connection is opened yet."""
-        self._session = aiohttp.ClientSession()
+        self._session = http.open_session()
 
     async def rate(self, req: base.RatingRequest, timeout: float) -> float:
         """Return a score from 0.0 to 1.0."""
