Collect evidence of roll-outs by groups of nodes

Cause: each node wrote its own row of evidence, every 15.6 s at 195 nodes, so that a bad version was judged later than it may live and a good one not in its period. Now a member sends its report to a collector of its group every 1.2 s (0.6 s once all work goes to the new version), which writes one row: about as many writes a second as before, evidence at most 2.4 s old. Reports are counts that only grow, merged by node, so a node in the rows of two collectors counts once.

Rows of an older build are not read: their evidence is missing while both run.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -17,6 +17,7 @@
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import store_watch
+from limpetwalk.peers import rendezvous
 
 from . import events
 from . import logs
@@ -45,6 +46,8 @@
     :param peers: returns all known nodes by name.
     :param tables: returns what this node knows of the store's tables.
     :param news: receives what other nodes know of them.
+    :ivar on_evidence: called with the sender, the order and the report of each
+        piece of evidence that this node receives as a collector.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         self._tables = tables
         self._news = news
         self._journal = journal
+        self.on_evidence: Callable[[str, str, str], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._schema: Any = None
         self._planned_for: Mapping[str, peer_groups.Peer] = {}
@@ -118,31 +122,13 @@
         return INTERVAL * (1 + len(exchange.members) // NODES_PER_INTERVAL)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Apply the load report of another node."""
+        """Apply the report of another node."""
         try:
             with self._schema.Told.from_bytes(data) as report:
-                loads = {
-                    entry.server: server_load.Load(
-                        entry.waitingMs / 1000, entry.active
-                    )
-                    for entry in report.loads
-                }
-                sender = report.sender
-                source = server_load.Source(
-                    report.group or sender, bool(report.group)
-                )
-                self._server_loads.apply_report(
-                    source, sender, report.sequence, loads
-                )
-                self._news.record(
-                    sender,
-                    [
-                        store_watch.TableState(
-                            table.name, table.version, table.unavailable
-                        )
-                        for table in report.tables
-                    ],
-                )
+                if len(report.evidence):
+                    self._apply_evidence(report)
+                else:
+                    self._apply_loads(report)
         except Exception as exc:
             self._journal.emit(
                 events.UnexpectedError(
@@ -150,6 +136,59 @@
                 )
             )
 
+    def _apply_evidence(self, report: Any) -> None:
+        for entry in report.evidence:
+            if self.on_evidence is not None:
+                self.on_evidence(report.sender, entry.order, entry.report)
+
+    def _apply_loads(self, report: Any) -> None:
+        sender = report.sender
+        self._server_loads.apply_report(
+            server_load.Source(report.group or sender, bool(report.group)),
+            sender,
+            report.sequence,
+            {
+                entry.server: server_load.Load(
+                    entry.waitingMs / 1000, entry.active
+                )
+                for entry in report.loads
+            },
+        )
+        self._news.record(
+            sender,
+            [
+                store_watch.TableState(
+                    table.name, table.version, table.unavailable
+                )
+                for table in report.tables
+            ],
+        )
+
+    def collector(self, subject: str) -> str:
+        """Return the node of this node's group that collects evidence.
+
+        :param subject: what the evidence is about.
+        """
+        members = self.exchange.members & self._news.heard()
+        return rendezvous.owner(subject, members | {self._node}) or self._node
+
+    def send_evidence(self, receiver: str, order: str, report: str) -> None:
+        """Send evidence of a roll-out to a collector.
+
+        :param report: this node's evidence, as JSON.
+        """
+        peer = self._peers().get(receiver)
+        if self._transport is None or peer is None:
+            return
+        self._sequence += 1
+        message = self._schema.Told.new_message(
+            sender=self._node, sequence=self._sequence
+        )
+        (entry,) = message.init("evidence", 1)
+        entry.order = order
+        entry.report = report
+        self._transport.sendto(message.to_bytes(), peer.address)
+
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable nodes, whose rows may outlive them."""
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -140,7 +140,7 @@
             self._spawn(follower.run(), "watch")
         self._spawn(self._publish_presence(), "presence")
         self._spawn(self._check_settings_file(), "settings")
-        self._start_rollout_tasks(clock)
+        self._start_rollout_tasks(clock, broadcast)
         self._spawn(broadcast.run(platform.settings.peers), "gossip")
         self._spawn(
             pauses.detect_pauses(self.journal, self._reread_tables), "pauses"
@@ -247,12 +247,15 @@
             ),
         ]
 
-    def _start_rollout_tasks(self, clock: clocks.Clock) -> None:
+    def _start_rollout_tasks(
+        self, clock: clocks.Clock, exchange: rollouts.EvidenceExchange
+    ) -> None:
         reporter = rollouts.EvidenceReporter(
             self.platform.settings.name,
             self.cluster_state,
             self.dispatcher.version_tallies,
             self.platform.work,
+            exchange,
             self.journal,
         )
         leader = rollouts.RolloutLeader(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
@@ -1,6 +1,6 @@
 @0xd2a5c1b87f3e4096;
-# Datagram by which an entry node reports loads on servers, and what it has read
-# of the platform's tables, to other nodes.
+# Datagram by which an entry node reports loads on servers, what it has read of the
+# platform's tables, and evidence of roll-outs, to other nodes.
 
 struct Told {
   sender @0 :Text;        # name of the node
@@ -8,6 +8,7 @@
   loads @2 :List(Load);
   group @3 :Text;         # label of the group whose sum this is; empty: the sender's own loads
   tables @4 :List(Table);
+  evidence @5 :List(Evidence);
 }
 
 struct Load {
@@ -21,3 +22,8 @@
   version @1 :UInt64;     # version of the latest change that the sender knows
   unavailable @2 :Bool;   # whether the sender can't read the table
 }
+
+struct Evidence {
+  order @0 :Text;         # key of the roll-out's order
+  report @1 :Text;        # the sender's evidence, as JSON
+}
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -7,19 +7,22 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import json
+import math
 from typing import Any
+from typing import Protocol
 
 from result import Err
 
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
+from limpetwalk.gateway import peer_groups
+from limpetwalk.gateway import pooled_evidence
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import rollout
 from limpetwalk.gateway import rollout_policy
 from limpetwalk.gateway import types
 from limpetwalk.gateway import version_tallies
 from limpetwalk.peers import rendezvous
-from limpetwalk.rollouts import evidence
 
 from . import cluster_state
 from . import events
@@ -27,10 +30,10 @@
 
 # Interval between two evidence reports of a node, seconds: the first while a
 # small share of work uses the new version, the second while all work
-# goes to it. Every NODES_PER_INTERVAL nodes add one more interval to it.
+# goes to it. Every ROWS_PER_INTERVAL rows add one more interval to it.
 REPORT_INTERVAL = 1.2
 REPORT_INTERVAL_FULL = 0.6
-NODES_PER_INTERVAL = 16
+ROWS_PER_INTERVAL = 16
 # Interval between two checks of the leader, seconds.
 CHECK_INTERVAL = 0.5
 # Lifetime of the lease, seconds. It spans a few checks, so that another node
@@ -50,11 +53,28 @@
 }
 
 
+class EvidenceExchange(Protocol):
+    """Sends evidence to the collectors of groups of nodes."""
+
+    on_evidence: Callable[[str, str, str], None] | None
+
+    def collector(self, subject: str) -> str:
+        """Return the node of this node's group that collects evidence."""
+        ...
+
+    def send_evidence(self, receiver: str, order: str, report: str) -> None:
+        """Send this node's evidence to a collector; it may get lost."""
+        ...
+
+
 class EvidenceReporter:
-    """Reports this node's evidence of roll-outs to the leader.
+    """Reports evidence of roll-outs to the leader.
+
+    In a cluster of several groups, a node sends its evidence to the collector
+    of its group, which writes a row for all of them.
 
     :param tallies: results of this node by version.
-    :param work_table: table that holds the reports.
+    :param work_table: table that holds the rows.
     """
 
     def __init__(
@@ -63,17 +83,21 @@
         state: cluster_state.ClusterState,
         tallies: version_tallies.VersionTallies,
         work_table: ports.SharedTable,
+        exchange: EvidenceExchange,
         journal: logs.Journal,
     ) -> None:
         self._node = node
         self._cluster_state = state
         self._tallies = tallies
         self._work_table = work_table
+        self._exchange = exchange
         self._journal = journal
         self._reported: dict[str, str] = {}
+        self._pools: dict[str, pooled_evidence.Pool] = {}
+        exchange.on_evidence = self._receive
 
     async def run(self) -> None:
-        """Report changed evidence until cancelled."""
+        """Report evidence until cancelled."""
         while True:
             await asyncio.sleep(self._pause())
             for service, order in list(
@@ -88,25 +112,51 @@
             for stage in self._cluster_state.rollouts.stages.values()
         )
         pause = REPORT_INTERVAL_FULL if is_full else REPORT_INTERVAL
-        return pause * (
-            1 + len(self._cluster_state.nodes) // NODES_PER_INTERVAL
-        )
+        nodes = len(self._cluster_state.nodes)
+        if nodes > peer_groups.MAX_SINGLE_GROUP:
+            # A group has a single row.
+            nodes = math.isqrt(nodes)
+        return pause * (1 + nodes // ROWS_PER_INTERVAL)
 
     async def _report(self, service: str, order: types.RolloutOrder) -> None:
         stage = self._cluster_state.rollouts.stage(service)
         phase = stage.phase.value if stage else ""
         payload = self._tallies.report_json(service, order.target, phase)
-        key = f"{TALLY_PREFIX}{service}/{order.order_id}/{self._node}"
-        if self._reported.get(key) == payload:
+        subject = f"{service}/{order.order_id}"
+        collector = self._node
+        if len(self._cluster_state.nodes) > peer_groups.MAX_SINGLE_GROUP:
+            collector = self._exchange.collector(subject)
+        if collector != self._node:
+            self._exchange.send_evidence(collector, subject, payload)
+            self._pools.pop(subject, None)
+            return
+        pool = self._pools.setdefault(subject, pooled_evidence.Pool())
+        pool.add_json(self._node, payload)
+        await self._write(
+            f"{TALLY_PREFIX}{subject}/{self._node}", pool.to_row()
+        )
+
+    async def _write(self, key: str, row: str) -> None:
+        if self._reported.get(key) == row:
             return
         try:
-            await self._work_table.put([ports.SharedPut(key, payload)])
+            await self._work_table.put([ports.SharedPut(key, row)])
         except exceptions.StoreError as exc:
             self._journal.emit(
                 events.UnexpectedError("reporting evidence", str(exc)[:200])
             )
         else:
-            self._reported[key] = payload
+            self._reported[key] = row
+
+    def _receive(self, sender: str, subject: str, report: str) -> None:
+        """Keep the evidence of a member of this node's group."""
+        known_orders = {
+            f"{service}/{order.order_id}"
+            for service, order in self._cluster_state.rollouts.orders.items()
+        }
+        if subject in known_orders:
+            pool = self._pools.setdefault(subject, pooled_evidence.Pool())
+            pool.add_json(sender, report)
 
 
 class RolloutLeader:
@@ -268,23 +318,19 @@
         stage: rollout.Stage | None,
         rows: Mapping[str, tuple[str, int]],
     ) -> rollout_policy.Evidence:
-        base, candidate = evidence.Tally(), evidence.Tally()
         prefix = f"{TALLY_PREFIX}{order.service}/{order.order_id}/"
-        phase = stage.phase.value if stage else ""
-        old_in_flight, reported_nodes = 0, set()
+        pool = pooled_evidence.Pool()
         for key, (payload, _) in rows.items():
-            if not key.startswith(prefix):
-                continue
-            report = version_tallies.EvidenceReport.from_json(payload)
-            base.add(report.base)
-            candidate.add(report.candidate)
-            old_in_flight += report.old_in_flight
-            if report.phase == phase:
-                reported_nodes.add(key.removeprefix(prefix))
+            if key.startswith(prefix):
+                pool.add_row(payload)
+        total = pool.total()
+        reported_nodes = pool.nodes_in_phase(
+            stage.phase.value if stage else ""
+        )
         return rollout_policy.Evidence(
-            base,
-            candidate,
-            old_in_flight,
+            total.base,
+            total.candidate,
+            total.old_in_flight,
             reported_nodes >= self._cluster_state.nodes,
             self._rate(order.service),
         )
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
@@ -0,0 +1,84 @@
+"""Evidence of roll-outs, collected by one node of each group.
+
+Serves clusters of many nodes, whose rows of evidence would come too rarely if
+each node wrote its own. The members of a group send their reports to a
+collector, which writes one row. The counts of a report only grow while its
+node runs, so that of two reports the one with more requests is the later.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+import json
+
+from ..rollouts import evidence
+from . import version_tallies
+
+
+@dataclass(slots=True)
+class Pool:
+    """Reports of some nodes about one order."""
+
+    _reports: dict[str, version_tallies.EvidenceReport] = field(
+        default_factory=dict
+    )
+
+    def add(self, node: str, report: version_tallies.EvidenceReport) -> None:
+        """Add the report of a node, unless a later one is known."""
+        known = self._reports.get(node)
+        if known is None or _requests(report) >= _requests(known):
+            self._reports[node] = report
+
+    def add_json(self, node: str, text: str) -> None:
+        """Add a report from its JSON; an unreadable one counts as empty."""
+        self.add(node, version_tallies.EvidenceReport.from_json(text))
+
+    def add_row(self, text: str) -> None:
+        """Add the reports of a row; an unreadable one adds nothing."""
+        try:
+            nodes = json.loads(text)["nodes"]
+            entries = [(str(n), json.dumps(r)) for n, r in nodes.items()]
+        except (AttributeError, KeyError, TypeError, ValueError):
+            return
+        for node, report in entries:
+            self.add_json(node, report)
+
+    def to_row(self) -> str:
+        """Return the row with all reports."""
+        return json.dumps(
+            {
+                "nodes": {
+                    node: report.to_dict()
+                    for node, report in sorted(self._reports.items())
+                }
+            }
+        )
+
+    def nodes_in_phase(self, phase: str) -> frozenset[str]:
+        """Return the nodes that know a phase."""
+        return frozenset(
+            node
+            for node, report in self._reports.items()
+            if report.phase == phase
+        )
+
+    def total(self) -> version_tallies.EvidenceReport:
+        """Return the sum of all reports, without a phase."""
+        return sum_reports(self._reports.values())
+
+
+def sum_reports(
+    reports: Iterable[version_tallies.EvidenceReport],
+) -> version_tallies.EvidenceReport:
+    """Return the sum of reports, without a phase."""
+    base, candidate = evidence.Tally(), evidence.Tally()
+    old_in_flight = 0
+    for report in reports:
+        base.add(report.base)
+        candidate.add(report.candidate)
+        old_in_flight += report.old_in_flight
+    return version_tallies.EvidenceReport(base, candidate, old_in_flight)
+
+
+def _requests(report: version_tallies.EvidenceReport) -> int:
+    return report.base.requests + report.candidate.requests
--- a/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
+++ b/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
+from typing import Any
 
 from ..rollouts import evidence
 from . import fleet
@@ -48,6 +49,10 @@
         except (KeyError, TypeError, ValueError):
             return cls()
 
+    def to_dict(self) -> dict[str, Any]:
+        """Return the report as JSON types."""
+        return asdict(self)
+
 
 class VersionTallies:
     """Outcomes of this node's requests by service and version.
@@ -94,4 +99,4 @@
             for member in self._members(service)
             if member.entry.version != target
         )
-        return json.dumps(asdict(report))
+        return json.dumps(report.to_dict())
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -155,7 +155,7 @@
             (cluster_state.ClusterState, "apply_shared"),
             (node.Gateway, "_start_rollout_tasks"),
         ):
-            patch = mock.patch.object(subject, name, lambda self, _: None)
+            patch = mock.patch.object(subject, name, lambda self, *_: None)
             patch.start()
             self.addCleanup(patch.stop)
         await super().asyncSetUp()
