Escalate by the value that a caller may expect

The new line request.climb_skipped showed why: 65 answers of low confidence, many of 0, were kept because a larger model was expected to be late.

Change: the decision compares expected values: how probably the answer is poor, by the confidences of all models that have answered the request, how probably a larger model is in time, and what it costs. How much higher a larger model's confidence is gets learnt from requests that both answered. Expected times are corrected by the actual ones.

--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -56,10 +56,13 @@
 
     :param interval: time between two reports of a node, in seconds.
     :param grouped: whether reports go to groups, rather than to all nodes.
+    :param reports_per_sum: number of reports of a node for each sum of its
+        group.
     """
 
     interval: float
     grouped: bool
+    reports_per_sum: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -330,7 +333,7 @@
             node.loads.own_loads(),
             exchange.members,
         )
-        if exchange.partners and turn % 2 == 0:
+        if exchange.partners and turn % self._reporting.reports_per_sum == 0:
             self._send(
                 name,
                 server_load.Source(exchange.group, True),
--- a/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
@@ -49,6 +49,8 @@
     return {
         "to all": cluster.Reporting(to_all, grouped=False),
         "to groups": cluster.Reporting(
-            load_broadcast.GROUP_INTERVAL, grouped=True
+            load_broadcast.GROUP_INTERVAL,
+            grouped=True,
+            reports_per_sum=load_broadcast.REPORTS_PER_SUM,
         ),
     }
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -75,6 +75,7 @@
         )
         self.server_loads = server_load.ServerLoads(clock)
         self.prefill_times = prefill_time.PrefillTimes()
+        self._time_correction = prefill_time.ExpectedTimeCorrection()
         self._placer = placement.Placer(
             settings().zone,
             state.fleet,
@@ -167,6 +168,10 @@
                 return choice
         return None
 
+    def expected_first_byte(self, choice: placement.Choice) -> float:
+        """Return the expected time to the first byte, in seconds."""
+        return choice.first_byte_seconds * self._time_correction.factor
+
     async def start(
         self,
         call: calls.Call,
@@ -459,6 +464,9 @@
             call.service, model, seconds_to_head
         )
         if model:
+            self._time_correction.record(
+                choice.first_byte_seconds, seconds_to_head
+            )
             self.prefill_times.record(
                 model, call.prompt.own_tokens, seconds_to_head
             )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -280,6 +280,25 @@
     budget_left: float
 
 
+@dataclass(frozen=True, slots=True)
+class EscalationSkipped(Event):
+    """An answer of low confidence was kept.
+
+    :param reason: attempts_used, no_server, too_late or repeat_budget_used.
+    :param expected_ms: shortest expected time to the first event of a larger
+        model.
+    :param left_ms: time left until the target latency.
+    """
+
+    name: ClassVar[str] = "request.climb_skipped"
+    request: str
+    model: str
+    confidence: int
+    reason: str
+    expected_ms: int
+    left_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestEscalated(Event):
     """An answer was dropped and a larger model is asked."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -1,6 +1,7 @@
 """Forwards event streams and resumes them at other servers."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from aiohttp import web
 
@@ -20,9 +21,6 @@
 from . import replies
 from . import upstream
 
-# Factor on the expected time to the first event of a larger model. An answer
-# is escalated only if the product fits the rest of the target latency.
-ESCALATION_MARGIN = 1.3
 # Lower bound of the timeout for a silent server while other servers may still
 # be tried, seconds. A long prompt of another request may delay an engine for
 # as long.
@@ -43,6 +41,7 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._closing = closing
+        self._escalations = model_escalation.ModelEscalation()
 
     async def serve(
         self, call: calls.Call, req: web.BaseRequest
@@ -117,36 +116,95 @@
             )
         )
         relay.confidence = -1 if confidence is None else confidence
-        model = model_escalation.next_model(
-            call.route.models,
-            started.model,
-            confidence,
-        )
-        if model is None or call.attempt_counts.ran + 1 >= call.route.attempts:
+        if confidence is None:
             return None
-        if not self._can_answer_in_time(call, model):
+        response = model_escalation.Response(started.model, confidence)
+        if relay.responses:
+            self._escalations.record(relay.responses[-1], response)
+        relay.responses.append(response)
+        larger = self._escalations.larger_models(
+            call.route.models, relay.responses
+        )
+        if not larger:
             return None
-        if not self._dispatcher.budget(call.service).try_take():
+        candidates = self._candidates(call, larger)
+        model = self._escalations.choose(
+            call.route.models,
+            relay.responses,
+            candidates,
+            self._time_to_target(call),
+        )
+        reason = self._skip_reason(call, candidates, model)
+        if model is None or reason:
+            self._log_skipped(call, response, candidates, reason)
             return None
         call.attempt_counts.record(retries.Outcome.FAILED)
         call.tried_servers.discard(started.member.id)
         self._dispatcher.journal.emit(
             events.RequestEscalated(
-                call.caller_attempt_id, started.model, model, relay.confidence
+                call.caller_attempt_id, started.model, model, confidence
             )
         )
         return _Escalation(model)
 
-    def _can_answer_in_time(self, call: calls.Call, model: str) -> bool:
-        """Whether a larger model can answer within the target latency."""
-        choice = self._dispatcher.place(call, model)
-        if choice is None:
-            return False
-        now = self._dispatcher.clock.monotonic()
-        target_time = call.arrived_at + call.route.target_latency
-        return (
-            now + choice.first_byte_seconds * ESCALATION_MARGIN < target_time
+    def _candidates(
+        self, call: calls.Call, models: Sequence[str]
+    ) -> list[model_escalation.Candidate]:
+        """Return the larger models that can answer before the deadline."""
+        candidates = []
+        for model in models:
+            choice = self._dispatcher.place(call, model)
+            if choice is None:
+                continue
+            first_event = self._dispatcher.expected_first_byte(choice)
+            if first_event < self._dispatcher.time_left(call):
+                candidates.append(
+                    model_escalation.Candidate(model, first_event)
+                )
+        return candidates
+
+    def _skip_reason(
+        self,
+        call: calls.Call,
+        candidates: Sequence[model_escalation.Candidate],
+        model: str | None,
+    ) -> str:
+        """Return why no larger model is asked, or empty; use the budget."""
+        if call.attempt_counts.ran + 1 >= call.route.attempts:
+            return retries.NoRetryReason.ATTEMPTS.value
+        if not candidates:
+            return "no_server"
+        if model is None:
+            return "too_late"
+        if not self._dispatcher.budget(call.service).try_take():
+            return retries.NoRetryReason.BUDGET.value
+        return ""
+
+    def _log_skipped(
+        self,
+        call: calls.Call,
+        response: model_escalation.Response,
+        candidates: Sequence[model_escalation.Candidate],
+        reason: str,
+    ) -> None:
+        fastest = min(
+            (candidate.first_event for candidate in candidates), default=0.0
         )
+        self._dispatcher.journal.emit(
+            events.EscalationSkipped(
+                request=call.caller_attempt_id,
+                model=response.model,
+                confidence=int(response.confidence),
+                reason=reason,
+                expected_ms=int(fastest * 1000),
+                left_ms=int(self._time_to_target(call) * 1000),
+            )
+        )
+
+    def _time_to_target(self, call: calls.Call) -> float:
+        """Return the seconds left until the target latency."""
+        now = self._dispatcher.clock.monotonic()
+        return call.arrived_at + call.route.target_latency - now
 
     def _start_model(self, call: calls.Call) -> str:
         return model_escalation.start_model(call.route.models)
@@ -200,6 +258,7 @@
         self.version = ""
         self.server = ""
         self.confidence = -1
+        self.responses: list[model_escalation.Response] = []
         self.first_at = 0.0
         self.complete = False
         self.status = 0
