Test plain answers that break off, come twice or byte by byte

Seven ways to break off, a second copy and bytes without end behind a whole answer, against the real gateway.

--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_broken_answers.py
@@ -0,0 +1,138 @@
+"""Tests of answers that break off, come twice or are followed by bytes."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import gzip
+import socket
+import struct
+
+from limpetwalk_bench.hub import raw_server
+from limpetwalk_bench.hub import site
+
+from . import harness
+
+BODY = b"x" * 1000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+Break = Callable[[raw_server.Connection], Awaitable[None]]
+
+
+async def short_by_length(conn: raw_server.Connection) -> None:
+    """Send less than the announced length."""
+    await conn.send(conn.head(f"Content-Length: {len(BODY)}") + BODY[:500])
+
+
+async def without_last_chunk(conn: raw_server.Connection) -> None:
+    """Close before the chunk that ends the body."""
+    head = conn.head("Transfer-Encoding: chunked")
+    await conn.send(head + b"3e8\r\n" + BODY + b"\r\n")
+
+
+async def within_a_chunk(conn: raw_server.Connection) -> None:
+    """Close within a chunk."""
+    head = conn.head("Transfer-Encoding: chunked")
+    await conn.send(head + b"3e8\r\n" + BODY[:500])
+
+
+async def reset_without_length(conn: raw_server.Connection) -> None:
+    """Reset a connection whose end would end the body."""
+    await conn.send(conn.head("Connection: close") + BODY[:500])
+    await asyncio.sleep(0.05)
+    sock = conn.writer.get_extra_info("socket")
+    sock.setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_LINGER,
+        RESET_ON_CLOSE,
+    )
+    conn.writer.transport.abort()
+
+
+async def compressed_and_cut(conn: raw_server.Connection) -> None:
+    """Send the start of a compressed body as if it were whole."""
+    data = gzip.compress(BODY)[:-10]
+    head = conn.head(f"Content-Length: {len(data)}", "Content-Encoding: gzip")
+    await conn.send(head + data)
+
+
+async def within_the_head(conn: raw_server.Connection) -> None:
+    """Close within the headers."""
+    await conn.send(conn.head("Content-Length: 5")[:-10])
+
+
+async def of_another_request(conn: raw_server.Connection) -> None:
+    """Send the answer of another request."""
+    conn.headers["attempt-id"] = "other"
+    await conn.send(conn.head("Content-Length: 5") + b"other")
+
+
+BREAKS: tuple[Break, ...] = (
+    short_by_length,
+    without_last_chunk,
+    within_a_chunk,
+    reset_without_length,
+    compressed_and_cut,
+    within_the_head,
+    of_another_request,
+)
+
+
+class BrokenAnswers(harness.GatewayCase):
+    """Plain answers that break off never look complete."""
+
+    services = {"p-9": site.PLAIN}
+
+    async def serve(self, script: raw_server.Script) -> raw_server.RawServer:
+        """Replace the servers of the plain service by one with a script."""
+        fleet = self.run_.gateway.cluster_state.fleet
+        for member in list(fleet.members(site.PLAIN)):
+            await self.run_.site.store.remove("servers", member.id)
+        await self.run_.until(lambda: not fleet.members(site.PLAIN))
+        raw = await self.run_.site.add_raw_server(
+            script.__name__, site.PLAIN, script
+        )
+        await self.run_.until(lambda: fleet.get(script.__name__) is not None)
+        return raw
+
+    async def test_caller_gets_a_failure_and_the_work_runs_once(self) -> None:
+        for script in BREAKS:
+            with self.subTest(script.__name__):
+                raw = await self.serve(script)
+                async with self.run_.request("POST", "/once/x") as resp:
+                    self.assertEqual(502, resp.status)
+                    self.assertNotIn("Server-Seal", resp.headers)
+                self.assertEqual(1, raw.requests)
+
+    async def test_broken_answer_counts_against_its_server(self) -> None:
+        await self.serve(without_last_chunk)
+        async with self.run_.request("POST", "/once/x"):
+            pass
+        member = self.run_.gateway.cluster_state.fleet.get(
+            "without_last_chunk"
+        )
+        assert member is not None
+        self.assertEqual(1, member.health.failures_in_row)
+
+    async def test_bytes_after_a_whole_answer_are_dropped(self) -> None:
+        async def twice(conn: raw_server.Connection) -> None:
+            answer = conn.head("Content-Length: 5") + b"whole"
+            await conn.send(answer + answer)
+            await conn.send_without_end(b"more" * 1000)
+
+        raw = await self.serve(twice)
+        for _ in range(3):
+            async with self.run_.request("POST", "/once/x") as resp:
+                self.assertEqual(200, resp.status)
+                self.assertEqual(b"whole", await resp.read())
+        await self.run_.until(lambda: raw.closed == 3)
+
+    async def test_whole_answer_in_single_bytes_is_passed_on(self) -> None:
+        async def bytewise(conn: raw_server.Connection) -> None:
+            answer = conn.head("Content-Length: 5") + b"whole"
+            for start in range(len(answer)):
+                await conn.send(answer[start : start + 1])
+                await asyncio.sleep(0.001)
+
+        await self.serve(bytewise)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(b"whole", await resp.read())
