--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_stop_under_load.py
@@ -0,0 +1,100 @@
+"""Tests of a planned stop while callers go on sending."""
+
+import asyncio
+import collections
+import itertools
+import pathlib
+import signal
+import tempfile
+import unittest
+
+import aiohttp
+
+from limpetwalk_bench.hub import site
+from limpetwalk_bench.soak import nodes
+from limpetwalk_bench.soak import proxy
+
+CALLERS = 30
+
+
+class StopUnderLoad(unittest.IsolatedAsyncioTestCase):
+    """A node in a process of its own gets SIGTERM under load."""
+
+    async def asyncSetUp(self) -> None:
+        self.site = site.Site()
+        self.addAsyncCleanup(self.site.stop)
+        await self.site.start({"e-1": site.ENGINE, "p-1": site.PLAIN})
+        self.site.servers["e-1"].event_interval = 0.05
+        store = proxy.Proxy(self.site.store_port)
+        await store.start()
+        self.addAsyncCleanup(store.stop)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.node = nodes.Node("node-1", "127.0.0.1", pathlib.Path(folder))
+        self.node.start(store)
+        self.addAsyncCleanup(self.node.stop)
+        self.numbers = itertools.count()
+        self.ends: dict[str, str] = {}
+        self.stopping = False
+
+    async def test_no_request_that_was_taken_is_cut(self) -> None:
+        async with aiohttp.ClientSession() as http:
+            async with asyncio.timeout(10):
+                while not await self.node.is_ready(http):
+                    await asyncio.sleep(0.05)
+        callers = [
+            asyncio.create_task(self._call(number))
+            for number in range(CALLERS)
+        ]
+        await asyncio.sleep(1.0)
+        self.stopping = True
+        self.node.signal(signal.SIGTERM)
+        await asyncio.gather(*callers)
+        executed = {
+            request.headers["Attempt-Id"]
+            for server in self.site.servers.values()
+            for request in server.executed
+        }
+        ends = collections.Counter(self.ends.values())
+        self.assertGreater(ends["answered"], 200, ends)
+        cut = {i for i, end in self.ends.items() if end == "cut"}
+        refused = {i for i, end in self.ends.items() if end == "refused"}
+        self.assertEqual(set(), cut & executed, ends)
+        self.assertEqual(set(), refused & executed, ends)
+        self.assertEqual(
+            {"answered", "refused", "unreached", "cut"},
+            set(ends) | {"answered", "refused", "unreached", "cut"},
+        )
+
+    async def _call(self, number: int) -> None:
+        """Send requests, until the node takes no more connections."""
+        connector = aiohttp.TCPConnector(force_close=number % 2 == 0)
+        async with aiohttp.ClientSession(connector=connector) as http:
+            while True:
+                attempt = f"a-{next(self.numbers)}"
+                self.ends[attempt] = end = await self._send(
+                    http, attempt, number % 3 == 0
+                )
+                if end == "unreached" and self.stopping:
+                    return
+                await asyncio.sleep(0.002)
+
+    async def _send(
+        self, http: aiohttp.ClientSession, attempt: str, stream: bool
+    ) -> str:
+        headers = site.request_headers(attempt, 2000)
+        path = "once/x"
+        if stream:
+            headers.update(site.STREAM_HEADERS)
+            path = "stream/x"
+        url = f"http://127.0.0.1:{self.node.caller_port}/{path}"
+        try:
+            async with http.post(url, headers=headers) as resp:
+                body = await resp.read()
+        except aiohttp.ClientConnectorError:
+            return "unreached"
+        except (aiohttp.ClientError, OSError):
+            return "cut"
+        if resp.status == 503:
+            return "refused"
+        whole = resp.status == 200 and (not stream or b"piece 5" in body)
+        return "answered" if whole else f"status {resp.status}"
