Count dropped answers as requests of their version

An answer that is dropped for a larger model's was in no tally, so that the roll-out planned with about two thirds of the requests that servers got, against a bound whose fixed part doesn't shrink with them. The rule is as old as escalations; more of them came with the decision by expected value.

Change: a dropped answer is recorded as a good one of its server and version.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -254,6 +254,19 @@
             if outcome is retries.Outcome.UNKNOWN:
                 self.poison_requests.check_server(call, member)
 
+    def record_dropped(self, call: calls.Call, member: fleet.Member) -> None:
+        """Record an answer that is dropped to ask a larger model.
+
+        Its server answered well, and its version was exposed to a request.
+        """
+        member.health.record(False, self.clock.monotonic())
+        self._attempts.labels("dropped").inc()
+        self.version_tallies.record(
+            call.service, member.entry.version, not call.slow
+        )
+        call.attempt_counts.record(retries.Outcome.FAILED)
+        call.tried_servers.discard(member.id)
+
     def may_retry(
         self,
         call: calls.Call,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -138,8 +138,7 @@
         if model is None or reason:
             self._log_skipped(call, response, candidates, reason)
             return None
-        call.attempt_counts.record(retries.Outcome.FAILED)
-        call.tried_servers.discard(started.member.id)
+        self._dispatcher.record_dropped(call, started.member)
         self._dispatcher.journal.emit(
             events.RequestEscalated(
                 call.caller_attempt_id, started.model, model, confidence
--- a/tests/limpetwalk_node/gateway/test_streams.py
+++ b/tests/limpetwalk_node/gateway/test_streams.py
@@ -1,6 +1,7 @@
 """Tests of streams through a complete gateway, and of its stop."""
 
 import asyncio
+import json
 from unittest import mock
 
 import aiohttp
@@ -51,6 +52,18 @@
             {request.headers["Model"] for request in executed_requests},
         )
 
+    async def test_dropped_answer_counts_as_a_request_of_its_version(
+        self,
+    ) -> None:
+        """A bad version's exposure counts all requests that reach it."""
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).confidence = {"small": 10}
+        async with self.run_.stream() as resp:
+            await resp.read()
+        tallies = self.run_.gateway.dispatcher.version_tallies
+        report = json.loads(tallies.report_json(site.ENGINE, "v2", ""))
+        self.assertEqual(2, report["base"]["successes"])
+
     async def test_broken_stream_is_resumed_at_another_server(
         self,
     ) -> None:
