--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -75,7 +75,6 @@
         )
         self.server_loads = server_load.ServerLoads(clock)
         self.prefill_times = prefill_time.PrefillTimes()
-        self._time_correction = prefill_time.ExpectedTimeCorrection()
         self._placer = placement.Placer(
             settings().zone,
             state.fleet,
@@ -135,13 +134,13 @@
         return service_budget
 
     def rate(self, service: str) -> float:
-        """Return the estimated requests per second of a service on all nodes.
+        """Return the estimated requests per second that servers get.
 
-        The estimate is the rate at this node times the number of nodes, since
-        the others get about as many requests.
+        The estimate for a service on all nodes is the rate at this node times
+        the number of nodes, since the others get about as many requests.
         """
         nodes = max(1, len(self.cluster_state.nodes))
-        return nodes * self.budget(service).request_rate()
+        return nodes * self.budget(service).arrival_rate()
 
     def time_left(self, call: calls.Call) -> float:
         """Return the seconds left until the deadline of a call."""
@@ -168,10 +167,6 @@
                 return choice
         return None
 
-    def expected_first_byte(self, choice: placement.Choice) -> float:
-        """Return the expected time to the first byte, in seconds."""
-        return choice.first_byte_seconds * self._time_correction.factor
-
     async def start(
         self,
         call: calls.Call,
@@ -477,9 +472,6 @@
             call.service, model, seconds_to_head
         )
         if model:
-            self._time_correction.record(
-                choice.first_byte_seconds, seconds_to_head
-            )
             self.prefill_times.record(
                 model, call.prompt.own_tokens, seconds_to_head
             )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -149,16 +149,15 @@
     def _candidates(
         self, call: calls.Call, models: Sequence[str]
     ) -> list[model_escalation.Candidate]:
-        """Return the larger models that can answer before the deadline."""
+        """Return the larger models that have a server, with their times."""
         candidates = []
         for model in models:
             choice = self._dispatcher.place(call, model)
-            if choice is None:
-                continue
-            first_event = self._dispatcher.expected_first_byte(choice)
-            if first_event < self._dispatcher.time_left(call):
+            if choice is not None:
                 candidates.append(
-                    model_escalation.Candidate(model, first_event)
+                    model_escalation.Candidate(
+                        model, choice.first_byte_seconds
+                    )
                 )
         return candidates
 
--- a/packages/limpetwalk/limpetwalk/gateway/prefill_time.py
+++ b/packages/limpetwalk/limpetwalk/gateway/prefill_time.py
@@ -1,7 +1,5 @@
 """Estimates the prefill time of models from their responses."""
 
-import math
-
 # Seconds per prompt token that are assumed before a model's first sample.
 DEFAULT_SECONDS_PER_TOKEN = 0.1e-3
 # Lower limit of a sample, in seconds per token; faster responses came from a
@@ -16,38 +14,6 @@
 # to a sample, so the estimate follows the fast responses.
 WEIGHT_DOWN = 0.3
 WEIGHT_UP = 0.03
-# Weight of a sample in the correction of expected times, and its limits. The
-# logarithm is averaged, so that a few long waits don't dominate.
-CORRECTION_WEIGHT = 0.05
-MIN_CORRECTION, MAX_CORRECTION = 0.25, 2.0
-
-
-class ExpectedTimeCorrection:
-    """Factor between the actual and the expected time to the first byte.
-
-    Expected times are too long under load: of the prefill time that waits at
-    a server, a part is done already, and parts of prompts that other nodes
-    sent there are cached.
-    """
-
-    def __init__(self) -> None:
-        self._log_factor = 0.0
-
-    @property
-    def factor(self) -> float:
-        """Factor to multiply an expected time with."""
-        return math.exp(self._log_factor)
-
-    def record(self, expected: float, actual: float) -> None:
-        """Record a response.
-
-        :param expected: expected time to the first byte, in seconds.
-        :param actual: actual time, in seconds.
-        """
-        ratio = max(actual, 1e-3) / max(expected, 1e-3)
-        ratio = min(MAX_CORRECTION, max(MIN_CORRECTION, ratio))
-        error = math.log(ratio) - self._log_factor
-        self._log_factor += CORRECTION_WEIGHT * error
 
 
 class PrefillTimes:
--- a/packages/limpetwalk/limpetwalk/gateway/retry_budget.py
+++ b/packages/limpetwalk/limpetwalk/gateway/retry_budget.py
@@ -44,15 +44,19 @@
         self._requests.append(self._clock.monotonic())
         self._drop_expired()
 
-    def request_rate(self) -> float:
-        """Return the rate of callers' requests, per second, in the window."""
+    def arrival_rate(self) -> float:
+        """Return the requests per second sent to servers, in the window.
+
+        Retries count as well, escalations among them.
+        """
         self._drop_expired()
         if not self._requests:
             return 0.0
         # Measured from the first request, since the window is not full yet
         # after a start.
         span = self._clock.monotonic() - self._requests[0]
-        return len(self._requests) / max(MIN_RATE_SPAN, span)
+        arrivals = len(self._requests) + len(self._retries)
+        return arrivals / max(MIN_RATE_SPAN, span)
 
     def remaining(self) -> float:
         """Return the number of retries that are allowed now."""
