Read group rows of evidence once, and decide in one place who has groups

A collector's row was parsed, each report in it written out as JSON and parsed once more, at each check of the leader: reports are now built from the parsed row. The sum of reports had a public function with one caller. The size from which a cluster has several groups was compared in four places.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -113,7 +113,7 @@
         )
         pause = REPORT_INTERVAL_FULL if is_full else REPORT_INTERVAL
         nodes = len(self._cluster_state.nodes)
-        if nodes > peer_groups.MAX_SINGLE_GROUP:
+        if peer_groups.has_groups(nodes):
             # A group has a single row.
             nodes = math.isqrt(nodes)
         return pause * (1 + nodes // ROWS_PER_INTERVAL)
@@ -124,7 +124,7 @@
         payload = self._tallies.report_json(service, order.target, phase)
         subject = f"{service}/{order.order_id}"
         collector = self._node
-        if len(self._cluster_state.nodes) > peer_groups.MAX_SINGLE_GROUP:
+        if peer_groups.has_groups(len(self._cluster_state.nodes)):
             collector = self._exchange.collector(subject)
         if collector != self._node:
             self._exchange.send_evidence(collector, subject, payload)
--- a/packages/limpetwalk/limpetwalk/gateway/peer_groups.py
+++ b/packages/limpetwalk/limpetwalk/gateway/peer_groups.py
@@ -44,6 +44,11 @@
     partners: frozenset[str]
 
 
+def has_groups(nodes: int) -> bool:
+    """Return whether a number of nodes forms several groups."""
+    return nodes > MAX_SINGLE_GROUP
+
+
 def plan(node: str, peers: Mapping[str, Peer]) -> Exchange:
     """Return the peers with which a node exchanges reports.
 
@@ -71,7 +76,7 @@
 
 
 def _groups(peers: Mapping[str, Peer]) -> list[list[str]]:
-    if len(peers) <= MAX_SINGLE_GROUP:
+    if not has_groups(len(peers)):
         return [sorted(peers)] if peers else []
     size = math.isqrt(len(peers))
     by_zone: dict[str, list[str]] = {}
--- a/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
+++ b/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
@@ -6,7 +6,6 @@
 node runs, so that of two reports the one with more requests is the later.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 import json
@@ -37,11 +36,11 @@
         """Add the reports of a row; an unreadable one adds nothing."""
         try:
             nodes = json.loads(text)["nodes"]
-            entries = [(str(n), json.dumps(r)) for n, r in nodes.items()]
+            entries = list(nodes.items())
         except (AttributeError, KeyError, TypeError, ValueError):
             return
         for node, report in entries:
-            self.add_json(node, report)
+            self.add(node, version_tallies.EvidenceReport.from_dict(report))
 
     def to_row(self) -> str:
         """Return the row with all reports."""
@@ -64,20 +63,13 @@
 
     def total(self) -> version_tallies.EvidenceReport:
         """Return the sum of all reports, without a phase."""
-        return sum_reports(self._reports.values())
-
-
-def sum_reports(
-    reports: Iterable[version_tallies.EvidenceReport],
-) -> version_tallies.EvidenceReport:
-    """Return the sum of reports, without a phase."""
-    base, candidate = evidence.Tally(), evidence.Tally()
-    old_in_flight = 0
-    for report in reports:
-        base.add(report.base)
-        candidate.add(report.candidate)
-        old_in_flight += report.old_in_flight
-    return version_tallies.EvidenceReport(base, candidate, old_in_flight)
+        base, candidate = evidence.Tally(), evidence.Tally()
+        old_in_flight = 0
+        for report in self._reports.values():
+            base.add(report.base)
+            candidate.add(report.candidate)
+            old_in_flight += report.old_in_flight
+        return version_tallies.EvidenceReport(base, candidate, old_in_flight)
 
 
 def _requests(report: version_tallies.EvidenceReport) -> int:
--- a/packages/limpetwalk/limpetwalk/gateway/store_watch.py
+++ b/packages/limpetwalk/limpetwalk/gateway/store_watch.py
@@ -125,7 +125,7 @@
 
         :param usual: wait of a node that can't rely on others, in seconds.
         """
-        if self._nodes() <= peer_groups.MAX_SINGLE_GROUP:
+        if not peer_groups.has_groups(self._nodes()):
             return usual
         heard = self._news.heard()
         if len(heard) < MIN_PEERS:
--- a/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
+++ b/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
@@ -39,7 +39,14 @@
     def from_json(cls, text: str) -> "EvidenceReport":
         """Return a report from its JSON, an empty one when it is invalid."""
         try:
-            document = json.loads(text)
+            return cls.from_dict(json.loads(text))
+        except ValueError:
+            return cls()
+
+    @classmethod
+    def from_dict(cls, document: Any) -> "EvidenceReport":
+        """Return a report from JSON types, an empty one when invalid."""
+        try:
             return cls(
                 evidence.Tally(**document["base"]),
                 evidence.Tally(**document["candidate"]),
