--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -184,6 +184,7 @@
         time_left = self.time_left(call)
         member = choice.member
         call.tried_servers.add(member.id)
+        call.answering_since = None
         self._log_placement(call, choice, model, time_left)
         self._count_request(choice)
         started: outbound.StartedAnswer | outbound.FailedAttempt | None = None
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -365,6 +365,9 @@
     """A server is suspected to have crashed while it ran a request.
 
     :param servers: number of servers that the request crashed so far.
+    :param parts: prompt parts that other requests may share.
+    :param answered_ms: time since the first event of the answer, -1 when
+        there was none.
     """
 
     name: ClassVar[str] = "request.suspected"
@@ -372,6 +375,8 @@
     fingerprint: str
     server: str
     servers: int
+    parts: tuple[str, ...]
+    answered_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -94,7 +94,10 @@
             platform.header_format,
             self.cluster_state,
             poison_requests.PoisonRequests(
-                self.cluster_state, lambda: platform.shared, self.journal
+                self.cluster_state,
+                lambda: platform.shared,
+                self.journal,
+                clock,
             ),
             clock,
             self.journal,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import json
 
+from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import fleet
@@ -26,6 +27,7 @@
     """Counts the servers that each request crashed, over all nodes.
 
     :param shared: returns the table that the nodes share.
+    :param clock: source of monotonic time.
     """
 
     def __init__(
@@ -33,7 +35,9 @@
         state: cluster_state.ClusterState,
         shared: Callable[[], ports.SharedTable],
         journal: logs.Journal,
+        clock: clocks.Clock,
     ) -> None:
+        self._clock = clock
         self._cluster_state = state
         self._shared = shared
         self._journal = journal
@@ -49,24 +53,30 @@
 
         :param member: server whose answer broke off.
         """
-        task = asyncio.create_task(self._probe_server(call, member))
+        answered_ms = -1
+        if call.answering_since is not None:
+            answered = self._clock.monotonic() - call.answering_since
+            answered_ms = int(answered * 1000)
+        task = asyncio.create_task(
+            self._probe_server(call, member, answered_ms)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _probe_server(
-        self, call: calls.Call, member: fleet.Member
+        self, call: calls.Call, member: fleet.Member, answered_ms: int
     ) -> None:
         try:
             exchange = await upstream.Exchange.connect(
                 member.entry.host, member.entry.port, PROBE_TIMEOUT
             )
         except upstream.ServerUnreachable:
-            await self._record_crash(call, member)
+            await self._record_crash(call, member, answered_ms)
         else:
             exchange.close()
 
     async def _record_crash(
-        self, call: calls.Call, member: fleet.Member
+        self, call: calls.Call, member: fleet.Member, answered_ms: int
     ) -> None:
         crashed = self._cluster_state.crashes.setdefault(
             call.fingerprint, set()
@@ -80,6 +90,8 @@
                 call.fingerprint,
                 member.id,
                 len(crashed),
+                call.prompt.shared_parts,
+                answered_ms,
             )
         )
         put = ports.SharedPut(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -358,6 +358,8 @@
         self, started: outbound.StartedAnswer, event: eventstream.StreamEvent
     ) -> None:
         await self._open(started)
+        if self._call.answering_since is None:
+            self._call.answering_since = self._dispatcher.clock.monotonic()
         if event.id:
             self.last_event = event.id
         assert self._resp is not None
--- a/packages/limpetwalk/limpetwalk/gateway/call.py
+++ b/packages/limpetwalk/limpetwalk/gateway/call.py
@@ -23,6 +23,8 @@
     :param fingerprint: equal when a caller sends the same request again.
     :param slow: whether the first byte of the latest response took unusually
         long.
+    :param answering_since: instant of the first event of the latest response,
+        None when there was none.
     :param attempt_counts: numbers of attempts so far.
     :param tried_servers: identifiers of the servers that it was sent to.
     """
@@ -43,6 +45,7 @@
     session: str
     fingerprint: str
     slow: bool = False
+    answering_since: float | None = None
     attempt_counts: retries.AttemptCounts = field(
         default_factory=retries.AttemptCounts
     )
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -183,6 +183,11 @@
         """Return the number of tokens of the part that is not shared."""
         return self.parts[-1].tokens if self.parts else 0
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the parts that other requests may share."""
+        return tuple(part.id for part in self.parts[:-1])
+
     @property
     def shared_key(self) -> str:
         """Return the id of the last part that may be shared, or empty."""
