Recognize requests that crash servers by what they have in common

Callers saw streams of one kind cut again and again: requests with one prompt part crashed each engine that began to answer them, and no two were alike. Cause: a request was recognized by method, path, workspace and body only, so no fingerprint ever reached three crashes. Class of fault: a quarantine keyed by the whole of a thing whose part is to blame. Beside it, each request that a crash cut off counted as suspect, also those that the engine was answering, so sound requests were refused.

A crash is now evidence about traits: fingerprint and shared prompt parts of the requests that the server had not begun to answer. A begun answer clears its traits, on all nodes where they are close to a block. Traits are blocked that explain three crashes, most explaining first; what they explain counts against no other. Crashes within 0.25 s count once, so a zone that loses power blocks nothing. Only a refused connection is a crash, silence is not.

Test first: of PoisonPart, three of three fail on the former code (6 crashes and sound requests refused; a request under way suspected).

Rows of the former layout (crash/) are no longer read: what they blocked is found out again. Rows of reports by processes that have ended remain.

--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/site.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/site.py
@@ -173,6 +173,7 @@
     servers: dict[str, server.Server] = field(default_factory=dict)
     ports: dict[str, int] = field(default_factory=dict)
     _runners: list[web.AppRunner] = field(default_factory=list)
+    _runner_of: dict[str, web.AppRunner] = field(default_factory=dict)
     _raw_servers: list[raw_server.RawServer] = field(default_factory=list)
     store_port: int = 0
 
@@ -196,12 +197,23 @@
         backend_server = server.Server(server_id)
         self.servers[server_id] = backend_server
         self.ports[server_id] = await self._serve(backend_server.app())
+        self._runner_of[server_id] = self._runners[-1]
         await self.store.put(
             "servers",
             server_id,
             server_row(service, self.ports[server_id], **changes),
         )
 
+    async def crash_server(self, server_id: str) -> None:
+        """Stop a backend server at once; its row stays in the store."""
+        runner = self._runner_of[server_id]
+        for tcp_site in list(runner.sites):
+            await tcp_site.stop()
+        assert runner.server is not None
+        for conn in runner.server.connections:
+            if conn.transport is not None:
+                conn.transport.abort()
+
     async def add_raw_server(
         self, server_id: str, service: str, script: raw_server.Script
     ) -> raw_server.RawServer:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -5,6 +5,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import catalog
+from limpetwalk.gateway import crash_suspects
 from limpetwalk.gateway import fleet
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import ports
@@ -16,7 +17,8 @@
 
 # Key prefixes of the rows that nodes share.
 NODE_PREFIX = "node/"
-CRASH_PREFIX = "crash/"
+CRASH_PREFIX = "crashed/"
+ANSWER_PREFIX = "answered/"
 ROLLOUT_PREFIX = "rollout/"
 
 
@@ -38,7 +40,10 @@
         self.rollouts = rollout.Rollouts(clock)
         self.peers: dict[str, peer_groups.Peer] = {}
         self.nodes: frozenset[str] = frozenset()
-        self.crashes: dict[str, set[str]] = {}
+        self.crash_suspects = crash_suspects.CrashSuspects()
+        self.published_answers: dict[str, float] = {}
+        self._clock = clock
+        self._store_offset = 0.0
         self._evacuated: dict[str, str] = {}
         self._unreadable = metrics.counter(
             "limpetwalk_unreadable_rows",
@@ -101,6 +106,7 @@
 
     def apply_shared(self, batch: ports.Batch[ports.SharedRow]) -> None:
         """Apply rows that the nodes share: peers, crashes and stages."""
+        self._store_offset = batch.now - self._clock.monotonic()
         peers = {} if batch.full_read else dict(self.peers)
         for change in batch.changes:
             kind, slash, name = change.key.partition("/")
@@ -112,13 +118,18 @@
             elif prefix == NODE_PREFIX:
                 peers[name] = _peer(row.value)
             elif prefix == CRASH_PREFIX:
-                fingerprint, _, server = name.partition("/")
-                self.crashes.setdefault(fingerprint, set()).add(server)
+                self._apply_crash(name.rpartition("/")[0], row.value)
+            elif prefix == ANSWER_PREFIX:
+                self._apply_answer(name, row.value)
             elif prefix == ROLLOUT_PREFIX:
                 self.apply_stage(name, row.value, change.version)
         self.peers = peers
         self.nodes = frozenset(peers)
 
+    def store_time(self) -> float:
+        """Return the current instant on the store's clock, in seconds."""
+        return self._clock.monotonic() + self._store_offset
+
     def apply_stage(self, service: str, text: str, version: int) -> None:
         """Apply a stage of a roll-out, unless it is already known.
 
@@ -140,6 +151,37 @@
             )
         )
 
+    def _apply_crash(self, server: str, text: str) -> None:
+        """Apply a node's report of the suspects of a crash.
+
+        :param server: identifies the server and its start.
+        """
+        try:
+            row = json.loads(text)
+            suspects = [
+                crash_suspects.Suspect(str(attempt), tuple(map(str, traits)))
+                for attempt, *traits in row["suspects"]
+            ]
+            at = float(row["at"])
+        except (KeyError, TypeError, ValueError) as exc:
+            self._log_unreadable(
+                "shared", ports.Unreadable(server, (repr(exc),))
+            )
+            return
+        self.crash_suspects.record_crash(server, at, suspects)
+
+    def _apply_answer(self, trait: str, text: str) -> None:
+        """Apply the news that a request with a trait was answered."""
+        try:
+            at = float(json.loads(text)["at"])
+        except (KeyError, TypeError, ValueError) as exc:
+            self._log_unreadable(
+                "shared", ports.Unreadable(trait, (repr(exc),))
+            )
+            return
+        self.published_answers[trait] = at
+        self.crash_suspects.record_answer([trait], at)
+
     def _apply_config(self, config: types.Config, full_read: bool) -> None:
         previous = self.catalog.version if self.catalog else 0
         if config.version <= previous:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -245,6 +245,8 @@
             self.version_tallies.record(
                 call.service, member.entry.version, succeeded
             )
+        if outcome in (None, retries.Outcome.FAILED):
+            self.poison_requests.record_answer(call)
         if outcome is not None:
             call.attempt_counts.record(outcome)
             if outcome is retries.Outcome.UNKNOWN:
@@ -263,13 +265,14 @@
         call.attempt_counts.record(retries.Outcome.FAILED)
         call.tried_servers.discard(member.id)
 
-    def may_retry(
+    async def may_retry(
         self,
         call: calls.Call,
         member: fleet.Member,
         failure: outbound.FailedAttempt,
     ) -> bool:
         """Return whether a call may be retried, and take from the budget."""
+        await self.poison_requests.wait_for_check(call)
         service_budget = self.budget(call.service)
         stop_reason = retries.no_retry_reason(
             call.route,
@@ -277,9 +280,7 @@
             failure.outcome,
             self.time_left(call),
         )
-        if stop_reason is None and self.poison_requests.is_blocked(
-            call.fingerprint
-        ):
+        if stop_reason is None and self.poison_requests.is_blocked(call):
             stop_reason = retries.NoRetryReason.POISON
         # A request that was never sent adds no load to the service, so it
         # takes nothing from the retry budget.
@@ -313,7 +314,7 @@
 
         :param last_failure: the last failed attempt, None when none was made.
         """
-        if self.poison_requests.is_blocked(call.fingerprint):
+        if self.poison_requests.is_blocked(call):
             return refusal.Refusal(refusal.Reason.POISON)
         if call.attempt_counts.ran:
             reason = (
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -364,10 +364,9 @@
 class CrashSuspected(Event):
     """A server is suspected to have crashed while it ran a request.
 
-    :param servers: number of servers that the request crashed so far.
+    :param servers: largest number of crashes that its fingerprint or one of
+        its parts explains.
     :param parts: prompt parts that other requests may share.
-    :param answered_ms: time since the first event of the answer, -1 when
-        there was none.
     """
 
     name: ClassVar[str] = "request.suspected"
@@ -376,7 +375,19 @@
     server: str
     servers: int
     parts: tuple[str, ...]
-    answered_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestBlocked(Event):
+    """A request is not sent, because requests like it crash servers.
+
+    :param traits: its fingerprint or prompt parts that explain the crashes.
+    """
+
+    name: ClassVar[str] = "request.blocked"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    request: str
+    traits: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -193,7 +193,7 @@
                 refusal.Reason.STOPPING, STOPPING_RETRY_AFTER
             )
             return self._refuse(stopping, caller_attempt_id, arrived, call)
-        if self._dispatcher.poison_requests.is_blocked(call.fingerprint):
+        if self._dispatcher.poison_requests.is_blocked(call):
             poison = refusal.Refusal(refusal.Reason.POISON)
             return self._refuse(poison, caller_attempt_id, arrived, call)
         self._dispatcher.budget(call.service).record_request()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -94,10 +94,11 @@
             platform.header_format,
             self.cluster_state,
             poison_requests.PoisonRequests(
+                platform.settings.name,
                 self.cluster_state,
                 lambda: platform.shared,
                 self.journal,
-                clock,
+                random.Random(),
             ),
             clock,
             self.journal,
@@ -193,6 +194,7 @@
             task.cancel()
         for runner in self._runners.values():
             await runner.cleanup()
+        self.dispatcher.poison_requests.close()
         await self.platform.close()
 
     def reload(self) -> None:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
@@ -38,7 +38,7 @@
                 return result
             last = result
             self._dispatcher.record_result(call, member, result)
-            if not self._dispatcher.may_retry(call, member, result):
+            if not await self._dispatcher.may_retry(call, member, result):
                 break
         if last is not None and last.answer is not None:
             return last.answer
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -1,12 +1,18 @@
 """Quarantine of requests that crash the servers that run them."""
 
 import asyncio
+import collections
 from collections.abc import Callable
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from dataclasses import field
 import json
+import random
+from typing import Any
 
-from limpetwalk import clock as clocks
 from limpetwalk import exceptions
 from limpetwalk.gateway import call as calls
+from limpetwalk.gateway import crash_suspects
 from limpetwalk.gateway import fleet
 from limpetwalk.gateway import ports
 
@@ -15,94 +21,219 @@
 from . import logs
 from . import upstream
 
-# Number of crashed servers after which no node sends a request any more. The
-# platform allows three.
-CRASHES_TO_BLOCK = 3
+# Time for which requests that broke off at the same server are collected,
+# seconds. A crash breaks them off within a few milliseconds.
+COLLECT_SECONDS = 0.03
 # Timeout of the connection that distinguishes a crashed server from a lost
 # answer, seconds.
 PROBE_TIMEOUT = 0.25
+# Servers for which this node remembers the suspects that it has reported.
+MAX_REPORTS = 200
+# Largest number of suspects in a report; a row holds 64 KiB.
+MAX_SUSPECTS = 200
+# Upper bound of the random delay before an answer is published, seconds for
+# each node and altogether. Most nodes find meanwhile that another one was
+# faster.
+ANSWER_DELAY_PER_NODE = 0.01
+MAX_ANSWER_DELAY = 1.5
+
+
+@dataclass(slots=True)
+class _Report:
+    """Suspects of one crash that this node knows.
+
+    :param at: instant of the crash on the store's clock, in seconds.
+    :param unchecked: calls that broke off, until the server is checked.
+    """
+
+    at: float
+    suspects: list[crash_suspects.Suspect] = field(default_factory=list)
+    unchecked: list[calls.Call] = field(default_factory=list)
+    check: asyncio.Task[None] | None = None
 
 
 class PoisonRequests:
-    """Counts the servers that each request crashed, over all nodes.
+    """Blocks requests that crash servers, by the evidence of all nodes.
 
+    :param node: name of this node.
     :param shared: returns the table that the nodes share.
-    :param clock: source of monotonic time.
+    :param rng: random source for the delay of writes.
     """
 
     def __init__(
         self,
+        node: str,
         state: cluster_state.ClusterState,
         shared: Callable[[], ports.SharedTable],
         journal: logs.Journal,
-        clock: clocks.Clock,
+        rng: random.Random,
     ) -> None:
-        self._clock = clock
+        self._node = node
         self._cluster_state = state
         self._shared = shared
         self._journal = journal
+        self._rng = rng
+        self._reports: collections.OrderedDict[str, _Report] = (
+            collections.OrderedDict()
+        )
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def is_blocked(self, fingerprint: str) -> bool:
-        """Whether a request has crashed too many servers to be sent again."""
-        crashed = self._cluster_state.crashes.get(fingerprint, ())
-        return len(crashed) >= CRASHES_TO_BLOCK
+    def is_blocked(self, call: calls.Call) -> bool:
+        """Whether requests like a call have crashed too many servers."""
+        blocking = self._cluster_state.crash_suspects.blocking(call.traits)
+        if blocking:
+            self._journal.emit(
+                events.RequestBlocked(
+                    call.caller_attempt_id, tuple(sorted(blocking))
+                )
+            )
+        return bool(blocking)
 
     def check_server(self, call: calls.Call, member: fleet.Member) -> None:
-        """Check in the background whether a server crashed.
+        """Check in the background whether a call crashed its server.
+
+        A call whose answer had begun is no suspect.
 
         :param member: server whose answer broke off.
         """
-        answered_ms = -1
         if call.answering_since is not None:
-            answered = self._clock.monotonic() - call.answering_since
-            answered_ms = int(answered * 1000)
-        task = asyncio.create_task(
-            self._probe_server(call, member, answered_ms)
+            return
+        entry = member.entry
+        server = f"{entry.id}.{entry.boot_ms}"
+        report = self._reports.get(server)
+        if report is None:
+            report = _Report(self._cluster_state.store_time())
+            self._reports[server] = report
+            if len(self._reports) > MAX_REPORTS:
+                oldest, _ = self._reports.popitem(last=False)
+                self._spawn(self._remove_report(oldest))
+        if len(report.suspects) >= MAX_SUSPECTS:
+            return
+        if not report.unchecked:
+            report.check = self._spawn(
+                self._report_crash(server, member, report)
+            )
+        report.unchecked.append(call)
+
+    async def wait_for_check(self, call: calls.Call) -> None:
+        """Wait until it is known whether a call crashed its server.
+
+        Only calls that one more crash may block wait, since the check delays
+        a retry.
+        """
+        crashes = self._cluster_state.crash_suspects.crash_count(call.traits)
+        if crashes < crash_suspects.CRASHES_TO_BLOCK - 1:
+            return
+        checks = [
+            report.check
+            for report in self._reports.values()
+            if report.check is not None
+            and any(unchecked is call for unchecked in report.unchecked)
+        ]
+        if checks:
+            await asyncio.wait(checks, timeout=COLLECT_SECONDS + PROBE_TIMEOUT)
+
+    def close(self) -> None:
+        """Cancel checks and writes that are under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    def record_answer(self, call: calls.Call) -> None:
+        """Clear the traits of a call whose answer has begun."""
+        exposed = self._cluster_state.crash_suspects.record_answer(
+            call.traits, self._cluster_state.store_time()
         )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        if exposed:
+            self._spawn(self._publish_answer(call, exposed))
 
-    async def _probe_server(
-        self, call: calls.Call, member: fleet.Member, answered_ms: int
+    async def _report_crash(
+        self, server: str, member: fleet.Member, report: _Report
     ) -> None:
+        """Report the calls that broke off, if their server has crashed."""
+        await asyncio.sleep(COLLECT_SECONDS)
+        broken_calls, report.unchecked = report.unchecked, []
         try:
             exchange = await upstream.Exchange.connect(
                 member.entry.host, member.entry.port, PROBE_TIMEOUT
             )
-        except upstream.ServerUnreachable:
-            await self._record_crash(call, member, answered_ms)
+        except upstream.ServerUnreachable as exc:
+            # A server that is silent may be cut off from this node.
+            crashed = exc.refused
         else:
+            crashed = False
             exchange.close()
-
-    async def _record_crash(
-        self, call: calls.Call, member: fleet.Member, answered_ms: int
-    ) -> None:
-        crashed = self._cluster_state.crashes.setdefault(
-            call.fingerprint, set()
-        )
-        if member.id in crashed:
+        if not crashed:
+            self._reports.pop(server, None)
             return
-        crashed.add(member.id)
-        self._journal.emit(
-            events.CrashSuspected(
-                call.caller_attempt_id,
-                call.fingerprint,
-                member.id,
-                len(crashed),
-                call.prompt.shared_parts,
-                answered_ms,
+        suspects = [
+            crash_suspects.Suspect(call.caller_attempt_id, call.traits)
+            for call in broken_calls
+        ]
+        report.suspects += suspects
+        evidence = self._cluster_state.crash_suspects
+        evidence.record_crash(server, report.at, suspects)
+        for call in broken_calls:
+            self._journal.emit(
+                events.CrashSuspected(
+                    call.caller_attempt_id,
+                    call.fingerprint,
+                    member.id,
+                    evidence.crash_count(call.traits),
+                    call.prompt.shared_parts,
+                )
             )
+        row = {
+            "at": report.at,
+            "suspects": [
+                [suspect.attempt, *suspect.traits]
+                for suspect in report.suspects
+            ],
+        }
+        key = f"{cluster_state.CRASH_PREFIX}{server}/{self._node}"
+        await self._publish(
+            "publishing a crash", [ports.SharedPut(key, json.dumps(row))]
         )
-        put = ports.SharedPut(
-            f"{cluster_state.CRASH_PREFIX}{call.fingerprint}/{member.id}",
-            json.dumps({"request": call.caller_attempt_id}),
-        )
+
+    async def _remove_report(self, server: str) -> None:
+        key = f"{cluster_state.CRASH_PREFIX}{server}/{self._node}"
         try:
-            await self._shared().put([put])
+            await self._shared().remove(key)
         except exceptions.StoreError as exc:
             self._journal.emit(
-                events.UnexpectedError(
-                    "publishing a crash", str(exc), call.caller_attempt_id
-                )
+                events.UnexpectedError("removing a crash", str(exc))
             )
+
+    async def _publish_answer(
+        self, call: calls.Call, traits: list[str]
+    ) -> None:
+        """Tell the other nodes that a request with these traits was sound."""
+        state = self._cluster_state
+        answered_at = state.store_time()
+        longest = ANSWER_DELAY_PER_NODE * len(state.nodes)
+        await asyncio.sleep(
+            self._rng.uniform(0.0, min(MAX_ANSWER_DELAY, longest))
+        )
+        puts = [
+            ports.SharedPut(
+                cluster_state.ANSWER_PREFIX + trait,
+                json.dumps({"at": answered_at}),
+            )
+            for trait in traits
+            if state.published_answers.get(trait, 0.0) < answered_at
+        ]
+        if puts:
+            await self._publish("publishing an answer", puts)
+
+    async def _publish(self, place: str, puts: list[ports.SharedPut]) -> None:
+        try:
+            await self._shared().put(puts)
+        except exceptions.StoreError as exc:
+            self._journal.emit(events.UnexpectedError(place, str(exc)))
+
+    def _spawn(
+        self, coroutine: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -69,7 +69,7 @@
                 continue
             last = result
             self._dispatcher.record_result(call, member, result)
-            if not self._dispatcher.may_retry(call, member, result):
+            if not await self._dispatcher.may_retry(call, member, result):
                 break
             model = relay.model or model
         if relay.started:
@@ -360,6 +360,7 @@
         await self._open(started)
         if self._call.answering_since is None:
             self._call.answering_since = self._dispatcher.clock.monotonic()
+            self._dispatcher.poison_requests.record_answer(self._call)
         if event.id:
             self.last_event = event.id
         assert self._resp is not None
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -31,7 +31,15 @@
 
 
 class ServerUnreachable(Exception):
-    """No byte of the request was sent."""
+    """No byte of the request was sent.
+
+    :param refused: whether the server's host answered that nothing listens
+        at the port.
+    """
+
+    def __init__(self, detail: str, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
 
 
 class IncompleteAnswer(Exception):
@@ -90,7 +98,8 @@
                 )
         except (OSError, TimeoutError) as exc:
             raise ServerUnreachable(
-                f"connection to {host}:{port} failed: {exc!r}"
+                f"connection to {host}:{port} failed: {exc!r}",
+                isinstance(exc, ConnectionRefusedError),
             ) from exc
         sock = writer.get_extra_info("socket")
         sock.setsockopt(
--- a/packages/limpetwalk/limpetwalk/gateway/call.py
+++ b/packages/limpetwalk/limpetwalk/gateway/call.py
@@ -51,6 +51,11 @@
     )
     tried_servers: set[str] = field(default_factory=set)
 
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """What this request may have in common with others."""
+        return (self.fingerprint, *self.prompt.shared_parts)
+
     @property
     def priority(self) -> int:
         """Priority of the request, 0 is the highest."""
--- /dev/null
+++ b/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
@@ -0,0 +1,236 @@
+"""Finds what requests that crash servers have in common.
+
+Serves a load in which requests crash each server that begins to answer them:
+either one request that is sent again and again, or requests that differ in
+everything but one part of their prompts. When a server crashes, each request
+that it hadn't begun to answer is a suspect, with all its traits: its
+fingerprint and the prompt parts that others may share. An answer that begins
+clears the traits of its request. A trait is blocked when it explains more
+crashes than chance, and no other trait explains the same crashes.
+"""
+
+import collections
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+import math
+
+# Crashes that traits must explain before requests with them are blocked.
+CRASHES_TO_BLOCK = 3
+# Crashes after which requests are blocked although several traits, which
+# don't occur in the same requests, explain the same crashes.
+CRASHES_TO_BLOCK_ALL = 4
+# Crashes within this time count once for a trait, seconds: servers that lose
+# power together are no evidence against the requests that they had. A request
+# that was sent to one server after another is, however fast they crashed.
+BURST_SECONDS = 0.25
+# Crashes and begun answers that are remembered.
+MAX_CRASHES = 400
+MAX_ANSWERS = 20_000
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """Request whose answer had not begun when its server crashed.
+
+    :param attempt: identifier of the caller's attempt.
+    :param traits: fingerprint of the request and ids of its prompt parts.
+    """
+
+    attempt: str
+    traits: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class Crash:
+    """Crash of a server, as all nodes have reported it so far.
+
+    :param at: instant of the crash on the clock that the nodes share, in
+        seconds.
+    """
+
+    at: float
+    suspects: set[Suspect] = field(default_factory=set)
+
+
+class CrashSuspects:
+    """Evidence about traits of requests that crash servers."""
+
+    def __init__(self) -> None:
+        self._crashes: dict[str, Crash] = {}
+        self._servers: dict[str, set[str]] = collections.defaultdict(set)
+        self._answered: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._blocks: list[frozenset[str]] | None = []
+
+    def record_crash(
+        self, server: str, at: float, suspects: Iterable[Suspect]
+    ) -> None:
+        """Record one node's report of a crash.
+
+        :param server: identifies the server and its start.
+        :param at: instant of the crash on the shared clock, in seconds.
+        """
+        crash = self._crashes.setdefault(server, Crash(at))
+        crash.at = min(crash.at, at)
+        for suspect in suspects:
+            crash.suspects.add(suspect)
+            for trait in suspect.traits:
+                if self._answered.get(trait, -math.inf) < crash.at:
+                    self._servers[trait].add(server)
+        if len(self._crashes) > MAX_CRASHES:
+            self._forget(next(iter(self._crashes)))
+        self._blocks = None
+
+    def record_answer(self, traits: Iterable[str], at: float) -> list[str]:
+        """Clear the traits of a request whose answer has begun.
+
+        :param at: instant of its first byte on the shared clock, in seconds.
+        :returns: the traits that other nodes may be about to block.
+        """
+        exposed = []
+        for trait in traits:
+            self._answered[trait] = max(
+                at, self._answered.pop(trait, -math.inf)
+            )
+            if trait not in self._servers:
+                continue
+            if len(self._servers[trait]) >= CRASHES_TO_BLOCK - 1:
+                exposed.append(trait)
+            self._clear(trait)
+        while len(self._answered) > MAX_ANSWERS:
+            self._answered.popitem(last=False)
+        return exposed
+
+    def crash_count(self, traits: Iterable[str]) -> int:
+        """Return the largest number of crashes that one trait explains."""
+        return max(
+            (len(self._servers.get(trait, ())) for trait in traits), default=0
+        )
+
+    def blocking(self, traits: Collection[str]) -> frozenset[str]:
+        """Return the traits for which a request is blocked, or none.
+
+        :param traits: traits of the request.
+        """
+        if self._blocks is None:
+            self._blocks = self._find_blocks()
+        for block in self._blocks:
+            if block.issubset(traits):
+                return block
+        return frozenset()
+
+    def _clear(self, trait: str) -> None:
+        """Drop the crashes before the latest answer from a trait's."""
+        answered_at = self._answered[trait]
+        remaining = {
+            server
+            for server in self._servers[trait]
+            if self._crashes[server].at > answered_at
+        }
+        if len(remaining) < len(self._servers[trait]):
+            self._blocks = None
+        if remaining:
+            self._servers[trait] = remaining
+        else:
+            del self._servers[trait]
+
+    def _forget(self, server: str) -> None:
+        crash = self._crashes.pop(server)
+        for suspect in crash.suspects:
+            for trait in suspect.traits:
+                servers = self._servers.get(trait)
+                if servers is None:
+                    continue
+                servers.discard(server)
+                if not servers:
+                    del self._servers[trait]
+
+    def _find_blocks(self) -> list[frozenset[str]]:
+        """Return sets of traits; requests that have all of one are blocked.
+
+        The traits that explain most crashes come first. What they explain is
+        no evidence against the traits of requests that were at the same
+        servers by chance.
+        """
+        unexplained = {
+            trait: set(servers)
+            for trait, servers in self._servers.items()
+            if len(servers) >= CRASHES_TO_BLOCK
+        }
+        blocks: list[frozenset[str]] = []
+        while unexplained:
+            counts = {
+                trait: self._count(trait, servers)
+                for trait, servers in unexplained.items()
+            }
+            trait = max(counts, key=lambda name: (counts[name], name))
+            if counts[trait] < CRASHES_TO_BLOCK:
+                break
+            servers = unexplained[trait]
+            equal = frozenset(
+                name
+                for name, others in unexplained.items()
+                if others == servers
+            )
+            alternatives = self._alternatives(equal, servers)
+            if len(alternatives) == 1 or counts[trait] >= CRASHES_TO_BLOCK_ALL:
+                blocks += alternatives
+            unexplained = _without(unexplained, servers)
+        return blocks
+
+    def _count(self, trait: str, servers: Collection[str]) -> int:
+        """Return the number of crashes that count against a trait."""
+        bursts, burst_began = 0, -math.inf
+        for at in sorted(self._crashes[server].at for server in servers):
+            if at - burst_began >= BURST_SECONDS:
+                bursts, burst_began = bursts + 1, at
+        in_a_row = collections.Counter(
+            attempt
+            for server in servers
+            for attempt in self._attempts(server, trait)
+        )
+        return max(bursts, *in_a_row.values(), 0)
+
+    def _attempts(self, server: str, trait: str) -> set[str]:
+        return {
+            suspect.attempt
+            for suspect in self._crashes[server].suspects
+            if trait in suspect.traits
+        }
+
+    def _alternatives(
+        self, traits: frozenset[str], servers: Collection[str]
+    ) -> list[frozenset[str]]:
+        """Split traits of equal evidence by the requests that have them."""
+        found = {
+            traits.intersection(suspect.traits)
+            for server in servers
+            for suspect in self._crashes[server].suspects
+        }
+        return sorted(
+            (
+                subset
+                for subset in found
+                if subset and not any(subset < other for other in found)
+            ),
+            key=sorted,
+        )
+
+
+def _without(
+    unexplained: Mapping[str, set[str]], servers: Collection[str]
+) -> dict[str, set[str]]:
+    """Return the crashes of each trait that remain to be explained."""
+    remaining = {
+        trait: others.difference(servers)
+        for trait, others in unexplained.items()
+    }
+    return {
+        trait: others
+        for trait, others in remaining.items()
+        if len(others) >= CRASHES_TO_BLOCK
+    }
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -8,6 +8,11 @@
 from dataclasses import field
 import enum
 
+# Bounds of the prompt parts by which requests are compared: number, and
+# length of an id in characters.
+MAX_SHARED_PARTS = 32
+MAX_PART_ID = 40
+
 
 class Idempotency(enum.Enum):
     """Whether a request has the same effect when it runs twice."""
@@ -185,8 +190,15 @@
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
-        """Return the ids of the parts that other requests may share."""
-        return tuple(part.id for part in self.parts[:-1])
+        """Return the ids of the parts that other requests may share.
+
+        Overlong ids and those of further parts are left out.
+        """
+        return tuple(
+            part.id
+            for part in self.parts[:-1][:MAX_SHARED_PARTS]
+            if len(part.id) <= MAX_PART_ID
+        )
 
     @property
     def shared_key(self) -> str:
--- /dev/null
+++ b/tests/limpetwalk/gateway/test_crash_suspects.py
@@ -0,0 +1,166 @@
+"""Tests of the search for what crashes servers."""
+
+import random
+import unittest
+
+from limpetwalk.gateway import crash_suspects
+
+
+def suspect(attempt: str, *traits: str) -> crash_suspects.Suspect:
+    return crash_suspects.Suspect(attempt, traits)
+
+
+class SharedPart(unittest.TestCase):
+    """Requests that share nothing but a part that crashes servers."""
+
+    def setUp(self) -> None:
+        self.suspects = crash_suspects.CrashSuspects()
+
+    def crash(self, number: int, *suspects: crash_suspects.Suspect) -> None:
+        self.suspects.record_crash(f"s-{number}", float(number), suspects)
+
+    def test_part_is_blocked_whatever_else_a_request_has(self) -> None:
+        for number in range(3):
+            self.crash(
+                number, suspect(f"a-{number}", f"p-{number}", "bad", "f")
+            )
+            self.suspects.record_answer(["f"], number + 0.5)
+        self.assertEqual({"bad"}, self.suspects.blocking(["new", "bad"]))
+        self.assertFalse(self.suspects.blocking(["f", "p-0"]))
+
+    def test_two_crashes_do_not_block(self) -> None:
+        for number in range(2):
+            self.crash(number, suspect(f"a-{number}", "bad"))
+        self.assertFalse(self.suspects.blocking(["bad"]))
+
+    def test_parts_that_always_come_together_are_blocked_only_together(
+        self,
+    ) -> None:
+        for number in range(3):
+            self.crash(number, suspect(f"a-{number}", "first", "bad"))
+        self.assertTrue(self.suspects.blocking(["first", "bad"]))
+        self.assertFalse(self.suspects.blocking(["first", "other"]))
+        self.suspects.record_answer(["first", "other"], 4.0)
+        self.assertEqual({"bad"}, self.suspects.blocking(["x", "bad"]))
+
+    def test_answers_clear_parts_at_servers_that_crashed_by_chance(
+        self,
+    ) -> None:
+        for number in range(6):
+            self.crash(
+                number,
+                suspect(f"a-{number}", "bad"),
+                suspect(f"b-{number}", "busy"),
+            )
+            self.suspects.record_answer(["busy"], number + 0.5)
+        self.assertFalse(self.suspects.blocking(["busy"]))
+        self.assertTrue(self.suspects.blocking(["bad"]))
+
+    def test_report_that_comes_after_an_answer_does_not_count(self) -> None:
+        self.suspects.record_answer(["busy"], 9.0)
+        for number in range(3):
+            self.crash(number, suspect(f"a-{number}", "busy"))
+        self.assertFalse(self.suspects.blocking(["busy"]))
+
+    def test_explained_crashes_do_not_count_against_other_parts(self) -> None:
+        for number in range(5):
+            others = [suspect("b", "unlucky")] if number < 4 else []
+            self.crash(number, suspect(f"a-{number}", "bad"), *others)
+        self.assertFalse(self.suspects.blocking(["unlucky"]))
+        self.assertTrue(self.suspects.blocking(["bad"]))
+
+    def test_two_parts_are_both_found(self) -> None:
+        for number in range(8):
+            part = "bad" if number % 2 else "worse"
+            self.crash(number, suspect(f"a-{number}", part, f"p-{number}"))
+        self.assertTrue(self.suspects.blocking(["bad"]))
+        self.assertTrue(self.suspects.blocking(["worse"]))
+
+    def test_traits_that_other_nodes_may_block_are_returned(self) -> None:
+        for number in range(2):
+            self.crash(number, suspect(f"a-{number}", "busy", f"p-{number}"))
+        exposed = self.suspects.record_answer(["busy", "p-0"], 5.0)
+        self.assertEqual(["busy"], exposed)
+
+
+class CrashesTogether(unittest.TestCase):
+    """Servers that lose power together, and a request that crashes a row."""
+
+    def setUp(self) -> None:
+        self.suspects = crash_suspects.CrashSuspects()
+
+    def test_power_loss_of_many_servers_blocks_nothing(self) -> None:
+        for number in range(30):
+            self.suspects.record_crash(
+                f"s-{number}",
+                10.0 + number / 200,
+                [suspect(f"a-{number}", "busy", f"f-{number}")],
+            )
+        self.assertFalse(self.suspects.blocking(["busy"]))
+
+    def test_request_that_crashes_servers_in_a_row_is_blocked(self) -> None:
+        for number in range(3):
+            self.suspects.record_crash(
+                f"s-{number}", 10.0 + number / 20, [suspect("a", "f")]
+            )
+        self.assertTrue(self.suspects.blocking(["f"]))
+
+    def test_memory_of_crashes_is_bounded(self) -> None:
+        for number in range(2 * crash_suspects.MAX_CRASHES):
+            self.suspects.record_crash(
+                f"s-{number}", float(number), [suspect("a", f"p-{number}")]
+            )
+        self.assertLessEqual(
+            len(self.suspects._servers), crash_suspects.MAX_CRASHES
+        )
+
+
+class CrashLoad(unittest.TestCase):
+    """A fleet under a load with a part that crashes servers.
+
+    Each crash hits the requests that wait at the same server, each of a busy
+    first part, one of the workspace and one of its document.
+    """
+
+    def test_only_the_part_is_blocked_and_soon(self) -> None:
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                self.play(random.Random(seed))
+
+    def play(self, rng: random.Random) -> None:
+        suspects = crash_suspects.CrashSuspects()
+        crashes = 0
+        for step in range(400):
+            now = step * 0.3
+            sound = [self.request(rng) for _ in range(12)]
+            for traits in sound:
+                self.assertFalse(suspects.blocking(traits), traits)
+            bad = ["first", f"w-{rng.randrange(4)}", "bad", f"f-{step}"]
+            if suspects.blocking(bad):
+                break
+            waiting = rng.sample(sound, 4)
+            suspects.record_crash(
+                f"s-{step}",
+                now,
+                [
+                    crash_suspects.Suspect(f"{step}-{n}", tuple(traits))
+                    for n, traits in enumerate([*waiting, bad])
+                ],
+            )
+            crashes += 1
+            for traits in sound:
+                if traits not in waiting:
+                    suspects.record_answer(traits, now + 0.2)
+        self.assertLessEqual(crashes, 5)
+
+    def request(self, rng: random.Random) -> list[str]:
+        return [
+            "first",
+            f"w-{rng.randrange(4)}",
+            f"d-{rng.randrange(40)}",
+            f"f-{rng.random()}",
+        ]
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/limpetwalk_node/gateway/test_frontend.py
+++ b/tests/limpetwalk_node/gateway/test_frontend.py
@@ -251,51 +251,6 @@
         self.assertLessEqual(len(failed_attempts), 7)
 
 
-class Poison(harness.GatewayCase):
-    """A request that crashes the servers that run it, and is sent again."""
-
-    async def crash(self, *server_ids: str) -> None:
-        """Write rows of other nodes whose servers a request crashed."""
-        state = self.run_.gateway.cluster_state
-        async with self.run_.request("GET", "/again/bad") as resp:
-            self.assertEqual(200, resp.status)
-        (fingerprint,) = self.fingerprints
-        for server_id in server_ids:
-            key = f"crash/{fingerprint}/{server_id}"
-            await self.run_.site.store.put("limpetwalk", key, {})
-        await self.run_.until(
-            lambda: state.crashes.get(fingerprint) == set(server_ids)
-        )
-
-    async def asyncSetUp(self) -> None:
-        await super().asyncSetUp()
-        self.fingerprints: set[str] = set()
-        quarantine = self.run_.gateway.dispatcher.poison_requests
-        is_blocked = quarantine.is_blocked
-
-        def record(fingerprint: str) -> bool:
-            self.fingerprints.add(fingerprint)
-            return is_blocked(fingerprint)
-
-        quarantine.is_blocked = record  # type: ignore
-
-    async def test_third_crash_on_any_node_blocks_the_request(
-        self,
-    ) -> None:
-        await self.crash("s-1", "s-2", "s-3")
-        before = len(self.server("p-1").received)
-        async with self.run_.request("GET", "/again/bad") as resp:
-            self.assertEqual(502, resp.status)
-        self.assertEqual(before, len(self.server("p-1").received))
-        async with self.run_.request("GET", "/again/good") as resp:
-            self.assertEqual(200, resp.status)
-
-    async def test_two_crashes_do_not_block_the_request(self) -> None:
-        await self.crash("s-1", "s-2")
-        async with self.run_.request("GET", "/again/bad") as resp:
-            self.assertEqual(200, resp.status)
-
-
 class StoreOutage(harness.GatewayCase):
     """Outages and lost history of the store."""
 
--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_poison_requests.py
@@ -0,0 +1,166 @@
+"""Tests of requests that crash the servers that run them."""
+
+import asyncio
+
+from aiohttp import web
+
+from limpetwalk_bench.hub import site
+
+from . import harness
+
+PART = "bad"
+
+
+class PoisonPart(harness.GatewayCase):
+    """Requests that share a prompt part that crashes engines."""
+
+    services = {f"e-{number}": site.ENGINE for number in range(12)}
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.crashed: set[str] = set()
+        for server_id, engine in self.run_.site.servers.items():
+            engine.behaviour = self.crashing(server_id)
+
+    def crashing(self, server_id: str):  # type: ignore[no-untyped-def]
+        async def crash(req: web.Request) -> web.StreamResponse | None:
+            if PART not in req.headers["Prefix-Hash"]:
+                return None
+            self.crashed.add(server_id)
+            await self.run_.site.crash_server(server_id)
+            await asyncio.sleep(1)
+            return None
+
+        return crash
+
+    async def send(self, parts: str, body: str) -> int:
+        async with self.run_.request(
+            "POST",
+            "/stream/x",
+            headers={**site.STREAM_HEADERS, "Prefix-Hash": parts},
+            data=body,
+        ) as resp:
+            await resp.read()
+            return resp.status
+
+    async def test_part_that_crashes_engines_is_blocked_in_new_requests(
+        self,
+    ) -> None:
+        statuses = []
+        for number in range(6):
+            statuses.append(
+                await self.send(f"aa:10,{PART}:5,own{number}:9", f"{number}")
+            )
+            await self.send(f"aa:10,bb:5,own{number}:9", f"sound {number}")
+            await asyncio.sleep(0.3)
+        self.assertEqual([502] * 6, statuses)
+        self.assertLessEqual(len(self.crashed), 5)
+        blocked = self.run_.lines.events("request.blocked")
+        self.assertEqual([PART], blocked[-1]["traits"])
+
+    async def test_requests_that_share_the_other_parts_are_served(
+        self,
+    ) -> None:
+        for number in range(6):
+            await self.send(f"aa:10,{PART}:5,own{number}:9", f"{number}")
+            self.assertEqual(
+                200,
+                await self.send(f"aa:10,bb:5,own{number}:9", f"s{number}"),
+            )
+
+    async def test_request_whose_answer_had_begun_is_no_suspect(self) -> None:
+        for engine in self.run_.site.servers.values():
+            engine.event_interval = 0.2
+        sound = asyncio.create_task(self.send("aa:10,bb:5,o:9", "sound"))
+        await asyncio.sleep(0.1)
+        (server_id,) = [
+            server_id
+            for server_id, engine in self.run_.site.servers.items()
+            if engine.executed
+        ]
+        await self.run_.site.crash_server(server_id)
+        self.assertEqual(200, await sound)
+        self.assertEqual([], self.run_.lines.events("request.suspected"))
+
+
+class PoisonRows(harness.GatewayCase):
+    """Evidence of other nodes."""
+
+    async def report(self, *servers: str) -> None:
+        """Write the rows of another node for crashes a second apart."""
+        state = self.run_.gateway.cluster_state
+        now = state.store_time()
+        for number, server in enumerate(servers):
+            row = {
+                "at": now + number,
+                "suspects": [[f"a-{number}", f"f-{number}", "aa"]],
+            }
+            await self.run_.site.store.put(
+                "limpetwalk", f"crashed/{server}.1/node-2", row
+            )
+        await self.run_.until(
+            lambda: state.crash_suspects.crash_count(["aa"]) == len(servers)
+        )
+
+    async def test_third_crash_on_any_node_blocks_requests(self) -> None:
+        await self.report("s-1", "s-2", "s-3")
+        async with self.run_.stream() as resp:
+            self.assertEqual(502, resp.status)
+        self.assertEqual([], self.server("e-1").received)
+        async with self.run_.stream(Prefix_Hash="cc:10,dd:10") as resp:
+            self.assertEqual(200, resp.status)
+
+    async def test_two_crashes_do_not_block_requests(self) -> None:
+        await self.report("s-1", "s-2")
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+
+    async def test_answer_of_a_suspected_part_is_published(self) -> None:
+        await self.report("s-1", "s-2")
+        async with self.run_.stream() as resp:
+            await resp.read()
+        store = self.run_.site.store
+        await self.run_.until(
+            lambda: ("limpetwalk", "answered/aa") in store.rows
+        )
+
+    async def test_malformed_report_is_logged_and_ignored(self) -> None:
+        store = self.run_.site.store
+        await store.put("limpetwalk", "crashed/s-1.1/node-2", {"at": 1})
+        await store.put("limpetwalk", "answered/aa", [])
+        await self.run_.until(
+            lambda: len(self.run_.lines.events("row.unreadable")) == 2
+        )
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+
+
+class PoisonCall(harness.GatewayCase):
+    """The same request, which crashes plain servers, sent again and again."""
+
+    services = {f"p-{number}": site.PLAIN for number in range(10)}
+
+    async def test_request_is_blocked_after_it_crashed_three_servers(
+        self,
+    ) -> None:
+        crashed: set[str] = set()
+        for server_id, plain in self.run_.site.servers.items():
+
+            async def crash(
+                req: web.Request, server_id: str = server_id
+            ) -> web.StreamResponse | None:
+                if req.path != "/again/bad":
+                    return None
+                crashed.add(server_id)
+                await self.run_.site.crash_server(server_id)
+                await asyncio.sleep(1)
+                return None
+
+            plain.behaviour = crash
+        for _ in range(6):
+            async with self.run_.request("GET", "/again/bad") as resp:
+                self.assertEqual(502, resp.status)
+            await asyncio.sleep(0.15)
+        self.assertLessEqual(len(crashed), 4)
+        async with self.run_.request("GET", "/again/good") as resp:
+            self.assertEqual(200, resp.status)
