Take a stream that ends with its connection before any event for broken off

A stream may have neither a length nor chunks. One whose server closed the connection before the first event reached the caller as a complete, empty success, and cleared the prompt parts of a request that crashed its server. Cause: the end of such a connection was the end of the stream. Test: StreamsWithoutLength.test_stream_without_an_event_is_no_success, 200 instead of 502 before. A stream cut inside an event or reset was handled already, and is now tested without a length, too.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -313,6 +313,9 @@
                     progress.record_event()
         if splitter.partial:
             raise upstream.IncompleteAnswer("ended within an event")
+        if self._call.answering_since is None and not started.head.marks_end:
+            # The server may have crashed before its first event.
+            raise upstream.IncompleteAnswer("ended without an event")
 
     async def _next_chunk(
         self,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -60,6 +60,17 @@
     status: int
     headers: multidict.CIMultiDict[str]
 
+    @property
+    def marks_end(self) -> bool:
+        """Whether the body has a length or chunks.
+
+        Otherwise it ends with the connection.
+        """
+        return (
+            "Content-Length" in self.headers
+            or "Transfer-Encoding" in self.headers
+        )
+
 
 class Exchange:
     """A request and its response on one connection."""
--- a/tests/limpetwalk_node/gateway/test_broken_answers.py
+++ b/tests/limpetwalk_node/gateway/test_broken_answers.py
@@ -7,7 +7,10 @@
 import socket
 import struct
 
+import aiohttp
+
 from limpetwalk_bench.hub import raw_server
+from limpetwalk_bench.hub import server
 from limpetwalk_bench.hub import site
 
 from . import harness
@@ -38,6 +41,11 @@
 async def reset_without_length(conn: raw_server.Connection) -> None:
     """Reset a connection whose end would end the body."""
     await conn.send(conn.head("Connection: close") + BODY[:500])
+    await reset_connection(conn)
+
+
+async def reset_connection(conn: raw_server.Connection) -> None:
+    """Reset a connection once what was sent has arrived."""
     await asyncio.sleep(0.05)
     sock = conn.writer.get_extra_info("socket")
     sock.setsockopt(
@@ -136,3 +144,46 @@
         await self.serve(bytewise)
         async with self.run_.request("POST", "/once/x") as resp:
             self.assertEqual(b"whole", await resp.read())
+
+
+class StreamsWithoutLength(harness.GatewayCase):
+    """Streams with neither a length nor chunks, which end with a close."""
+
+    services = {"p-1": site.PLAIN}
+    events = b"".join(server.event(number) for number in range(1, 4))
+
+    async def answer(self, data: bytes, reset: bool = False) -> None:
+        """Make the only engine answer with bytes and close."""
+
+        async def script(conn: raw_server.Connection) -> None:
+            await conn.send(conn.head("Confidence: 100") + data)
+            if reset:
+                await reset_connection(conn)
+
+        await self.run_.site.add_raw_server("e-9", site.ENGINE, script)
+        fleet = self.run_.gateway.cluster_state.fleet
+        await self.run_.until(lambda: fleet.get("e-9") is not None)
+
+    async def test_stream_that_ends_after_an_event_is_complete(self) -> None:
+        await self.answer(self.events)
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+            self.assertEqual(self.events, await resp.read())
+
+    async def test_stream_that_ends_inside_an_event_breaks_off(self) -> None:
+        await self.answer(self.events + b"id: 4\nda")
+        async with self.run_.stream() as resp:
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await resp.read()
+
+    async def test_stream_that_is_reset_breaks_off(self) -> None:
+        await self.answer(self.events, reset=True)
+        async with self.run_.stream() as resp:
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                await resp.read()
+
+    async def test_stream_without_an_event_is_no_success(self) -> None:
+        await self.answer(b"")
+        async with self.run_.stream() as resp:
+            self.assertEqual(502, resp.status)
+            self.assertNotIn("Server-Seal", resp.headers)
