--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -193,6 +193,7 @@
     :param urgency: priority in the engine's queue, 0 is the highest.
     :param confidence: engine's confidence in its response, 0 to 100.
     :param session: key of the session that a request belongs to.
+    :param rate_limit: requests per second that a server takes from all nodes.
     :param reserved: headers that only nodes may set.
     """
 
@@ -209,6 +210,7 @@
     urgency: str
     confidence: str
     session: str
+    rate_limit: str
     reserved: frozenset[str] = field(default_factory=frozenset)
 
 
