Keep the limits that servers in need name, over all nodes

Cause: nothing read the header. Class of fault: load that a server sheds by words, where only refusals were heard. An observation goes through two nodes at most, since a report makes it look younger.

Test first: LimitedServer, 40 requests instead of 8 at most before.

--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/server.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/server.py
@@ -39,6 +39,7 @@
     :param events: number of events in a stream.
     :param event_interval: pause after each event, in seconds.
     :param confidence: value of the ``Confidence`` header, by model.
+    :param extra_headers: headers added to each answer.
     :param behaviour: handler called first; its response, if any, replaces
         the usual one.
     :param received: all requests that reached the server, in order.
@@ -48,6 +49,7 @@
     events: int = 5
     event_interval: float = 0.0
     confidence: dict[str, int] = field(default_factory=dict)
+    extra_headers: dict[str, str] = field(default_factory=dict)
     behaviour: Behaviour | None = None
     received: list[ReceivedRequest] = field(default_factory=list)
 
@@ -86,6 +88,7 @@
         return {
             "Attempt-Id": req.headers.get("Attempt-Id", ""),
             "Server-Seal": f"seal-{self.id}",
+            **self.extra_headers,
         }
 
     async def _stream(self, req: web.Request) -> web.StreamResponse:
--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -139,7 +139,7 @@
             self.loads,
             self.times,
             clock,
-            lambda member: False,
+            lambda member: not member.is_cold(clock.monotonic()),
         )
 
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
@@ -17,6 +18,7 @@
 from limpetwalk.gateway import response_check
 from limpetwalk.gateway import retries
 from limpetwalk.gateway import retry_budget
+from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import types
 from limpetwalk.gateway import version_tallies
@@ -74,6 +76,15 @@
             clock,
         )
         self.server_loads = server_load.ServerLoads(clock)
+        self.server_limits = server_limits.ServerLimits(
+            settings().name,
+            lambda: state.nodes,
+            self.server_loads,
+            clock,
+            self._demand,
+            random.Random(),
+            self._log_limit,
+        )
         self.prefill_times = prefill_time.PrefillTimes()
         self._placer = placement.Placer(
             settings().zone,
@@ -82,7 +93,7 @@
             self.server_loads,
             self.prefill_times,
             clock,
-            self._may_send_cold,
+            self._may_send,
         )
         self.version_tallies = version_tallies.VersionTallies(
             state.fleet.members
@@ -344,7 +355,8 @@
         timeout: float,
     ) -> outbound.StartedAnswer | outbound.FailedAttempt:
         if member.is_cold(self.clock.monotonic()):
-            self._record_cold_request(member)
+            self._cold_pacer.record_sent(member.id)
+        self.server_limits.record_sent(member.id)
         entry = member.entry
         try:
             exchange = await upstream.Exchange.connect(
@@ -369,6 +381,10 @@
             sent_at = self.clock.monotonic()
             async with asyncio.timeout(timeout):
                 head = await exchange.head()
+                self.server_limits.record_answer(
+                    member.id,
+                    head.headers.get(self.header_format.names.rate_limit),
+                )
                 verdict = response_check.check_response(
                     head.status,
                     head.headers,
@@ -423,11 +439,27 @@
             other_versions = frozenset() if split.share < 1 else other_versions
         return [versions for versions in (chosen, other_versions) if versions]
 
-    def _may_send_cold(self, member: fleet.Member) -> bool:
+    def _may_send(self, member: fleet.Member) -> bool:
+        if not self.server_limits.may_send(member.id):
+            return False
+        if not member.is_cold(self.clock.monotonic()):
+            return True
         return self._cold_pacer.may_send(member.id, self._cold_rate(member))
 
-    def _record_cold_request(self, member: fleet.Member) -> None:
-        self._cold_pacer.record_sent(member.id, self._cold_rate(member))
+    def _demand(self, server_id: str) -> float:
+        """Return the requests per second that a server would get.
+
+        A share of its service's requests is meant, in equal parts.
+        """
+        member = self.cluster_state.fleet.get(server_id)
+        if member is None:
+            return 0.0
+        service = member.entry.service
+        servers = len(self.cluster_state.fleet.members(service))
+        return self.rate(service) / max(1, servers)
+
+    def _log_limit(self, server_id: str, rate: float | None) -> None:
+        self.journal.emit(events.ServerLimited(server_id, rate))
 
     def _cold_rate(self, member: fleet.Member) -> float:
         config_catalog = self.cluster_state.catalog
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -184,6 +184,19 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLimited(Event):
+    """A backend server named a limit, a very different one, or no more.
+
+    :param per_s: requests per second that it takes from all nodes together,
+        or None when its limit has ended.
+    """
+
+    name: ClassVar[str] = "server.limited"
+    server: str
+    per_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class EvacuatedZonesChanged(Event):
     """The set of evacuated zones changed."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from limpetwalk.gateway import peer_groups
+from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import store_watch
 from limpetwalk.peers import rendezvous
@@ -44,6 +45,7 @@
 
     :param node: name of this node.
     :param peers: returns all known nodes by name.
+    :param limits: limits that servers name.
     :param tables: returns what this node knows of the store's tables.
     :param news: receives what other nodes know of them.
     :ivar on_evidence: called with the sender, the order and the report of each
@@ -55,6 +57,7 @@
         node: str,
         peers: Callable[[], Mapping[str, peer_groups.Peer]],
         loads: server_load.ServerLoads,
+        limits: server_limits.ServerLimits,
         tables: Callable[[], Collection[store_watch.TableState]],
         news: store_watch.PeerNews,
         journal: logs.Journal,
@@ -62,6 +65,7 @@
         self._node = node
         self._peers = peers
         self._server_loads = loads
+        self._server_limits = limits
         self._tables = tables
         self._news = news
         self._journal = journal
@@ -149,11 +153,22 @@
             report.sequence,
             {
                 entry.server: server_load.Load(
-                    entry.waitingMs / 1000, entry.active
+                    entry.waitingMs / 1000, entry.active, entry.recent
                 )
                 for entry in report.loads
             },
         )
+        self._server_limits.merge(
+            [
+                server_limits.ObservedLimit(
+                    entry.server,
+                    entry.perSecond if entry.perSecond >= 0 else None,
+                    entry.ageMs / 1000,
+                )
+                for entry in report.limits
+            ],
+            hops=2 if report.group else 1,
+        )
         self._news.record(
             sender,
             [
@@ -211,6 +226,7 @@
             entry.server = server_id
             entry.waitingMs = int(load.pending_prefill * 1000)
             entry.active = load.active
+            entry.recent = load.recent
         states = self._tables()
         for entry, state in zip(
             report.init("tables", len(states)), states, strict=True
@@ -218,6 +234,13 @@
             entry.name = state.table
             entry.version = state.version
             entry.unavailable = state.unavailable
+        limits = self._server_limits.observed(max_hops=1 if group else 0)
+        for entry, limit in zip(
+            report.init("limits", len(limits)), limits, strict=True
+        ):
+            entry.server = limit.server
+            entry.perSecond = -1.0 if limit.rate is None else limit.rate
+            entry.ageMs = int(limit.age * 1000)
         data = report.to_bytes()
         if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
             return
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -124,6 +124,7 @@
             platform.settings.name,
             lambda: self.cluster_state.peers,
             self.dispatcher.server_loads,
+            self.dispatcher.server_limits,
             lambda: [follower.state for follower in self.followers],
             news,
             self.journal,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
@@ -9,12 +9,20 @@
   group @3 :Text;         # label of the group whose sum this is; empty: the sender's own loads
   tables @4 :List(Table);
   evidence @5 :List(Evidence);
+  limits @6 :List(Limit);
+}
+
+struct Limit {
+  server @0 :Text;
+  perSecond @1 :Float32;  # requests that the server takes from all nodes; negative: no limit any more
+  ageMs @2 :UInt32;       # time since the answer that said so
 }
 
 struct Load {
   server @0 :Text;
   waitingMs @1 :UInt32;   # prefill time of requests that the server has not read yet
   active @2 :UInt32;      # requests at the server
+  recent @3 :UInt32;      # requests sent to it in the last seconds, if it has a limit
 }
 
 struct Table {
--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -79,8 +79,8 @@
     """Chooses the server with the lowest cost.
 
     :param zone: availability zone of this node.
-    :param may_send_cold: returns whether a cold server may be sent a request
-        now.
+    :param may_send: returns whether this node may send a server a request
+        now; cold servers and those with a limit take few.
     """
 
     def __init__(
@@ -91,7 +91,7 @@
         loads: server_load.ServerLoads,
         prefill_times: prefill_time.PrefillTimes,
         clock: clocks.Clock,
-        may_send_cold: Callable[[fleet.Member], bool],
+        may_send: Callable[[fleet.Member], bool],
     ) -> None:
         self._zone = zone
         self._fleet = servers
@@ -99,7 +99,7 @@
         self._loads = loads
         self._prefill_times = prefill_times
         self._clock = clock
-        self._may_send_cold = may_send_cold
+        self._may_send = may_send
 
     def choose(self, need: Need) -> Choice | None:
         """Return the server of the lowest cost, or None without a candidate.
@@ -110,7 +110,7 @@
         eligible = [
             member
             for member in self._fleet.usable(need.service)
-            if self._fits(member, need, now)
+            if self._fits(member, need)
         ]
         untried = [
             member for member in eligible if member.id not in need.avoided
@@ -129,13 +129,13 @@
         ]
         return min(ratings, key=lambda rating: rating[:2])[2]
 
-    def _fits(self, member: fleet.Member, need: Need, now: float) -> bool:
+    def _fits(self, member: fleet.Member, need: Need) -> bool:
         entry = member.entry
         if need.versions is not None and entry.version not in need.versions:
             return False
         if need.model and entry.models and need.model not in entry.models:
             return False
-        return not member.is_cold(now) or self._may_send_cold(member)
+        return self._may_send(member)
 
     def _preferred_server(
         self, need: Need, candidates: Iterable[fleet.Member]
--- a/packages/limpetwalk/limpetwalk/gateway/server_load.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_load.py
@@ -5,8 +5,10 @@
 time is still pending, directly or in the sum of its group of nodes.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import dataclasses
 from dataclasses import dataclass
 import math
 
@@ -18,6 +20,8 @@
 # Seconds for which the sums over the other nodes are cached: less than the
 # reporting interval.
 SUMS_LIFETIME = 0.03
+# Seconds for which a request that was sent counts as recent.
+RECENT_SECONDS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,10 +30,13 @@
 
     :param pending_prefill: pending prefill time, in seconds.
     :param active: number of requests at the server.
+    :param recent: number of requests sent to it within ``RECENT_SECONDS``;
+        only counted for servers with a limit.
     """
 
     pending_prefill: float = 0.0
     active: int = 0
+    recent: int = 0
 
 
 NO_LOAD = Load()
@@ -66,6 +73,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._own: dict[str, Load] = {}
+        self._sent_at: dict[str, collections.deque[float]] = {}
         self._reports: dict[Source, _Report] = {}
         self._others: dict[str, Load] = {}
         self._summed_at = -math.inf
@@ -98,6 +106,11 @@
         else:
             self._own[server_id] = Load(load.pending_prefill, load.active - 1)
 
+    def record_sent(self, server_id: str) -> None:
+        """Record a request to a server with a limit."""
+        times = self._sent_at.setdefault(server_id, collections.deque())
+        times.append(self._clock.monotonic())
+
     def apply_report(
         self,
         source: Source,
@@ -128,13 +141,19 @@
         """Return the loads that this node and its group put on servers."""
         nodes = (source for source in self._reports if not source.is_group)
         total = self._sum_reports(nodes)
-        for server_id, load in self._own.items():
+        for server_id, load in self.own_loads().items():
             total[server_id] = _add(total.get(server_id, NO_LOAD), load)
         return total
 
     def own_loads(self) -> dict[str, Load]:
         """Return the loads that this node puts on servers."""
-        return dict(self._own)
+        loads = dict(self._own)
+        for server_id in list(self._sent_at):
+            recent = self._recent(server_id)
+            if recent:
+                load = loads.get(server_id, NO_LOAD)
+                loads[server_id] = dataclasses.replace(load, recent=recent)
+        return loads
 
     def total_loads(self, server_ids: Iterable[str]) -> dict[str, Load]:
         """Return the loads of servers, summed over all nodes."""
@@ -151,6 +170,22 @@
             for server_id in server_ids
         }
 
+    def total_recent(self, server_id: str) -> int:
+        """Return the requests that all nodes sent to a server recently."""
+        total = self.total_loads([server_id])[server_id].recent
+        return total + self._recent(server_id)
+
+    def _recent(self, server_id: str) -> int:
+        times = self._sent_at.get(server_id)
+        if times is None:
+            return 0
+        oldest = self._clock.monotonic() - RECENT_SECONDS
+        while times and times[0] < oldest:
+            times.popleft()
+        if not times:
+            del self._sent_at[server_id]
+        return len(times)
+
     def _drop_expired(self, now: float) -> None:
         self._reports = {
             source: report
@@ -178,4 +213,5 @@
     return Load(
         first.pending_prefill + second.pending_prefill,
         first.active + second.active,
+        first.recent + second.recent,
     )
--- a/tests/limpetwalk/gateway/test_node_shares.py
+++ b/tests/limpetwalk/gateway/test_node_shares.py
@@ -26,7 +26,7 @@
         for _ in range(300):
             for node in nodes:
                 if node.may_send("cold", rate):
-                    node.record_sent("cold", rate)
+                    node.record_sent("cold")
                     sent.append(clock.monotonic())
             clock.advance(0.01)
         return max(
--- a/tests/limpetwalk/gateway/test_placement.py
+++ b/tests/limpetwalk/gateway/test_placement.py
@@ -29,7 +29,7 @@
             self.loads,
             self.prefill_times,
             clock,
-            lambda member: False,
+            lambda member: not member.is_cold(clock.monotonic()),
         )
 
     def choose(self, **options: object) -> placement.Choice:
--- a/tests/limpetwalk_node/gateway/test_streams.py
+++ b/tests/limpetwalk_node/gateway/test_streams.py
@@ -168,6 +168,24 @@
             await stopped.wait()
 
 
+class LimitedServer(harness.GatewayCase):
+    """A server that names how many requests it takes."""
+
+    services = {"e-1": site.ENGINE, "e-2": site.ENGINE}
+
+    async def test_limited_server_gets_no_more_than_it_named(self) -> None:
+        self.server("e-1").extra_headers = {"Server-Limit": "1.5"}
+        statuses = []
+        for number in range(40):
+            async with self.run_.stream(Attempt_Id=f"a-{number}") as resp:
+                await resp.read()
+                statuses.append(resp.status)
+        self.assertEqual({200}, set(statuses))
+        self.assertLessEqual(len(self.server("e-1").received), 8)
+        (limited,) = self.run_.lines.events("server.limited")
+        self.assertEqual(("e-1", 1.5), (limited["server"], limited["per_s"]))
+
+
 class Stopping(harness.GatewayCase):
     """The gateway is drained."""
 
