--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -337,7 +337,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestEnded(Event):
-    """A request was answered by a server."""
+    """A request was answered by a server.
+
+    :param version: version of that server.
+    :param event_ms: mean time between the events that it sent, -1 when there
+        were fewer than two.
+    """
 
     name: ClassVar[str] = "request.ended"
     sampling: ClassVar[Sampling] = Sampling.RATE
@@ -349,6 +354,8 @@
     first_ms: int
     took_ms: int
     offers: int
+    version: str
+    event_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -1,6 +1,7 @@
 """HTTP frontend that reads and answers the requests of callers."""
 
 import asyncio
+import dataclasses
 import logging
 from typing import Any
 
@@ -231,7 +232,11 @@
                 result, call.caller_attempt_id, call.arrived_at, call
             )
         elapsed_seconds = self._clock.monotonic() - call.arrived_at
-        self._log_end(call, result.head.status, result.server, elapsed_seconds)
+        self._journal.emit(
+            self._request_ended(
+                call, result.head.status, result.server, elapsed_seconds
+            )
+        )
         return replies.complete_response(result)
 
     async def _stream(
@@ -242,13 +247,18 @@
             return self._finish_plain(call, result)
         assert result.response is not None
         if result.complete:
-            self._log_end(
-                call,
-                result.status,
-                result.server,
-                result.first_at - call.arrived_at,
-                result.model,
-                result.confidence,
+            self._journal.emit(
+                dataclasses.replace(
+                    self._request_ended(
+                        call,
+                        result.status,
+                        result.server,
+                        result.first_at - call.arrived_at,
+                    ),
+                    model=result.model,
+                    confidence=result.confidence,
+                    event_ms=_milliseconds(result.pace.seconds_per_event()),
+                )
             )
             return result.response
         await result.close()
@@ -264,27 +274,22 @@
         )
         return result.response
 
-    def _log_end(
-        self,
-        call: calls.Call,
-        status: int,
-        server: str,
-        first: float,
-        model: str = "",
-        confidence: int = -1,
-    ) -> None:
+    def _request_ended(
+        self, call: calls.Call, status: int, server: str, first: float
+    ) -> events.RequestEnded:
         elapsed_seconds = self._clock.monotonic() - call.arrived_at
-        self._journal.emit(
-            events.RequestEnded(
-                request=call.caller_attempt_id,
-                status=status,
-                server=server,
-                model=model,
-                confidence=confidence,
-                first_ms=int(first * 1000),
-                took_ms=int(elapsed_seconds * 1000),
-                offers=call.attempt_counts.sent + 1,
-            )
+        member = self._cluster_state.fleet.get(server)
+        return events.RequestEnded(
+            request=call.caller_attempt_id,
+            status=status,
+            server=server,
+            model="",
+            confidence=-1,
+            first_ms=int(first * 1000),
+            took_ms=int(elapsed_seconds * 1000),
+            offers=call.attempt_counts.sent + 1,
+            version=member.entry.version if member else "",
+            event_ms=-1,
         )
 
     def _refuse(
@@ -323,3 +328,7 @@
         return replies.refusal_response(
             answer, names.attempt, caller_attempt_id
         )
+
+
+def _milliseconds(seconds: float | None) -> int:
+    return -1 if seconds is None else int(seconds * 1000)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from limpetwalk.gateway import answer_pace
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import eventstream
@@ -258,6 +259,7 @@
         self.confidence = -1
         self.responses: list[model_escalation.Response] = []
         self.first_at = 0.0
+        self.pace = answer_pace.AnswerPace()
         self.complete = False
         self.status = 0
 
@@ -279,6 +281,7 @@
         :returns: None for a complete stream, the failure otherwise.
         """
         limits = self._dispatcher.limits
+        self.pace = answer_pace.AnswerPace()
         buffer = self._dispatcher.buffer_budget.open(
             limits.event_bytes, started.exchange.close
         )
@@ -361,8 +364,10 @@
         self, started: outbound.StartedAnswer, event: eventstream.StreamEvent
     ) -> None:
         await self._open(started)
+        now = self._dispatcher.clock.monotonic()
+        self.pace.record_event(now)
         if self._call.answering_since is None:
-            self._call.answering_since = self._dispatcher.clock.monotonic()
+            self._call.answering_since = now
             self._dispatcher.poison_requests.record_answer(self._call)
         if event.id:
             self.last_event = event.id
