Judge a version that is rolled out by the pace of its events

Test first: SlowVersion.test_version_of_slow_answers_never_gets_all_requests; the former policy, which sees no failure there, lets all of them through.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -263,6 +263,25 @@
             if outcome is retries.Outcome.UNKNOWN:
                 self.poison_requests.check_server(call, member)
 
+    def record_pace(
+        self,
+        call: calls.Call,
+        member: fleet.Member,
+        model: str,
+        seconds_per_event: float,
+    ) -> None:
+        """Record the pace of an answer as evidence of its version."""
+        if member.is_cold(self.clock.monotonic()):
+            return
+        version = member.entry.version
+        self.version_tallies.record_pace(
+            call.service,
+            version,
+            model,
+            seconds_per_event,
+            self.cluster_state.rollouts.is_candidate(call.service, version),
+        )
+
     def record_dropped(self, call: calls.Call, member: fleet.Member) -> None:
         """Record an answer that is dropped to ask a larger model.
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -222,6 +222,28 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutEvidence(Event):
+    """The leader of a roll-out has new evidence.
+
+    :param base: failures and successes of the version in force.
+    :param candidate: failures and successes of the new version.
+    :param base_paces: slow and other answers of the version in force.
+    :param candidate_paces: slow and other answers of the new version.
+    :param rate: estimated requests per second of the service.
+    """
+
+    name: ClassVar[str] = "rollout.evidence"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    service: str
+    target: str
+    base: tuple[int, int]
+    candidate: tuple[int, int]
+    base_paces: tuple[int, int]
+    candidate_paces: tuple[int, int]
+    rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseChanged(Event):
     """This node acquired or lost the lease of a role."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -23,6 +23,7 @@
 from limpetwalk.gateway import types
 from limpetwalk.gateway import version_tallies
 from limpetwalk.peers import rendezvous
+from limpetwalk.rollouts import evidence
 
 from . import cluster_state
 from . import events
@@ -180,6 +181,7 @@
         self._clock = clock
         self._journal = journal
         self._leading = False
+        self._logged_evidence: dict[str, events.RolloutEvidence] = {}
 
     async def run(self) -> None:
         """Lead the roll-outs, or be on standby, until cancelled."""
@@ -273,7 +275,8 @@
     ) -> None:
         known_rollouts = self._cluster_state.rollouts
         stage = known_rollouts.stage(order.service)
-        pooled_evidence = self._collect_evidence(order, stage, rows)
+        observed = self._collect_evidence(order, stage, rows)
+        self._log_evidence(order, observed)
         ready = any(
             member.entry.version == order.target
             for member in self._cluster_state.fleet.usable(order.service)
@@ -281,7 +284,7 @@
         decided_stage = rollout_policy.next_stage(
             stage,
             order,
-            pooled_evidence,
+            observed,
             self._platform.settings.bounds,
             ready,
             known_rollouts.order_age(order.service),
@@ -312,6 +315,23 @@
             order.service, payload, published.ok_value
         )
 
+    def _log_evidence(
+        self, order: types.RolloutOrder, observed: rollout_policy.Evidence
+    ) -> None:
+        line = events.RolloutEvidence(
+            order.service,
+            order.target,
+            _counts(observed.base),
+            _counts(observed.candidate),
+            _counts(observed.base_paces),
+            _counts(observed.candidate_paces),
+            round(observed.rate, 1),
+        )
+        logged = self._logged_evidence.get(order.service)
+        if logged is None or logged.candidate != line.candidate:
+            self._logged_evidence[order.service] = line
+            self._journal.emit(line)
+
     def _collect_evidence(
         self,
         order: types.RolloutOrder,
@@ -333,6 +353,8 @@
             total.old_in_flight,
             reported_nodes >= self._cluster_state.nodes,
             self._rate(order.service),
+            total.base_paces,
+            total.candidate_paces,
         )
 
     def _set_leading(self, leads: bool, reason: str) -> None:
@@ -345,6 +367,10 @@
     return stage is None or stage.phase not in FINAL_STATES
 
 
+def _counts(tally: evidence.Tally) -> tuple[int, int]:
+    return tally.failures, tally.successes
+
+
 def _parse_mapping(payload: str) -> dict[str, Any]:
     try:
         value = json.loads(payload)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -297,9 +297,18 @@
             return self._failed_attempt("no new event in time")
         except buffers.LimitExceeded as exc:
             return self._failed_attempt(str(exc), f"event_{exc.limit}")
+        if self.pace.events < answer_pace.EVENTS_TO_JUDGE:
+            self._record_pace(started)
         await self._finish(started)
         return None
 
+    def _record_pace(self, started: outbound.StartedAnswer) -> None:
+        seconds_per_event = self.pace.seconds_per_event()
+        if seconds_per_event is not None:
+            self._dispatcher.record_pace(
+                self._call, started.member, started.model, seconds_per_event
+            )
+
     async def _forward_events(
         self,
         started: outbound.StartedAnswer,
@@ -366,6 +375,8 @@
         await self._open(started)
         now = self._dispatcher.clock.monotonic()
         self.pace.record_event(now)
+        if self.pace.events == answer_pace.EVENTS_TO_JUDGE:
+            self._record_pace(started)
         if self._call.answering_since is None:
             self._call.answering_since = now
             self._dispatcher.poison_requests.record_answer(self._call)
--- a/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
+++ b/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
@@ -10,7 +10,6 @@
 from dataclasses import field
 import json
 
-from ..rollouts import evidence
 from . import version_tallies
 
 
@@ -63,13 +62,14 @@
 
     def total(self) -> version_tallies.EvidenceReport:
         """Return the sum of all reports, without a phase."""
-        base, candidate = evidence.Tally(), evidence.Tally()
-        old_in_flight = 0
+        total = version_tallies.EvidenceReport()
         for report in self._reports.values():
-            base.add(report.base)
-            candidate.add(report.candidate)
-            old_in_flight += report.old_in_flight
-        return version_tallies.EvidenceReport(base, candidate, old_in_flight)
+            total.base.add(report.base)
+            total.candidate.add(report.candidate)
+            total.base_paces.add(report.base_paces)
+            total.candidate_paces.add(report.candidate_paces)
+            total.old_in_flight += report.old_in_flight
+        return total
 
 
 def _requests(report: version_tallies.EvidenceReport) -> int:
--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -112,6 +112,14 @@
             self._ordered_at[order.service] = self._clock.monotonic()
         self.orders[order.service] = order
 
+    def is_candidate(self, service: str, version: str) -> bool:
+        """Return whether a version is being rolled out."""
+        order = self.orders.get(service)
+        if order is None or order.target != version:
+            return False
+        stage = self.stage(service)
+        return stage is None or stage.phase is not Phase.COMPLETE
+
     def order_age(self, service: str) -> float:
         """Return the seconds since the order of a service was received."""
         now = self._clock.monotonic()
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass
+from dataclasses import field
 from dataclasses import replace
 import math
 
@@ -82,6 +83,9 @@
     :param all_reported: whether every known node has reported in the current
         phase.
     :param rate: approximate requests per second of the service.
+    :param base_paces: slow and other answers of the version in force, by the
+        time between their events.
+    :param candidate_paces: the same of the new version.
     """
 
     base: evidence.Tally
@@ -89,6 +93,8 @@
     old_in_flight: int
     all_reported: bool
     rate: float
+    base_paces: evidence.Tally = field(default_factory=evidence.Tally)
+    candidate_paces: evidence.Tally = field(default_factory=evidence.Tally)
 
 
 def next_stage(
@@ -148,9 +154,16 @@
         if (
             enough
             and _near_the_limit(observed, bounds)
-            and _is_doubtful(tallies)
+            and _is_doubtful(tallies.base, tallies.candidate)
         ):
             return "doubtful, and exposure near its bound"
+    if stage.phase is rollout.Phase.CANARY:
+        # Once it gets all requests, load slows the new version as well.
+        halt = guard.SequentialGuard(ALPHA).judge(
+            observed.base_paces, observed.candidate_paces
+        )
+        if halt is not None:
+            return f"slow, evidence {halt.e_value:.0f}"
     return ""
 
 
@@ -171,7 +184,9 @@
     may_wait = elapsed < order.period - END_MARGIN - PROOF_TIME
     if may_wait and not _is_proven(observed):
         return None
-    if _fails_beyond_chance(observed):
+    if _fails_beyond_chance(observed.base, observed.candidate):
+        return None
+    if _fails_beyond_chance(observed.base_paces, observed.candidate_paces):
         return None
     if not _fits_to_the_end(stage, order, observed, bounds, elapsed):
         return None
@@ -213,30 +228,29 @@
         SUFFICIENT_SUCCESSES, SUFFICIENT_FRACTION * observed.base.requests
     )
     return observed.candidate.successes >= enough and not _is_doubtful(
-        observed
+        observed.base, observed.candidate
     )
 
 
-def _is_doubtful(observed: Evidence) -> bool:
+def _is_doubtful(base: evidence.Tally, candidate: evidence.Tally) -> bool:
     """Return whether the new version fails more, even if by chance."""
-    base = observed.base.failures / max(1, observed.base.requests)
-    candidate = observed.candidate.failures / max(
-        1, observed.candidate.requests
-    )
-    return candidate > base + DOUBTFUL_EXCESS
+    base_share = base.failures / max(1, base.requests)
+    candidate_share = candidate.failures / max(1, candidate.requests)
+    return candidate_share > base_share + DOUBTFUL_EXCESS
 
 
-def _fails_beyond_chance(observed: Evidence) -> bool:
+def _fails_beyond_chance(
+    base: evidence.Tally, candidate: evidence.Tally
+) -> bool:
     """Return whether the new version probably fails more than the old one.
 
     It decides on all requests, which can be undone. What can't be undone is
     decided by ``_is_doubtful``.
     """
-    base, candidate = observed.base, observed.candidate
     # One failure and one success are added, since the share is an estimate.
     expected_share = (base.failures + 1) / (base.requests + 2)
     chance = _chance(candidate.failures, candidate.requests, expected_share)
-    return _is_doubtful(observed) and chance < CHANCE_PROBABILITY
+    return _is_doubtful(base, candidate) and chance < CHANCE_PROBABILITY
 
 
 def _chance(failures: int, requests: int, share: float) -> float:
@@ -286,7 +300,10 @@
     late = elapsed >= order.period - END_MARGIN
     if not idle and not late:
         return None
-    if _is_proven(observed) and not _is_doubtful(_recent(stage, observed)):
+    recent = _recent(stage, observed)
+    if _is_proven(observed) and not _is_doubtful(
+        recent.base, recent.candidate
+    ):
         reason = "old version idle" if idle else "end of the period"
         return _advance(
             stage, rollout.Phase.COMPLETE, 1.0, observed, now, reason
--- a/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
+++ b/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ..rollouts import evidence
+from . import answer_pace
 from . import fleet
 
 # Multiple of the usual time to the first byte beyond which a response counts
@@ -26,6 +27,9 @@
 
     :param base: outcomes of the other versions.
     :param candidate: outcomes of the new version.
+    :param base_paces: slow and other answers of the other versions, by the
+        time between their events.
+    :param candidate_paces: the same of the new version.
     :param old_in_flight: requests of the node in flight at other versions.
     :param phase: value of the phase that the node knows, or empty.
     """
@@ -34,6 +38,8 @@
     candidate: evidence.Tally = field(default_factory=evidence.Tally)
     old_in_flight: int = 0
     phase: str = ""
+    base_paces: evidence.Tally = field(default_factory=evidence.Tally)
+    candidate_paces: evidence.Tally = field(default_factory=evidence.Tally)
 
     @classmethod
     def from_json(cls, text: str) -> "EvidenceReport":
@@ -52,6 +58,9 @@
                 evidence.Tally(**document["candidate"]),
                 int(document["old_in_flight"]),
                 str(document["phase"]),
+                # Nodes of version 0.3 don't report paces.
+                evidence.Tally(**document.get("base_paces", {})),
+                evidence.Tally(**document.get("candidate_paces", {})),
             )
         except (KeyError, TypeError, ValueError):
             return cls()
@@ -73,11 +82,33 @@
             collections.defaultdict(evidence.Tally)
         )
         self._usual: dict[tuple[str, str], tuple[float, int]] = {}
+        self._paces: dict[tuple[str, str], evidence.Tally] = (
+            collections.defaultdict(evidence.Tally)
+        )
+        self._usual_paces = answer_pace.UsualPaces()
 
     def record(self, service: str, version: str, good: bool) -> None:
         """Record the outcome of a request that a version ran."""
         self._tallies[(service, version)].observe(good)
 
+    def record_pace(
+        self,
+        service: str,
+        version: str,
+        model: str,
+        seconds_per_event: float,
+        is_candidate: bool,
+    ) -> None:
+        """Record the pace of an answer.
+
+        :param is_candidate: whether the version is being rolled out.
+        """
+        slow = self._usual_paces.is_slow(service, model, seconds_per_event)
+        if slow is not None:
+            self._paces[(service, version)].observe(not slow)
+        if not is_candidate:
+            self._usual_paces.record(service, model, seconds_per_event)
+
     def is_slow(self, service: str, model: str, latency: float) -> bool:
         """Record a time to first byte; return whether it is unusually long.
 
@@ -101,6 +132,14 @@
             if name == service:
                 arm = report.candidate if version == target else report.base
                 arm.add(tally)
+        for (name, version), tally in self._paces.items():
+            if name == service:
+                arm = (
+                    report.candidate_paces
+                    if version == target
+                    else report.base_paces
+                )
+                arm.add(tally)
         report.old_in_flight = sum(
             member.health.in_flight
             for member in self._members(service)
