Plan canaries by the request rates that all nodes report

Operators saw good roll-outs end without proof, and a canary of 3 in 100 of the sessions where 7 in 100 were meant. Nodes report their rates with their evidence now, and the first stage waits for them for 2 s at most.

Tests first: test_canary_is_planned_by_the_rates_of_all_nodes (60 instead of 24), test_first_stage_waits_for_the_rates_of_all_nodes.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -260,6 +260,7 @@
             self.platform.settings.name,
             self.cluster_state,
             self.dispatcher.version_tallies,
+            lambda service: self.dispatcher.budget(service).arrival_rate(),
             self.platform.work,
             exchange,
             self.journal,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -75,6 +75,8 @@
     of its group, which writes a row for all of them.
 
     :param tallies: results of this node by version.
+    :param rate: returns the requests per second that this node sends to a
+        service.
     :param work_table: table that holds the rows.
     """
 
@@ -83,6 +85,7 @@
         node: str,
         state: cluster_state.ClusterState,
         tallies: version_tallies.VersionTallies,
+        rate: Callable[[str], float],
         work_table: ports.SharedTable,
         exchange: EvidenceExchange,
         journal: logs.Journal,
@@ -90,6 +93,7 @@
         self._node = node
         self._cluster_state = state
         self._tallies = tallies
+        self._rate = rate
         self._work_table = work_table
         self._exchange = exchange
         self._journal = journal
@@ -122,7 +126,9 @@
     async def _report(self, service: str, order: types.RolloutOrder) -> None:
         stage = self._cluster_state.rollouts.stage(service)
         phase = stage.phase.value if stage else ""
-        payload = self._tallies.report_json(service, order.target, phase)
+        payload = self._tallies.report_json(
+            service, order.target, phase, self._rate(service)
+        )
         subject = f"{service}/{order.order_id}"
         collector = self._node
         if peer_groups.has_groups(len(self._cluster_state.nodes)):
@@ -344,6 +350,10 @@
             if key.startswith(prefix):
                 pool.add_row(payload)
         total = pool.total()
+        nodes = len(self._cluster_state.nodes)
+        rate = self._rate(order.service)
+        if pool.nodes:
+            rate = total.rate * max(1.0, nodes / pool.nodes)
         reported_nodes = pool.nodes_in_phase(
             stage.phase.value if stage else ""
         )
@@ -352,7 +362,7 @@
             total.candidate,
             total.old_in_flight,
             reported_nodes >= self._cluster_state.nodes,
-            self._rate(order.service),
+            rate,
             total.base_paces,
             total.candidate_paces,
         )
--- a/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
+++ b/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
@@ -52,6 +52,11 @@
             }
         )
 
+    @property
+    def nodes(self) -> int:
+        """Number of nodes that have reported."""
+        return len(self._reports)
+
     def nodes_in_phase(self, phase: str) -> frozenset[str]:
         """Return the nodes that know a phase."""
         return frozenset(
@@ -69,6 +74,7 @@
             total.base_paces.add(report.base_paces)
             total.candidate_paces.add(report.candidate_paces)
             total.old_in_flight += report.old_in_flight
+            total.rate += report.rate
         return total
 
 
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -70,6 +70,11 @@
 # of the leader.
 END_MARGIN = 1.0
 
+# Longest time for which the first stage waits until all nodes have reported
+# their request rates, in seconds and as a fraction of the period.
+REPORTS_TIMEOUT = 2.0
+REPORTS_FRACTION = 0.15
+
 NO_PROOF = "no proof by the end of the period"
 
 
@@ -81,7 +86,7 @@
     :param candidate: outcomes of the new version.
     :param old_in_flight: requests in flight at old versions.
     :param all_reported: whether every known node has reported in the current
-        phase.
+        phase, or since the order when there is none.
     :param rate: approximate requests per second of the service.
     :param base_paces: slow and other answers of the version in force, by the
         time between their events.
@@ -119,6 +124,9 @@
     if stage is None:
         if not candidate_ready:
             return None
+        longest = min(REPORTS_TIMEOUT, REPORTS_FRACTION * order.period)
+        if not observed.all_reported and order_age < longest:
+            return None
         return rollout.Stage(
             order_id=order.order_id,
             target=order.target,
--- a/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
+++ b/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
@@ -32,6 +32,7 @@
     :param candidate_paces: the same of the new version.
     :param old_in_flight: requests of the node in flight at other versions.
     :param phase: value of the phase that the node knows, or empty.
+    :param rate: requests per second that the node sends to the service.
     """
 
     base: evidence.Tally = field(default_factory=evidence.Tally)
@@ -40,6 +41,7 @@
     phase: str = ""
     base_paces: evidence.Tally = field(default_factory=evidence.Tally)
     candidate_paces: evidence.Tally = field(default_factory=evidence.Tally)
+    rate: float = 0.0
 
     @classmethod
     def from_json(cls, text: str) -> "EvidenceReport":
@@ -58,9 +60,10 @@
                 evidence.Tally(**document["candidate"]),
                 int(document["old_in_flight"]),
                 str(document["phase"]),
-                # Nodes of version 0.3 don't report paces.
+                # Nodes of version 0.3 report neither paces nor a rate.
                 evidence.Tally(**document.get("base_paces", {})),
                 evidence.Tally(**document.get("candidate_paces", {})),
+                float(document.get("rate", 0.0)),
             )
         except (KeyError, TypeError, ValueError):
             return cls()
@@ -121,13 +124,16 @@
         self._usual[(service, model)] = (usual, count + 1)
         return slow
 
-    def report_json(self, service: str, target: str, phase: str) -> str:
+    def report_json(
+        self, service: str, target: str, phase: str, rate: float = 0.0
+    ) -> str:
         """Return this node's evidence report on a roll-out as JSON.
 
         :param target: version that is rolled out.
         :param phase: value of the phase that this node knows, or empty.
+        :param rate: requests per second that it sends to the service.
         """
-        report = EvidenceReport(phase=phase)
+        report = EvidenceReport(phase=phase, rate=round(rate, 1))
         for (name, version), tally in self._tallies.items():
             if name == service:
                 arm = report.candidate if version == target else report.base
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -106,6 +106,7 @@
         ready: bool = True,
         base: int = 200,
         rate: float = 10.0,
+        order_age: float = 0.0,
     ) -> rollout.Stage | None:
         observed = rollout_policy.Evidence(
             evidence.Tally(failures=2, successes=base),
@@ -115,9 +116,17 @@
             rate,
         )
         return rollout_policy.next_stage(
-            current, ORDER, observed, BOUNDS, ready, 0.0, now
+            current, ORDER, observed, BOUNDS, ready, order_age, now
         )
 
+    def test_first_stage_waits_for_the_rates_of_all_nodes(self) -> None:
+        self.assertIsNone(self.next_stage(None, 1.0, all_reported=False))
+        for options in ({"all_reported": True}, {"order_age": 2.0}):
+            first = self.next_stage(
+                None, 1.0, **{"all_reported": False, **options}
+            )
+            self.assertIsNotNone(first, options)
+
     def test_starts_with_a_small_share_once_a_server_is_ready(self) -> None:
         self.assertIsNone(self.next_stage(None, 0.0, ready=False))
         first = self.next_stage(None, 0.0)
--- a/tests/limpetwalk_node/gateway/test_evidence.py
+++ b/tests/limpetwalk_node/gateway/test_evidence.py
@@ -86,6 +86,7 @@
                 name,
                 state,
                 self.tallies[name],
+                lambda service: 1.0,
                 self.table,  # type: ignore[arg-type]
                 self.exchanges[name],
                 harness.journal(harness.Lines()),
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -7,8 +7,11 @@
 from aiohttp import web
 
 from limpetwalk import clock as clocks
+from limpetwalk.gateway import pooled_evidence
 from limpetwalk.gateway import rollout
 from limpetwalk.gateway import rollout_policy
+from limpetwalk.gateway import types
+from limpetwalk.gateway import version_tallies
 from limpetwalk.peers import rendezvous
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import cluster_state
@@ -109,6 +112,28 @@
         self.assertIn('"candidate": {"failures": 6', report)
         await self.run_.until(lambda: self.status() == "reverted")
 
+    async def test_canary_is_planned_by_the_rates_of_all_nodes(self) -> None:
+        """The leader may get several times its part of the requests."""
+        self.cluster_state.nodes = frozenset(("node-1", "n2", "n3"))
+        leader = rollouts.RolloutLeader(
+            self.run_.gateway.platform,
+            self.cluster_state,
+            clocks.SystemClock(),
+            self.run_.gateway.journal,
+            lambda service: 60.0,
+        )
+        rows = {}
+        for name, rate in (("node-1", 20.0), ("n2", 1.0), ("n3", 3.0)):
+            pool = pooled_evidence.Pool()
+            pool.add(name, version_tallies.EvidenceReport(rate=rate))
+            rows[f"tally/s/7/{name}"] = (pool.to_row(), 1)
+        order = types.RolloutOrder("s", "v2", 24.0, 7)
+        for row_count, expected in ((3, 24.0), (0, 60.0)):
+            known = dict(list(rows.items())[:row_count])
+            observed = leader._collect_evidence(order, None, known)
+            self.assertEqual(expected, observed.rate)
+            self.assertIs(row_count == 3, observed.all_reported)
+
     async def test_leader_continues_after_an_error(self) -> None:
         next_stage = rollout_policy.next_stage
         with mock.patch.object(rollout_policy, "next_stage") as broken:
