Keep reports of crashes within the size of a row

A node with many suspects of long prompts wrote a row that the store refuses (79 to 91 KB of 64), so the other nodes learned of none of them, and requests that crash servers went on there. Suspects that don't fit are left out. The memory of published answers is bounded, too. Test: CrashReports.test_report_of_many_long_prompts_fits_in_a_row, failing first.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -22,6 +22,10 @@
 ROLLOUT_PREFIX = "rollout/"
 
 
+# Published answers that are remembered, so that no other node publishes them.
+MAX_PUBLISHED_ANSWERS = 1000
+
+
 class ClusterState:
     """Holds the configuration, servers, roll-outs and nodes that are known.
 
@@ -180,6 +184,11 @@
             )
             return
         self.published_answers[trait] = at
+        if len(self.published_answers) > MAX_PUBLISHED_ANSWERS:
+            oldest = min(
+                self.published_answers, key=self.published_answers.__getitem__
+            )
+            del self.published_answers[oldest]
         self.crash_suspects.record_answer([trait], at)
 
     def _apply_config(self, config: types.Config, full_read: bool) -> None:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -29,7 +29,10 @@
 PROBE_TIMEOUT = 0.25
 # Servers for which this node remembers the suspects that it has reported.
 MAX_REPORTS = 200
-# Largest number of suspects in a report; a row holds 64 KiB.
+# Largest size of a report, bytes; a row holds 64 KiB after encoding. Suspects
+# that don't fit are left out.
+MAX_REPORT_BYTES = 40_000
+# Largest number of suspects in a report.
 MAX_SUSPECTS = 200
 # Upper bound of the random delay before an answer is published, seconds for
 # each node and altogether. Most nodes find meanwhile that another one was
@@ -51,6 +54,17 @@
     unchecked: list[calls.Call] = field(default_factory=list)
     check: asyncio.Task[None] | None = None
 
+    def to_row(self) -> str:
+        """Return the report as JSON, with the suspects that fit in a row."""
+        suspects, size = [], 0
+        for suspect in self.suspects:
+            entry = [suspect.attempt, *suspect.traits]
+            size += len(json.dumps(entry)) + 2
+            if size > MAX_REPORT_BYTES:
+                break
+            suspects.append(entry)
+        return json.dumps({"at": self.at, "suspects": suspects})
+
 
 class PoisonRequests:
     """Blocks requests that crash servers, by the evidence of all nodes.
@@ -182,16 +196,9 @@
                     call.prompt.shared_parts,
                 )
             )
-        row = {
-            "at": report.at,
-            "suspects": [
-                [suspect.attempt, *suspect.traits]
-                for suspect in report.suspects
-            ],
-        }
         key = f"{cluster_state.CRASH_PREFIX}{server}/{self._node}"
         await self._publish(
-            "publishing a crash", [ports.SharedPut(key, json.dumps(row))]
+            "publishing a crash", [ports.SharedPut(key, report.to_row())]
         )
 
     async def _remove_report(self, server: str) -> None:
--- a/tests/limpetwalk_node/gateway/test_poison_requests.py
+++ b/tests/limpetwalk_node/gateway/test_poison_requests.py
@@ -1,6 +1,8 @@
 """Tests of requests that crash the servers that run them."""
 
 import asyncio
+import json
+from typing import Any
 
 from aiohttp import web
 
@@ -83,6 +85,54 @@
         self.assertEqual([], self.run_.lines.events("request.suspected"))
 
 
+class CrashReports(harness.GatewayCase):
+    """Reports of crashes to the other nodes."""
+
+    services = {"e-1": site.ENGINE, "e-2": site.ENGINE}
+
+    def rows(self) -> list[dict[str, Any]]:
+        store = self.run_.site.store
+        return [
+            store.value(table, key)
+            for table, key in store.rows
+            if key.startswith("crashed/")
+        ]
+
+    async def crash_with(self, parts: str) -> None:
+        """Send requests to an engine that then crashes."""
+
+        async def hang(req: web.Request) -> None:
+            await asyncio.sleep(5)
+
+        self.server("e-1").behaviour = self.server("e-2").behaviour = hang
+        requests = [
+            asyncio.create_task(self.send(parts, number))
+            for number in range(120)
+        ]
+        await self.run_.until(lambda: len(self.server("e-1").received) > 39)
+        await self.run_.site.crash_server("e-1")
+        await asyncio.sleep(0.2)
+        for task in requests:
+            task.cancel()
+        await asyncio.gather(*requests, return_exceptions=True)
+
+    async def send(self, parts: str, number: int) -> None:
+        headers = {**site.STREAM_HEADERS, "Prefix-Hash": parts}
+        headers["Attempt-Id"] = f"a-{number}"
+        async with self.run_.request(
+            "POST", "/stream/x", headers=headers, data=f"{number}"
+        ) as resp:
+            await resp.read()
+
+    async def test_report_of_many_long_prompts_fits_in_a_row(self) -> None:
+        parts = ",".join(f"{number:040x}:1" for number in range(33))
+        await self.crash_with(parts)
+        await self.run_.until(self.rows)
+        (row,) = self.rows()
+        self.assertGreater(len(row["suspects"]), 20)
+        self.assertLess(len(json.dumps(row)), 48_000)
+
+
 class PoisonRows(harness.GatewayCase):
     """Evidence of other nodes."""
 
