Publish reports of crashes once the store answers again

A report that met an outage of the store was logged and lost: the other nodes didn't learn of the crash, and counted one less. Found by reading. It is written again each second, for 30 s at most; a second write changes nothing. Test: CrashReports.test_report_is_published_once_the_store_answers, which timed out before.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -34,6 +34,10 @@
 MAX_REPORT_BYTES = 40_000
 # Largest number of suspects in a report.
 MAX_SUSPECTS = 200
+# Attempts to publish a report while the store doesn't answer, and the pause
+# between two, in seconds.
+PUBLISH_ATTEMPTS = 30
+PUBLISH_PAUSE = 1.0
 # Upper bound of the random delay before an answer is published, seconds for
 # each node and altogether. Most nodes find meanwhile that another one was
 # faster.
@@ -232,10 +236,16 @@
             await self._publish("publishing an answer", puts)
 
     async def _publish(self, place: str, puts: list[ports.SharedPut]) -> None:
-        try:
-            await self._shared().put(puts)
-        except exceptions.StoreError as exc:
-            self._journal.emit(events.UnexpectedError(place, str(exc)))
+        """Write rows, again and again while the store doesn't answer."""
+        for attempt in range(PUBLISH_ATTEMPTS):
+            try:
+                await self._shared().put(puts)
+            except exceptions.StoreError as exc:
+                if not attempt:
+                    self._journal.emit(events.UnexpectedError(place, str(exc)))
+                await asyncio.sleep(PUBLISH_PAUSE)
+            else:
+                return
 
     def _spawn(
         self, coroutine: Coroutine[Any, Any, None]
--- a/tests/limpetwalk_node/gateway/test_poison_requests.py
+++ b/tests/limpetwalk_node/gateway/test_poison_requests.py
@@ -3,10 +3,12 @@
 import asyncio
 import json
 from typing import Any
+from unittest import mock
 
 from aiohttp import web
 
 from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import poison_requests
 
 from . import harness
 
@@ -124,6 +126,19 @@
         ) as resp:
             await resp.read()
 
+    async def test_report_is_published_once_the_store_answers(self) -> None:
+        with mock.patch.object(poison_requests, "PUBLISH_PAUSE", 0.05):
+            self.run_.site.store.faults.status = 503
+            await self.crash_with("aa:10,bb:10,cc:10")
+            await self.run_.until(
+                lambda: self.run_.lines.events("error.unexpected")
+            )
+            self.assertEqual([], self.rows())
+            self.run_.site.store.faults.status = 0
+            await self.run_.until(self.rows)
+        (row,) = self.rows()
+        self.assertLessEqual({"aa", "bb"}, set(row["suspects"][0]))
+
     async def test_report_of_many_long_prompts_fits_in_a_row(self) -> None:
         parts = ",".join(f"{number:040x}:1" for number in range(33))
         await self.crash_with(parts)
