Report only new observations of limits to other nodes

At 78 servers with limits, each report of 195 nodes would carry all of them several times a second, which is most of what a node would decode. Test: test_only_new_observations_are_reported.

--- a/packages/limpetwalk/limpetwalk/gateway/server_limits.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_limits.py
@@ -27,6 +27,10 @@
 DEMAND_MARGIN = 2.0
 # Time after which a limit ends that no answer confirms, in seconds.
 LIMIT_LIFETIME = 10.0
+# Age up to which an observation is reported, in seconds: several reports, of
+# which some may be lost. With many servers, older ones would make up most of
+# each report.
+REPORTED_AGE = 1.0
 # Change of a limit that is logged, as a share of it.
 LOGGED_CHANGE = 0.25
 
@@ -131,6 +135,7 @@
             ObservedLimit(server_id, limit.rate, now - limit.observed_at)
             for server_id, limit in self._limits.items()
             if limit.hops <= max_hops
+            and now - limit.observed_at <= REPORTED_AGE
         ]
 
     def limit(self, server_id: str) -> float | None:
--- a/tests/limpetwalk/gateway/test_server_limits.py
+++ b/tests/limpetwalk/gateway/test_server_limits.py
@@ -142,6 +142,15 @@
         self.second.merge(self.first.observed(max_hops=0), hops=1)
         self.assertEqual(2.0, self.second.limit("s"))
 
+    def test_only_new_observations_are_reported(self) -> None:
+        for number in range(78):
+            self.first.record_answer(f"s-{number}", "2")
+        self.nodes.clock.advance(1.1)
+        self.first.record_answer("s-5", "2")
+        reported = self.first.observed(max_hops=0)
+        self.assertEqual(["s-5"], [limit.server for limit in reported])
+        self.assertEqual(2.0, self.first.limit("s-6"))
+
     def test_newer_observation_wins(self) -> None:
         self.first.record_answer("s", "2")
         report = self.first.observed(max_hops=0)
