Log when the store was restored, with the versions of the read

The logs could not tell whether a read after an outage went on in a store that gives versions out again. No logic is changed.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -121,6 +121,24 @@
     since: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored(Event):
+    """The store was restored from a copy, and versions are given out again.
+
+    :param since: version after which the table was read; 0 for a full read.
+    :param version: newest version of the restored store.
+    :param rows: rows in the answer.
+    """
+
+    name: ClassVar[str] = "store.restored"
+    table: str
+    era_before: int
+    era: int
+    since: int
+    version: int
+    rows: int
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigApplied(Event):
     """A configuration came into force.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
@@ -69,6 +69,7 @@
         self._journal = journal
         self._since: int | None = None
         self._last_change = 0
+        self._era: int | None = None
         self._outage_since: float | None = None
         self._news = asyncio.Event()
         self._next_news_at = 0.0
@@ -125,6 +126,7 @@
             retry_pause = MIN_RETRY_PAUSE
             self._count_read("ok")
             self._note_answer()
+            self._note_era(batch)
             if batch.changes or batch.full_read:
                 self._apply(batch)
             self._last_change = max(
@@ -183,6 +185,20 @@
                 events.DependencyLost(self._feed.name, reason[:200])
             )
 
+    def _note_era(self, batch: ports.Batch[T]) -> None:
+        if self._era is not None and batch.era != self._era:
+            self._journal.emit(
+                events.StoreRestored(
+                    self._feed.name,
+                    self._era,
+                    batch.era,
+                    self._since or 0,
+                    batch.version,
+                    len(batch.changes),
+                )
+            )
+        self._era = batch.era
+
     def _note_answer(self) -> None:
         self.last_answer_at = self._clock.monotonic()
         if self._outage_since is not None:
--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -82,12 +82,14 @@
         that are missing were removed.
     :param version: version up to which changes are included.
     :param now: the store's monotonic clock, in seconds.
+    :param era: number of times that the store was restored from a copy.
     """
 
     changes: tuple[Change[T], ...]
     full_read: bool
     version: int
     now: float
+    era: int = 0
 
 
 class Feed(Protocol[T]):
