Show that a change is missed after the store was restored

The stand-in of the store can go back to a version and give later ones out again, with the header and 410.

--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
@@ -63,18 +63,21 @@
 
     :param ver: version of the latest write.
     :param discarded_ver: version up to which the history is discarded.
+    :param era: grows each time that the store is restored from a copy.
     :param calls: path of each request, in order of arrival.
     """
 
     rows: dict[tuple[str, str], Row] = field(default_factory=dict)
     ver: int = 0
     discarded_ver: int = 0
+    era: int = 1
     faults: Faults = field(default_factory=Faults)
     calls: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Create the condition that wakes waiting feed requests."""
         self._changed = asyncio.Condition()
+        self._log: list[Row] = []
 
     def app(self) -> web.Application:
         """Return the web application of the store's API."""
@@ -121,13 +124,30 @@
             self.discarded_ver = self.ver
             self._changed.notify_all()
 
+    async def restore(self, ver: int) -> None:
+        """Go back to a version; what was written since is lost.
+
+        Later versions are given out again. Waiting feed requests get status
+        503.
+
+        :param ver: version of the copy that the store is restored from.
+        """
+        async with self._changed:
+            self._log = [row for row in self._log if row.ver <= ver]
+            self.rows = {(row.table, row.key): row for row in self._log}
+            self.ver = ver
+            self.era += 1
+            self._changed.notify_all()
+
     async def _write(
         self, entries: Iterable[tuple[str, str, str | None]]
     ) -> int:
         async with self._changed:
             self.ver += 1
             for table, key, value in entries:
-                self.rows[(table, key)] = Row(table, key, value, self.ver)
+                row = Row(table, key, value, self.ver)
+                self.rows[(table, key)] = row
+                self._log.append(row)
             self._changed.notify_all()
             return self.ver
 
@@ -141,9 +161,15 @@
         if self.faults.silent:
             await asyncio.sleep(3600)
         if self.faults.status:
-            return web.Response(status=self.faults.status)
-        resp = await handler(request)
-        if self.faults.lose_writes and request.method == "POST":
+            resp: web.StreamResponse = web.Response(status=self.faults.status)
+        else:
+            resp = await handler(request)
+        resp.headers["Store-Era"] = str(self.era)
+        if (
+            not self.faults.status
+            and self.faults.lose_writes
+            and request.method == "POST"
+        ):
             assert request.transport is not None
             request.transport.abort()
         return resp
@@ -166,9 +192,12 @@
     async def _feed(self, req: web.Request) -> web.Response:
         since = int(req.query["since_rev"])
         wait_until = time.monotonic() + int(req.query["wait_ms"]) / 1000
+        era = self.era
         async with self._changed:
             while True:
-                if since < self.discarded_ver:
+                if self.era != era:
+                    return web.Response(status=503)
+                if not self.discarded_ver <= since <= self.ver:
                     return web.Response(status=410)
                 rows = [
                     row
