Order versions of the store by era, and read in full when a new era begins

Cause: versions were compared as if the counter never fell. A restored store gives them out again, and a feed that goes on after version n of the lost history misses what is written again up to n; an entry with a lower version than the known one was ignored in the same way, so a server that said it was leaving would not have been heard.

A version is now the pair of the store's era and counter, made at the store's client. A feed answered in another era is lost history, which leads to a full read. Peers tell the era too. New tests: client, pages, fleet.

Ruled out: the operator writing late (its row stood below the known version in the first answer).

--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -174,7 +174,9 @@
         for number in range(load.servers):
             name = f"s{number}"
             self._engines[name] = engines.Engine(load.speed)
-            self._fleet.put(_server(name, number, load), number + 1)
+            self._fleet.put(
+                _server(name, number, load), types.Version(1, number + 1)
+            )
         self._nodes = {
             f"n{number:03d}": _Node(
                 f"z{number % load.zones}", self._fleet, self._clock
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -134,7 +134,9 @@
         """Return the current instant on the store's clock, in seconds."""
         return self._clock.monotonic() + self._store_offset
 
-    def apply_stage(self, service: str, text: str, version: int) -> None:
+    def apply_stage(
+        self, service: str, text: str, version: types.Version
+    ) -> None:
         """Apply a stage of a roll-out, unless it is already known.
 
         :param text: the stage as JSON.
@@ -219,7 +221,9 @@
                 events.EvacuatedZonesChanged(tuple(sorted(evacuated)))
             )
 
-    def _update_server(self, entry: types.Server, version: int) -> None:
+    def _update_server(
+        self, entry: types.Server, version: types.Version
+    ) -> None:
         previous = self.fleet.get(entry.id)
         previous_state = (
             (
@@ -239,7 +243,7 @@
                 entry, "leaving" if entry.leaving else state, version
             )
 
-    def _remove_server(self, server_id: str, version: int) -> None:
+    def _remove_server(self, server_id: str, version: types.Version) -> None:
         member = self.fleet.get(server_id)
         if member is None:
             return
@@ -248,13 +252,13 @@
             member.entry, "gone" if removed else "lapsed", version
         )
 
-    def _log_removed(self, server_id: str, version: int) -> None:
+    def _log_removed(self, server_id: str, version: types.Version) -> None:
         self._journal.emit(
-            events.ServerChanged(server_id, "", "gone", "", "", version)
+            events.ServerChanged(server_id, "", "gone", "", "", str(version))
         )
 
     def _log_server(
-        self, entry: types.Server, state: str, version: int
+        self, entry: types.Server, state: str, version: types.Version
     ) -> None:
         self._journal.emit(
             events.ServerChanged(
@@ -263,7 +267,7 @@
                 state=state,
                 zone=entry.zone,
                 version=entry.version,
-                row_version=version,
+                row_version=str(version),
             )
         )
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -500,7 +500,7 @@
                 in_flight=member.health.in_flight,
                 waiting_ms=int(choice.queue_seconds * 1000),
                 reading_ms=int(choice.prefill_seconds * 1000),
-                row_version=member.row_version,
+                row_version=str(member.row_version),
                 config=call.config_version,
             )
         )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -118,24 +118,22 @@
 
     name: ClassVar[str] = "dependency.history_lost"
     table: str
-    since: int
+    since: str
 
 
 @dataclass(frozen=True, slots=True)
 class StoreRestored(Event):
     """The store was restored from a copy, and versions are given out again.
 
-    :param since: version after which the table was read; 0 for a full read.
+    :param since: latest version that this node had read.
     :param version: newest version of the restored store.
-    :param rows: rows in the answer.
+    :param rows: rows of the table.
     """
 
     name: ClassVar[str] = "store.restored"
     table: str
-    era_before: int
-    era: int
-    since: int
-    version: int
+    since: str
+    version: str
     rows: int
 
 
@@ -186,7 +184,7 @@
     state: str
     zone: str
     version: str
-    row_version: int
+    row_version: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -311,7 +309,7 @@
     in_flight: int
     waiting_ms: int
     reading_ms: int
-    row_version: int
+    row_version: str
     config: int
 
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -18,6 +18,7 @@
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import store_watch
+from limpetwalk.gateway import types
 from limpetwalk.peers import rendezvous
 
 from . import events
@@ -173,7 +174,9 @@
             sender,
             [
                 store_watch.TableState(
-                    table.name, table.version, table.unavailable
+                    table.name,
+                    types.Version(table.era, table.version),
+                    table.unavailable,
                 )
                 for table in report.tables
             ],
@@ -232,7 +235,8 @@
             report.init("tables", len(states)), states, strict=True
         ):
             entry.name = state.table
-            entry.version = state.version
+            entry.era = state.version.era
+            entry.version = state.version.counter
             entry.unavailable = state.unavailable
         limits = self._server_limits.observed(max_hops=1 if group else 0)
         for entry, limit in zip(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
@@ -29,6 +29,7 @@
   name @0 :Text;
   version @1 :UInt64;     # version of the latest change that the sender knows
   unavailable @2 :Bool;   # whether the sender can't read the table
+  era @3 :UInt64;         # grows with each restoration of the store; part of the version
 }
 
 struct Evidence {
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -238,23 +238,28 @@
             for change in table.changes
             if isinstance(change.entry, ports.SharedRow)
         }
-        version = await self._acquire_lease(rows, table.now)
+        version = await self._acquire_lease(rows, table)
         if version is None:
             return
         for order in self._open_orders():
             await self._advance_rollout(order, rows, version, table.now)
 
     async def _acquire_lease(
-        self, rows: Mapping[str, tuple[str, int]], now: float
-    ) -> int | None:
+        self,
+        rows: Mapping[str, tuple[str, types.Version]],
+        table: ports.Batch[ports.SharedRow],
+    ) -> types.Version | None:
         """Acquire or renew the lease.
 
-        :param rows: values and versions of the rows, by key.
-        :param now: the store's clock, in seconds.
+        :param rows: values and versions of the table's rows, by key.
+        :param table: the table as it was read just now.
         :returns: the version of the lease row, or None when another node
             holds the lease.
         """
-        payload, version = rows.get(LEASE_KEY, ("{}", 0))
+        now = table.now
+        payload, version = rows.get(
+            LEASE_KEY, ("{}", types.Version(table.version.era))
+        )
         lease = _parse_mapping(payload)
         is_holder = lease.get("holder") == self._node
         seconds_left = float(lease.get("until", 0.0)) - now
@@ -275,8 +280,8 @@
     async def _advance_rollout(
         self,
         order: types.RolloutOrder,
-        rows: Mapping[str, tuple[str, int]],
-        lease_version: int,
+        rows: Mapping[str, tuple[str, types.Version]],
+        lease_version: types.Version,
         now: float,
     ) -> None:
         known_rollouts = self._cluster_state.rollouts
@@ -309,7 +314,9 @@
             ports.SharedPut(
                 cluster_state.ROLLOUT_PREFIX + order.service,
                 payload,
-                known_rollouts.stage_versions.get(order.service, 0),
+                known_rollouts.stage_versions.get(
+                    order.service, types.Version(lease_version.era)
+                ),
             ),
             ports.SharedPut(LEASE_KEY, "", lease_version),
         )
@@ -342,7 +349,7 @@
         self,
         order: types.RolloutOrder,
         stage: rollout.Stage | None,
-        rows: Mapping[str, tuple[str, int]],
+        rows: Mapping[str, tuple[str, types.Version]],
     ) -> rollout_policy.Evidence:
         prefix = f"{TALLY_PREFIX}{order.service}/{order.order_id}/"
         pool = pooled_evidence.Pool()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
@@ -11,6 +11,7 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import store_watch
+from limpetwalk.gateway import types
 
 from . import events
 from . import logs
@@ -67,9 +68,9 @@
         self._nodes = nodes
         self._clock = clock
         self._journal = journal
-        self._since: int | None = None
-        self._last_change = 0
-        self._era: int | None = None
+        self._latest = types.Version()
+        self._full_read_due = True
+        self._last_change = types.Version()
         self._outage_since: float | None = None
         self._news = asyncio.Event()
         self._next_news_at = 0.0
@@ -89,20 +90,20 @@
             self._outage_since is not None,
         )
 
-    def note_peer(self, version: int, outage_began: bool) -> None:
+    def note_peer(self, version: types.Version, outage_began: bool) -> None:
         """Call again soon if a peer knows more than the call under way.
 
         :param version: version of the latest change that a peer knows.
         :param outage_began: whether peers have lost the store just now.
         """
-        if self._since is None:
+        if self._full_read_due:
             return
-        if outage_began or version > self._since:
+        if outage_began or version > self._latest:
             self._news.set()
 
     def restart(self) -> None:
         """Make the next call a full read of the table."""
-        self._since = None
+        self._full_read_due = True
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -113,9 +114,9 @@
             except exceptions.HistoryLost:
                 self._count_read("history_lost")
                 self._journal.emit(
-                    events.HistoryDropped(self._feed.name, self._since or 0)
+                    events.HistoryDropped(self._feed.name, str(self._latest))
                 )
-                self._since = None
+                self._full_read_due = True
                 continue
             except exceptions.StoreError as exc:
                 self._count_read("unavailable")
@@ -126,14 +127,19 @@
             retry_pause = MIN_RETRY_PAUSE
             self._count_read("ok")
             self._note_answer()
-            self._note_era(batch)
+            if 0 < self._latest.era < batch.version.era:
+                self._note_restoration(batch)
             if batch.changes or batch.full_read:
                 self._apply(batch)
             self._last_change = max(
                 self._last_change,
-                max((change.version for change in batch.changes), default=0),
+                max(
+                    (change.version for change in batch.changes),
+                    default=types.Version(),
+                ),
             )
-            self._since = max(self._since or 0, batch.version)
+            self._latest = max(self._latest, batch.version)
+            self._full_read_due = False
             if batch.changes and not batch.full_read:
                 await asyncio.sleep(self._batch_pause())
 
@@ -141,20 +147,20 @@
         return min(self.longest_pause(), BATCH_PAUSE_PER_NODE * self._nodes())
 
     async def _next(self) -> ports.Batch[T]:
-        if self._since is None:
+        if self._full_read_due:
             return await self._feed.read()
         # Don't wait for a change during an outage, so that its end is
         # noticed at once.
         wait = self._wait() if self._outage_since is None else 0.0
         self._news.clear()
-        call = asyncio.ensure_future(self._feed.follow(self._since, wait))
+        call = asyncio.ensure_future(self._feed.follow(self._latest, wait))
         try:
             if await self._answered_before_news(call):
                 return call.result()
         finally:
             call.cancel()
         self._count_read("superseded")
-        return await self._feed.follow(self._since, 0.0)
+        return await self._feed.follow(self._latest, 0.0)
 
     async def _answered_before_news(
         self, call: "asyncio.Future[ports.Batch[T]]"
@@ -185,19 +191,15 @@
                 events.DependencyLost(self._feed.name, reason[:200])
             )
 
-    def _note_era(self, batch: ports.Batch[T]) -> None:
-        if self._era is not None and batch.era != self._era:
-            self._journal.emit(
-                events.StoreRestored(
-                    self._feed.name,
-                    self._era,
-                    batch.era,
-                    self._since or 0,
-                    batch.version,
-                    len(batch.changes),
-                )
+    def _note_restoration(self, batch: ports.Batch[T]) -> None:
+        self._journal.emit(
+            events.StoreRestored(
+                self._feed.name,
+                str(self._latest),
+                str(batch.version),
+                len(batch.changes),
             )
-        self._era = batch.era
+        )
 
     def _note_answer(self) -> None:
         self.last_answer_at = self._clock.monotonic()
--- a/packages/limpetwalk/limpetwalk/gateway/fleet.py
+++ b/packages/limpetwalk/limpetwalk/gateway/fleet.py
@@ -97,7 +97,7 @@
     """
 
     entry: types.Server
-    row_version: int
+    row_version: types.Version
     cold_until: float = -math.inf
     expires_at: float = math.inf
     health: ServerHealth = field(default_factory=ServerHealth)
@@ -131,7 +131,9 @@
         """Record that the store responds again after an outage."""
         self._store_recovered_at = self._clock.monotonic()
 
-    def put(self, entry: types.Server, row_version: int) -> Member | None:
+    def put(
+        self, entry: types.Server, row_version: types.Version
+    ) -> Member | None:
         """Add or update the entry of a server.
 
         :returns: the server, or None when a newer entry is known.
--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -69,7 +69,7 @@
     """
 
     key: str
-    version: int
+    version: types.Version
     entry: T | Removed | Unreadable
 
 
@@ -82,14 +82,12 @@
         that are missing were removed.
     :param version: version up to which changes are included.
     :param now: the store's monotonic clock, in seconds.
-    :param era: number of times that the store was restored from a copy.
     """
 
     changes: tuple[Change[T], ...]
     full_read: bool
-    version: int
+    version: types.Version
     now: float
-    era: int = 0
 
 
 class Feed(Protocol[T]):
@@ -104,12 +102,13 @@
         """
         ...
 
-    async def follow(self, since: int, wait: float) -> Batch[T]:
+    async def follow(self, since: types.Version, wait: float) -> Batch[T]:
         """Return the changed rows as soon as there are any.
 
         :param since: version after which changes are returned.
         :param wait: longest time to wait for a change, in seconds.
-        :raises HistoryLost: when changes since then are no longer known.
+        :raises HistoryLost: when changes since then are no longer known, or
+            the store was restored since then.
         :raises StoreUnavailable: when the store does not respond.
         """
         ...
@@ -121,13 +120,13 @@
 
     :param key: key of the row.
     :param value: contents, as JSON text.
-    :param expect_version: version that the row must have, 0 when it must be
-        absent; None writes unconditionally.
+    :param expect_version: version that the row must have, with counter 0 when
+        it must be absent; None writes unconditionally.
     """
 
     key: str
     value: str
-    expect_version: int | None = None
+    expect_version: types.Version | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +139,7 @@
 
     async def put(
         self, writes: Sequence[SharedPut]
-    ) -> Result[int, VersionConflict]:
+    ) -> Result[types.Version, VersionConflict]:
         """Write all rows in one transaction.
 
         :returns: the version of the rows.
@@ -167,7 +166,7 @@
         state: types.RolloutState,
         stage: SharedPut,
         lease: SharedPut,
-    ) -> Result[int, VersionConflict]:
+    ) -> Result[types.Version, VersionConflict]:
         """Publish a stage to the operator and the nodes in one transaction.
 
         :param stage: row of the shared table to write.
--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -50,7 +50,7 @@
     :param reason: why this stage was chosen.
     """
 
-    order_id: int
+    order_id: str
     target: str
     phase: Phase
     share: float
@@ -102,7 +102,7 @@
         self.orders: dict[str, types.RolloutOrder] = {}
         self._ordered_at: dict[str, float] = {}
         self.stages: dict[str, Stage] = {}
-        self.stage_versions: dict[str, int] = {}
+        self.stage_versions: dict[str, types.Version] = {}
         self._sessions: dict[str, tuple[str, float]] = {}
 
     def apply_order(self, order: types.RolloutOrder) -> None:
@@ -142,7 +142,7 @@
             del self.orders[service]
 
     def apply_stage(
-        self, service: str, text: str, version: int
+        self, service: str, text: str, version: types.Version
     ) -> Stage | None:
         """Apply a stage that the leader published.
 
@@ -151,7 +151,7 @@
         :returns: the stage, or None when it is not newer than the known one
             or can't be read.
         """
-        if version <= self.stage_versions.get(service, 0):
+        if version <= self.stage_versions.get(service, types.Version()):
             return None
         try:
             stage = Stage.from_json(text)
--- a/packages/limpetwalk/limpetwalk/gateway/store_watch.py
+++ b/packages/limpetwalk/limpetwalk/gateway/store_watch.py
@@ -15,6 +15,7 @@
 from .. import clock as clocks
 from ..peers import rendezvous
 from . import peer_groups
+from . import types
 
 # Longest wait of a node that isn't a watcher, in seconds.
 LONG_WAIT = 20.0
@@ -39,7 +40,7 @@
     """
 
     table: str
-    version: int
+    version: types.Version
     unavailable: bool
 
 
@@ -53,9 +54,11 @@
         self._clock = clock
         self._heard_at: dict[str, float] = {}
         self._outages: dict[str, dict[str, float]] = {}
-        self._listeners: dict[str, Callable[[int, bool], None]] = {}
+        self._listeners: dict[str, Callable[[types.Version, bool], None]] = {}
 
-    def listen(self, table: str, on_news: Callable[[int, bool], None]) -> None:
+    def listen(
+        self, table: str, on_news: Callable[[types.Version, bool], None]
+    ) -> None:
         """Call a function for each report on a table.
 
         :param on_news: called with the peer's version, and with whether
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -14,6 +14,24 @@
 MAX_PART_ID = 40
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Version:
+    """Version of a row or a table of the store.
+
+    A store that is restored from a copy gives its counter's values out again,
+    so versions are compared by their era first.
+
+    :param era: grows with each restoration of the store.
+    :param counter: grows with each write; 0 stands for a row that is absent.
+    """
+
+    era: int = 0
+    counter: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.counter}"
+
+
 class Idempotency(enum.Enum):
     """Whether a request has the same effect when it runs twice."""
 
@@ -158,7 +176,7 @@
     service: str
     target: str
     period: float
-    order_id: int
+    order_id: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limpetwalk/gateway/builders.py
+++ b/tests/limpetwalk/gateway/builders.py
@@ -26,6 +26,11 @@
     return types.Route(**{**fields, **changes})
 
 
+def version(counter: int, era: int = 1) -> types.Version:
+    """Return a version of the store."""
+    return types.Version(era, counter)
+
+
 def server(server_id: str, **changes: Any) -> types.Server:
     """Return a server of the service ``s``."""
     fields: dict[str, Any] = {
--- a/tests/limpetwalk/gateway/test_answer_pace.py
+++ b/tests/limpetwalk/gateway/test_answer_pace.py
@@ -10,7 +10,7 @@
 from limpetwalk.gateway import version_tallies
 from limpetwalk.rollouts import evidence
 
-ORDER = types.RolloutOrder("s", "v2", 15.0, 7)
+ORDER = types.RolloutOrder("s", "v2", 15.0, "1.7")
 
 
 class Paces(unittest.TestCase):
--- a/tests/limpetwalk/gateway/test_fleet.py
+++ b/tests/limpetwalk/gateway/test_fleet.py
@@ -22,34 +22,46 @@
 class Entries(FleetCase):
     """Entries are added, updated and removed."""
 
+    def test_entry_of_a_later_era_is_newer_whatever_its_counter(self) -> None:
+        self.fleet.put(builders.server("a"), builders.version(90))
+        leaving = builders.server("a", leaving=True)
+        self.fleet.put(leaving, builders.version(20, era=2))
+        self.assertEqual([], list(self.fleet.usable("s")))
+
     def test_leaving_and_evacuated_servers_are_not_usable(self) -> None:
-        self.fleet.put(builders.server("a"), 1)
-        self.fleet.put(builders.server("b", leaving=True), 2)
-        self.fleet.put(builders.server("c", zone="z2"), 3)
+        self.fleet.put(builders.server("a"), builders.version(1))
+        self.fleet.put(builders.server("b", leaving=True), builders.version(2))
+        self.fleet.put(builders.server("c", zone="z2"), builders.version(3))
         self.fleet.evacuated = frozenset(("z2",))
         self.assertEqual({"a"}, self.usable())
 
     def test_older_entry_is_ignored(self) -> None:
-        self.fleet.put(builders.server("a", leaving=True), 5)
-        self.assertIsNone(self.fleet.put(builders.server("a"), 4))
+        self.fleet.put(builders.server("a", leaving=True), builders.version(5))
+        self.assertIsNone(
+            self.fleet.put(builders.server("a"), builders.version(4))
+        )
         self.assertEqual(set(), self.usable())
 
     def test_new_boot_with_the_same_id_has_no_recorded_failures(self) -> None:
-        member = self.fleet.put(builders.server("a"), 1)
+        member = self.fleet.put(builders.server("a"), builders.version(1))
         assert member is not None
         member.health.record(True, self.clock.monotonic())
-        restarted = self.fleet.put(builders.server("a", boot_ms=2), 2)
+        restarted = self.fleet.put(
+            builders.server("a", boot_ms=2), builders.version(2)
+        )
         assert restarted is not None
         self.assertEqual(0, restarted.health.failures_in_row)
 
     def test_full_read_removes_missing_servers(self) -> None:
-        self.fleet.put(builders.server("a"), 1)
-        self.fleet.put(builders.server("b"), 2)
+        self.fleet.put(builders.server("a"), builders.version(1))
+        self.fleet.put(builders.server("b"), builders.version(2))
         self.assertEqual(["b"], self.fleet.retain_only({"a"}))
         self.assertEqual({"a"}, self.usable())
 
     def test_cold_time_counts_from_the_entry(self) -> None:
-        member = self.fleet.put(builders.server("a", cold_left=2.0), 1)
+        member = self.fleet.put(
+            builders.server("a", cold_left=2.0), builders.version(1)
+        )
         assert member is not None
         self.assertTrue(member.is_cold(self.clock.monotonic()))
         self.clock.advance(2.1)
@@ -60,7 +72,7 @@
     """Entries expire during an outage of the store."""
 
     def test_expired_server_stays_until_it_had_time_to_register(self) -> None:
-        self.fleet.put(builders.server("a"), 1)
+        self.fleet.put(builders.server("a"), builders.version(1))
         self.fleet.record_store_recovery()
         self.assertFalse(self.fleet.remove("a"))
         self.clock.advance(fleet.EXPIRY_GRACE - 0.1)
@@ -69,20 +81,20 @@
         self.assertEqual(set(), self.usable())
 
     def test_server_that_registers_again_stays(self) -> None:
-        self.fleet.put(builders.server("a"), 1)
+        self.fleet.put(builders.server("a"), builders.version(1))
         self.fleet.record_store_recovery()
         self.fleet.remove("a")
-        self.fleet.put(builders.server("a"), 2)
+        self.fleet.put(builders.server("a"), builders.version(2))
         self.clock.advance(10)
         self.assertEqual({"a"}, self.usable())
 
     def test_server_is_removed_at_once_without_an_outage(self) -> None:
-        self.fleet.put(builders.server("a"), 1)
+        self.fleet.put(builders.server("a"), builders.version(1))
         self.assertTrue(self.fleet.remove("a"))
         self.assertEqual(set(), self.usable())
 
     def test_leaving_server_is_removed_even_after_an_outage(self) -> None:
-        self.fleet.put(builders.server("a", leaving=True), 1)
+        self.fleet.put(builders.server("a", leaving=True), builders.version(1))
         self.fleet.record_store_recovery()
         self.assertTrue(self.fleet.remove("a"))
 
--- a/tests/limpetwalk/gateway/test_placement.py
+++ b/tests/limpetwalk/gateway/test_placement.py
@@ -157,7 +157,9 @@
         nodes = [Node(self.clock) for _ in range(9)]
         for node in nodes:
             for number in range(5):
-                node.fleet.put(builders.server(f"s{number}"), 1)
+                node.fleet.put(
+                    builders.server(f"s{number}"), builders.version(1)
+                )
             node.prefill_times.record("m", 1000, 0.18)
         prefill: collections.Counter[str] = collections.Counter()
         for turn in range(90):
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -9,7 +9,9 @@
 from limpetwalk.gateway import types
 from limpetwalk.rollouts import evidence
 
-ORDER = types.RolloutOrder("s", "v2", 24.0, 7)
+from . import builders
+
+ORDER = types.RolloutOrder("s", "v2", 24.0, "1.7")
 BOUNDS = types.Bounds()
 # Seconds from a request until the leader knows its outcome.
 EVIDENCE_LAG = 1.5
@@ -27,8 +29,10 @@
         self.clock = clocks.ManualClock()
         self.rollouts = rollout.Rollouts(self.clock)
 
-    def apply_stage(self, stage_: rollout.Stage, version: int = 1) -> None:
-        self.rollouts.apply_stage("s", stage_.to_json(), version)
+    def apply_stage(self, stage_: rollout.Stage, counter: int = 1) -> None:
+        self.rollouts.apply_stage(
+            "s", stage_.to_json(), builders.version(counter)
+        )
 
     def allowed(self) -> rollout.Split:
         return self.rollouts.allowed_split("s", BOTH, {"v1"})
@@ -53,7 +57,7 @@
 
     def test_new_order_invalidates_the_old_stage(self) -> None:
         self.apply_stage(stage(rollout.Phase.FULL))
-        self.rollouts.apply_order(types.RolloutOrder("s", "v3", 24.0, 9))
+        self.rollouts.apply_order(types.RolloutOrder("s", "v3", 24.0, "1.9"))
         self.assertIsNone(self.rollouts.stage("s"))
 
     def test_older_stage_is_ignored(self) -> None:
@@ -65,7 +69,9 @@
 
     def test_unreadable_stage_is_ignored(self) -> None:
         for text in ("", "[]", "{}", '{"phase": "x"}'):
-            self.assertIsNone(self.rollouts.apply_stage("s", text, 9))
+            self.assertIsNone(
+                self.rollouts.apply_stage("s", text, builders.version(9))
+            )
 
     def test_nodes_choose_alike_and_keep_the_share_of_sessions(self) -> None:
         other = rollout.Rollouts(self.clock)
--- a/tests/limpetwalk/gateway/test_store_watch.py
+++ b/tests/limpetwalk/gateway/test_store_watch.py
@@ -6,6 +6,8 @@
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import store_watch
 
+from . import builders
+
 
 class Waits(unittest.TestCase):
     """Waits of the nodes of one cluster."""
@@ -91,7 +93,9 @@
         )
 
     def report(self, peer: str, version: int, unavailable: bool) -> None:
-        state = store_watch.TableState("op", version, unavailable)
+        state = store_watch.TableState(
+            "op", builders.version(version), unavailable
+        )
         self.news.record(peer, [state])
 
     def test_outage_counts_once_several_peers_report_it(self) -> None:
@@ -100,7 +104,11 @@
         self.report("b", 5, True)
         self.report("c", 5, True)
         self.assertEqual(
-            [(5, False), (5, False), (5, True), (5, False)], self.heard
+            [
+                (builders.version(5), outage)
+                for outage in (False, False, True, False)
+            ],
+            self.heard,
         )
 
     def test_outage_that_begins_again_counts_again(self) -> None:
@@ -113,7 +121,7 @@
         self.assertEqual(2, sum(outage for _, outage in self.heard))
 
     def test_report_of_an_unknown_table_is_ignored(self) -> None:
-        state = store_watch.TableState("other", 5, False)
+        state = store_watch.TableState("other", builders.version(5), False)
         self.news.record("a", [state])
         self.assertEqual([], self.heard)
 
--- a/tests/limpetwalk_node/gateway/test_evidence.py
+++ b/tests/limpetwalk_node/gateway/test_evidence.py
@@ -19,7 +19,7 @@
 
 from . import harness
 
-ORDER = types.RolloutOrder("s", "v2", 24.0, 7)
+ORDER = types.RolloutOrder("s", "v2", 24.0, "1.7")
 NODES = [f"n{number:02d}" for number in range(30)]
 
 
@@ -112,7 +112,7 @@
         for name in NODES:
             self.tallies[name].record("s", "v2", True)
         await self.run_for(0.3)
-        self.assertEqual([f"tally/s/7/{NODES[0]}"], list(self.table.rows))
+        self.assertEqual([f"tally/s/1.7/{NODES[0]}"], list(self.table.rows))
         self.assertEqual(dict.fromkeys(NODES, 1), self.successes())
 
     async def test_other_collector_continues(self) -> None:
@@ -124,9 +124,9 @@
             self.tallies[name].record("s", "v2", True)
         await self.run_for(0.2)
         self.assertEqual(
-            {f"tally/s/7/{name}" for name in NODES[:2]}, set(self.table.rows)
+            {f"tally/s/1.7/{name}" for name in NODES[:2]}, set(self.table.rows)
         )
-        row = json.loads(self.table.rows[f"tally/s/7/{NODES[1]}"])
+        row = json.loads(self.table.rows[f"tally/s/1.7/{NODES[1]}"])
         self.assertEqual(set(NODES), set(row["nodes"]))
 
     async def test_evidence_of_an_unknown_order_is_not_kept(self) -> None:
@@ -134,4 +134,4 @@
         assert on_evidence is not None
         on_evidence("n05", "other/1", "{}")
         await self.run_for(0.1)
-        self.assertEqual([f"tally/s/7/{NODES[0]}"], list(self.table.rows))
+        self.assertEqual([f"tally/s/1.7/{NODES[0]}"], list(self.table.rows))
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -126,8 +126,8 @@
         for name, rate in (("node-1", 20.0), ("n2", 1.0), ("n3", 3.0)):
             pool = pooled_evidence.Pool()
             pool.add(name, version_tallies.EvidenceReport(rate=rate))
-            rows[f"tally/s/7/{name}"] = (pool.to_row(), 1)
-        order = types.RolloutOrder("s", "v2", 24.0, 7)
+            rows[f"tally/s/1.7/{name}"] = (pool.to_row(), 1)
+        order = types.RolloutOrder("s", "v2", 24.0, "1.7")
         for row_count, expected in ((3, 24.0), (0, 60.0)):
             known = dict(list(rows.items())[:row_count])
             observed = leader._collect_evidence(order, None, known)
--- a/tests/limpetwalk_node/gateway/test_table_follower.py
+++ b/tests/limpetwalk_node/gateway/test_table_follower.py
@@ -7,6 +7,7 @@
 from limpetwalk import exceptions
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import ports
+from limpetwalk.gateway import types
 from limpetwalk_node.gateway import table_follower
 
 from . import harness
@@ -19,7 +20,7 @@
 
     name = "table"
 
-    def __init__(self, *results: int | Exception) -> None:
+    def __init__(self, *results: int | types.Version | Exception) -> None:
         self._results = list(results)
         self.calls: list[int | None] = []
         self.waits: list[float] = []
@@ -28,11 +29,13 @@
     async def read(self) -> ports.Batch[str]:
         return await self._next_result(None)
 
-    async def follow(self, since: int, wait: float) -> ports.Batch[str]:
+    async def follow(
+        self, since: types.Version, wait: float
+    ) -> ports.Batch[str]:
         self.waits.append(wait)
         if wait:
             await asyncio.sleep(self.pause)
-        return await self._next_result(since)
+        return await self._next_result(since.counter)
 
     async def _next_result(self, since: int | None) -> ports.Batch[str]:
         self.calls.append(since)
@@ -41,8 +44,11 @@
         result = self._results.pop(0)
         if isinstance(result, Exception):
             raise result
-        change = ports.Change("k", result, "entry")
-        return ports.Batch((change,), since is None, result, 0.0)
+        version = (
+            types.Version(1, result) if isinstance(result, int) else result
+        )
+        change = ports.Change("k", version, "entry")
+        return ports.Batch((change,), since is None, version, 0.0)
 
 
 def patient_follower(feed: Feed) -> table_follower.TableFollower[str]:
@@ -129,10 +135,11 @@
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(0.1)
         self.assertEqual(
-            (3, False), (follower.state.version, follower.state.unavailable)
+            (types.Version(1, 3), False),
+            (follower.state.version, follower.state.unavailable),
         )
         for _ in range(20):
-            follower.note_peer(version, outage_began)
+            follower.note_peer(types.Version(1, version), outage_began)
         await asyncio.sleep(seconds)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
@@ -159,7 +166,7 @@
         task = asyncio.create_task(follower.run())
         for _ in range(30):
             await asyncio.sleep(0.05)
-            follower.note_peer(10**9, False)
+            follower.note_peer(types.Version(1, 10**9), False)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         self.assertLessEqual(len(feed.waits), 3)
--- a/tests/limpetwalk_platform/test_rows.py
+++ b/tests/limpetwalk_platform/test_rows.py
@@ -16,6 +16,8 @@
 from limpetwalk_platform import rows
 from limpetwalk_platform import settings
 
+VERSION = types.Version(1, 9)
+
 
 def encode_json(value: Any) -> bytes:
     return json.dumps(value).encode()
@@ -25,7 +27,7 @@
     """The operator's configuration."""
 
     def decode(self, value: Any) -> Any:
-        return rows.operator_entry("config", encode_json(value), 3)
+        return rows.operator_entry("config", encode_json(value), VERSION)
 
     def test_route_types_decide_whether_retries_are_allowed(self) -> None:
         config = self.decode(site.config_row(version=7))
@@ -73,14 +75,14 @@
     def test_other_operator_rows(self) -> None:
         order = {"backend": "s", "to": "v2", "period_s": 12}
         self.assertEqual(
-            types.RolloutOrder("s", "v2", 12.0, 9),
-            rows.operator_entry("rollout/s", encode_json(order), 9),
+            types.RolloutOrder("s", "v2", 12.0, "1.9"),
+            rows.operator_entry("rollout/s", encode_json(order), VERSION),
         )
         self.assertEqual(
             ports.ZoneEvacuated("z"),
-            rows.operator_entry("evacuate/z", b"{}", 9),
+            rows.operator_entry("evacuate/z", b"{}", VERSION),
         )
-        self.assertIsNone(rows.operator_entry("news/x", b"{}", 9))
+        self.assertIsNone(rows.operator_entry("news/x", b"{}", VERSION))
 
 
 class ServerRow(unittest.TestCase):
--- a/tests/limpetwalk_platform/test_store.py
+++ b/tests/limpetwalk_platform/test_store.py
@@ -1,6 +1,7 @@
 """The client of the metadata store, against its stand-in."""
 
 import asyncio
+import dataclasses
 import json
 import unittest
 from unittest import mock
@@ -11,6 +12,7 @@
 
 from limpetwalk import exceptions
 from limpetwalk.gateway import ports
+from limpetwalk.gateway import types
 from limpetwalk_bench.hub import raw_server
 from limpetwalk_bench.hub import store as store_standin
 from limpetwalk_platform import adapter
@@ -72,6 +74,34 @@
         with self.assertRaises(exceptions.HistoryLost):
             await self.table.follow(first.version, 0.1)
 
+    async def test_restored_store_has_lost_the_history(self) -> None:
+        """Also when it has given out the known version again."""
+        await self.store.put("t", "a", 1)
+        first = await self.table.read()
+        await self.store.restore(0)
+        for _ in range(3):
+            await self.store.put("t", "b", 2)
+        with self.assertRaises(exceptions.HistoryLost):
+            await self.table.follow(first.version, 0.1)
+        self.assertEqual(
+            types.Version(2, 3), (await self.table.read()).version
+        )
+
+    async def test_restoration_between_two_pages(self) -> None:
+        for number in range(7):
+            await self.store.put("t", f"k{number}", number)
+        self.store.faults.page = 3
+        read, eras = self.client.read, iter((1, 1, 2))
+
+        async def restored_meanwhile(*args: str) -> store.RowPage:
+            page = await read(*args)
+            version = types.Version(next(eras), page.version.counter)
+            return dataclasses.replace(page, version=version)
+
+        with mock.patch.object(self.client, "read", restored_meanwhile):
+            with self.assertRaises(exceptions.StoreUnavailable):
+                await self.table.read()
+
     async def test_error_status_or_no_answer(self) -> None:
         for fault in ({"status": 503}, {"status": 429}, {"silent": True}):
             with (
@@ -99,7 +129,7 @@
     """Conditional writes."""
 
     async def test_nothing_is_written_when_a_condition_fails(self) -> None:
-        put = ports.SharedPut("a", "1", 0)
+        put = ports.SharedPut("a", "1", types.Version(1))
         first = await self.table.put([put])
         assert isinstance(first, Ok)
         self.assertIsInstance(await self.table.put([put]), Err)
@@ -110,7 +140,10 @@
 
     async def test_all_or_none(self) -> None:
         outcome = await self.table.put(
-            [ports.SharedPut("a", "1"), ports.SharedPut("b", "1", 99)]
+            [
+                ports.SharedPut("a", "1"),
+                ports.SharedPut("b", "1", types.Version(1, 99)),
+            ]
         )
         self.assertIsInstance(outcome, Err)
         self.assertIsNone(self.store.value("t", "a"))
