Keep what the copy of a restored store lacks until it has settled

Sound servers, evacuations and orders of roll-outs that were written in the lost seconds were dropped at the first full read: an evacuated zone was sent requests again, and a server that was fine was not used, until their writers had written them again. Cause: rows that a full read lacks count as removed, which isn't so in a copy that is older than what is known.

The first read of a new era is applied as changes only; a second full read five seconds later removes what is still missing.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
+import math
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -31,6 +33,10 @@
 # seconds.
 NEWS_GRACE = 0.4
 NEWS_INTERVAL = 2.0
+# Time after which a restored store holds again what it had lost, and no longer
+# what was removed since its copy was made, in seconds. Servers' entries expire
+# after three intervals of about a second.
+SETTLE_TIME = 5.0
 
 
 class TableFollower(Generic[T]):
@@ -71,6 +77,7 @@
         self._latest = types.Version()
         self._full_read_due = True
         self._last_change = types.Version()
+        self._settled_at: float | None = None
         self._outage_since: float | None = None
         self._news = asyncio.Event()
         self._next_news_at = 0.0
@@ -129,6 +136,11 @@
             self._note_answer()
             if 0 < self._latest.era < batch.version.era:
                 self._note_restoration(batch)
+                batch = dataclasses.replace(
+                    batch, full_read=False, restored=True
+                )
+            elif batch.full_read:
+                self._settled_at = None
             if batch.changes or batch.full_read:
                 self._apply(batch)
             self._last_change = max(
@@ -140,18 +152,23 @@
             )
             self._latest = max(self._latest, batch.version)
             self._full_read_due = False
-            if batch.changes and not batch.full_read:
+            if batch.changes and not (batch.full_read or batch.restored):
                 await asyncio.sleep(self._batch_pause())
 
     def _batch_pause(self) -> float:
         return min(self.longest_pause(), BATCH_PAUSE_PER_NODE * self._nodes())
 
     async def _next(self) -> ports.Batch[T]:
-        if self._full_read_due:
+        now = self._clock.monotonic()
+        settle_time = math.inf
+        if self._settled_at is not None:
+            settle_time = self._settled_at - now
+        if self._full_read_due or settle_time <= 0:
             return await self._feed.read()
         # Don't wait for a change during an outage, so that its end is
         # noticed at once.
         wait = self._wait() if self._outage_since is None else 0.0
+        wait = min(wait, settle_time)
         self._news.clear()
         call = asyncio.ensure_future(self._feed.follow(self._latest, wait))
         try:
@@ -192,6 +209,9 @@
             )
 
     def _note_restoration(self, batch: ports.Batch[T]) -> None:
+        """Keep what the copy lacks until the table has settled."""
+        self._settled_at = self._clock.monotonic() + SETTLE_TIME
+        self._on_recovery()
         self._journal.emit(
             events.StoreRestored(
                 self._feed.name,
--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -80,6 +80,9 @@
     :param changes: current states of the rows.
     :param full_read: whether these are all rows of the table, so that rows
         that are missing were removed.
+    :param restored: whether these are all rows of a copy from which the store
+        was restored. It may lack what was written last, so rows that are
+        missing are kept.
     :param version: version up to which changes are included.
     :param now: the store's monotonic clock, in seconds.
     """
@@ -88,6 +91,7 @@
     full_read: bool
     version: types.Version
     now: float
+    restored: bool = False
 
 
 class Feed(Protocol[T]):
--- a/tests/limpetwalk_node/gateway/test_restored_store.py
+++ b/tests/limpetwalk_node/gateway/test_restored_store.py
@@ -1,14 +1,28 @@
 """Tests of a store that is restored from a copy some seconds old."""
 
+import asyncio
+from unittest import mock
+
+from limpetwalk.gateway import fleet
 from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import table_follower
 
 from . import harness
 
+ORDER = {"backend": site.ENGINE, "to": "v2", "period_s": 30}
+
 
 class RestoredStore(harness.GatewayCase):
     """A gateway whose store loses its latest writes."""
 
     async def asyncSetUp(self) -> None:
+        for module, name, value in (
+            (fleet, "EXPIRY_GRACE", 0.1),
+            (table_follower, "SETTLE_TIME", 1.0),
+        ):
+            patch = mock.patch.object(module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
         await super().asyncSetUp()
         self.store = self.run_.site.store
         self.state = self.run_.gateway.cluster_state
@@ -38,3 +52,40 @@
         await self.store.put("status", "other", {})
         self.store.faults.status = 0
         await self.run_.until(lambda: self.state.catalog.version == 9)
+
+    async def lose_and_return(self, count: int) -> None:
+        """Restore the store from a copy, and wait until that is known."""
+        await self.lose(count)
+        self.store.faults.status = 0
+        await self.run_.until(
+            lambda: len(self.run_.lines.events("store.restored")) >= 3
+        )
+
+    async def test_server_that_the_copy_lacks_is_used_until_the_table_settles(
+        self,
+    ) -> None:
+        await self.run_.site.add_server("p-2", site.PLAIN)
+        await self.run_.until(lambda: self.state.fleet.get("p-2"))
+        await self.lose_and_return(1)
+        await asyncio.sleep(0.4)
+        usable = {server.id for server in self.state.fleet.usable(site.PLAIN)}
+        self.assertEqual({"p-1", "p-2"}, usable)
+        await self.run_.until(lambda: self.state.fleet.get("p-2") is None)
+
+    async def test_zone_whose_evacuation_was_lost_gets_no_requests(
+        self,
+    ) -> None:
+        await self.store.put("op", "evacuate/zone-a", {})
+        await self.run_.until(lambda: self.state.fleet.evacuated)
+        await self.lose_and_return(1)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
+        await self.run_.until(lambda: not self.state.fleet.evacuated)
+
+    async def test_order_of_a_roll_out_that_was_lost_holds(self) -> None:
+        orders = self.state.rollouts.orders
+        await self.store.put("op", f"rollout/{site.ENGINE}", ORDER)
+        await self.run_.until(lambda: orders)
+        await self.lose_and_return(1)
+        self.assertIn(site.ENGINE, orders)
+        await self.run_.until(lambda: not orders)
