Don't use servers again that left after the copy of a restored store

Callers' requests went to servers that were leaving, or gone, since their entries were in the copy again: 502, or 200 from a server that stops. Cause: entries were ordered by the store's version alone, which says nothing about a copy. A server's own start and number of entries do; the last entries of 1,000 removed servers are remembered. After the settling read the store is believed.

Two tests of a restored store, which failed before, and one of the order.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -99,6 +99,9 @@
             entry = change.entry
             if isinstance(entry, types.Server):
                 present.add(change.key)
+                if batch.restored and self.fleet.is_outdated(entry):
+                    self._log_server(entry, "outdated", change.version)
+                    continue
                 self._update_server(entry, change.version)
                 continue
             if isinstance(entry, ports.Unreadable):
--- a/packages/limpetwalk/limpetwalk/gateway/fleet.py
+++ b/packages/limpetwalk/limpetwalk/gateway/fleet.py
@@ -1,5 +1,6 @@
 """Backend servers and their health, as known to this node."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -23,6 +24,8 @@
 # crashed server.
 FIRST_BACKOFF = 0.4
 MAX_BACKOFF = 3.0
+# Removed servers whose last entries are remembered.
+MAX_REMOVED = 1000
 
 
 @dataclass(slots=True)
@@ -121,6 +124,9 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._members: dict[str, Member] = {}
+        self._removed: collections.OrderedDict[str, types.Server] = (
+            collections.OrderedDict()
+        )
         self._by_service: dict[str, list[Member]] = {}
         self._trusted_versions: dict[str, set[str]] = {}
         self._store_recovered_at = -math.inf
@@ -142,6 +148,7 @@
         member = self._members.get(entry.id)
         if member is not None and member.row_version > row_version:
             return None
+        self._removed.pop(entry.id, None)
         if member is None or member.entry.boot_ms != entry.boot_ms:
             member = Member(entry, row_version)
         member.entry, member.row_version = entry, row_version
@@ -167,9 +174,29 @@
             member.expires_at = min(member.expires_at, until)
             return False
         del self._members[server_id]
+        self._removed[server_id] = member.entry
+        if len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
         self._index()
         return True
 
+    def is_outdated(self, entry: types.Server) -> bool:
+        """Return whether a later state of a server is known.
+
+        The versions of a copy from which the store was restored don't tell,
+        but a server counts its own entries.
+        """
+        member = self._members.get(entry.id)
+        known = member.entry if member else self._removed.get(entry.id)
+        if known is None:
+            return False
+        if entry.boot_ms != known.boot_ms:
+            return entry.boot_ms < known.boot_ms
+        if member is None:
+            return entry.sequence <= known.sequence
+        has_returned = known.leaving and not entry.leaving
+        return entry.sequence < known.sequence or has_returned
+
     def retain_only(self, ids: Iterable[str]) -> list[str]:
         """Remove servers that are missing from a full read of the table.
 
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -145,6 +145,7 @@
     :param id: usually unique to each start of a server.
     :param boot_ms: Unix milliseconds of its start; 0 when unknown. A server
         that restarts with the same id has another value.
+    :param sequence: number of the entry, which grows from the server's start.
     :param leaving: whether it accepts no new requests.
     :param cold_left: remaining time for which it is cold, as of the writing
         of the entry.
@@ -162,6 +163,7 @@
     cold_left: float
     boot_ms: int
     models: tuple[str, ...]
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limpetwalk/gateway/test_fleet.py
+++ b/tests/limpetwalk/gateway/test_fleet.py
@@ -1,5 +1,6 @@
 """Backend servers and their health, as known to a node."""
 
+import dataclasses
 import unittest
 
 from limpetwalk import clock as clocks
@@ -22,6 +23,24 @@
 class Entries(FleetCase):
     """Entries are added, updated and removed."""
 
+    def test_later_states_of_a_server_are_recognized(self) -> None:
+        entry = builders.server("a", boot_ms=5, sequence=7)
+        self.fleet.put(entry, builders.version(1))
+        for changes, outdated in (
+            ({"sequence": 6}, True),
+            ({"sequence": 7}, False),
+            ({"sequence": 8}, False),
+            ({"boot_ms": 4, "sequence": 9}, True),
+            ({"boot_ms": 6, "sequence": 0}, False),
+        ):
+            with self.subTest(changes):
+                other = dataclasses.replace(entry, **changes)
+                self.assertIs(outdated, self.fleet.is_outdated(other))
+        self.fleet.remove("a")
+        self.assertTrue(self.fleet.is_outdated(entry))
+        later = dataclasses.replace(entry, sequence=8)
+        self.assertFalse(self.fleet.is_outdated(later))
+
     def test_entry_of_a_later_era_is_newer_whatever_its_counter(self) -> None:
         self.fleet.put(builders.server("a"), builders.version(90))
         leaving = builders.server("a", leaving=True)
--- a/tests/limpetwalk_node/gateway/test_restored_store.py
+++ b/tests/limpetwalk_node/gateway/test_restored_store.py
@@ -89,3 +89,25 @@
         await self.lose_and_return(1)
         self.assertIn(site.ENGINE, orders)
         await self.run_.until(lambda: not orders)
+
+    async def test_server_that_left_after_the_copy_is_not_used_again(
+        self,
+    ) -> None:
+        await self.store.remove("servers", "p-1")
+        await self.run_.until(lambda: self.state.fleet.get("p-1") is None)
+        await self.lose_and_return(1)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
+        await self.run_.until(lambda: self.state.fleet.get("p-1"))
+
+    async def test_server_that_was_leaving_is_not_used_again(self) -> None:
+        row = site.server_row(
+            site.PLAIN, self.run_.site.ports["p-1"], state="draining", seq=2
+        )
+        await self.store.put("servers", "p-1", row)
+        await self.run_.until(
+            lambda: self.state.fleet.get("p-1").entry.leaving
+        )
+        await self.lose_and_return(1)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
