Write stages of roll-outs again that a restored store has lost

A stage of the copy with a lower version was ignored, and nobody wrote the later one again.

The latest stage by the store's clock, which goes on across a restoration, holds on each node; the leader writes it again, with its status. Two tests, the one over a gateway failed before with a TimeoutError.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -114,6 +114,8 @@
     def apply_shared(self, batch: ports.Batch[ports.SharedRow]) -> None:
         """Apply rows that the nodes share: peers, crashes and stages."""
         self._store_offset = batch.now - self._clock.monotonic()
+        if batch.restored:
+            self.rollouts.record_restoration(batch.version)
         peers = {} if batch.full_read else dict(self.peers)
         for change in batch.changes:
             kind, slash, name = change.key.partition("/")
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -193,7 +193,7 @@
         """Lead the roll-outs, or be on standby, until cancelled."""
         while True:
             await asyncio.sleep(self.pause())
-            if not self._open_orders():
+            if not (self._open_orders() or self._known_rollouts.lost_stages):
                 continue
             if not self._leading and self._rank() >= STANDBY_NODES:
                 continue
@@ -223,12 +223,15 @@
         nodes = self._cluster_state.nodes | {self._node}
         return rendezvous.rank(LEASE_KEY, nodes).index(self._node)
 
+    @property
+    def _known_rollouts(self) -> rollout.Rollouts:
+        return self._cluster_state.rollouts
+
     def _open_orders(self) -> list[types.RolloutOrder]:
-        known_rollouts = self._cluster_state.rollouts
         return [
             order
-            for order in known_rollouts.orders.values()
-            if _is_open(known_rollouts.stage(order.service))
+            for order in self._known_rollouts.orders.values()
+            if _is_open(self._known_rollouts.stage(order.service))
         ]
 
     async def _check(self) -> None:
@@ -241,6 +244,10 @@
         version = await self._acquire_lease(rows, table)
         if version is None:
             return
+        for service in sorted(self._known_rollouts.lost_stages):
+            await self._publish(
+                service, self._known_rollouts.stages[service], version
+            )
         for order in self._open_orders():
             await self._advance_rollout(order, rows, version, table.now)
 
@@ -284,8 +291,7 @@
         lease_version: types.Version,
         now: float,
     ) -> None:
-        known_rollouts = self._cluster_state.rollouts
-        stage = known_rollouts.stage(order.service)
+        stage = self._known_rollouts.stage(order.service)
         observed = self._collect_evidence(order, stage, rows)
         self._log_evidence(order, observed)
         ready = any(
@@ -298,24 +304,28 @@
             observed,
             self._platform.settings.bounds,
             ready,
-            known_rollouts.order_age(order.service),
+            self._known_rollouts.order_age(order.service),
             now,
         )
-        if decided_stage is None:
-            return
-        payload = decided_stage.to_json()
+        if decided_stage is not None:
+            await self._publish(order.service, decided_stage, lease_version)
+
+    async def _publish(
+        self, service: str, stage: rollout.Stage, lease_version: types.Version
+    ) -> None:
+        """Write a stage to the operator and the nodes."""
+        payload = stage.to_json()
         # The status and the stage are written atomically, so a stage that
         # nodes know has been reported to the operator.
         published = await self._platform.rollouts.publish(
-            order,
-            FINAL_STATES.get(
-                decided_stage.phase, types.RolloutState.IN_PROGRESS
-            ),
+            service,
+            stage.target,
+            FINAL_STATES.get(stage.phase, types.RolloutState.IN_PROGRESS),
             ports.SharedPut(
-                cluster_state.ROLLOUT_PREFIX + order.service,
+                cluster_state.ROLLOUT_PREFIX + service,
                 payload,
-                known_rollouts.stage_versions.get(
-                    order.service, types.Version(lease_version.era)
+                self._known_rollouts.stage_versions.get(
+                    service, types.Version(lease_version.era)
                 ),
             ),
             ports.SharedPut(LEASE_KEY, "", lease_version),
@@ -324,9 +334,7 @@
             self._set_leading(False, "the stage or the lease has changed")
             return
         # The feed may deliver the stage only some checks later.
-        self._cluster_state.apply_stage(
-            order.service, payload, published.ok_value
-        )
+        self._cluster_state.apply_stage(service, payload, published.ok_value)
 
     def _log_evidence(
         self, order: types.RolloutOrder, observed: rollout_policy.Evidence
--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -166,13 +166,15 @@
 
     async def publish(
         self,
-        order: types.RolloutOrder,
+        service: str,
+        target: str,
         state: types.RolloutState,
         stage: SharedPut,
         lease: SharedPut,
     ) -> Result[types.Version, VersionConflict]:
         """Publish a stage to the operator and the nodes in one transaction.
 
+        :param target: version that is rolled out.
         :param stage: row of the shared table to write.
         :param lease: row of the work table that must still have its
             expected version; it is not written.
--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -95,6 +95,9 @@
     """Orders and stages of roll-outs, and the versions that they allow.
 
     :param clock: source of monotonic time.
+    :ivar stages: latest known stage by service.
+    :ivar stage_versions: versions of the rows that hold the stages.
+    :ivar lost_stages: services whose stage isn't in the store any more.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -103,6 +106,7 @@
         self._ordered_at: dict[str, float] = {}
         self.stages: dict[str, Stage] = {}
         self.stage_versions: dict[str, types.Version] = {}
+        self.lost_stages: set[str] = set()
         self._sessions: dict[str, tuple[str, float]] = {}
 
     def apply_order(self, order: types.RolloutOrder) -> None:
@@ -158,8 +162,25 @@
         except ValueError:
             return None
         self.stage_versions[service] = version
+        known = self.stages.get(service)
+        if known is not None and service in self.lost_stages:
+            if stage.since < known.since:
+                return None
+            self.lost_stages.remove(service)
         self.stages[service] = stage
-        return stage
+        return stage if stage != known else None
+
+    def record_restoration(self, version: types.Version) -> None:
+        """Record that the store was restored from a copy.
+
+        The known stages hold until the copy's rows, which follow, show that
+        they are still there.
+
+        :param version: version of the restored store.
+        """
+        self.lost_stages.update(self.stages)
+        for service in self.stages:
+            self.stage_versions[service] = types.Version(version.era)
 
     def stage(self, service: str) -> Stage | None:
         """Return the stage that belongs to the current order, if any.
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -1,5 +1,6 @@
 """Roll-outs: versions that serve, and decisions to advance or revert."""
 
+import dataclasses
 import random
 import unittest
 
@@ -67,6 +68,29 @@
         assert current is not None
         self.assertIs(rollout.Phase.REVERTED, current.phase)
 
+    def test_stage_that_a_restored_store_lost_holds_and_is_to_be_written(
+        self,
+    ) -> None:
+        canary = stage(rollout.Phase.CANARY)
+        reverted = dataclasses.replace(
+            canary, phase=rollout.Phase.REVERTED, since=canary.since + 3
+        )
+        self.apply_stage(canary, 8)
+        self.apply_stage(reverted, 12)
+        self.rollouts.record_restoration(builders.version(10, era=2))
+        self.rollouts.apply_stage(
+            "s", canary.to_json(), builders.version(8, era=2)
+        )
+        self.assertEqual(reverted, self.rollouts.stage("s"))
+        self.assertEqual({"s"}, self.rollouts.lost_stages)
+        self.assertEqual(
+            builders.version(8, era=2), self.rollouts.stage_versions["s"]
+        )
+        self.rollouts.apply_stage(
+            "s", reverted.to_json(), builders.version(11, era=2)
+        )
+        self.assertEqual(set(), self.rollouts.lost_stages)
+
     def test_unreadable_stage_is_ignored(self) -> None:
         for text in ("", "[]", "{}", '{"phase": "x"}'):
             self.assertIsNone(
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -255,3 +255,26 @@
         await self.record_answers("v2", False, 9)
         await asyncio.sleep(0.5)
         self.assertIs(rollout.Phase.CANARY, self.phase())
+
+
+class RestoredStore(RolloutCase):
+    """The store loses stages that were published."""
+
+    async def lose_since(self, version: int) -> None:
+        """Restore the store, with what the operator wrote written again."""
+        self.store.faults.status = 503
+        await self.run_.until(
+            lambda: self.run_.lines.events("dependency.lost")
+        )
+        await self.store.restore(version)
+        await self.store.put("op", f"rollout/{site.ENGINE}", ORDER)
+        self.store.faults.status = 0
+
+    async def test_roll_out_continues_after_a_lost_stage(self) -> None:
+        await self.order()
+        ordered = self.store.ver
+        await self.run_.until(lambda: self.phase() is rollout.Phase.CANARY)
+        await self.lose_since(ordered)
+        await self.run_.until(lambda: self.status() == "in_progress")
+        await self.record_answers("v2", True, 20)
+        await self.run_.until(lambda: self.status() == "complete")
