Recognize an order of a roll-out that was written again after a restoration

The same order got another identity with its new row, so its roll-out began again: a version that was taken back got requests once more, and a good one lost the time it had. An order that comes in a later era with the same version and period repeats the known one; a node that knows only the new row takes the identity from the stage.

Not recognized: an order that the copy holds and that is written again as well.

--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from dataclasses import replace
 import enum
 import json
 import math
@@ -80,6 +81,8 @@
             raise ValueError("a stage must be a JSON object")
         try:
             document["phase"] = Phase(document["phase"])
+            document["order_id"] = str(document["order_id"])
+            types.Version.parse(document["order_id"])
             return cls(
                 **{
                     name: document[name]
@@ -104,6 +107,8 @@
         self._clock = clock
         self.orders: dict[str, types.RolloutOrder] = {}
         self._ordered_at: dict[str, float] = {}
+        # Services whose known order is the first that this node has seen.
+        self._first_orders: set[str] = set()
         self.stages: dict[str, Stage] = {}
         self.stage_versions: dict[str, types.Version] = {}
         self.lost_stages: set[str] = set()
@@ -112,9 +117,33 @@
     def apply_order(self, order: types.RolloutOrder) -> None:
         """Add or update an order."""
         previous = self.orders.get(order.service)
+        if previous is None:
+            self._first_orders.add(order.service)
+        elif order.repeats(previous):
+            order = replace(order, order_id=previous.order_id)
+        elif previous.order_id != order.order_id:
+            self._first_orders.discard(order.service)
         if previous is None or previous.order_id != order.order_id:
             self._ordered_at[order.service] = self._clock.monotonic()
         self.orders[order.service] = order
+        self._match_order(order.service)
+
+    def _match_order(self, service: str) -> None:
+        """Give an order the identity under which other nodes know it.
+
+        A node that starts after a restoration has seen only the row that was
+        written again, while the stage belongs to the former one.
+        """
+        order = self.orders.get(service)
+        stage = self.stages.get(service)
+        if order is None or stage is None or service not in self._first_orders:
+            return
+        ordered = types.Version.parse(stage.order_id)
+        is_former = (
+            ordered.era < order.version.era and stage.target == order.target
+        )
+        if is_former or ordered == order.version:
+            self.orders[service] = replace(order, order_id=stage.order_id)
 
     def is_candidate(self, service: str, version: str) -> bool:
         """Return whether a version is being rolled out."""
@@ -168,6 +197,7 @@
                 return None
             self.lost_stages.remove(service)
         self.stages[service] = stage
+        self._match_order(service)
         return stage if stage != known else None
 
     def record_restoration(self, version: types.Version) -> None:
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -31,6 +31,15 @@
     def __str__(self) -> str:
         return f"{self.era}.{self.counter}"
 
+    @classmethod
+    def parse(cls, text: str) -> "Version":
+        """Return a version from its text.
+
+        :raises ValueError: when the text isn't a version.
+        """
+        era, _, counter = text.rpartition(".")
+        return cls(int(era or 0), int(counter))
+
 
 class Idempotency(enum.Enum):
     """Whether a request has the same effect when it runs twice."""
@@ -173,12 +182,23 @@
     :param target: version that is rolled out.
     :param period: time within which it must be done.
     :param order_id: distinguishes orders of the same version.
+    :param version: version of the row, of which a restored store gives the
+        same order another one.
     """
 
     service: str
     target: str
     period: float
     order_id: str
+    version: Version = Version()
+
+    def repeats(self, earlier: "RolloutOrder") -> bool:
+        """Return whether this is an order from before a restoration."""
+        return (
+            earlier.version.era < self.version.era
+            and earlier.target == self.target
+            and earlier.period == self.period
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -20,7 +20,7 @@
 
 
 def stage(phase: rollout.Phase, share: float = 0.1) -> rollout.Stage:
-    return rollout.Stage(7, "v2", phase, share, 0.0, 0.0)
+    return rollout.Stage("1.7", "v2", phase, share, 0.0, 0.0)
 
 
 class Versions(unittest.TestCase):
@@ -68,6 +68,33 @@
         assert current is not None
         self.assertIs(rollout.Phase.REVERTED, current.phase)
 
+    def order(self, counter: int, era: int = 1) -> types.RolloutOrder:
+        version = builders.version(counter, era)
+        return types.RolloutOrder("s", "v2", 24.0, str(version), version)
+
+    def test_order_that_was_written_again_continues(self) -> None:
+        self.rollouts.apply_order(self.order(7))
+        self.apply_stage(stage(rollout.Phase.REVERTED), 8)
+        for counter in (7, 9):
+            self.rollouts.apply_order(self.order(counter, era=2))
+        # The row of the copy comes first, and counts as the repetition.
+        self.assertIsNone(self.rollouts.stage("s"))
+        self.rollouts = rollout.Rollouts(self.clock)
+        self.rollouts.apply_order(self.order(7))
+        self.apply_stage(stage(rollout.Phase.REVERTED), 8)
+        self.rollouts.apply_order(self.order(9, era=2))
+        self.assertIsNotNone(self.rollouts.stage("s"))
+
+    def test_new_node_matches_an_order_that_was_written_again(self) -> None:
+        self.rollouts.apply_order(self.order(4, era=2))
+        self.apply_stage(stage(rollout.Phase.CANARY), 8)
+        self.assertEqual("1.7", self.rollouts.orders["s"].order_id)
+        later = dataclasses.replace(
+            stage(rollout.Phase.CANARY), order_id="2.4", since=99.0
+        )
+        self.apply_stage(later, 9)
+        self.assertEqual("2.4", self.rollouts.orders["s"].order_id)
+
     def test_stage_that_a_restored_store_lost_holds_and_is_to_be_written(
         self,
     ) -> None:
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -270,6 +270,24 @@
         await self.store.put("op", f"rollout/{site.ENGINE}", ORDER)
         self.store.faults.status = 0
 
+    async def test_reverted_version_stays_reverted_and_is_reported_again(
+        self,
+    ) -> None:
+        await self.order()
+        ordered = self.store.ver
+        await self.run_.until(lambda: self.phase() is rollout.Phase.CANARY)
+        await self.record_answers("v1", True, 50)
+        await self.record_answers("v2", False, 5)
+        await self.run_.until(lambda: self.phase() is rollout.Phase.REVERTED)
+        await self.lose_since(ordered)
+        self.assertIsNone(self.status())
+        await self.run_.until(lambda: self.status() == "reverted")
+        await asyncio.sleep(0.5)
+        phases = [
+            line["phase"] for line in self.run_.lines.events("rollout.changed")
+        ]
+        self.assertEqual(["canary", "reverted"], phases)
+
     async def test_roll_out_continues_after_a_lost_stage(self) -> None:
         await self.order()
         ordered = self.store.ver
--- a/tests/limpetwalk_platform/test_rows.py
+++ b/tests/limpetwalk_platform/test_rows.py
@@ -75,7 +75,7 @@
     def test_other_operator_rows(self) -> None:
         order = {"backend": "s", "to": "v2", "period_s": 12}
         self.assertEqual(
-            types.RolloutOrder("s", "v2", 12.0, "1.9"),
+            types.RolloutOrder("s", "v2", 12.0, "1.9", VERSION),
             rows.operator_entry("rollout/s", encode_json(order), VERSION),
         )
         self.assertEqual(
