Don't take a condition of an earlier era of the store for one that holds

Versions are given out again after a restoration, so the lease or stage of a former leader could hold by accident, and two nodes could take themselves for the leader. A condition of an earlier era is a conflict and isn't sent; where only the answer shows the new era, the outcome is unknown, and the next read decides.

Exposed still: a write sent before the restoration and performed after it may meet a row that got the same version since. The next check reads what stands.

--- a/tests/limpetwalk_platform/test_store.py
+++ b/tests/limpetwalk_platform/test_store.py
@@ -138,6 +138,22 @@
         self.assertIsInstance(await self.table.put([second_put]), Ok)
         self.assertEqual(2, self.store.value("t", "a"))
 
+    async def test_condition_that_holds_by_accident_is_not_a_success(
+        self,
+    ) -> None:
+        """A restored store has given the version of the condition again."""
+        await self.table.put([ports.SharedPut("a", "1")])
+        read = (await self.table.read()).changes[0].version
+        await self.store.restore(0)
+        await self.store.put("t", "a", "of another node")
+        put = ports.SharedPut("a", "2", read)
+        with self.assertRaises(exceptions.StoreOutcomeUnknown):
+            await self.table.put([put])
+        before = self.store.ver
+        self.assertIsInstance(await self.table.put([put]), Err)
+        self.assertEqual(before, self.store.ver)
+        await self.table.put([ports.SharedPut("a", "3")])
+
     async def test_all_or_none(self) -> None:
         outcome = await self.table.put(
             [
