--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -119,7 +119,7 @@
         previous = self.orders.get(order.service)
         if previous is None:
             self._first_orders.add(order.service)
-        elif order.repeats(previous):
+        elif order.version == previous.version or order.repeats(previous):
             order = replace(order, order_id=previous.order_id)
         elif previous.order_id != order.order_id:
             self._first_orders.discard(order.service)
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -82,8 +82,10 @@
         self.rollouts = rollout.Rollouts(self.clock)
         self.rollouts.apply_order(self.order(7))
         self.apply_stage(stage(rollout.Phase.REVERTED), 8)
-        self.rollouts.apply_order(self.order(9, era=2))
-        self.assertIsNotNone(self.rollouts.stage("s"))
+        for _ in range(2):
+            # Each full read of the table has the row.
+            self.rollouts.apply_order(self.order(9, era=2))
+            self.assertIsNotNone(self.rollouts.stage("s"))
 
     def test_new_node_matches_an_order_that_was_written_again(self) -> None:
         self.rollouts.apply_order(self.order(4, era=2))
