Write rows again that a restored store has lost, by the node that owns them

A node whose address was written in the lost seconds was excluded from limits, permits, groups and ranks for the rest of its life; reports of crashes, cleared prompt parts and evidence were gone for nodes that start later. Cause: these rows were written once.

The owner of a row compares it with the copy and writes it again, after a random delay that grows with the number of nodes; evidence goes with the next report. Three tests, which failed before.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -1,5 +1,7 @@
 """Cluster state known to this node, updated by rows of the platform."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 import json
 
 from limpetwalk import clock as clocks
@@ -21,6 +23,7 @@
 ANSWER_PREFIX = "answered/"
 ROLLOUT_PREFIX = "rollout/"
 
+RowOwner = Callable[[Mapping[str, str]], None]
 
 # Published answers that are remembered, so that no other node publishes them.
 MAX_PUBLISHED_ANSWERS = 1000
@@ -48,6 +51,7 @@
         self.published_answers: dict[str, float] = {}
         self._clock = clock
         self._store_offset = 0.0
+        self._row_owners: list[RowOwner] = []
         self._evacuated: dict[str, str] = {}
         self._unreadable = metrics.counter(
             "limpetwalk_unreadable_rows",
@@ -115,7 +119,7 @@
         """Apply rows that the nodes share: peers, crashes and stages."""
         self._store_offset = batch.now - self._clock.monotonic()
         if batch.restored:
-            self.rollouts.record_restoration(batch.version)
+            self._record_restoration(batch)
         peers = {} if batch.full_read else dict(self.peers)
         for change in batch.changes:
             kind, slash, name = change.key.partition("/")
@@ -135,6 +139,24 @@
         self.peers = peers
         self.nodes = frozenset(peers)
 
+    def on_restoration(self, owner: "RowOwner") -> None:
+        """Call a function when the store was restored from a copy.
+
+        :param owner: called with the shared rows of the copy, contents by
+            key, so that it can write again what the copy lacks.
+        """
+        self._row_owners.append(owner)
+
+    def _record_restoration(self, batch: ports.Batch[ports.SharedRow]) -> None:
+        self.rollouts.record_restoration(batch.version)
+        rows = {
+            change.key: change.entry.value
+            for change in batch.changes
+            if isinstance(change.entry, ports.SharedRow)
+        }
+        for owner in self._row_owners:
+            owner(rows)
+
     def store_time(self) -> float:
         """Return the current instant on the store's clock, in seconds."""
         return self._clock.monotonic() + self._store_offset
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Mapping
 import json
 import random
 import socket
@@ -55,6 +56,9 @@
 SHARED_PAUSE = 1.2
 # Pause before another attempt to publish this node's address, seconds.
 PRESENCE_RETRY_PAUSE = 1.0
+# Upper bound of the random delay before this node's address is published
+# again, seconds for each node: all nodes may have lost theirs.
+PRESENCE_DELAY_PER_NODE = 0.01
 
 
 # Interval between two checks of the settings file, seconds. The file may
@@ -144,6 +148,7 @@
         for follower in self.followers:
             self._spawn(follower.run(), "watch")
         self._spawn(self._publish_presence(), "presence")
+        self.cluster_state.on_restoration(self._restore_presence)
         self._spawn(self._check_settings_file(), "settings")
         self._start_rollout_tasks(clock, broadcast)
         self._spawn(broadcast.run(platform.settings.peers), "gossip")
@@ -314,15 +319,31 @@
             follower.restart()
         await self.platform.renew_connections()
 
-    async def _publish_presence(self) -> None:
-        """Write the row by which other nodes find this one."""
-        key = cluster_state.NODE_PREFIX + self.platform.settings.name
+    @property
+    def _presence_key(self) -> str:
+        return cluster_state.NODE_PREFIX + self.platform.settings.name
+
+    def _restore_presence(self, rows: Mapping[str, str]) -> None:
+        """Publish this node's address again if the store has lost it."""
+        if self._presence_key not in rows:
+            longest = PRESENCE_DELAY_PER_NODE * len(self.cluster_state.nodes)
+            delay = random.uniform(0.0, longest)
+            self._spawn(self._publish_presence(delay), "presence")
+
+    async def _publish_presence(self, delay: float = 0.0) -> None:
+        """Write the row by which other nodes find this one.
+
+        :param delay: time to wait before, in seconds.
+        """
+        await asyncio.sleep(delay)
         host, port = self.platform.settings.peers
         zone = self.platform.settings.zone
         value = json.dumps({"host": host, "port": port, "zone": zone})
         while True:
             try:
-                await self.platform.shared.put([ports.SharedPut(key, value)])
+                await self.platform.shared.put(
+                    [ports.SharedPut(self._presence_key, value)]
+                )
             except exceptions.StoreError:
                 # The follower of the same table logs the outage.
                 await asyncio.sleep(PRESENCE_RETRY_PAUSE)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 import json
@@ -43,6 +44,8 @@
 # faster.
 ANSWER_DELAY_PER_NODE = 0.01
 MAX_ANSWER_DELAY = 1.5
+# Published answers of this node that are written again if they get lost.
+MAX_OWN_ANSWERS = 200
 
 
 @dataclass(slots=True)
@@ -94,7 +97,11 @@
         self._reports: collections.OrderedDict[str, _Report] = (
             collections.OrderedDict()
         )
+        self._own_answers: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
         self._tasks: set[asyncio.Task[None]] = set()
+        state.on_restoration(self._write_lost_rows)
 
     def is_blocked(self, call: calls.Call) -> bool:
         """Whether requests like a call have crashed too many servers."""
@@ -200,15 +207,44 @@
                     call.prompt.shared_parts,
                 )
             )
-        key = f"{cluster_state.CRASH_PREFIX}{server}/{self._node}"
-        await self._publish(
-            "publishing a crash", [ports.SharedPut(key, report.to_row())]
-        )
+        put = ports.SharedPut(self._report_key(server), report.to_row())
+        await self._publish("publishing a crash", [put])
+
+    def _report_key(self, server: str) -> str:
+        return f"{cluster_state.CRASH_PREFIX}{server}/{self._node}"
+
+    def _write_lost_rows(self, rows: Mapping[str, str]) -> None:
+        """Publish again what a restored store lacks of this node's rows.
+
+        :param rows: shared rows of the store by key.
+        """
+        own_rows = {
+            self._report_key(server): report.to_row()
+            for server, report in self._reports.items()
+            if report.suspects
+        }
+        lost = {
+            key: value
+            for key, value in (own_rows | self._own_answers).items()
+            if rows.get(key) != value
+        }
+        if lost:
+            self._spawn(self._publish_again(lost))
+
+    async def _publish_again(self, rows: Mapping[str, str]) -> None:
+        await asyncio.sleep(self._random_delay())
+        for key, value in rows.items():
+            put = ports.SharedPut(key, value)
+            await self._publish("publishing a lost row", [put])
+
+    def _random_delay(self) -> float:
+        """Return a delay that spreads the writes of all nodes, in seconds."""
+        longest = ANSWER_DELAY_PER_NODE * len(self._cluster_state.nodes)
+        return self._rng.uniform(0.0, min(MAX_ANSWER_DELAY, longest))
 
     async def _remove_report(self, server: str) -> None:
-        key = f"{cluster_state.CRASH_PREFIX}{server}/{self._node}"
         try:
-            await self._shared().remove(key)
+            await self._shared().remove(self._report_key(server))
         except exceptions.StoreError as exc:
             self._journal.emit(
                 events.UnexpectedError("removing a crash", str(exc))
@@ -220,10 +256,7 @@
         """Tell the other nodes that a request with these traits was sound."""
         state = self._cluster_state
         answered_at = state.store_time()
-        longest = ANSWER_DELAY_PER_NODE * len(state.nodes)
-        await asyncio.sleep(
-            self._rng.uniform(0.0, min(MAX_ANSWER_DELAY, longest))
-        )
+        await asyncio.sleep(self._random_delay())
         puts = [
             ports.SharedPut(
                 cluster_state.ANSWER_PREFIX + trait,
@@ -233,6 +266,9 @@
             if state.published_answers.get(trait, 0.0) < answered_at
         ]
         if puts:
+            self._own_answers.update((put.key, put.value) for put in puts)
+            while len(self._own_answers) > MAX_OWN_ANSWERS:
+                self._own_answers.popitem(last=False)
             await self._publish("publishing an answer", puts)
 
     async def _publish(self, place: str, puts: list[ports.SharedPut]) -> None:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -100,6 +100,8 @@
         self._reported: dict[str, str] = {}
         self._pools: dict[str, pooled_evidence.Pool] = {}
         exchange.on_evidence = self._receive
+        # The copy may hold earlier evidence, which the next report replaces.
+        state.on_restoration(lambda rows: self._reported.clear())
 
     async def run(self) -> None:
         """Report evidence until cancelled."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
@@ -141,7 +141,7 @@
                 )
             elif batch.full_read:
                 self._settled_at = None
-            if batch.changes or batch.full_read:
+            if batch.changes or batch.full_read or batch.restored:
                 self._apply(batch)
             self._last_change = max(
                 self._last_change,
--- a/tests/limpetwalk_node/gateway/test_evidence.py
+++ b/tests/limpetwalk_node/gateway/test_evidence.py
@@ -68,6 +68,7 @@
         self.exchanges: dict[str, Exchange] = {}
         self.tallies = {}
         self.reporters = []
+        self.states: list[cluster_state.ClusterState] = []
         for name in NODES:
             self.add_node(name)
 
@@ -77,6 +78,7 @@
             harness.journal(harness.Lines()),
             metrics_.Metrics(),
         )
+        self.states.append(state)
         state.nodes = frozenset(NODES)
         state.rollouts.apply_order(ORDER)
         self.exchanges[name] = Exchange(name, self.exchanges)
@@ -129,6 +131,20 @@
         row = json.loads(self.table.rows[f"tally/s/1.7/{NODES[1]}"])
         self.assertEqual(set(NODES), set(row["nodes"]))
 
+    async def test_evidence_that_a_restored_store_lost_is_written_again(
+        self,
+    ) -> None:
+        self.tallies[NODES[0]].record("s", "v2", True)
+        await self.run_for(0.2)
+        self.table.rows.clear()
+        restored: ports.Batch[ports.SharedRow] = ports.Batch(
+            (), False, types.Version(2, 1), 0.0, restored=True
+        )
+        self.states[0].apply_shared(restored)
+        self.states[0].nodes = frozenset(NODES)
+        await self.run_for(0.2)
+        self.assertEqual([f"tally/s/1.7/{NODES[0]}"], list(self.table.rows))
+
     async def test_evidence_of_an_unknown_order_is_not_kept(self) -> None:
         on_evidence = self.exchanges[NODES[0]].on_evidence
         assert on_evidence is not None
--- a/tests/limpetwalk_node/gateway/test_poison_requests.py
+++ b/tests/limpetwalk_node/gateway/test_poison_requests.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import cluster_state
 from limpetwalk_node.gateway import poison_requests
 
 from . import harness
@@ -72,6 +73,26 @@
                 await self.send(f"aa:10,bb:5,own{number}:9", f"s{number}"),
             )
 
+    async def test_reports_that_a_restored_store_lost_are_published_again(
+        self,
+    ) -> None:
+        store = self.run_.site.store
+        before = store.ver
+        await self.send(f"aa:10,{PART}:5,own:9", "x")
+
+        def reports() -> set[str]:
+            return {
+                key
+                for table, key in store.rows
+                if key.startswith(cluster_state.CRASH_PREFIX)
+            }
+
+        await self.run_.until(lambda: len(reports()) >= 3)
+        published = reports()
+        await store.restore(before)
+        self.assertEqual(set(), reports())
+        await self.run_.until(lambda: published <= reports())
+
     async def test_request_whose_answer_had_begun_is_no_suspect(self) -> None:
         for engine in self.run_.site.servers.values():
             engine.event_interval = 0.2
--- a/tests/limpetwalk_node/gateway/test_restored_store.py
+++ b/tests/limpetwalk_node/gateway/test_restored_store.py
@@ -111,3 +111,16 @@
         await self.lose_and_return(1)
         async with self.run_.request("POST", "/once/x") as resp:
             self.assertEqual(503, resp.status)
+
+    async def test_address_of_a_node_is_published_again(self) -> None:
+        """A node without it gets no part of limits, permits and groups."""
+        await self.run_.until(lambda: "node-1" in self.state.nodes)
+        await self.lose_and_return(self.store.ver - self.present_since + 1)
+        await self.run_.until(
+            lambda: self.store.value("limpetwalk", "node/node-1")
+        )
+
+    @property
+    def present_since(self) -> int:
+        """Version of the row with the node's address."""
+        return self.store.rows["limpetwalk", "node/node-1"].ver
