--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -175,8 +175,8 @@
 class ServerChanged(Event):
     """The entry of a backend server changed.
 
-    :param state: ready, leaving, cold, lapsed or gone; outdated for an entry of
-        a copy, when a later state is known.
+    :param state: ready, leaving, cold, lapsed or gone; outdated for an entry
+        of a copy, when a later state is known.
     """
 
     name: ClassVar[str] = "server.changed"
