Don't believe a refusal that belongs to another request

Cause: the statement that a request didn't run was looked at before the echoed identifier of the attempt. A server that answers with an earlier refusal now leaves the outcome unknown: 502 for what may not run twice. The test failed before on each of three statuses (503 instead of 502).

A second copy on a kept connection can't reach another call here: each attempt has a connection of its own (SecondCopy, BrokenAnswers).

--- a/packages/limpetwalk/limpetwalk/gateway/response_check.py
+++ b/packages/limpetwalk/limpetwalk/gateway/response_check.py
@@ -39,13 +39,13 @@
     :param attempt: identifier of the attempt that was sent; a response that
         echoes another one belongs to another request.
     """
-    if status == MISDIRECTED or names.not_run in headers:
-        return Verdict(retries.Outcome.NOT_RUN, f"status {status}")
     echoed = headers.get(names.attempt)
     if echoed is not None and echoed != attempt:
         return Verdict(
             retries.Outcome.UNKNOWN, f"answer of another request {echoed}"
         )
+    if status == MISDIRECTED or names.not_run in headers:
+        return Verdict(retries.Outcome.NOT_RUN, f"status {status}")
     sealed = names.seal in headers
     if not sealed or status in NOT_RUN_STATUSES:
         return Verdict(
--- a/tests/limpetwalk_node/gateway/test_broken_answers.py
+++ b/tests/limpetwalk_node/gateway/test_broken_answers.py
@@ -145,6 +145,41 @@
         async with self.run_.request("POST", "/once/x") as resp:
             self.assertEqual(b"whole", await resp.read())
 
+    async def test_refusal_of_another_request_does_not_mean_not_run(
+        self,
+    ) -> None:
+        for status in (503, 429, 421):
+
+            async def earlier_refusal(conn: raw_server.Connection) -> None:
+                conn.headers["attempt-id"] = "earlier"
+                head = conn.head(
+                    "Content-Length: 0", "Not-Executed: 1", status=status
+                )
+                await conn.send(head)
+
+            with self.subTest(status):
+                earlier_refusal.__name__ = f"refusing-{status}"
+                raw = await self.serve(earlier_refusal)
+                async with self.run_.request("POST", "/once/x") as resp:
+                    self.assertEqual(502, resp.status)
+                self.assertEqual(1, raw.requests)
+
+    async def test_head_cut_at_any_byte_gives_no_answer(self) -> None:
+        cut = 0
+
+        async def cut_head(conn: raw_server.Connection) -> None:
+            await conn.send(conn.head("Content-Type: text/plain")[:cut])
+
+        await self.serve(cut_head)
+        fleet = self.run_.gateway.cluster_state.fleet
+        for cut in range(0, 82, 3):
+            member = fleet.get("cut_head")
+            assert member is not None
+            member.health.backoff_until = 0.0
+            async with self.run_.request("POST", "/once/x") as resp:
+                self.assertEqual(502, resp.status, f"cut at {cut}")
+                self.assertNotIn("Server-Seal", resp.headers)
+
 
 class StreamsWithoutLength(harness.GatewayCase):
     """Streams with neither a length nor chunks, which end with a close."""
