Keep errors of the next server out of a stream that has begun

Callers got the error's text in the middle of their stream, or the stream ended as if it were complete when that answer had no body. Cause: any answer whose head was accepted was read as a stream.

Only a success that is an event stream, or of the type that began, continues a stream; anything else is a failed attempt, after which the caller's connection is closed. An error that comes first is passed on whole (it became 502 before, as the end within an event).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -211,6 +211,22 @@
             self._record_head(call, choice, started)
         return started
 
+    async def read_answer(
+        self, call: calls.Call, started: outbound.StartedAnswer
+    ) -> outbound.CompleteAnswer | outbound.FailedAttempt:
+        """Read the body of an answer that is no stream."""
+        try:
+            body = await outbound.with_timeout(
+                started.exchange.body(self.buffer_budget), self.time_left(call)
+            )
+        except upstream.IncompleteAnswer as exc:
+            return outbound.FailedAttempt.incomplete(exc)
+        except TimeoutError:
+            return outbound.FailedAttempt(
+                retries.Outcome.UNKNOWN, "body not received in time"
+            )
+        return outbound.CompleteAnswer(started.head, body, started.member.id)
+
     def finish(self, member: fleet.Member) -> None:
         """Record that a request at a server has ended."""
         member.health.in_flight -= 1
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
@@ -7,7 +7,6 @@
 
 from . import dispatch
 from . import outbound
-from . import upstream
 
 # Multiple of the target latency after which a retryable call is sent to
 # another server. Beyond it the answer is late anyway.
@@ -53,20 +52,10 @@
         if isinstance(started, outbound.FailedAttempt):
             return started
         try:
-            body = await outbound.with_timeout(
-                started.exchange.body(self._dispatcher.buffer_budget),
-                self._dispatcher.time_left(call),
-            )
-        except upstream.IncompleteAnswer as exc:
-            return outbound.FailedAttempt.incomplete(exc)
-        except TimeoutError:
-            return outbound.FailedAttempt(
-                retries.Outcome.UNKNOWN, "body not received in time"
-            )
+            return await self._dispatcher.read_answer(call, started)
         finally:
             started.exchange.close()
             self._dispatcher.finish(choice.member)
-        return outbound.CompleteAnswer(started.head, body, choice.member.id)
 
     def _head_timeout(self, call: calls.Call) -> float:
         """Return the timeout for the response headers, in seconds."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -26,6 +26,7 @@
 # be tried, seconds. A long prompt of another request may delay an engine for
 # as long.
 MIN_SILENCE_TIMEOUT = 0.5
+EVENT_STREAM_TYPE = "text/event-stream"
 
 
 class StreamForwarder:
@@ -65,6 +66,9 @@
                 self._dispatcher.record_result(call, member, None)
                 relay.complete = True
                 return relay
+            if isinstance(result, outbound.CompleteAnswer):
+                self._dispatcher.record_result(call, member, None)
+                return result
             if isinstance(result, _Escalation):
                 model = result.model
                 continue
@@ -85,7 +89,9 @@
         choice: placement.Choice,
         model: str,
         relay: "Relay",
-    ) -> "outbound.FailedAttempt | _Escalation | None":
+    ) -> (
+        "outbound.FailedAttempt | outbound.CompleteAnswer | _Escalation | None"
+    ):
         if relay.started:
             self._log_resumed(call, choice.member, relay)
         started = await self._dispatcher.start(
@@ -94,6 +100,13 @@
         if isinstance(started, outbound.FailedAttempt):
             return started
         try:
+            if relay.started and not relay.is_continued_by(started.head):
+                return outbound.FailedAttempt(
+                    retries.Outcome.FAILED,
+                    f"status {started.head.status}, not the rest of a stream",
+                )
+            if not started.head.is_success:
+                return await self._dispatcher.read_answer(call, started)
             escalation = self._escalation(call, started, relay)
             if escalation is not None:
                 return escalation
@@ -252,6 +265,7 @@
         self._req = req
         self._dispatcher = dispatcher
         self._resp: web.StreamResponse | None = None
+        self._media_type = ""
         self.last_event = call.last_event
         self.model = ""
         self.version = ""
@@ -273,6 +287,11 @@
         """The response to the caller, None before it was started."""
         return self._resp
 
+    def is_continued_by(self, head: upstream.ResponseHead) -> bool:
+        """Whether an answer is the rest of the stream, by its head."""
+        expected_types = (EVENT_STREAM_TYPE, self._media_type)
+        return head.is_success and head.media_type in expected_types
+
     async def run(
         self, started: outbound.StartedAnswer
     ) -> outbound.FailedAttempt | None:
@@ -398,6 +417,7 @@
         self.version = started.member.entry.version
         self.server = started.member.id
         self.status = started.head.status
+        self._media_type = started.head.media_type
         self.first_at = self._dispatcher.clock.monotonic()
         self._resp = web.StreamResponse(
             status=started.head.status,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -60,6 +60,17 @@
     status: int
     headers: multidict.CIMultiDict[str]
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the request was answered as asked."""
+        return 200 <= self.status < 300
+
+    @property
+    def media_type(self) -> str:
+        """Media type of the body without parameters, or empty."""
+        content_type = self.headers.get("Content-Type", "")
+        return content_type.partition(";")[0].strip().lower()
+
     @property
     def marks_end(self) -> bool:
         """Whether the body has a length or chunks.
--- a/tests/limpetwalk_node/gateway/test_broken_answers.py
+++ b/tests/limpetwalk_node/gateway/test_broken_answers.py
@@ -6,6 +6,7 @@
 import gzip
 import socket
 import struct
+from typing import Any
 
 import aiohttp
 
@@ -222,3 +223,92 @@
         async with self.run_.stream() as resp:
             self.assertEqual(502, resp.status)
             self.assertNotIn("Server-Seal", resp.headers)
+
+
+class ResumedStreams(harness.GatewayCase):
+    """A stream has begun and broke off, and another server is asked."""
+
+    services = {"p-1": site.PLAIN}
+    first_events = b"".join(server.event(number) for number in range(1, 3))
+
+    async def resume_with(self, *lines: str, **head: Any) -> bytes:
+        """Return what the caller has received when its stream broke off.
+
+        The server that is asked first breaks off after two events.
+
+        :param lines: header lines of the second server's answer.
+        :param head: body and status of that answer.
+        """
+        body = head.pop("body")
+        answered: list[str] = []
+
+        async def script(conn: raw_server.Connection) -> None:
+            answered.append(conn.headers.get("last-event-id", ""))
+            if len(answered) == 1:
+                begin = conn.head(
+                    "Transfer-Encoding: chunked",
+                    "Content-Type: text/event-stream",
+                    "Confidence: 100",
+                )
+                size = f"{len(self.first_events):x}\r\n".encode()
+                await conn.send(begin + size + self.first_events + b"\r\n")
+            else:
+                length = f"Content-Length: {len(body)}"
+                await conn.send(conn.head(length, *lines, **head) + body)
+
+        fleet = self.run_.gateway.cluster_state.fleet
+        for name in ("e-8", "e-9"):
+            await self.run_.site.store.remove("servers", name)
+        await self.run_.until(lambda: not fleet.members(site.ENGINE))
+        for name in ("e-8", "e-9"):
+            await self.run_.site.add_raw_server(name, site.ENGINE, script)
+        await self.run_.until(lambda: fleet.get("e-9") is not None)
+        received = b""
+        async with self.run_.stream() as resp:
+            with self.assertRaises(aiohttp.ClientPayloadError):
+                async for chunk in resp.content.iter_any():
+                    received += chunk
+        self.assertEqual(["", "2"], answered[:2])
+        return received
+
+    async def test_error_of_the_next_server_is_no_part_of_the_stream(
+        self,
+    ) -> None:
+        for status in (400, 404, 409, 302, 500):
+            for body in (b"", b"no such run", b"error: no such run\n\n"):
+                with self.subTest(status=status, body=body):
+                    self.assertEqual(
+                        self.first_events,
+                        await self.resume_with(body=body, status=status),
+                    )
+
+    async def test_body_of_another_type_is_no_part_of_the_stream(
+        self,
+    ) -> None:
+        self.assertEqual(
+            self.first_events,
+            await self.resume_with(
+                "Content-Type: text/plain", body=b"error: busy\n\n"
+            ),
+        )
+
+
+class RefusedStreams(harness.GatewayCase):
+    """An engine answers a stream with an error."""
+
+    services = {"p-1": site.PLAIN}
+
+    async def test_error_is_passed_on_whole(self) -> None:
+        body = b'{"error": "prompt too long"}'
+
+        async def refuse(conn: raw_server.Connection) -> None:
+            length = f"Content-Length: {len(body)}"
+            await conn.send(conn.head(length, status=413) + body)
+
+        raw = await self.run_.site.add_raw_server("e-9", site.ENGINE, refuse)
+        fleet = self.run_.gateway.cluster_state.fleet
+        await self.run_.until(lambda: fleet.get("e-9") is not None)
+        async with self.run_.stream() as resp:
+            self.assertEqual(413, resp.status)
+            self.assertEqual(body, await resp.read())
+        self.assertEqual(1, raw.requests)
