Check that a stored outcome belongs to the request that was asked for

Cause: the request's identifier is checked on every answer but this one. Servers must echo it there, too; the stand-in does. The test failed before (no AttemptFailed).

--- a/packages/limpetwalk-bench/limpetwalk_bench/service/app.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/service/app.py
@@ -133,10 +133,16 @@
 
     async def _outcome(self, req: web.Request) -> web.Response:
         await self.listener.wait_until_unblocked(req)
-        data = self._outcomes.get(req.match_info["request_id"])
+        request_id = req.match_info["request_id"]
+        data = self._outcomes.get(request_id)
+        echo = {faults.ECHO_HEADERS[0]: request_id}
         if data is None:
-            return web.json_response({"error": "no outcome"}, status=404)
-        return web.Response(body=data, content_type="application/json")
+            return web.json_response(
+                {"error": "no outcome"}, status=404, headers=echo
+            )
+        return web.Response(
+            body=data, content_type="application/json", headers=echo
+        )
 
     async def _call(self, req: web.Request) -> web.StreamResponse:
         await self.listener.wait_until_unblocked(req)
--- a/packages/limpetwalk/limpetwalk/backends/plain.py
+++ b/packages/limpetwalk/limpetwalk/backends/plain.py
@@ -86,6 +86,10 @@
                 async with self._pool.send(
                     exchange, "GET", path, {}, None
                 ) as resp:
+                    # A kept connection may hold the answer of another call.
+                    exchange.check_echo(
+                        resp.headers.get(pool.REQUEST_ID_HEADER), ""
+                    )
                     body = await resp.read()
         except (aiohttp.ClientError, OSError) as exc:
             raise await self._pool.classify_failure(exchange, exc) from exc
--- a/tests/limpetwalk/backends/test_plain.py
+++ b/tests/limpetwalk/backends/test_plain.py
@@ -11,6 +11,7 @@
 from limpetwalk.backends import plain
 from limpetwalk_bench.backend import faults
 from limpetwalk_bench.backend import listener
+from limpetwalk_bench.hub import raw_server
 from limpetwalk_bench.service import app
 from limpetwalk_bench.service import settings
 
@@ -197,6 +198,29 @@
         self.assertEqual(answer.body, stored.body)
         self.assertIsNone(await client.fetch_outcome("r2"))
 
+    async def test_late_copy_of_an_answer_is_not_the_outcome_of_another(
+        self,
+    ):
+        async def answer_twice(conn: raw_server.Connection) -> None:
+            head = (
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                f"X-Request-Id: {conn.headers['x-request-id']}\r\n"
+                f"X-Attempt-Id: {conn.headers['x-attempt-id']}\r\n\r\n"
+            )
+            await conn.send(f"{head}r1".encode())
+            await asyncio.sleep(0.02)
+            await conn.send(f"{head}r1".encode())
+            await asyncio.sleep(5)
+
+        stand_in = raw_server.RawServer(answer_twice)
+        client = self.client(await stand_in.start())
+        self.addAsyncCleanup(stand_in.stop)
+        await client.call_service(backend_fixtures.service_call())
+        await asyncio.sleep(0.1)
+        with self.assertRaises(base.AttemptFailed) as raised:
+            await client.fetch_outcome("r2")
+        self.assertIs(base.FailureKind.MISMATCHED, raised.exception.kind)
+
     async def test_the_library_does_not_retry_a_put_by_itself(self):
         # When a reused connection closes during the second request, the HTTP
         # library would send a PUT again over a new connection.
