--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
@@ -4,6 +4,7 @@
 import base64
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
@@ -78,6 +79,7 @@
         """Create the condition that wakes waiting feed requests."""
         self._changed = asyncio.Condition()
         self._log: list[Row] = []
+        self._lost: list[Row] = []
 
     def app(self) -> web.Application:
         """Return the web application of the store's API."""
@@ -133,12 +135,29 @@
         :param ver: version of the copy that the store is restored from.
         """
         async with self._changed:
+            self._lost = [row for row in self._log if row.ver > ver]
             self._log = [row for row in self._log if row.ver <= ver]
             self.rows = {(row.table, row.key): row for row in self._log}
             self.ver = ver
             self.era += 1
             self._changed.notify_all()
 
+    async def write_again(self, tables: Collection[str]) -> None:
+        """Write lost rows again, unless they were written since.
+
+        :param tables: tables whose writers know what they have written.
+        """
+        lost = {
+            (row.table, row.key): row
+            for row in self._lost
+            if row.table in tables
+        }
+        self._lost = []
+        for (table, key), row in lost.items():
+            current = self.rows.get((table, key))
+            if current is None or current.ver <= row.ver:
+                await self._write([(table, key, row.value)])
+
     async def _write(
         self, entries: Iterable[tuple[str, str, str | None]]
     ) -> int:
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
@@ -16,6 +16,8 @@
 
 # Status with which the store rejects requests.
 STORE_UNAVAILABLE = 503
+# Writes that a restored store loses for each second of its outage.
+LOST_WRITES_PER_SECOND = 3
 
 
 class FaultInjector:
@@ -167,6 +169,18 @@
         """Make the store accept requests again."""
         self.site.store.faults.status = 0
 
+    async def restore_store(self, fault: fault_plan.Fault) -> None:
+        """Make the store reject requests and lose its latest writes."""
+        store = self.site.store
+        store.faults.status = STORE_UNAVAILABLE
+        lost = 1 + int(fault.duration * LOST_WRITES_PER_SECOND)
+        await store.restore(max(0, store.ver - lost))
+
+    async def write_again(self, fault: fault_plan.Fault) -> None:
+        """Make the restored store answer, and write again what was lost."""
+        self.site.store.faults.status = 0
+        await self.site.store.write_again(("op", "servers"))
+
     async def store_silent(self, fault: fault_plan.Fault) -> None:
         """Make the store leave every request without an answer."""
         self.site.store.faults.silent = True
@@ -221,6 +235,10 @@
         FaultInjector.store_down,
         FaultInjector.store_up,
     ),
+    fault_plan.FaultKind.STORE_RESTORED: (
+        FaultInjector.restore_store,
+        FaultInjector.write_again,
+    ),
     fault_plan.FaultKind.STORE_SILENT: (
         FaultInjector.store_silent,
         FaultInjector.store_responds,
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_plan.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_plan.py
@@ -18,6 +18,8 @@
 SERIES_INTERVAL = 0.3
 # Share of the faults that start a series.
 SERIES_SHARE = 0.2
+# Mean number of times that the store is restored in a soak.
+MEAN_RESTORATIONS = 0.7
 
 
 class FaultKind(enum.Enum):
@@ -35,6 +37,8 @@
     :cvar STORE_SILENT: the store answers no request.
     :cvar STORE_LOSES_RESPONSES: the store applies writes without answering.
     :cvar STORE_DROPS_HISTORY: the store discards its history.
+    :cvar STORE_RESTORED: the store comes back from an older copy; operator
+        and servers write again what was lost.
     :cvar CONFIG_CHANGE: the operator writes a new configuration.
     :cvar SERVER_LEAVES: a server announces that it leaves, and comes back.
     """
@@ -51,6 +55,7 @@
     STORE_SILENT = "store_silent"
     STORE_LOSES_RESPONSES = "store_loses"
     STORE_DROPS_HISTORY = "store_forgets"
+    STORE_RESTORED = "store_restored"
     CONFIG_CHANGE = "change"
     SERVER_LEAVES = "leave"
 
@@ -81,6 +86,8 @@
         FaultKind.STORE_LINK,
     )
 )
+# Kinds that are drawn apart, so that the other faults of a seed don't change.
+EXTRA_KINDS = frozenset((FaultKind.STORE_RESTORED,))
 SERVER_KINDS = frozenset(
     (
         FaultKind.SERVER_LINK,
@@ -136,9 +143,20 @@
                 _repeat(fault, fault.at + SERIES_INTERVAL * number, length)
                 for number in range(1, SERIES_LENGTH)
             ]
+    faults += _draw_restorations(seed, length)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
+def _draw_restorations(seed: int, length: float) -> list[Fault]:
+    rng = random.Random(f"restorations {seed}")
+    faults = []
+    at = 0.0
+    while (at := at + rng.expovariate(MEAN_RESTORATIONS / length)) < length:
+        duration = min(rng.uniform(MIN_DURATION, MAX_DURATION), length - at)
+        faults.append(Fault(at, duration, FaultKind.STORE_RESTORED))
+    return faults
+
+
 def _draw_fault(
     rng: random.Random,
     at: float,
@@ -146,7 +164,7 @@
     nodes: Sequence[str],
     servers: Sequence[str],
 ) -> Fault:
-    kind = rng.choice(list(FaultKind))
+    kind = rng.choice([kind for kind in FaultKind if kind not in EXTRA_KINDS])
     duration = min(rng.uniform(MIN_DURATION, MAX_DURATION), length - at)
     target = ""
     if kind in NODE_KINDS:
