Let nodes that start wait for the configuration that was in force

A node that started on the older copy served an older configuration than its peers: 404 for routes that were confirmed, and keys that were withdrawn were taken again, until the operator had written again. Cause: a new node can't tell that the copy is old, and its peers didn't say.

A node that knows a later configuration than the copy writes its version to a shared row, after a random delay; a node that starts answers 503 and isn't ready until it has it, for ten seconds at most. It also reads the shared rows before it is ready, or waits a second for them. Tests: the start on an older copy failed before (ready at once, 200). Exposed: a start before the row is written, within some tenths of a second, and the loss of all nodes at once.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
@@ -67,7 +67,7 @@
         :returns: the admitted request, or the refusal to answer with.
         """
         current_catalog = self._cluster_state.catalog
-        if current_catalog is None or not self._cluster_state.fleet.fully_read:
+        if current_catalog is None or not self._cluster_state.ready:
             return Err(
                 refusal.Refusal(refusal.Reason.NO_CONFIG, START_RETRY_AFTER)
             )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 import json
+import math
 
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
@@ -22,6 +24,15 @@
 CRASH_PREFIX = "crashed/"
 ANSWER_PREFIX = "answered/"
 ROLLOUT_PREFIX = "rollout/"
+# Key of the row with the version of the configuration that was in force before
+# the store was restored from an older copy.
+CONFIG_IN_FORCE_KEY = "config/in_force"
+# Time for which a node that starts waits for that version, in seconds; the
+# operator writes it again within a few.
+CONFIG_REWRITE_TIMEOUT = 10.0
+# Time for which a node that starts waits for the rows that nodes share, in
+# seconds.
+SHARED_ROWS_TIMEOUT = 1.0
 
 RowOwner = Callable[[Mapping[str, str]], None]
 
@@ -29,6 +40,18 @@
 MAX_PUBLISHED_ANSWERS = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigInForce:
+    """Configuration in force when the store was restored.
+
+    :param until: instant on the store's clock until which nodes that start
+        wait for it, in seconds.
+    """
+
+    version: int = 0
+    until: float = -math.inf
+
+
 class ClusterState:
     """Holds the configuration, servers, roll-outs and nodes that are known.
 
@@ -51,6 +74,11 @@
         self.published_answers: dict[str, float] = {}
         self._clock = clock
         self._store_offset = 0.0
+        self._ready = False
+        self._shared_rows_read = False
+        self._platform_read_at: float | None = None
+        self._in_force = ConfigInForce()
+        self.on_older_config: Callable[[], None] = lambda: None
         self._row_owners: list[RowOwner] = []
         self._evacuated: dict[str, str] = {}
         self._unreadable = metrics.counter(
@@ -67,8 +95,29 @@
 
     @property
     def ready(self) -> bool:
-        """Whether configuration and servers are known, so requests can run."""
-        return self.catalog is not None and self.fleet.fully_read
+        """Whether configuration and servers are known, so requests can run.
+
+        A node that starts while the store holds an older configuration than
+        was in force waits for that one.
+        """
+        self._ready = self._ready or self._may_start()
+        return self._ready
+
+    def _may_start(self) -> bool:
+        if self.catalog is None or not self.fleet.fully_read:
+            return False
+        now = self._clock.monotonic()
+        if self._platform_read_at is None:
+            self._platform_read_at = now
+        if not self._shared_rows_read:
+            return now - self._platform_read_at > SHARED_ROWS_TIMEOUT
+        return not self.needs_config(self.catalog.version)
+
+    def needs_config(self, version: int) -> bool:
+        """Return whether a later configuration was in force lately."""
+        if self.store_time() > self._in_force.until:
+            return False
+        return version < self._in_force.version
 
     def apply_operator(self, batch: ports.Batch[ports.OperatorEntry]) -> None:
         """Apply configuration, roll-out orders and evacuations of zones."""
@@ -81,6 +130,8 @@
                     if isinstance(change.entry, types.RolloutOrder)
                 }
             )
+        if batch.restored and self._is_older_copy(batch):
+            self.on_older_config()
         for change in batch.changes:
             entry = change.entry
             if isinstance(entry, types.Config):
@@ -96,6 +147,16 @@
                 self._log_unreadable("operator", entry)
         self._apply_zones(zones)
 
+    def _is_older_copy(self, batch: ports.Batch[ports.OperatorEntry]) -> bool:
+        """Return whether a restored store lacks the known configuration."""
+        versions = [
+            change.entry.version
+            for change in batch.changes
+            if isinstance(change.entry, types.Config)
+        ]
+        known = self.catalog.version if self.catalog else 0
+        return max(versions, default=0) < known
+
     def apply_servers(self, batch: ports.Batch[types.Server]) -> None:
         """Apply entries of backend servers."""
         present = set()
@@ -128,6 +189,8 @@
             if not isinstance(row, ports.SharedRow):
                 if prefix == NODE_PREFIX:
                     peers.pop(name, None)
+            elif change.key == CONFIG_IN_FORCE_KEY:
+                self._apply_config_in_force(row.value)
             elif prefix == NODE_PREFIX:
                 peers[name] = _peer(row.value)
             elif prefix == CRASH_PREFIX:
@@ -136,6 +199,7 @@
                 self._apply_answer(name, row.value)
             elif prefix == ROLLOUT_PREFIX:
                 self.apply_stage(name, row.value, change.version)
+        self._shared_rows_read = True
         self.peers = peers
         self.nodes = frozenset(peers)
 
@@ -203,6 +267,26 @@
             return
         self.crash_suspects.record_crash(server, at, suspects)
 
+    def config_in_force_row(self) -> str:
+        """Return the row that tells other nodes of this node's configuration.
+
+        Nodes that start wait for it while it is missing in the store.
+        """
+        version = self.catalog.version if self.catalog else 0
+        until = self.store_time() + CONFIG_REWRITE_TIMEOUT
+        return json.dumps({"version": version, "until": until})
+
+    def _apply_config_in_force(self, text: str) -> None:
+        try:
+            row = json.loads(text)
+            in_force = ConfigInForce(int(row["version"]), float(row["until"]))
+        except (KeyError, TypeError, ValueError) as exc:
+            self._log_unreadable(
+                "shared", ports.Unreadable(CONFIG_IN_FORCE_KEY, (repr(exc),))
+            )
+            return
+        self._in_force = in_force
+
     def _apply_answer(self, trait: str, text: str) -> None:
         """Apply the news that a request with a trait was answered."""
         try:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -56,9 +56,9 @@
 SHARED_PAUSE = 1.2
 # Pause before another attempt to publish this node's address, seconds.
 PRESENCE_RETRY_PAUSE = 1.0
-# Upper bound of the random delay before this node's address is published
-# again, seconds for each node: all nodes may have lost theirs.
-PRESENCE_DELAY_PER_NODE = 0.01
+# Upper bound of the random delay of a write that all nodes may have to make
+# after a restoration of the store, seconds for each node.
+WRITE_DELAY_PER_NODE = 0.01
 
 
 # Interval between two checks of the settings file, seconds. The file may
@@ -149,6 +149,9 @@
             self._spawn(follower.run(), "watch")
         self._spawn(self._publish_presence(), "presence")
         self.cluster_state.on_restoration(self._restore_presence)
+        self.cluster_state.on_older_config = lambda: self._spawn(
+            self._publish_config_in_force(), "configuration in force"
+        )
         self._spawn(self._check_settings_file(), "settings")
         self._start_rollout_tasks(clock, broadcast)
         self._spawn(broadcast.run(platform.settings.peers), "gossip")
@@ -326,9 +329,34 @@
     def _restore_presence(self, rows: Mapping[str, str]) -> None:
         """Publish this node's address again if the store has lost it."""
         if self._presence_key not in rows:
-            longest = PRESENCE_DELAY_PER_NODE * len(self.cluster_state.nodes)
-            delay = random.uniform(0.0, longest)
-            self._spawn(self._publish_presence(delay), "presence")
+            self._spawn(
+                self._publish_presence(self._random_delay()), "presence"
+            )
+
+    def _random_delay(self) -> float:
+        """Return a delay that spreads the writes of all nodes, in seconds."""
+        longest = WRITE_DELAY_PER_NODE * len(self.cluster_state.nodes)
+        return random.uniform(0.0, longest)
+
+    async def _publish_config_in_force(self) -> None:
+        """Tell nodes that start which configuration they must wait for."""
+        state = self.cluster_state
+        await asyncio.sleep(self._random_delay())
+        in_force = state.catalog.version if state.catalog else 0
+        if state.needs_config(in_force - 1):
+            # Another node was faster.
+            return
+        put = ports.SharedPut(
+            cluster_state.CONFIG_IN_FORCE_KEY, state.config_in_force_row()
+        )
+        try:
+            await self.platform.shared.put([put])
+        except exceptions.StoreError as exc:
+            self.journal.emit(
+                events.UnexpectedError(
+                    "publishing the configuration in force", str(exc)[:200]
+                )
+            )
 
     async def _publish_presence(self, delay: float = 0.0) -> None:
         """Write the row by which other nodes find this one.
--- a/tests/limpetwalk_node/gateway/test_restored_store.py
+++ b/tests/limpetwalk_node/gateway/test_restored_store.py
@@ -1,10 +1,12 @@
 """Tests of a store that is restored from a copy some seconds old."""
 
 import asyncio
+import time
 from unittest import mock
 
 from limpetwalk.gateway import fleet
 from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import cluster_state
 from limpetwalk_node.gateway import table_follower
 
 from . import harness
@@ -124,3 +126,51 @@
     def present_since(self) -> int:
         """Version of the row with the node's address."""
         return self.store.rows["limpetwalk", "node/node-1"].ver
+
+    async def test_nodes_that_start_are_told_of_the_lost_configuration(
+        self,
+    ) -> None:
+        await self.store.put("op", "config", site.config_row(version=5))
+        await self.run_.until(lambda: self.state.catalog.version == 5)
+        await self.lose_and_return(1)
+        key = cluster_state.CONFIG_IN_FORCE_KEY
+        await self.run_.until(lambda: self.store.value("limpetwalk", key))
+        self.assertEqual(5, self.store.value("limpetwalk", key)["version"])
+
+
+class StartOnAnOlderCopy(harness.GatewayCase):
+    """A node starts before the operator has written again what was lost."""
+
+    async def asyncSetUp(self) -> None:
+        # The gateway starts in each test.
+        self.run_ = harness.RunningGateway()
+
+    async def start(self, until: float) -> None:
+        store = self.run_.site.store
+        row = {"version": 5, "until": until}
+        await store.put("limpetwalk", cluster_state.CONFIG_IN_FORCE_KEY, row)
+        with mock.patch.object(harness, "WAIT_TIMEOUT", 1.0):
+            await self.run_.start(self.services)
+        self.addAsyncCleanup(self.run_.stop)
+
+    async def test_older_configuration_is_not_served(self) -> None:
+        """Routes that were confirmed would be refused with 404."""
+        started = asyncio.create_task(self.start(time.monotonic() + 30))
+        with self.assertRaises(TimeoutError):
+            await started
+        self.addAsyncCleanup(self.run_.stop)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
+        config = site.config_row(version=5)
+        await self.run_.site.store.put("op", "config", config)
+        state = self.run_.gateway.cluster_state
+        await self.run_.until(lambda: state.ready)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(200, resp.status)
+
+    async def test_configuration_that_never_comes_is_not_waited_for(
+        self,
+    ) -> None:
+        await self.start(time.monotonic() - 1)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(200, resp.status)
