Tell callers to come back when the first of the crashed servers does

Cause: the time to come back was the same for full servers and for servers that are down.

A server that refuses connections counts as down from the first refusal. When all of a service are, callers come back when the first is expected, over one second, within a third of their time. What remains: requests before the block crash all five engines, and nothing can be served for some seconds.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -18,6 +18,7 @@
 from limpetwalk.gateway import response_check
 from limpetwalk.gateway import retries
 from limpetwalk.gateway import retry_budget
+from limpetwalk.gateway import return_time
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import types
@@ -66,6 +67,7 @@
         self.journal = journal
         self.poison_requests = quarantine
         self._settings = settings
+        self._rng = random.Random()
         self._prefix_cache = prefix_cache.PrefixCacheTracker(
             clock, settings().bounds.reuse_window
         )
@@ -379,7 +381,13 @@
 
     def _retry_after(self, call: calls.Call) -> float:
         """Return the seconds after which a caller should retry."""
-        return round(max(0.1, min(1.0, self.time_left(call) / 4)), 2)
+        seconds = return_time.retry_after(
+            self.cluster_state.fleet.usable(call.service),
+            self.time_left(call),
+            self.clock.monotonic(),
+            self._rng,
+        )
+        return round(seconds, 2)
 
     async def _send(
         self,
--- a/packages/limpetwalk/limpetwalk/gateway/fleet.py
+++ b/packages/limpetwalk/limpetwalk/gateway/fleet.py
@@ -38,6 +38,8 @@
     :param outcome_weight: weight of all recent outcomes, halved likewise.
     :param failures_in_row: failures since the last success.
     :param backoff_until: instant at which the backoff ends.
+    :param unreached_since: instant since which no connection was established,
+        None while it is up.
     """
 
     in_flight: int = 0
@@ -45,6 +47,7 @@
     outcome_weight: float = 0.0
     failures_in_row: int = 0
     backoff_until: float = -math.inf
+    unreached_since: float | None = None
     _next_backoff: float = FIRST_BACKOFF
     _decayed_at: float = 0.0
 
@@ -61,6 +64,10 @@
         """
         self._decay(now)
         self.outcome_weight += 1.0
+        if not unreached:
+            self.unreached_since = None
+        elif self.unreached_since is None:
+            self.unreached_since = now
         if not failed:
             self.failures_in_row = 0
             self._next_backoff = FIRST_BACKOFF
