Remove no rows of a restored table before it has settled

A second loss of history, or a pause of the process, within the five seconds led to a full read that removed what the copy lacked: the fault that holding was made against. Found by reading; the test failed before (a full read after the second loss).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
@@ -136,11 +136,10 @@
             self._note_answer()
             if 0 < self._latest.era < batch.version.era:
                 self._note_restoration(batch)
+            if batch.full_read and not self._is_settled():
                 batch = dataclasses.replace(
                     batch, full_read=False, restored=True
                 )
-            elif batch.full_read:
-                self._settled_at = None
             if batch.changes or batch.full_read or batch.restored:
                 self._apply(batch)
             self._last_change = max(
@@ -208,6 +207,14 @@
                 events.DependencyLost(self._feed.name, reason[:200])
             )
 
+    def _is_settled(self) -> bool:
+        """Return whether a full read tells which rows were removed."""
+        if self._settled_at is not None:
+            if self._clock.monotonic() < self._settled_at:
+                return False
+            self._settled_at = None
+        return True
+
     def _note_restoration(self, batch: ports.Batch[T]) -> None:
         """Keep what the copy lacks until the table has settled."""
         self._settled_at = self._clock.monotonic() + SETTLE_TIME
--- a/tests/limpetwalk_node/gateway/test_table_follower.py
+++ b/tests/limpetwalk_node/gateway/test_table_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
@@ -118,6 +119,23 @@
         feed = await self.follow(3, exceptions.HistoryLost("3"), 9)
         self.assertEqual([None, 3, None, 9], feed.calls)
 
+    async def test_rows_are_kept_until_a_restored_table_has_settled(
+        self,
+    ) -> None:
+        restored = types.Version(2, 2)
+        with mock.patch.object(table_follower, "SETTLE_TIME", 0.2):
+            await self.follow(
+                9,
+                exceptions.HistoryLost("1.9"),
+                restored,
+                exceptions.HistoryLost("2.2"),
+                restored,
+            )
+        self.assertEqual(
+            [(True, False), (False, True), (False, True)],
+            [(batch.full_read, batch.restored) for batch in self.batches],
+        )
+
     async def test_version_never_decreases(self) -> None:
         feed = await self.follow(9, 4)
         self.assertEqual([None, 9, 9], feed.calls)
