Tell a removed order of the copy from one that is given again

A node took any order of a later era for the one that its last stage belongs to, also after it had seen it removed, so a version that was taken back could not be rolled out again; and an order that the copy held again after its removal began anew. Removed orders are remembered: one of the copy is the same, one that comes later is new. Found by reading the change; a test of each.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -137,7 +137,7 @@
             if isinstance(entry, types.Config):
                 self._apply_config(entry, batch.full_read)
             elif isinstance(entry, types.RolloutOrder):
-                self.rollouts.apply_order(entry)
+                self.rollouts.apply_order(entry, batch.restored)
             elif isinstance(entry, ports.ZoneEvacuated):
                 zones[change.key] = entry.zone
             elif isinstance(entry, ports.Removed):
--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -106,6 +106,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self.orders: dict[str, types.RolloutOrder] = {}
+        self._removed_orders: dict[str, types.RolloutOrder] = {}
         self._ordered_at: dict[str, float] = {}
         # Services whose known order is the first that this node has seen.
         self._first_orders: set[str] = set()
@@ -114,11 +115,21 @@
         self.lost_stages: set[str] = set()
         self._sessions: dict[str, tuple[str, float]] = {}
 
-    def apply_order(self, order: types.RolloutOrder) -> None:
-        """Add or update an order."""
+    def apply_order(
+        self, order: types.RolloutOrder, restored: bool = False
+    ) -> None:
+        """Add or update an order.
+
+        :param restored: whether it stands in the copy of a restored store,
+            which may hold an order that was removed since.
+        """
         previous = self.orders.get(order.service)
+        removed = self._removed_orders.get(order.service)
+        if previous is None and restored:
+            previous = removed
         if previous is None:
-            self._first_orders.add(order.service)
+            if removed is None:
+                self._first_orders.add(order.service)
         elif order.version == previous.version or order.repeats(previous):
             order = replace(order, order_id=previous.order_id)
         elif previous.order_id != order.order_id:
@@ -163,7 +174,13 @@
 
         :param key: key of the row; its last part is the service.
         """
-        self.orders.pop(key.rpartition("/")[2], None)
+        self._remove(key.rpartition("/")[2])
+
+    def _remove(self, service: str) -> None:
+        order = self.orders.pop(service, None)
+        if order is not None:
+            self._removed_orders[service] = order
+            self._first_orders.discard(service)
 
     def retain_orders(self, services: Iterable[str]) -> None:
         """Remove orders that are missing from a full read of the table.
@@ -172,7 +189,7 @@
         """
         retained = set(services)
         for service in set(self.orders) - retained:
-            del self.orders[service]
+            self._remove(service)
 
     def apply_stage(
         self, service: str, text: str, version: types.Version
--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -87,6 +87,20 @@
             self.rollouts.apply_order(self.order(9, era=2))
             self.assertIsNotNone(self.rollouts.stage("s"))
 
+    def test_removed_order_of_the_copy_does_not_begin_again(self) -> None:
+        self.rollouts.apply_order(self.order(7))
+        self.apply_stage(stage(rollout.Phase.REVERTED), 8)
+        self.rollouts.remove_order("rollout/s")
+        self.rollouts.apply_order(self.order(7, era=2), restored=True)
+        self.assertIsNotNone(self.rollouts.stage("s"))
+
+    def test_version_that_is_ordered_again_begins_anew(self) -> None:
+        self.rollouts.apply_order(self.order(7))
+        self.apply_stage(stage(rollout.Phase.REVERTED), 8)
+        self.rollouts.remove_order("rollout/s")
+        self.rollouts.apply_order(self.order(30, era=2))
+        self.assertIsNone(self.rollouts.stage("s"))
+
     def test_new_node_matches_an_order_that_was_written_again(self) -> None:
         self.rollouts.apply_order(self.order(4, era=2))
         self.apply_stage(stage(rollout.Phase.CANARY), 8)
