--- a/tests/limpetwalk/backends/test_plain.py
+++ b/tests/limpetwalk/backends/test_plain.py
@@ -221,6 +221,29 @@
             await client.fetch_outcome("r2")
         self.assertIs(base.FailureKind.MISMATCHED, raised.exception.kind)
 
+    async def test_head_cut_at_any_byte_gives_no_answer(self):
+        cut = 0
+        heads = []
+
+        async def cut_head(conn: raw_server.Connection) -> None:
+            head = (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                f"X-Request-Id: {conn.headers['x-request-id']}\r\n"
+                f"X-Attempt-Id: {conn.headers['x-attempt-id']}\r\n"
+                "Content-Length: 0\r\n\r\n"
+            )
+            heads.append(head)
+            await conn.send(head[:cut].encode())
+
+        stand_in = raw_server.RawServer(cut_head)
+        port = await stand_in.start()
+        self.addAsyncCleanup(stand_in.stop)
+        client = self.client(port)
+        for cut in range(0, 98, 3):
+            with self.assertRaises(base.AttemptFailed, msg=f"cut at {cut}"):
+                await client.call_service(backend_fixtures.service_call())
+        self.assertLess(cut, len(heads[-1]))
+
     async def test_the_library_does_not_retry_a_put_by_itself(self):
         # When a reused connection closes during the second request, the HTTP
         # library would send a PUT again over a new connection.
