--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_silent_servers.py
@@ -0,0 +1,172 @@
+"""Tests of sound servers that pause in the middle of an answer."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import time
+from unittest import mock
+
+from aiohttp import web
+
+from limpetwalk_bench.hub import server
+from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import streaming
+
+from . import harness
+
+ALL_EVENTS = b"".join(server.event(number) for number in range(1, 6))
+# Longest gap between two events of the route, and a pause beyond it, seconds.
+LARGEST_GAP = 0.2
+PAUSE = 0.7
+# Time for which a server may go on after another one took over, seconds.
+MAX_OVERLAP = 0.4
+
+
+class SilentServer(harness.GatewayCase):
+    """A server falls silent in a stream that another one may resume."""
+
+    services = {"e-1": site.ENGINE, "e-2": site.ENGINE, "p-1": site.PLAIN}
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.enterContext(
+            mock.patch.object(streaming, "MIN_SILENCE_TIMEOUT", 0.1)
+        )
+        config = site.config_row(version=2)
+        config["routes"][0].update(
+            attempts=3, itl_slo_ms=LARGEST_GAP * 1000, slo_ms=200
+        )
+        await self.run_.site.store.put("op", "config", config)
+        state = self.run_.gateway.cluster_state
+        await self.run_.until(lambda: state.catalog.version == 2)
+        self.asked: list[str] = []
+        self.ended_at: dict[str, float] = {}
+
+    def serve(
+        self,
+        first: Callable[[web.Request], Awaitable[web.StreamResponse | None]],
+        others: Callable[[web.Request], Awaitable[web.StreamResponse | None]],
+    ) -> None:
+        """Set what the first server that is asked does, and the others."""
+
+        async def behave(req: web.Request) -> web.StreamResponse | None:
+            server_id = req.headers["Target-Instance"]
+            self.asked.append(server_id)
+            try:
+                return await (first if len(self.asked) == 1 else others)(req)
+            finally:
+                self.ended_at[server_id] = time.monotonic()
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).behaviour = behave
+
+    @contextlib.asynccontextmanager
+    async def answer(
+        self, req: web.Request
+    ) -> AsyncIterator[web.StreamResponse]:
+        """Start a stream of events."""
+        engine = self.server(req.headers["Target-Instance"])
+        resp = web.StreamResponse(
+            headers={
+                **engine.answer_headers(req),
+                "Confidence": "100",
+                "Content-Type": "text/event-stream",
+            }
+        )
+        await resp.prepare(req)
+        yield resp
+        await resp.write_eof()
+
+    async def pause(self, req: web.Request) -> web.StreamResponse:
+        """Send two events, pause, and send the others."""
+        async with self.answer(req) as resp:
+            await resp.write(server.event(1) + server.event(2))
+            await asyncio.sleep(PAUSE)
+            for number in range(3, 6):
+                await resp.write(server.event(number))
+        return resp
+
+    async def hang(self, req: web.Request) -> web.StreamResponse:
+        """Send two events and nothing more."""
+        async with self.answer(req) as resp:
+            await resp.write(server.event(1) + server.event(2))
+            await asyncio.sleep(30)
+        return resp
+
+    async def reject(self, req: web.Request) -> web.StreamResponse:
+        """Reject a request as a server without room does."""
+        return web.Response(status=503, headers={"Not-Executed": "1"})
+
+    async def wait(self, req: web.Request) -> web.StreamResponse:
+        """Don't answer."""
+        await asyncio.sleep(30)
+        raise AssertionError
+
+    async def rest(self, req: web.Request) -> None:
+        """Answer as usual."""
+        return None
+
+    async def read(self) -> bytes:
+        """Return the stream that a caller gets."""
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+            return await resp.read()
+
+    async def test_stream_without_a_replacement_survives_a_pause(self) -> None:
+        self.serve(self.pause, self.reject)
+        self.assertEqual(ALL_EVENTS, await self.read())
+
+    async def test_stream_goes_on_while_the_replacement_waits(self) -> None:
+        self.serve(self.pause, self.wait)
+        self.assertEqual(ALL_EVENTS, await self.read())
+        self.assertEqual(2, len(self.asked))
+        await self.run_.until(lambda: len(self.ended_at) == 2)
+
+    async def test_silent_server_is_replaced_and_ended(self) -> None:
+        self.serve(self.hang, self.rest)
+        began = time.monotonic()
+        self.assertEqual(ALL_EVENTS, await self.read())
+        self.assertLess(time.monotonic() - began, 1.0)
+        silent, replacement = self.asked
+        await self.run_.until(lambda: len(self.ended_at) == 2)
+        overlap = self.ended_at[silent] - self.ended_at[replacement]
+        self.assertLess(overlap, MAX_OVERLAP)
+
+    async def test_late_first_event_is_forwarded_after_refusals(self) -> None:
+        async def late(req: web.Request) -> None:
+            await asyncio.sleep(PAUSE)
+
+        self.serve(late, self.reject)
+        self.assertEqual(ALL_EVENTS, await self.read())
+
+    async def test_requests_end_when_the_caller_leaves(self) -> None:
+        self.serve(self.hang, self.wait)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.6):
+                await self.read()
+        self.assertEqual(2, len(self.asked))
+        await self.run_.until(lambda: len(self.ended_at) == 2)
+
+
+class SilentPlainServer(harness.GatewayCase):
+    """A plain service answers late, while the others have no room."""
+
+    services = {"e-1": site.ENGINE, "p-1": site.PLAIN, "p-2": site.PLAIN}
+
+    async def test_late_answer_is_delivered_after_refusals(self) -> None:
+        asked = []
+
+        async def behave(req: web.Request) -> web.StreamResponse | None:
+            asked.append(req)
+            if len(asked) > 1:
+                return web.Response(status=503, headers={"Not-Executed": "1"})
+            await asyncio.sleep(1.2)
+            return None
+
+        for server_id in ("p-1", "p-2"):
+            self.server(server_id).behaviour = behave
+        async with self.run_.request("GET", "/again/x") as resp:
+            self.assertEqual(200, resp.status)
+        self.assertEqual(2, len(asked))
