Keep a silent server until another one has begun to answer

Cause: a timeout was taken for a failure. An attempt ended after the largest gap of its route without an event (or after the target latency without a head) wherever another attempt was allowed, before it was known whether another server would take the request. When none did (down, no room, retry budget used, an answer that is no rest of the stream), the caller lost an answer that was still being made. The class of fault: giving up what works for what is only hoped for.

Now silence only starts a search beside the attempt that runs. The first server to begin wins and the others are closed at once; if the search finds none, the first one is waited for until the deadline. Attempts that run count against the route's attempts, and each search takes from the retry budget as a retry did. The same for the heads of streams and for plain calls that may be repeated, which were given up after half of their time.

Ruled out by reading: TCP_USER_TIMEOUT without keep-alive on connections to servers ends nothing while the server is silent but acknowledges; a buffer that gives way is logged under another detail.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -186,29 +186,29 @@
         choice: placement.Choice,
         model: str,
         last_event: str,
-        timeout: float,
     ) -> outbound.StartedAnswer | outbound.FailedAttempt:
         """Send a call to a server and wait for the response headers.
 
         :param last_event: id of the event after which the server resumes the
             stream, or empty.
-        :param timeout: longest time to wait for the headers, in seconds.
         """
         time_left = self.time_left(call)
         member = choice.member
         call.tried_servers.add(member.id)
-        call.answering_since = None
+        call.attempt_counts.record_start()
         self._log_placement(call, choice, model, time_left)
         self._count_request(choice)
         started: outbound.StartedAnswer | outbound.FailedAttempt | None = None
         try:
             started = await self._send(
-                call, member, model, last_event, min(time_left, timeout)
+                call, member, model, last_event, time_left
             )
         finally:
             self.server_loads.finish_prefill(member.id, choice.prefill_seconds)
             if not isinstance(started, outbound.StartedAnswer):
                 self.finish(member)
+            if started is None:
+                call.attempt_counts.record(retries.Outcome.UNKNOWN)
         if isinstance(started, outbound.StartedAnswer):
             self._record_head(call, choice, started)
         return started
@@ -229,6 +229,14 @@
             )
         return outbound.CompleteAnswer(started.head, body, started.member.id)
 
+    def discard(
+        self, call: calls.Call, started: outbound.StartedAnswer
+    ) -> None:
+        """End an answer that isn't used, since another one is."""
+        started.exchange.close()
+        self.finish(started.member)
+        call.attempt_counts.record(retries.Outcome.UNKNOWN)
+
     def finish(self, member: fleet.Member) -> None:
         """Record that a request at a server has ended."""
         member.health.in_flight -= 1
@@ -339,22 +347,64 @@
             and not service_budget.try_take()
         ):
             stop_reason = retries.NoRetryReason.BUDGET
+        self.log_attempt_ended(call, member, failure, stop_reason)
+        if stop_reason is None:
+            self._retries.labels(failure.outcome.value).inc()
+            return True
+        self._retries_denied.labels(stop_reason.value).inc()
+        return False
+
+    def may_replace(self, call: calls.Call) -> bool:
+        """Return whether another server may be asked besides a silent one.
+
+        Takes from the retry budget if it may.
+        """
+        outcome = retries.Outcome.UNKNOWN
+        service_budget = self.budget(call.service)
+        stop_reason = retries.no_retry_reason(
+            call.route, call.attempt_counts, outcome, self.time_left(call)
+        )
+        if stop_reason is None and self.poison_requests.is_blocked(call):
+            stop_reason = retries.NoRetryReason.POISON
+        if stop_reason is None and not service_budget.try_take():
+            stop_reason = retries.NoRetryReason.BUDGET
         self.journal.emit(
-            events.AttemptEnded(
+            events.ServerSilent(
                 request=call.caller_attempt_id,
-                server=member.id,
-                outcome=failure.outcome.value,
-                detail=failure.detail[:200],
+                running=call.attempt_counts.running,
                 stop=stop_reason.value if stop_reason else "",
                 budget_left=round(service_budget.remaining(), 1),
             )
         )
         if stop_reason is None:
-            self._retries.labels(failure.outcome.value).inc()
+            self._retries.labels("silent").inc()
             return True
         self._retries_denied.labels(stop_reason.value).inc()
         return False
 
+    def log_attempt_ended(
+        self,
+        call: calls.Call,
+        member: fleet.Member,
+        failure: outbound.FailedAttempt,
+        stop_reason: retries.NoRetryReason | None = None,
+    ) -> None:
+        """Log how an attempt failed.
+
+        :param stop_reason: why the call isn't sent again, None if it is.
+        """
+        budget_left = self.budget(call.service).remaining()
+        self.journal.emit(
+            events.AttemptEnded(
+                request=call.caller_attempt_id,
+                server=member.id,
+                outcome=failure.outcome.value,
+                detail=failure.detail[:200],
+                stop=stop_reason.value if stop_reason else "",
+                budget_left=round(budget_left, 1),
+            )
+        )
+
     def refusal_for(
         self, call: calls.Call, last_failure: outbound.FailedAttempt | None
     ) -> refusal.Refusal:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -332,6 +332,22 @@
     budget_left: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServerSilent(Event):
+    """A server has been silent for so long that another one is considered.
+
+    :param running: number of servers that the request is at.
+    :param stop: why no other server is asked, or empty when one is.
+    :param budget_left: retries that the budget of the node still allows.
+    """
+
+    name: ClassVar[str] = "request.silent"
+    request: str
+    running: int
+    stop: str
+    budget_left: float
+
+
 @dataclass(frozen=True, slots=True)
 class EscalationSkipped(Event):
     """An answer of low confidence was kept.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
@@ -7,11 +7,12 @@
 
 from . import dispatch
 from . import outbound
+from . import replacements
 
-# Multiple of the target latency after which a retryable call is sent to
-# another server. Beyond it the answer is late anyway.
+# Multiple of the target latency after which another server is asked besides.
+# Beyond it the answer is late anyway.
 TARGET_LATENCY_FACTOR = 1.5
-# Share of the remaining time that an attempt may take while others remain.
+# Share of the remaining time after which another server is asked besides.
 ATTEMPT_TIME_SHARE = 0.5
 
 
@@ -25,43 +26,77 @@
         self, call: calls.Call
     ) -> outbound.CompleteAnswer | refusal.Refusal:
         """Return a server's answer, or the refusal when there is none."""
-        last: outbound.FailedAttempt | None = None
-        while self._dispatcher.time_left(call) > retries.MIN_TIME_LEFT:
-            choice = self._dispatcher.place(call)
+        search = _Search(call, self._dispatcher)
+        answers = replacements.Replacements(
+            search.run, lambda answer: None, search.may_add
+        )
+        try:
+            answer = await answers.first(self._patience(call))
+        finally:
+            await answers.drop()
+        if answer is not None:
+            return answer
+        last = search.last_failure
+        if last is not None and last.answer is not None:
+            return last.answer
+        return self._dispatcher.refusal_for(call, last)
+
+    def _patience(self, call: calls.Call) -> float | None:
+        """Return the seconds to wait before another server is asked.
+
+        :returns: None when the call may not be sent to two servers.
+        """
+        if not call.route.retryable:
+            return None
+        return min(
+            call.route.target_latency * TARGET_LATENCY_FACTOR,
+            self._dispatcher.time_left(call) * ATTEMPT_TIME_SHARE,
+        )
+
+
+class _Search:
+    """Search for a server that answers a call completely."""
+
+    def __init__(
+        self, call: calls.Call, dispatcher: dispatch.Dispatcher
+    ) -> None:
+        self._call = call
+        self._dispatcher = dispatcher
+        self.last_failure: outbound.FailedAttempt | None = None
+
+    async def run(self) -> outbound.CompleteAnswer | None:
+        """Send the call to one server after another until one answers."""
+        call, dispatcher = self._call, self._dispatcher
+        while dispatcher.time_left(call) > retries.MIN_TIME_LEFT:
+            choice = dispatcher.place(call)
             if choice is None:
-                break
+                return None
             member = choice.member
-            result = await self._attempt(call, choice)
+            result = await self._attempt(choice)
             if isinstance(result, outbound.CompleteAnswer):
-                self._dispatcher.record_result(call, member, None)
+                dispatcher.record_result(call, member, None)
                 return result
-            last = result
-            self._dispatcher.record_result(call, member, result)
-            if not await self._dispatcher.may_retry(call, member, result):
-                break
-        if last is not None and last.answer is not None:
-            return last.answer
-        return self._dispatcher.refusal_for(call, last)
+            self.last_failure = result
+            dispatcher.record_result(call, member, result)
+            if not await dispatcher.may_retry(call, member, result):
+                return None
+        return None
+
+    def may_add(self) -> bool:
+        """Return whether another server may be asked besides a silent one."""
+        if self._dispatcher.place(self._call) is None:
+            return False
+        return self._dispatcher.may_replace(self._call)
 
     async def _attempt(
-        self, call: calls.Call, choice: placement.Choice
+        self, choice: placement.Choice
     ) -> outbound.CompleteAnswer | outbound.FailedAttempt:
-        started = await self._dispatcher.start(
-            call, choice, "", "", self._head_timeout(call)
-        )
+        call, dispatcher = self._call, self._dispatcher
+        started = await dispatcher.start(call, choice, "", "")
         if isinstance(started, outbound.FailedAttempt):
             return started
         try:
-            return await self._dispatcher.read_answer(call, started)
+            return await dispatcher.read_answer(call, started)
         finally:
             started.exchange.close()
-            self._dispatcher.finish(choice.member)
-
-    def _head_timeout(self, call: calls.Call) -> float:
-        """Return the timeout for the response headers, in seconds."""
-        time_left = self._dispatcher.time_left(call)
-        attempts_left = call.route.attempts - call.attempt_counts.ran - 1
-        if not call.route.retryable or attempts_left <= 0:
-            return time_left
-        target_timeout = call.route.target_latency * TARGET_LATENCY_FACTOR
-        return min(target_timeout, time_left * ATTEMPT_TIME_SHARE)
+            dispatcher.finish(choice.member)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -1,7 +1,9 @@
 """Forwards event streams and resumes them at other servers."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
+import contextlib
 
 from aiohttp import web
 
@@ -9,7 +11,6 @@
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import eventstream
-from limpetwalk.gateway import fleet
 from limpetwalk.gateway import model_escalation
 from limpetwalk.gateway import placement
 from limpetwalk.gateway import refusal
@@ -19,12 +20,13 @@
 from . import dispatch
 from . import events
 from . import outbound
+from . import replacements
 from . import replies
 from . import upstream
 
-# Lower bound of the timeout for a silent server while other servers may still
-# be tried, seconds. A long prompt of another request may delay an engine for
-# as long.
+# Lower bound of the time after which another server is asked besides a silent
+# one, seconds. A long prompt of another request may delay an engine for as
+# long.
 MIN_SILENCE_TIMEOUT = 0.5
 EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -54,66 +56,62 @@
             received anything; a complete answer or a refusal otherwise.
         """
         relay = Relay(call, req, self._dispatcher, self._closing)
-        last: outbound.FailedAttempt | None = None
-        model = self._start_model(call)
-        while self._dispatcher.time_left(call) > retries.MIN_TIME_LEFT:
-            choice = self._dispatcher.place(call, model, relay.version)
-            if choice is None:
-                break
-            member = choice.member
-            result = await self._attempt(call, choice, model, relay)
-            if result is None:
-                self._dispatcher.record_result(call, member, None)
+        search = _Search(
+            call, relay, self._dispatcher, self._start_model(call)
+        )
+        answers: replacements.Replacements[outbound.StartedAnswer] = (
+            replacements.Replacements(
+                search.run, search.discard, search.may_add
+            )
+        )
+        try:
+            while True:
+                started = await answers.first(_head_patience(call))
+                if started is None:
+                    break
+                # The search may still be for another server.
+                call.answering_since = None
+                result = await self._use(call, started, relay, answers)
+                if isinstance(result, outbound.FailedAttempt):
+                    if await search.may_go_on(started, result, answers):
+                        continue
+                    break
+                if isinstance(result, _Escalation):
+                    search.model = result.model
+                    continue
+                self._dispatcher.record_result(call, started.member, None)
+                if isinstance(result, outbound.CompleteAnswer):
+                    return result
                 relay.complete = True
                 return relay
-            if isinstance(result, outbound.CompleteAnswer):
-                self._dispatcher.record_result(call, member, None)
-                return result
-            if isinstance(result, _Escalation):
-                model = result.model
-                continue
-            last = result
-            self._dispatcher.record_result(call, member, result)
-            if not await self._dispatcher.may_retry(call, member, result):
-                break
-            model = relay.model or model
+        finally:
+            await answers.drop()
         if relay.started:
             return relay
+        last = search.last_failure
         if last is not None and last.answer is not None:
             return last.answer
         return self._dispatcher.refusal_for(call, last)
 
-    async def _attempt(
+    async def _use(
         self,
         call: calls.Call,
-        choice: placement.Choice,
-        model: str,
+        started: outbound.StartedAnswer,
         relay: "Relay",
+        answers: replacements.Replacements[outbound.StartedAnswer],
     ) -> (
         "outbound.FailedAttempt | outbound.CompleteAnswer | _Escalation | None"
     ):
-        if relay.started:
-            self._log_resumed(call, choice.member, relay)
-        started = await self._dispatcher.start(
-            call, choice, model, relay.last_event, self._head_timeout(call)
-        )
-        if isinstance(started, outbound.FailedAttempt):
-            return started
         try:
-            if relay.started and not relay.is_continued_by(started.head):
-                return outbound.FailedAttempt(
-                    retries.Outcome.FAILED,
-                    f"status {started.head.status}, not the rest of a stream",
-                )
             if not started.head.is_success:
                 return await self._dispatcher.read_answer(call, started)
             escalation = self._escalation(call, started, relay)
             if escalation is not None:
                 return escalation
-            return await relay.run(started)
+            return await relay.run(started, answers)
         finally:
             started.exchange.close()
-            self._dispatcher.finish(choice.member)
+            self._dispatcher.finish(started.member)
 
     def _escalation(
         self, call: calls.Call, started: outbound.StartedAnswer, relay: "Relay"
@@ -221,24 +219,6 @@
     def _start_model(self, call: calls.Call) -> str:
         return model_escalation.start_model(call.route.models)
 
-    def _head_timeout(self, call: calls.Call) -> float:
-        """Return the timeout for the response headers, in seconds."""
-        time_left = self._dispatcher.time_left(call)
-        if call.attempt_counts.ran + 1 >= call.route.attempts:
-            return time_left
-        return min(
-            time_left, max(MIN_SILENCE_TIMEOUT, call.route.target_latency)
-        )
-
-    def _log_resumed(
-        self, call: calls.Call, member: fleet.Member, relay: "Relay"
-    ) -> None:
-        self._dispatcher.journal.emit(
-            events.StreamResumed(
-                call.caller_attempt_id, member.id, relay.last_event, ""
-            )
-        )
-
 
 class _Escalation:
     """Decision to drop an answer and ask a larger model."""
@@ -247,6 +227,102 @@
         self.model = model
 
 
+class _Search:
+    """Search for a server that begins to answer a call, or to resume it.
+
+    :param model: model to ask before the stream has begun.
+    """
+
+    def __init__(
+        self,
+        call: calls.Call,
+        relay: "Relay",
+        dispatcher: dispatch.Dispatcher,
+        model: str,
+    ) -> None:
+        self._call = call
+        self._relay = relay
+        self._dispatcher = dispatcher
+        self.model = model
+        self.last_failure: outbound.FailedAttempt | None = None
+
+    async def run(self) -> outbound.StartedAnswer | None:
+        """Send the call to one server after another until one begins."""
+        call, dispatcher = self._call, self._dispatcher
+        while dispatcher.time_left(call) > retries.MIN_TIME_LEFT:
+            choice = self._place()
+            if choice is None:
+                return None
+            started = await self._begin(choice)
+            if isinstance(started, outbound.StartedAnswer):
+                return started
+            self.last_failure = started
+            dispatcher.record_result(call, choice.member, started)
+            if not await dispatcher.may_retry(call, choice.member, started):
+                return None
+        return None
+
+    def may_add(self) -> bool:
+        """Return whether another server may be asked besides a silent one."""
+        if self._place() is None:
+            return False
+        return self._dispatcher.may_replace(self._call)
+
+    def discard(self, started: outbound.StartedAnswer) -> None:
+        """End an answer that isn't used."""
+        self._dispatcher.discard(self._call, started)
+
+    async def may_go_on(
+        self,
+        started: outbound.StartedAnswer,
+        failure: outbound.FailedAttempt,
+        answers: replacements.Replacements[outbound.StartedAnswer],
+    ) -> bool:
+        """Record that an answer failed; return whether to look for another."""
+        call, dispatcher = self._call, self._dispatcher
+        self.last_failure = failure
+        dispatcher.record_result(call, started.member, failure)
+        call.answering_since = None
+        if answers.pending:
+            dispatcher.log_attempt_ended(call, started.member, failure)
+            return True
+        return await dispatcher.may_retry(call, started.member, failure)
+
+    def _place(self) -> placement.Choice | None:
+        relay = self._relay
+        model = relay.model or self.model
+        return self._dispatcher.place(self._call, model, relay.version)
+
+    async def _begin(
+        self, choice: placement.Choice
+    ) -> outbound.StartedAnswer | outbound.FailedAttempt:
+        call, relay = self._call, self._relay
+        if relay.started:
+            self._dispatcher.journal.emit(
+                events.StreamResumed(
+                    call.caller_attempt_id,
+                    choice.member.id,
+                    relay.last_event,
+                    "",
+                )
+            )
+        started = await self._dispatcher.start(
+            call, choice, relay.model or self.model, relay.last_event
+        )
+        if (
+            isinstance(started, outbound.FailedAttempt)
+            or not relay.started
+            or relay.is_continued_by(started.head)
+        ):
+            return started
+        started.exchange.close()
+        self._dispatcher.finish(started.member)
+        return outbound.FailedAttempt(
+            retries.Outcome.FAILED,
+            f"status {started.head.status}, not the rest of a stream",
+        )
+
+
 class Relay:
     """One stream to the caller, fed by one server after another.
 
@@ -293,10 +369,13 @@
         return head.is_success and head.media_type in expected_types
 
     async def run(
-        self, started: outbound.StartedAnswer
+        self,
+        started: outbound.StartedAnswer,
+        answers: replacements.Replacements[outbound.StartedAnswer],
     ) -> outbound.FailedAttempt | None:
-        """Forward events until the stream ends or breaks off.
+        """Forward events until the stream ends, breaks off or is replaced.
 
+        :param answers: seeks a replacement while the server is silent.
         :returns: None for a complete stream, the failure otherwise.
         """
         limits = self._dispatcher.limits
@@ -309,11 +388,13 @@
         )
         try:
             with buffer:
-                await self._forward_events(started, buffer, progress)
+                await self._forward_events(started, answers, buffer, progress)
         except upstream.IncompleteAnswer as exc:
             return outbound.FailedAttempt.incomplete(exc)
         except TimeoutError:
             return self._failed_attempt("no new event in time")
+        except _Replaced:
+            return self._failed_attempt("silent, and replaced")
         except buffers.LimitExceeded as exc:
             return self._failed_attempt(str(exc), f"event_{exc.limit}")
         if self.pace.events < answer_pace.EVENTS_TO_JUDGE:
@@ -331,15 +412,20 @@
     async def _forward_events(
         self,
         started: outbound.StartedAnswer,
+        answers: replacements.Replacements[outbound.StartedAnswer],
         buffer: buffers.Buffer,
         progress: stream_progress.StreamProgress,
     ) -> None:
         splitter = eventstream.EventSplitter(buffer)
-        while chunk := await self._next_chunk(started, buffer, progress):
+        while chunk := await self._next_chunk(
+            started, answers, buffer, progress
+        ):
             for event in splitter.feed(chunk):
                 if event.comment or self._is_duplicate(event):
                     progress.record_filler(len(event.data))
                 else:
+                    if answers.pending:
+                        await answers.drop()
                     await self._forward_event(started, event)
                     progress.record_event()
         if splitter.partial:
@@ -351,17 +437,51 @@
     async def _next_chunk(
         self,
         started: outbound.StartedAnswer,
+        answers: replacements.Replacements[outbound.StartedAnswer],
         buffer: buffers.Buffer,
         progress: stream_progress.StreamProgress,
     ) -> bytes:
+        exchange = started.exchange
+        time_left = self._dispatcher.time_left(self._call)
         try:
-            return await outbound.with_timeout(
-                started.exchange.chunk(), self._event_timeout(progress)
-            )
+            if not self._call.route.resumable:
+                return await outbound.with_timeout(exchange.chunk(), time_left)
+            silence_left = progress.time_left(self._longest_silence)
+            if silence_left > 0 and not answers.pending:
+                with contextlib.suppress(TimeoutError):
+                    return await outbound.with_timeout(
+                        exchange.chunk(), min(time_left, silence_left)
+                    )
+            return await self._read_or_replace(exchange, answers)
         finally:
             # An evicted buffer has closed the connection.
             buffer.check()
 
+    async def _read_or_replace(
+        self,
+        exchange: upstream.Exchange,
+        answers: replacements.Replacements[outbound.StartedAnswer],
+    ) -> bytes:
+        """Return the next bytes of a server that has been silent.
+
+        :raises _Replaced: when another server has begun to answer.
+        """
+        time_left = self._dispatcher.time_left(self._call)
+        read = asyncio.ensure_future(
+            outbound.with_timeout(exchange.chunk(), time_left)
+        )
+        try:
+            if await answers.found_before(read, self._longest_silence):
+                raise _Replaced
+            return await read
+        finally:
+            read.cancel()
+
+    @property
+    def _longest_silence(self) -> float:
+        """Time after which another server is asked besides, in seconds."""
+        return max(MIN_SILENCE_TIMEOUT, self._call.route.largest_gap)
+
     async def close(self) -> None:
         """Close the caller's connection, so the stream can't look complete."""
         if self._req.transport is not None:
@@ -374,20 +494,6 @@
             retries.Outcome.UNKNOWN, detail, limit=limit
         )
 
-    def _event_timeout(
-        self, progress: stream_progress.StreamProgress
-    ) -> float:
-        """Return the seconds to wait for the next new event."""
-        time_left = self._dispatcher.time_left(self._call)
-        route = self._call.route
-        attempts_left = route.attempts - self._call.attempt_counts.ran - 1
-        if not route.resumable or attempts_left <= 0:
-            # No other server can resume the stream, so silence alone must not
-            # end this attempt.
-            return time_left
-        longest_pause = max(MIN_SILENCE_TIMEOUT, route.largest_gap)
-        return min(time_left, progress.time_left(longest_pause))
-
     async def _forward_event(
         self, started: outbound.StartedAnswer, event: eventstream.StreamEvent
     ) -> None:
@@ -433,6 +539,20 @@
         await self._resp.write_eof()
 
 
+class _Replaced(Exception):
+    """Another server has begun to answer in place of a silent one."""
+
+
+def _head_patience(call: calls.Call) -> float | None:
+    """Return the seconds to wait for the head before another server is asked.
+
+    :returns: None when a silent server may not be replaced.
+    """
+    if not call.route.retryable:
+        return None
+    return max(MIN_SILENCE_TIMEOUT, call.route.target_latency)
+
+
 def _parse_confidence(text: str) -> int | None:
     try:
         return int(float(text))
--- a/packages/limpetwalk/limpetwalk/gateway/retries.py
+++ b/packages/limpetwalk/limpetwalk/gateway/retries.py
@@ -47,13 +47,20 @@
 
     :param ran: attempts that ran or may have run.
     :param sent: attempts that reached a server.
+    :param running: attempts that have not ended.
     """
 
     ran: int = 0
     sent: int = 0
+    running: int = 0
+
+    def record_start(self) -> None:
+        """Count an attempt that begins."""
+        self.running += 1
 
     def record(self, outcome: Outcome) -> None:
-        """Count an attempt by its outcome."""
+        """Count an attempt that has ended, by its outcome."""
+        self.running = max(0, self.running - 1)
         if outcome is not Outcome.UNREACHED:
             self.sent += 1
         if outcome in (Outcome.UNKNOWN, Outcome.FAILED):
@@ -74,9 +81,9 @@
     """
     if last in (Outcome.UNKNOWN, Outcome.FAILED) and not route.retryable:
         return NoRetryReason.MAY_HAVE_RUN
-    if counts.ran >= max(1, route.attempts):
+    if counts.ran + counts.running >= max(1, route.attempts):
         return NoRetryReason.ATTEMPTS
-    if counts.sent >= MAX_ATTEMPTS_SENT:
+    if counts.sent + counts.running >= MAX_ATTEMPTS_SENT:
         return NoRetryReason.ATTEMPTS_SENT
     if time_left < MIN_TIME_LEFT:
         return NoRetryReason.TIME
