Consider a replacement once in each pause, not at each comment

A silent server that sends comments woke the search at each of them: 37 lines of request.silent in 0.7 s where 4 are due, and as many draws from the retry budget where it allowed them. The time of the next search is kept now. The test failed with 37.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/replacements.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/replacements.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Coroutine
+import math
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -38,6 +39,7 @@
         self._may_add = may_add
         self._searches: set[asyncio.Task[T | None]] = set()
         self._found: T | None = None
+        self._next_add_at = -math.inf
 
     @property
     def pending(self) -> bool:
@@ -51,10 +53,10 @@
             asked too, in seconds; None to wait for the first one.
         """
         if not self.pending:
-            self._add()
+            self._start()
+            self._postpone(patience)
         while self._found is None and self._searches:
-            if not await self._wait(frozenset(), patience):
-                self.add()
+            await self._wait(frozenset(), patience)
         found, self._found = self._found, None
         return found
 
@@ -67,17 +69,11 @@
         :param patience: time without a result after which another server is
             asked, in seconds.
         """
-        self.add()
+        self._add(patience)
         while not read.done() and self._found is None:
-            if not await self._wait({read}, patience):
-                self.add()
+            await self._wait({read}, patience)
         return not read.done()
 
-    def add(self) -> None:
-        """Start another search if the call allows it."""
-        if self._may_add():
-            self._add()
-
     async def drop(self) -> None:
         """End all searches, and the answer that was found."""
         searches, self._searches = self._searches, set()
@@ -89,21 +85,39 @@
                 self._discard(result)
         self._found = None
 
-    def _add(self) -> None:
+    def _start(self) -> None:
         self._searches.add(asyncio.create_task(self._search()))
 
+    def _postpone(self, patience: float | None) -> None:
+        now = asyncio.get_running_loop().time()
+        self._next_add_at = math.inf if patience is None else now + patience
+
+    def _add(self, patience: float | None) -> None:
+        """Start another search if it is time and the call allows it."""
+        if self._time_to_add() > 0:
+            return
+        self._postpone(patience)
+        if self._may_add():
+            self._start()
+
+    def _time_to_add(self) -> float:
+        return self._next_add_at - asyncio.get_running_loop().time()
+
     async def _wait(
         self, others: Collection[asyncio.Future[Any]], patience: float | None
-    ) -> bool:
-        """Wait for a search or another future; return False after a timeout.
+    ) -> None:
+        """Wait for a search or another future, or until it is time to add.
 
-        :param patience: longest time to wait, in seconds, or None.
+        :param patience: time between two additions, in seconds, or None.
         """
+        timeout = None if patience is None else max(0.0, self._time_to_add())
         done, _ = await asyncio.wait(
             {*self._searches, *others},
-            timeout=patience,
+            timeout=timeout,
             return_when=asyncio.FIRST_COMPLETED,
         )
+        if not done:
+            self._add(patience)
         ended = self._searches & done
         self._searches -= ended
         for search in ended:
@@ -117,4 +131,3 @@
             found, self._found = self._found, None
             await self.drop()
             self._found = found
-        return bool(done)
--- a/tests/limpetwalk_node/gateway/test_silent_servers.py
+++ b/tests/limpetwalk_node/gateway/test_silent_servers.py
@@ -34,15 +34,22 @@
         self.enterContext(
             mock.patch.object(streaming, "MIN_SILENCE_TIMEOUT", 0.1)
         )
-        config = site.config_row(version=2)
+        await self.configure(version=2, attempts=3)
+        self.asked: list[str] = []
+        self.ended_at: dict[str, float] = {}
+
+    async def configure(self, version: int, attempts: int) -> None:
+        """Put a configuration into force.
+
+        :param attempts: servers that the stream may be sent to.
+        """
+        config = site.config_row(version=version)
         config["routes"][0].update(
-            attempts=3, itl_slo_ms=LARGEST_GAP * 1000, slo_ms=200
+            attempts=attempts, itl_slo_ms=LARGEST_GAP * 1000, slo_ms=200
         )
         await self.run_.site.store.put("op", "config", config)
         state = self.run_.gateway.cluster_state
-        await self.run_.until(lambda: state.catalog.version == 2)
-        self.asked: list[str] = []
-        self.ended_at: dict[str, float] = {}
+        await self.run_.until(lambda: state.catalog.version == version)
 
     def serve(
         self,
@@ -141,6 +148,24 @@
         self.serve(late, self.reject)
         self.assertEqual(ALL_EVENTS, await self.read())
 
+    async def test_comments_of_a_silent_server_add_no_lines(self) -> None:
+        await self.configure(version=3, attempts=1)
+
+        async def comment(req: web.Request) -> web.StreamResponse:
+            async with self.answer(req) as resp:
+                await resp.write(server.event(1))
+                for _ in range(50):
+                    await resp.write(b": wait\n\n")
+                    await asyncio.sleep(PAUSE / 50)
+                for number in range(2, 6):
+                    await resp.write(server.event(number))
+            return resp
+
+        self.serve(comment, self.rest)
+        self.assertEqual(ALL_EVENTS, await self.read())
+        considered = self.run_.lines.events("request.silent")
+        self.assertLessEqual(len(considered), PAUSE / LARGEST_GAP + 1)
+
     async def test_requests_end_when_the_caller_leaves(self) -> None:
         self.serve(self.hang, self.wait)
         with self.assertRaises(TimeoutError):
