Refuse odd rows and settings at the border, with findings

An entry of a server, a configuration or an order whose contents were nested 1,100 lists deep raised RecursionError out of the decoder, since that is no ValueError: the follower of the table ended and read nothing any more. Ports out of range, slots of 400 digits or below zero, an infinite cold time, a start time of 10**30 and texts with half of a surrogate pair were taken as sound, and so were infinite, negative or huge numbers of the operator's rows and of the settings file; a port that is no number raised ValueError out of a reload of the settings.

--- a/tests/limpetwalk_platform/test_rows.py
+++ b/tests/limpetwalk_platform/test_rows.py
@@ -1,6 +1,7 @@
 """Decoding of the platform's rows, headers and settings."""
 
 import json
+import math
 import os
 import pathlib
 import tempfile
@@ -72,6 +73,47 @@
         self.assertIn("routes.1.prefix", findings)
         self.assertIn("version", findings)
 
+    def test_odd_numbers_are_unreadable_with_findings(self) -> None:
+        odd = (math.inf, -math.inf, math.nan, -1, 10**400, 1e300)
+        for place, name in (
+            ("routes", "timeout_ms"),
+            ("routes", "slo_ms"),
+            ("routes", "itl_slo_ms"),
+            ("routes", "attempts"),
+            ("backends", "cold_start_s"),
+            ("backends", "cold_per_s"),
+            ("limits", "max_header_bytes"),
+            ("limits", "max_body_bytes"),
+            ("limits", "header_timeout_ms"),
+            ("limits", "idle_timeout_ms"),
+            ("", "version"),
+        ):
+            for number in odd:
+                value = site.config_row()
+                part = value[place] if place else value
+                (part[0] if isinstance(part, list) else part)[name] = number
+                with self.subTest(name=name, number=str(number)[:9]):
+                    decoded = self.decode(value)
+                    assert isinstance(decoded, ports.Unreadable)
+                    self.assertTrue(all(decoded.findings))
+
+    def test_odd_weights_priorities_and_periods_are_unreadable(self) -> None:
+        for number in (math.inf, math.nan, -(10**400), 10**400):
+            value = site.config_row()
+            value["routes"][0]["split"] = [{"backend": "a", "weight": number}]
+            self.assertIsInstance(self.decode(value), ports.Unreadable)
+            value = site.config_row()
+            value["routes"][0]["priority"] = number
+            self.assertIsInstance(self.decode(value), ports.Unreadable)
+            value = site.config_row()
+            value["tenants"][0]["priority"] = number
+            self.assertIsInstance(self.decode(value), ports.Unreadable)
+            order = {"backend": "s", "to": "v2", "period_s": number}
+            decoded = rows.operator_entry(
+                "rollout/s", encode_json(order), VERSION
+            )
+            self.assertIsInstance(decoded, ports.Unreadable)
+
     def test_other_operator_rows(self) -> None:
         order = {"backend": "s", "to": "v2", "period_s": 12}
         self.assertEqual(
@@ -122,6 +164,73 @@
             decoded = rows.server_entry("i-1", value)
             self.assertIsInstance(decoded, ports.Unreadable, value)
 
+    def test_odd_entries_are_unreadable_with_findings(self) -> None:
+        for change in (
+            {"address": "127.0.0.1:99999"},
+            {"address": "127.0.0.1:-1"},
+            {"address": "127.0.0.1:0"},
+            {"address": "127.0.0.1:+80"},
+            {"address": f"127.0.0.1:{'9' * 5000}"},
+            {"address": ":80"},
+            {"address": f"{'a' * 64}.example:80"},
+            {"address": "a..b:80"},
+            {"address": "a\0b:80"},
+            {"slots": -5},
+            {"slots": int("9" * 400)},
+            {"cold_left_ms": math.inf},
+            {"cold_left_ms": math.nan},
+            {"cold_left_ms": -1},
+            {"cold_left_ms": 1e300},
+            {"born": 10**30},
+            {"born": -1},
+            {"seq": 10**30},
+            {"zone": "\ud800"},
+            {"version": "\ud800"},
+            {"backend": "\ud800"},
+            {"models": [{"name": "\udfff"}]},
+        ):
+            with self.subTest(change=str(change)[:60]):
+                decoded = rows.server_entry(
+                    "i-1", encode_json({**site.server_row("s", 1), **change})
+                )
+                assert isinstance(decoded, ports.Unreadable)
+                self.assertTrue(all(decoded.findings))
+        for address in ("10.0.0.1:80", "h-1.example:65535", "localhost:1"):
+            row = {**site.server_row("s", 1), "address": address}
+            decoded = rows.server_entry("i-1", encode_json(row))
+            self.assertIsInstance(decoded, types.Server, address)
+
+    def test_number_beyond_every_type_is_unreadable(self) -> None:
+        for name in ("slots", "born", "seq", "cold_left_ms", "unknown"):
+            for number in ("9" * 5000, "1e999"):
+                row = {**site.server_row("s", 1), name: "N"}
+                value = encode_json(row).replace(b'"N"', number.encode())
+                decoded = rows.server_entry("i-1", value)
+                self.assertIsInstance(decoded, ports.Unreadable, name)
+
+
+class NestedRow(unittest.TestCase):
+    """Rows whose contents are nested very deeply."""
+
+    def test_deeply_nested_rows_are_unreadable(self) -> None:
+        nested = b"[" * 1100 + b"]" * 1100
+        contents = {
+            "config": site.config_row(),
+            "rollout/s": {"backend": "s", "to": "v2", "period_s": 12},
+            "i-1": site.server_row("s", 1),
+        }
+        for key, content in contents.items():
+            value = encode_json({**content, "unknown": "N"})
+            value = value.replace(b'"N"', nested)
+            with self.subTest(key=key):
+                decoded = (
+                    rows.server_entry(key, value)
+                    if key == "i-1"
+                    else rows.operator_entry(key, value, VERSION)
+                )
+                assert isinstance(decoded, ports.Unreadable)
+                self.assertIn("nested", decoded.findings[0])
+
 
 class HeaderValues(unittest.TestCase):
     """Formats of the headers."""
@@ -209,6 +318,29 @@
         self.assertIn("zone", findings)
         self.assertIn("platform.address", findings)
 
+    def test_odd_files_are_reported(self) -> None:
+        for old, new in (
+            ("10.0.0.1:80", "10.0.0.1:99999"),
+            ("10.0.0.1:81", "10.0.0.1:-1"),
+            ("10.0.0.1:80", "10.0.0.1"),
+            ("10.0.0.1:80", "10.0.0.1:http"),
+            ("10.0.0.9:8223", "10.0.0.9:99999"),
+            ("10.0.0.9:8223", "10.0.0.9"),
+            ("7340", "99999"),
+            ("7340", "-1"),
+            ("4000", "inf"),
+            ("4000", "nan"),
+            ("4000", "-1"),
+            ("0.12", "-0.12"),
+            ("0.12", "nan"),
+            ('"ignored"', "[" * 1100 + "]" * 1100),
+            ("4000", "9" * 5000),
+        ):
+            with self.subTest(new=new[:20]):
+                with self.assertRaises(exceptions.SettingsError) as caught:
+                    self.load(self.text.replace(old, new)).decoded()
+                self.assertTrue(caught.exception.findings)
+
     def test_missing_and_malformed_files(self) -> None:
         with self.assertRaises(exceptions.SettingsError):
             self.load("not = = toml")
