Keep an odd shared row from ending the follower of all of them

A row of the nodes' own table that was nested deeply ended its follower with RecursionError; numbers of 400 digits did so with OverflowError. A node's port out of range was kept, and sendto() would raise for it in the task that sends load reports. A stage with a share or an instant of another type was put in force and compared later; a row that asks nodes that start to wait until 1e300 was obeyed. A report with texts for counts raised TypeError on each check of the leader.

Contents are decoded by json_decoder and bounded; an unreadable row is logged with its key, and an unreadable stage no longer hides its version, so the leader can replace it. Applying a batch goes on after an entry that fails, whose error is logged with its key and counted. Unreadable rows of nodes count as nodes, as before.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -3,14 +3,17 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+import ipaddress
 import json
 import math
+from typing import Any
 
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import catalog
 from limpetwalk.gateway import crash_suspects
 from limpetwalk.gateway import fleet
+from limpetwalk.gateway import json_decoder
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import rollout
@@ -30,12 +33,22 @@
 # Time for which a node that starts waits for that version, in seconds; the
 # operator writes it again within a few.
 CONFIG_REWRITE_TIMEOUT = 10.0
+# Longest time for which a row may ask nodes that start to wait, in seconds.
+MAX_CONFIG_WAIT = 60.0
 # Time for which a node that starts waits for the rows that nodes share, in
 # seconds.
 SHARED_ROWS_TIMEOUT = 1.0
 
 RowOwner = Callable[[Mapping[str, str]], None]
 
+# Largest version, and largest instant on the store's clock, in seconds.
+MAX_INTEGER = 2**63 - 1
+MAX_PORT = 65535
+# Stands for a node whose row can't be read: a local port that is not in use.
+NO_PEER = peer_groups.Peer(("127.0.0.1", 9))
+# What decoding a row of this project may raise.
+ROW_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+
 # Published answers that are remembered, so that no other node publishes them.
 MAX_PUBLISHED_ANSWERS = 1000
 
@@ -132,7 +145,8 @@
             )
         if batch.restored and self._is_older_copy(batch):
             self.on_older_config()
-        for change in batch.changes:
+
+        def apply(change: ports.Change[ports.OperatorEntry]) -> None:
             entry = change.entry
             if isinstance(entry, types.Config):
                 self._apply_config(entry, batch.full_read)
@@ -145,8 +159,28 @@
                 self.rollouts.remove_order(change.key)
             else:
                 self._log_unreadable("operator", entry)
+
+        self._apply_each("operator", batch, apply)
         self._apply_zones(zones)
 
+    def _apply_each(
+        self,
+        table: str,
+        batch: ports.Batch[Any],
+        apply: Callable[[Any], None],
+    ) -> None:
+        """Apply each change; one that fails costs no other."""
+        for change in batch.changes:
+            try:
+                apply(change)
+            except Exception as exc:
+                self._unreadable.labels(table).inc()
+                self._journal.emit(
+                    events.UnexpectedError(
+                        f"applying {change.key} of {table}", repr(exc)[:200]
+                    )
+                )
+
     def _is_older_copy(self, batch: ports.Batch[ports.OperatorEntry]) -> bool:
         """Return whether a restored store lacks the known configuration."""
         versions = [
@@ -160,18 +194,21 @@
     def apply_servers(self, batch: ports.Batch[types.Server]) -> None:
         """Apply entries of backend servers."""
         present = set()
-        for change in batch.changes:
+
+        def apply(change: ports.Change[types.Server]) -> None:
             entry = change.entry
             if isinstance(entry, types.Server):
                 present.add(change.key)
                 if batch.restored and self.fleet.is_outdated(entry):
                     self._log_server(entry, "outdated", change.version)
-                    continue
+                    return
                 self._update_server(entry, change.version)
-                continue
+                return
             if isinstance(entry, ports.Unreadable):
                 self._log_unreadable("servers", entry)
             self._remove_server(change.key, change.version)
+
+        self._apply_each("servers", batch, apply)
         if batch.full_read:
             for server_id in self.fleet.retain_only(present):
                 self._log_removed(server_id, batch.version)
@@ -182,7 +219,8 @@
         if batch.restored:
             self._record_restoration(batch)
         peers = {} if batch.full_read else dict(self.peers)
-        for change in batch.changes:
+
+        def apply(change: ports.Change[ports.SharedRow]) -> None:
             kind, slash, name = change.key.partition("/")
             prefix = kind + slash
             row = change.entry
@@ -192,13 +230,15 @@
             elif change.key == CONFIG_IN_FORCE_KEY:
                 self._apply_config_in_force(row.value)
             elif prefix == NODE_PREFIX:
-                peers[name] = _peer(row.value)
+                peers[name] = self._peer(name, row.value)
             elif prefix == CRASH_PREFIX:
                 self._apply_crash(name.rpartition("/")[0], row.value)
             elif prefix == ANSWER_PREFIX:
                 self._apply_answer(name, row.value)
             elif prefix == ROLLOUT_PREFIX:
                 self.apply_stage(name, row.value, change.version)
+
+        self._apply_each("shared", batch, apply)
         self._shared_rows_read = True
         self.peers = peers
         self.nodes = frozenset(peers)
@@ -233,6 +273,13 @@
         :param text: the stage as JSON.
         :param version: version of its row.
         """
+        try:
+            rollout.Stage.from_json(text)
+        except ValueError as exc:
+            self._log_unreadable(
+                "shared",
+                ports.Unreadable(ROLLOUT_PREFIX + service, (str(exc),)),
+            )
         stage = self.rollouts.apply_stage(service, text, version)
         if stage is None:
             return
@@ -248,19 +295,29 @@
             )
         )
 
+    def _peer(self, node: str, text: str) -> peer_groups.Peer:
+        """Return a node from its row; an unreadable row gives ``NO_PEER``."""
+        try:
+            return _parse_peer(text)
+        except ROW_ERRORS as exc:
+            self._log_unreadable(
+                "shared", ports.Unreadable(NODE_PREFIX + node, (repr(exc),))
+            )
+            return NO_PEER
+
     def _apply_crash(self, server: str, text: str) -> None:
         """Apply a node's report of the suspects of a crash.
 
         :param server: identifies the server and its start.
         """
         try:
-            row = json.loads(text)
+            row = json_decoder.decode(text)
             suspects = [
                 crash_suspects.Suspect(str(attempt), tuple(map(str, traits)))
                 for attempt, *traits in row["suspects"]
             ]
-            at = float(row["at"])
-        except (KeyError, TypeError, ValueError) as exc:
+            at = _instant(row["at"])
+        except ROW_ERRORS as exc:
             self._log_unreadable(
                 "shared", ports.Unreadable(server, (repr(exc),))
             )
@@ -278,9 +335,16 @@
 
     def _apply_config_in_force(self, text: str) -> None:
         try:
-            row = json.loads(text)
-            in_force = ConfigInForce(int(row["version"]), float(row["until"]))
-        except (KeyError, TypeError, ValueError) as exc:
+            row = json_decoder.decode(text)
+            in_force = ConfigInForce(
+                json_decoder.integer(row["version"], 0, MAX_INTEGER),
+                json_decoder.number(
+                    row["until"],
+                    -MAX_INTEGER,
+                    self.store_time() + MAX_CONFIG_WAIT,
+                ),
+            )
+        except ROW_ERRORS as exc:
             self._log_unreadable(
                 "shared", ports.Unreadable(CONFIG_IN_FORCE_KEY, (repr(exc),))
             )
@@ -290,8 +354,8 @@
     def _apply_answer(self, trait: str, text: str) -> None:
         """Apply the news that a request with a trait was answered."""
         try:
-            at = float(json.loads(text)["at"])
-        except (KeyError, TypeError, ValueError) as exc:
+            at = _instant(json_decoder.decode(text)["at"])
+        except ROW_ERRORS as exc:
             self._log_unreadable(
                 "shared", ports.Unreadable(trait, (repr(exc),))
             )
@@ -389,15 +453,24 @@
         )
 
 
-def _peer(text: str) -> peer_groups.Peer:
+def _instant(value: Any) -> float:
+    """Return an instant on the store's clock.
+
+    :raises ValueError: when the value is none.
+    """
+    return json_decoder.number(value, -MAX_INTEGER, MAX_INTEGER)
+
+
+def _parse_peer(text: str) -> peer_groups.Peer:
     """Return a node from its row.
 
-    An unreadable row gives a local port that is not in use.
+    :raises ValueError: when a field is invalid; other errors of
+        ``ROW_ERRORS`` when one is missing.
     """
-    try:
-        row = json.loads(text)
-        return peer_groups.Peer(
-            (str(row["host"]), int(row["port"])), str(row.get("zone", ""))
-        )
-    except (AttributeError, KeyError, TypeError, ValueError):
-        return peer_groups.Peer(("127.0.0.1", 9))
+    row = json_decoder.decode(text)
+    zone = row.get("zone", "")
+    if not isinstance(row["host"], str) or not isinstance(zone, str):
+        raise ValueError("host and zone must be strings")
+    ipaddress.ip_address(row["host"])
+    port = json_decoder.integer(row["port"], 1, MAX_PORT)
+    return peer_groups.Peer((row["host"], port), zone)
--- a/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
+++ b/packages/limpetwalk/limpetwalk/gateway/pooled_evidence.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 import json
 
+from . import json_decoder
 from . import version_tallies
 
 
@@ -34,7 +35,7 @@
     def add_row(self, text: str) -> None:
         """Add the reports of a row; an unreadable one adds nothing."""
         try:
-            nodes = json.loads(text)["nodes"]
+            nodes = json_decoder.decode(text)["nodes"]
             entries = list(nodes.items())
         except (AttributeError, KeyError, TypeError, ValueError):
             return
--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from .. import clock as clocks
+from . import json_decoder
 from . import types
 
 # Number of values of a 64-bit hash.
@@ -17,6 +18,9 @@
 # Maximum number of sessions whose version is remembered; the least recently
 # used are evicted.
 MAX_SESSIONS = 20_000
+# Largest instant, in seconds, and number of requests of a stage.
+MAX_INSTANT = 2.0**63
+MAX_REQUESTS = 2**53
 
 
 class Phase(enum.Enum):
@@ -76,14 +80,14 @@
 
         :raises ValueError: when the text is no valid stage.
         """
-        document = json.loads(text)
+        document = json_decoder.decode(text)
         if not isinstance(document, dict):
             raise ValueError("a stage must be a JSON object")
         try:
             document["phase"] = Phase(document["phase"])
             document["order_id"] = str(document["order_id"])
             types.Version.parse(document["order_id"])
-            return cls(
+            stage = cls(
                 **{
                     name: document[name]
                     for name in Stage.__dataclass_fields__
@@ -92,6 +96,20 @@
             )
         except (KeyError, TypeError) as exc:
             raise ValueError(f"invalid field of a stage: {exc!r}") from exc
+        stage._check()
+        return stage
+
+    def _check(self) -> None:
+        """Raise ``ValueError`` when a field has no possible value."""
+        if not isinstance(self.target, str) or not isinstance(
+            self.reason, str
+        ):
+            raise ValueError("target and reason must be strings")
+        json_decoder.number(self.share, 0, 1)
+        for instant in (self.started, self.since):
+            json_decoder.number(instant, -MAX_INSTANT, MAX_INSTANT)
+        for count in (self.base_requests, self.failures, self.successes):
+            json_decoder.integer(count, 0, MAX_REQUESTS)
 
 
 class Rollouts:
@@ -199,15 +217,16 @@
         :param text: JSON of the stage.
         :param version: version of its row.
         :returns: the stage, or None when it is not newer than the known one
-            or can't be read.
+            or can't be read. Its version is known then, so that the leader
+            can replace it.
         """
         if version <= self.stage_versions.get(service, types.Version()):
             return None
+        self.stage_versions[service] = version
         try:
             stage = Stage.from_json(text)
         except ValueError:
             return None
-        self.stage_versions[service] = version
         known = self.stages.get(service)
         if known is not None and service in self.lost_stages:
             if stage.since < known.since:
--- a/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
+++ b/packages/limpetwalk/limpetwalk/gateway/version_tallies.py
@@ -11,6 +11,7 @@
 from ..rollouts import evidence
 from . import answer_pace
 from . import fleet
+from . import json_decoder
 
 # Multiple of the usual time to the first byte beyond which a response counts
 # as a failure of its version. Load alone delays both versions.
@@ -19,6 +20,8 @@
 # the moving average.
 MIN_SAMPLES = 5
 SAMPLE_WEIGHT = 0.1
+# Largest sum, number of requests and rate of a report.
+MAX_REPORTED = 2**53
 
 
 @dataclass(slots=True)
@@ -47,7 +50,7 @@
     def from_json(cls, text: str) -> "EvidenceReport":
         """Return a report from its JSON, an empty one when it is invalid."""
         try:
-            return cls.from_dict(json.loads(text))
+            return cls.from_dict(json_decoder.decode(text))
         except ValueError:
             return cls()
 
@@ -56,16 +59,16 @@
         """Return a report from JSON types, an empty one when invalid."""
         try:
             return cls(
-                evidence.Tally(**document["base"]),
-                evidence.Tally(**document["candidate"]),
-                int(document["old_in_flight"]),
+                _parse_tally(document["base"]),
+                _parse_tally(document["candidate"]),
+                _parse_count(document["old_in_flight"]),
                 str(document["phase"]),
                 # Nodes of version 0.3 report neither paces nor a rate.
-                evidence.Tally(**document.get("base_paces", {})),
-                evidence.Tally(**document.get("candidate_paces", {})),
-                float(document.get("rate", 0.0)),
+                _parse_tally(document.get("base_paces", {})),
+                _parse_tally(document.get("candidate_paces", {})),
+                _parse_sum(document.get("rate", 0.0)),
             )
-        except (KeyError, TypeError, ValueError):
+        except (AttributeError, KeyError, TypeError, ValueError):
             return cls()
 
     def to_dict(self) -> dict[str, Any]:
@@ -73,6 +76,23 @@
         return asdict(self)
 
 
+def _parse_tally(document: Any) -> evidence.Tally:
+    tally = evidence.Tally(**document)
+    for count in (tally.failures, tally.successes, tally.rated):
+        _parse_count(count)
+    for total in (tally.total, tally.squares):
+        _parse_sum(total)
+    return tally
+
+
+def _parse_count(value: Any) -> int:
+    return json_decoder.integer(value, 0, MAX_REPORTED)
+
+
+def _parse_sum(value: Any) -> float:
+    return json_decoder.number(value, 0, MAX_REPORTED)
+
+
 class VersionTallies:
     """Outcomes of this node's requests by service and version.
 
--- a/tests/limpetwalk/gateway/test_pooled_evidence.py
+++ b/tests/limpetwalk/gateway/test_pooled_evidence.py
@@ -62,6 +62,37 @@
             self.pool.add_row(text)
         self.assertEqual(0, self.pool.total().candidate.requests)
 
+    def test_odd_reports_cost_no_other_report(self) -> None:
+        huge = 10**400
+        for path, value in (
+            (("candidate", "failures"), "many"),
+            (("candidate", "successes"), -1),
+            (("base", "successes"), huge),
+            (("base", "total"), "1"),
+            (("base_paces", "failures"), None),
+            (("candidate_paces", "squares"), huge),
+            (("old_in_flight",), huge),
+            (("rate",), huge),
+            (("rate",), "nan"),
+        ):
+            document = json.loads(self.row(odd=report(3), sound=report(2)))
+            *parts, name = path
+            part = document["nodes"]["odd"]
+            for key in parts:
+                part = part[key]
+            part[name] = value
+            pool = pooled_evidence.Pool()
+            pool.add_row(json.dumps(document))
+            with self.subTest(path=path):
+                self.assertEqual(2, pool.total().candidate.successes)
+
+    def test_deeply_nested_evidence_adds_nothing(self) -> None:
+        nested = "[" * 1100 + "]" * 1100
+        self.pool.add_row(self.row(a=report(1)))
+        self.pool.add_row(f'{{"nodes": {nested}}}')
+        self.pool.add_json("b", nested)
+        self.assertEqual(1, self.pool.total().candidate.successes)
+
     def test_later_report_of_another_build_keeps_unknown_fields_out(
         self,
     ) -> None:
