Take over a lease of roll-outs whose end can't be read

A lease row that was nested deeply, or whose end was null, a text, an integer of 400 digits or 1e300, was never taken over: each check of each node raised (RecursionError, TypeError, ValueError, OverflowError), which the leader's loop logs, or the lease seemed to be held for ever. An end that is no instant within the next 20 s counts as passed; the write stays conditional on the row's version, so that two nodes can't take it at once.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -15,6 +15,7 @@
 
 from limpetwalk import clock as clocks
 from limpetwalk import exceptions
+from limpetwalk.gateway import json_decoder
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import pooled_evidence
 from limpetwalk.gateway import ports
@@ -41,6 +42,8 @@
 # takes a lost lease over within the time in which a bad version must be
 # stopped.
 LEASE_TTL = 2.5
+# Longest time left of a lease that is respected, in seconds.
+MAX_LEASE_TIME = 20.0
 # Number of nodes on standby as leader, and the seconds by which each checks
 # later than the one ranked above it.
 STANDBY_NODES = 5
@@ -271,7 +274,7 @@
         )
         lease = _parse_mapping(payload)
         is_holder = lease.get("holder") == self._node
-        seconds_left = float(lease.get("until", 0.0)) - now
+        seconds_left = _seconds_left(lease.get("until"), now)
         if not is_holder and seconds_left > 0:
             self._set_leading(False, f"held by {lease.get('holder')}")
             return None
@@ -398,9 +401,20 @@
     return tally.failures, tally.successes
 
 
+def _seconds_left(until: Any, now: float) -> float:
+    """Return the time until a lease ends, in seconds.
+
+    A lease with an end that no node writes has ended.
+    """
+    try:
+        return json_decoder.number(until, 0, now + MAX_LEASE_TIME) - now
+    except ValueError:
+        return 0.0
+
+
 def _parse_mapping(payload: str) -> dict[str, Any]:
     try:
-        value = json.loads(payload)
+        value = json_decoder.decode(payload)
     except ValueError:
         return {}
     return value if isinstance(value, dict) else {}
