Start tasks of the gateway again that have failed

A follower of a table, the reporter and the leader of roll-outs, the task that sends load reports, the check of the settings file and the detection of pauses ended for good at their first unexpected error, which was only logged: with the follower of servers gone, the node knew no change any more until it was restarted (or never became ready).

They run under a supervisor now, which logs the error with the place, counts it and starts the task again after 0.1 s, then up to 5 s. A part that was cancelled elsewhere counts as a failure too; the cancellation of the task itself ends it. The datagram socket is closed and bound again at the same port (Datagrams). Writes of single rows are not restarted.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -96,7 +96,8 @@
         # Only load reports need this library, which is slow to import.
         capnp = importlib.import_module("capnp")
         capnp.remove_import_hook()
-        self._schema = capnp.load(str(SCHEMA))
+        if self._schema is None:
+            self._schema = capnp.load(str(SCHEMA))
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=address
@@ -119,6 +120,7 @@
                     self._send_report(exchange.group, loads, exchange.partners)
         finally:
             self._transport.close()
+            self._transport = None
 
     def _interval(self) -> float:
         exchange = self.exchange
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -1,6 +1,7 @@
 """The gateway service: its components, start, drain and stop."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Mapping
@@ -31,6 +32,7 @@
 from . import poison_requests
 from . import rollouts
 from . import status
+from . import supervision
 from . import table_follower
 
 # Length of the queue of connections that wait to be accepted.
@@ -145,18 +147,22 @@
         for follower in self.followers:
             news.listen(follower.state.table, follower.note_peer)
         self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.Supervisor(self.journal, self.metrics)
         for follower in self.followers:
-            self._spawn(follower.run(), "watch")
+            self._supervise(follower.run, f"watch {follower.state.table}")
         self._spawn(self._publish_presence(), "presence")
         self.cluster_state.on_restoration(self._restore_presence)
         self.cluster_state.on_older_config = lambda: self._spawn(
             self._publish_config_in_force(), "configuration in force"
         )
-        self._spawn(self._check_settings_file(), "settings")
+        self._supervise(self._check_settings_file, "settings")
         self._start_rollout_tasks(clock, broadcast)
-        self._spawn(broadcast.run(platform.settings.peers), "gossip")
-        self._spawn(
-            pauses.detect_pauses(self.journal, self._reread_tables), "pauses"
+        self._supervise(
+            lambda: broadcast.run(platform.settings.peers), "gossip"
+        )
+        self._supervise(
+            lambda: pauses.detect_pauses(self.journal, self._reread_tables),
+            "pauses",
         )
         metrics_page = status.MetricsPage(self.metrics, platform.metrics_path)
         listeners = {
@@ -280,8 +286,18 @@
             self.journal,
             self.dispatcher.rate,
         )
-        self._spawn(reporter.run(), "evidence")
-        self._spawn(leader.run(), "roll-out lead")
+        self._supervise(reporter.run, "evidence")
+        self._supervise(leader.run, "roll-out lead")
+
+    def _supervise(
+        self, task: Callable[[], Awaitable[None]], place: str
+    ) -> None:
+        """Run a task that starts again whenever it fails.
+
+        :param task: starts the task.
+        :param place: operation that the task runs, for the log.
+        """
+        self._spawn(self._supervisor.run(task, place), place)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None], place: str) -> None:
         """Start a task and log the error if it fails.
