Record the permits of cold servers, so that a lost node blocks no others

Callers got 504 deadline_exceeded (not_run) at a new node after another one had been killed: a new node counts every server as cold, and the grantor that took over granted nothing for 60 s, because the killed node was still known and did not answer what it holds.

The row of the grantor's lease now records how many permits each node may hold, before it gets them and some ahead. A grantor that takes over keeps back that number for a node that does not answer, not the whole pool. A grant that can't be recorded is not made; where nothing was recorded (a lease of an earlier version) all is kept back as before. The promise stays: all nodes together never hold more than the allowance.

--- a/packages/limpetwalk-node/limpetwalk_node/warmup/permit_grantor.py
+++ b/packages/limpetwalk-node/limpetwalk_node/warmup/permit_grantor.py
@@ -1,15 +1,16 @@
 """Grantor of permits for cold backend servers.
 
-The grantor of a server holds a lease. A new grantor first asks every node
-which permits it holds. If a known node does not answer, the new grantor
-grants nothing until every permit that its predecessor may have granted has
-expired.
+The grantor of a server holds a lease, whose row records how many permits each
+node may hold. A new grantor first asks every node which permits it holds. A
+node that does not answer counts with the recorded number until every permit
+that the predecessor may have granted has expired.
 """
 
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import json
 import math
 
 from loguru import logger
@@ -33,6 +34,9 @@
 LEASE_MARGIN = 1.0
 RENEW_THRESHOLD = 5.0
 REPORT_TIMEOUT = 0.5
+# Permits that are recorded for a node beyond those it holds, so that most
+# grants need no write and go on while the table is unavailable.
+RECORDED_AHEAD = 4
 NO_LEASE = "no lease"
 UNKNOWN_SERVER = "unknown server"
 
@@ -61,7 +65,8 @@
     nodes were last asked which permits they hold; returns of older permits
     change nothing. ``valid_until`` is the monotonic instant up to which the
     lease is valid, ``blocked_until`` the one before which nodes may hold
-    permits that this grantor does not know of.
+    permits that this grantor does not know of. ``recorded`` is the number of
+    permits that each node may hold by the row of the lease.
     """
 
     lease: leases.Lease | None = None
@@ -70,8 +75,17 @@
     valid_until: float = -math.inf
     blocked_until: float = -math.inf
     grants: list[_Grant] = field(default_factory=list)
+    recorded: dict[str, int] = field(default_factory=dict)
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
+    def held(self, node: str) -> int:
+        """Return how many permits a node holds, as far as is known."""
+        return sum(1 for grant in self.grants if grant.node == node)
+
+    def expire(self, now: float) -> None:
+        """Forget the permits that have expired."""
+        self.grants = [g for g in self.grants if g.expires_at > now]
+
 
 class PermitGrantor:
     """Grants permits for the servers whose lease this node holds.
@@ -149,6 +163,7 @@
         if not await self._ensure_lease(req.server, pool):
             self._denied.labels("no_lease").inc()
             return messages.Failure(NO_LEASE)
+        await self._ensure_recorded(pool, node, req.count)
         return self._grant(pool, node, req, applied.snapshot)
 
     def _accept_return(
@@ -177,14 +192,17 @@
             self._denied.labels("no_lease").inc()
             return messages.Failure(NO_LEASE)
         now = self._clock.monotonic()
-        pool.grants = [g for g in pool.grants if g.expires_at > now]
+        pool.expire(now)
         limit = self._pool_limit(config.servers[req.server].warmup.concurrency)
-        count = max(0, min(req.count, limit - len(pool.grants)))
+        unrecorded = req.count + pool.held(node) - pool.recorded.get(node, 0)
+        count = min(req.count, limit - len(pool.grants))
+        count = max(0, min(count, req.count - unrecorded))
         if now < pool.blocked_until:
             self._denied.labels("takeover").inc()
             count = 0
         elif not count:
-            self._denied.labels("allowance").inc()
+            reason = "unrecorded" if unrecorded > 0 else "allowance"
+            self._denied.labels(reason).inc()
         pool.grants += [_Grant(node, now + PERMIT_LIFETIME)] * count
         self._granted.inc(count)
         return messages.PermitReply(
@@ -215,9 +233,40 @@
             except exceptions.StoreError:
                 return self._lease_is_valid(pool)
 
-    async def _renew(self, pool: _Pool, lease: leases.Lease) -> bool:
+    async def _ensure_recorded(
+        self, pool: _Pool, node: str, count: int
+    ) -> None:
+        """Record that a node may get more permits, before it gets them."""
+        async with pool.lock:
+            pool.expire(self._clock.monotonic())
+            wanted = pool.held(node) + count
+            if wanted <= pool.recorded.get(node, 0) or pool.lease is None:
+                return
+            recorded = {
+                name: max(held, min(number, held + RECORDED_AHEAD))
+                for name, number in pool.recorded.items()
+                if (held := pool.held(name))
+            }
+            recorded[node] = wanted + RECORDED_AHEAD
+            # Until the write has succeeded, only what both records allow may
+            # be granted.
+            pool.recorded = {
+                name: min(number, recorded.get(name, 0))
+                for name, number in pool.recorded.items()
+            }
+            try:
+                if await self._renew(pool, pool.lease, json.dumps(recorded)):
+                    pool.recorded = recorded
+            except exceptions.StoreError as exc:
+                logger.warning(
+                    "could not record permits of node {}: {}", node, exc
+                )
+
+    async def _renew(
+        self, pool: _Pool, lease: leases.Lease, note: str | None = None
+    ) -> bool:
         started_at = self._clock.monotonic()
-        outcome = await self._lease_manager.renew(lease)
+        outcome = await self._lease_manager.renew(lease, note)
         if isinstance(outcome, Err):
             pool.lease = None
             pool.valid_until = -math.inf
@@ -239,17 +288,26 @@
             logger.info(
                 "this node is now the grantor of permits for server {}", server
             )
-            await self._collect_reports(server, pool)
+            await self._collect_reports(server, pool, _recorded(lease))
             pool.collected_fencing = lease.fencing
         pool.lease = lease
         pool.fencing = lease.fencing
         pool.valid_until = started_at + LEASE_TTL - LEASE_MARGIN
         return True
 
-    async def _collect_reports(self, server: str, pool: _Pool) -> None:
-        """Ask the nodes which of the predecessor's permits they hold."""
+    async def _collect_reports(
+        self, server: str, pool: _Pool, recorded: dict[str, int] | None
+    ) -> None:
+        """Ask the nodes which of the predecessor's permits they hold.
+
+        :param recorded: number of permits that each node may hold, None when
+            it is unknown.
+        """
         requested_at = self._clock.monotonic()
-        names = list(self._hub.members.known())
+        pool.recorded = recorded or {}
+        names = list(
+            {*self._hub.members.known(), *pool.recorded} - {self._hub.name}
+        )
         reports = await asyncio.gather(
             *(self._request_report(name, server) for name in names)
         )
@@ -261,7 +319,12 @@
         now = self._clock.monotonic()
         for name, report in zip(names, reports, strict=True):
             if report is None:
-                pool.blocked_until = requested_at + PERMIT_LIFETIME
+                expires_at = requested_at + PERMIT_LIFETIME
+                if recorded is None:
+                    pool.blocked_until = expires_at
+                else:
+                    held = recorded.get(name, 0)
+                    pool.grants += [_Grant(name, expires_at)] * held
                 continue
             grant = _Grant(name, now + report.ttl)
             pool.grants += [grant] * report.granted
@@ -275,3 +338,17 @@
         except exceptions.PeerUnavailable:
             return None
         return reply if isinstance(reply, messages.PermitReply) else None
+
+
+def _recorded(lease: leases.Lease) -> dict[str, int] | None:
+    """Return how many permits each node may hold by the row of a lease.
+
+    :returns: None when no holder has recorded it.
+    """
+    try:
+        return {
+            str(name): int(number)
+            for name, number in json.loads(lease.note).items()
+        }
+    except (AttributeError, TypeError, ValueError):
+        return None
--- a/packages/limpetwalk/limpetwalk/leases.py
+++ b/packages/limpetwalk/limpetwalk/leases.py
@@ -36,6 +36,7 @@
     :param expires_at: Unix time in seconds at which the lease ends.
     :param version: version of the row.
     :param ttl: lifetime from each renewal, in seconds.
+    :param note: text that holders leave to their successors.
     """
 
     role: str
@@ -44,6 +45,7 @@
     expires_at: float
     version: int
     ttl: float
+    note: str = ""
 
     def guard(self) -> base.Check:
         """Return a write condition that is met only while this lease is valid.
@@ -74,6 +76,7 @@
     holder: str
     fencing: int
     expires_at: float
+    note: str = ""
 
 
 def _key(role: str) -> base.RowKey:
@@ -101,7 +104,8 @@
         """Acquire a role that is free, released or expired beyond the margin.
 
         A holder that acquires a role that it holds already gets a new fencing
-        number; its earlier lease is no longer valid.
+        number; its earlier lease is no longer valid. The note of the latest
+        holder is kept.
 
         :param ttl: lifetime of the lease, in seconds.
         :raises StoreUnavailable: when the lease was not acquired.
@@ -110,7 +114,7 @@
         """
         row = await self._table.get(_key(role))
         if row is None:
-            return await self._write(role, 0, 1, ttl)
+            return await self._write(role, 0, 1, ttl, "")
         current = _LeaseRow.model_validate_json(row.value)
         if self._blocks_acquisition(current):
             return Err(
@@ -118,18 +122,27 @@
                     current.holder, current.fencing, current.expires_at
                 )
             )
-        return await self._write(role, row.version, current.fencing + 1, ttl)
+        return await self._write(
+            role, row.version, current.fencing + 1, ttl, current.note
+        )
 
-    async def renew(self, lease: Lease) -> Result[Lease, LeaseConflict]:
+    async def renew(
+        self, lease: Lease, note: str | None = None
+    ) -> Result[Lease, LeaseConflict]:
         """Extend a lease by its lifetime from now; the fencing number stays.
 
+        :param note: text for successors, None to keep the present one.
         :returns: the renewed lease, which replaces the one given, or the
             conflict with the current holder.
         :raises StoreUnavailable: when the lease was not extended.
         :raises StoreOutcomeUnknown: when it may have been extended.
         """
         return await self._write(
-            lease.role, lease.version, lease.fencing, lease.ttl
+            lease.role,
+            lease.version,
+            lease.fencing,
+            lease.ttl,
+            lease.note if note is None else note,
         )
 
     async def release(self, lease: Lease) -> Result[None, LeaseConflict]:
@@ -139,7 +152,10 @@
         :raises StoreOutcomeUnknown: when it may have been released.
         """
         value = _LeaseRow(
-            holder="", fencing=lease.fencing, expires_at=self._clock.wall()
+            holder="",
+            fencing=lease.fencing,
+            expires_at=self._clock.wall(),
+            note=lease.note,
         )
         outcome = await self._put(lease.role, lease.version, value)
         if isinstance(outcome, Err):
@@ -152,17 +168,28 @@
         return self._clock.wall() < current.expires_at + CLOCK_MARGIN
 
     async def _write(
-        self, role: str, version: int, fencing: int, ttl: float
+        self, role: str, version: int, fencing: int, ttl: float, note: str
     ) -> Result[Lease, LeaseConflict]:
         expires_at = self._clock.wall() + ttl
         value = _LeaseRow(
-            holder=self._holder, fencing=fencing, expires_at=expires_at
+            holder=self._holder,
+            fencing=fencing,
+            expires_at=expires_at,
+            note=note,
         )
         outcome = await self._put(role, version, value)
         if isinstance(outcome, Err):
             return Err(await self._read_conflict(role))
         return Ok(
-            Lease(role, self._holder, fencing, expires_at, version + 1, ttl)
+            Lease(
+                role,
+                self._holder,
+                fencing,
+                expires_at,
+                version + 1,
+                ttl,
+                note,
+            )
         )
 
     async def _put(
--- a/tests/limpetwalk_node/test_permits.py
+++ b/tests/limpetwalk_node/test_permits.py
@@ -114,6 +114,8 @@
     """Three nodes; ``OWNER`` is the node that grants permits by its hash."""
 
     allowance = 8
+    # Nodes use a share only after they have been up for ``WINDOW``.
+    up_seconds = node_counts.WINDOW + 1.0
 
     async def asyncSetUp(self):
         self.clock = clocks.ManualClock()
@@ -126,8 +128,7 @@
             self.instances.add(node.hub)
             self.nodes[name] = node
         await self.wait_until_connected()
-        # Nodes use a share only after they have been up for ``WINDOW``.
-        await self.pass_time(node_counts.WINDOW + 1.0)
+        await self.pass_time(self.up_seconds)
 
     async def asyncTearDown(self):
         for node in self.nodes.values():
@@ -287,3 +288,39 @@
         ]
         self.assertEqual(self.allowance, sum(granted))
         self.assertEqual(1, len(granted))
+
+
+class NewNodes(PermitsCase):
+    """Nodes that have no share yet, so all permits are granted."""
+
+    allowance = 16
+    up_seconds = 0.0
+
+    async def test_permits_a_lost_node_cannot_hold_are_granted(self):
+        await self.nodes[OWNER].request_permits(1)
+        await self.kill(OWNER)
+        await self.pass_time(15)
+        await self.request_everywhere()
+        self.assertGreaterEqual(self.in_use(), self.allowance // 2)
+        self.assertLessEqual(self.in_use(), self.allowance - 1)
+
+    async def test_repeated_takeovers_do_not_use_up_the_allowance(self):
+        # The lost node's share, once it counts, and what was recorded for it.
+        share = permit_grantor.node_share(self.allowance, len(NAMES))
+        lost = share + 1 + permit_grantor.RECORDED_AHEAD
+        await self.nodes[OWNER].request_permits(1)
+        await self.kill(OWNER)
+        for _ in range(3):
+            await self.pass_time(15)
+            await self.request_everywhere()
+            self.assertGreaterEqual(self.in_use(), self.allowance - lost)
+            for node in self.nodes.values():
+                await node.release_permits(len(node.used))
+                await node.grantor.stop()
+
+    async def test_grants_that_cannot_be_recorded_are_not_made(self):
+        await self.nodes[OWNER].request_permits(1)
+        self.nodes[OWNER].table.faults.unavailable = True
+        await self.request_everywhere()
+        held = 1 + permit_grantor.RECORDED_AHEAD
+        self.assertEqual(held, self.in_use())
