--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 
 from limpetwalk import clock as clocks
@@ -195,7 +196,6 @@
         time_left = self.time_left(call)
         member = choice.member
         call.tried_servers.add(member.id)
-        call.attempt_counts.record_start()
         self._log_placement(call, choice, model, time_left)
         self._count_request(choice)
         started: outbound.StartedAnswer | outbound.FailedAttempt | None = None
@@ -207,8 +207,6 @@
             self.server_loads.finish_prefill(member.id, choice.prefill_seconds)
             if not isinstance(started, outbound.StartedAnswer):
                 self.finish(member)
-            if started is None:
-                call.attempt_counts.record(retries.Outcome.UNKNOWN)
         if isinstance(started, outbound.StartedAnswer):
             self._record_head(call, choice, started)
         return started
@@ -227,6 +225,9 @@
             return outbound.FailedAttempt(
                 retries.Outcome.UNKNOWN, "body not received in time"
             )
+        except asyncio.CancelledError:
+            self.record_cancelled(call, started.member, started.sent_at)
+            raise
         return outbound.CompleteAnswer(started.head, body, started.member.id)
 
     def discard(
@@ -235,7 +236,35 @@
         """End an answer that isn't used, since another one is."""
         started.exchange.close()
         self.finish(started.member)
-        call.attempt_counts.record(retries.Outcome.UNKNOWN)
+        self.record_cancelled(call, started.member, started.sent_at)
+
+    def record_cancelled(
+        self, call: calls.Call, member: fleet.Member, sent_at: float
+    ) -> None:
+        """Record an attempt that was given up for another one.
+
+        It counts as a failure of its server if that was silent for long.
+
+        :param sent_at: instant at which the request was sent.
+        """
+        if self.clock.monotonic() - sent_at < call.patience:
+            call.attempt_counts.record_end(retries.Outcome.UNKNOWN)
+            return
+        failure = outbound.FailedAttempt(
+            retries.Outcome.UNKNOWN, "silent, and given up"
+        )
+        self.record_result(call, member, failure)
+        self.log_attempt_ended(call, member, failure)
+
+    def use(self, call: calls.Call, started: outbound.StartedAnswer) -> None:
+        """Record that an answer is the one that the caller gets."""
+        call.slow = started.slow
+        if call.session:
+            self.cluster_state.rollouts.record_session(
+                call.session,
+                started.member.entry.version,
+                self.bounds.session,
+            )
 
     def finish(self, member: fleet.Member) -> None:
         """Record that a request at a server has ended."""
@@ -285,7 +314,7 @@
         if outcome in (None, retries.Outcome.FAILED):
             self.poison_requests.record_answer(call)
         if outcome is not None:
-            call.attempt_counts.record(outcome)
+            call.attempt_counts.record_end(outcome)
             if outcome is retries.Outcome.UNKNOWN:
                 self.poison_requests.check_server(call, member)
 
@@ -318,7 +347,7 @@
         self.version_tallies.record(
             call.service, member.entry.version, not call.slow
         )
-        call.attempt_counts.record(retries.Outcome.FAILED)
+        call.attempt_counts.record_end(retries.Outcome.FAILED)
         call.tried_servers.discard(member.id)
 
     async def may_retry(
@@ -354,10 +383,10 @@
         self._retries_denied.labels(stop_reason.value).inc()
         return False
 
-    def may_replace(self, call: calls.Call) -> bool:
-        """Return whether another server may be asked besides a silent one.
+    def try_replace(self, call: calls.Call) -> bool:
+        """Take what another attempt besides a silent one costs.
 
-        Takes from the retry budget if it may.
+        :returns: whether the call and the retry budget allow it.
         """
         outcome = retries.Outcome.UNKNOWN
         service_budget = self.budget(call.service)
@@ -382,6 +411,14 @@
         self._retries_denied.labels(stop_reason.value).inc()
         return False
 
+    def log_error(self, call: calls.Call, exc: Exception) -> None:
+        """Log an unexpected error of an attempt."""
+        self.journal.emit(
+            events.UnexpectedError(
+                "sending a request", repr(exc)[:200], call.caller_attempt_id
+            )
+        )
+
     def log_attempt_ended(
         self,
         call: calls.Call,
@@ -461,6 +498,7 @@
         except upstream.ServerUnreachable as exc:
             return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
         keep_open = False
+        sent_at = math.inf
         try:
             headers = outbound.server_headers(
                 self.header_format.names,
@@ -472,6 +510,7 @@
             )
             exchange.send(call.method, call.target, headers, call.body)
             sent_at = self.clock.monotonic()
+            call.attempt_counts.record_sent()
             async with asyncio.timeout(timeout):
                 head = await exchange.head()
                 self.server_limits.record_answer(
@@ -504,6 +543,10 @@
             return outbound.FailedAttempt(
                 retries.Outcome.UNKNOWN, f"no answer in {timeout:.2f} s"
             )
+        except asyncio.CancelledError:
+            if math.isfinite(sent_at):
+                self.record_cancelled(call, member, sent_at)
+            raise
         finally:
             if not keep_open:
                 exchange.close()
@@ -588,7 +631,7 @@
         member, model = started.member, started.model
         seconds_to_head = self.clock.monotonic() - started.sent_at
         self.first_byte_latency.record(seconds_to_head)
-        call.slow = self.version_tallies.is_slow(
+        started.slow = self.version_tallies.is_slow(
             call.service, model, seconds_to_head
         )
         if model:
@@ -596,7 +639,3 @@
                 model, call.prompt.own_tokens, seconds_to_head
             )
             self._prefix_cache.record_read(member.id, model, call.prompt)
-        if call.session:
-            self.cluster_state.rollouts.record_session(
-                call.session, member.entry.version, self.bounds.session
-            )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/outbound.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/outbound.py
@@ -39,6 +39,15 @@
         return cls(retries.Outcome.UNKNOWN, str(exc), limit=exc.limit)
 
 
+def preferred_failure(
+    known: FailedAttempt | None, latest: FailedAttempt
+) -> FailedAttempt:
+    """Return the failure to tell the caller of, of two."""
+    if known is not None and known.answer is not None:
+        return known if latest.answer is None else latest
+    return latest
+
+
 @dataclass(slots=True)
 class CompleteAnswer:
     """Answer that was received completely."""
@@ -53,6 +62,8 @@
     """Answer whose headers were accepted and whose body is still unread.
 
     :param sent_at: instant at which the request was sent.
+    :param slow: whether its head took unusually long.
+    :param first_bytes: bytes of the body that were read already.
     """
 
     exchange: upstream.Exchange
@@ -60,6 +71,8 @@
     member: fleet.Member
     model: str
     sent_at: float
+    slow: bool = False
+    first_bytes: bytes = b""
 
 
 def server_headers(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/plain.py
@@ -1,5 +1,7 @@
 """Forwards calls whose answer is read completely before it is passed on."""
 
+import math
+
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import placement
 from limpetwalk.gateway import refusal
@@ -26,14 +28,18 @@
         self, call: calls.Call
     ) -> outbound.CompleteAnswer | refusal.Refusal:
         """Return a server's answer, or the refusal when there is none."""
+        call.patience = self._patience(call)
         search = _Search(call, self._dispatcher)
         answers = replacements.Replacements(
-            search.run, lambda answer: None, search.may_add
+            search.run,
+            lambda answer: None,
+            search.try_add,
+            lambda exc: self._dispatcher.log_error(call, exc),
         )
         try:
-            answer = await answers.first(self._patience(call))
+            answer = await answers.first(call.patience)
         finally:
-            await answers.drop()
+            answers.drop()
         if answer is not None:
             return answer
         last = search.last_failure
@@ -41,13 +47,10 @@
             return last.answer
         return self._dispatcher.refusal_for(call, last)
 
-    def _patience(self, call: calls.Call) -> float | None:
-        """Return the seconds to wait before another server is asked.
-
-        :returns: None when the call may not be sent to two servers.
-        """
+    def _patience(self, call: calls.Call) -> float:
+        """Return the seconds to wait before another server is asked."""
         if not call.route.retryable:
-            return None
+            return math.inf
         return min(
             call.route.target_latency * TARGET_LATENCY_FACTOR,
             self._dispatcher.time_left(call) * ATTEMPT_TIME_SHARE,
@@ -76,17 +79,19 @@
             if isinstance(result, outbound.CompleteAnswer):
                 dispatcher.record_result(call, member, None)
                 return result
-            self.last_failure = result
+            self.last_failure = outbound.preferred_failure(
+                self.last_failure, result
+            )
             dispatcher.record_result(call, member, result)
             if not await dispatcher.may_retry(call, member, result):
                 return None
         return None
 
-    def may_add(self) -> bool:
-        """Return whether another server may be asked besides a silent one."""
+    def try_add(self) -> bool:
+        """Return whether another server is asked besides a silent one."""
         if self._dispatcher.place(self._call) is None:
             return False
-        return self._dispatcher.may_replace(self._call)
+        return self._dispatcher.try_replace(self._call)
 
     async def _attempt(
         self, choice: placement.Choice
@@ -96,7 +101,10 @@
         if isinstance(started, outbound.FailedAttempt):
             return started
         try:
-            return await dispatcher.read_answer(call, started)
+            answer = await dispatcher.read_answer(call, started)
+            if isinstance(answer, outbound.CompleteAnswer):
+                dispatcher.use(call, started)
+            return answer
         finally:
             started.exchange.close()
             dispatcher.finish(choice.member)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/replacements.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/replacements.py
@@ -25,18 +25,22 @@
     :param search: sends the call to servers until one begins to answer, and
         returns None when none does.
     :param discard: ends an answer that isn't used.
-    :param may_add: returns whether another search may start.
+    :param try_add: returns whether another search may start, and takes what
+        it costs.
+    :param on_error: called with the error of a search that failed.
     """
 
     def __init__(
         self,
         search: Callable[[], Coroutine[Any, Any, T | None]],
         discard: Callable[[T], None],
-        may_add: Callable[[], bool],
+        try_add: Callable[[], bool],
+        on_error: Callable[[Exception], None],
     ) -> None:
         self._search = search
         self._discard = discard
-        self._may_add = may_add
+        self._try_add = try_add
+        self._on_error = on_error
         self._searches: set[asyncio.Task[T | None]] = set()
         self._found: T | None = None
         self._next_add_at = -math.inf
@@ -46,18 +50,19 @@
         """Whether a replacement was found or is being searched for."""
         return self._found is not None or bool(self._searches)
 
-    async def first(self, patience: float | None) -> T | None:
+    async def first(self, patience: float) -> T | None:
         """Return an answer that has begun, None when no server answers.
 
         :param patience: time without an answer after which another server is
-            asked too, in seconds; None to wait for the first one.
+            asked too, in seconds.
         """
         if not self.pending:
             self._start()
-            self._postpone(patience)
+        self._postpone(patience)
         while self._found is None and self._searches:
             await self._wait(frozenset(), patience)
         found, self._found = self._found, None
+        self._next_add_at = -math.inf
         return found
 
     async def found_before(
@@ -74,60 +79,70 @@
             await self._wait({read}, patience)
         return not read.done()
 
-    async def drop(self) -> None:
+    def drop(self) -> None:
         """End all searches, and the answer that was found."""
-        searches, self._searches = self._searches, set()
-        for search in searches:
+        for search in self._searches:
+            search.add_done_callback(self._discard_result)
             search.cancel()
-        results = await asyncio.gather(*searches, return_exceptions=True)
-        for result in (self._found, *results):
-            if result is not None and not isinstance(result, BaseException):
-                self._discard(result)
-        self._found = None
+        self._searches = set()
+        self._next_add_at = -math.inf
+        if self._found is not None:
+            self._discard(self._found)
+            self._found = None
 
     def _start(self) -> None:
         self._searches.add(asyncio.create_task(self._search()))
 
-    def _postpone(self, patience: float | None) -> None:
-        now = asyncio.get_running_loop().time()
-        self._next_add_at = math.inf if patience is None else now + patience
+    def _postpone(self, patience: float) -> None:
+        self._next_add_at = asyncio.get_running_loop().time() + patience
 
-    def _add(self, patience: float | None) -> None:
+    def _add(self, patience: float) -> None:
         """Start another search if it is time and the call allows it."""
         if self._time_to_add() > 0:
             return
         self._postpone(patience)
-        if self._may_add():
+        if self._try_add():
             self._start()
 
     def _time_to_add(self) -> float:
         return self._next_add_at - asyncio.get_running_loop().time()
 
     async def _wait(
-        self, others: Collection[asyncio.Future[Any]], patience: float | None
+        self, others: Collection[asyncio.Future[Any]], patience: float
     ) -> None:
         """Wait for a search or another future, or until it is time to add.
 
-        :param patience: time between two additions, in seconds, or None.
+        :param patience: time between two additions, in seconds.
         """
-        timeout = None if patience is None else max(0.0, self._time_to_add())
+        timeout = self._time_to_add()
         done, _ = await asyncio.wait(
             {*self._searches, *others},
-            timeout=timeout,
+            timeout=max(0.0, timeout) if math.isfinite(timeout) else None,
             return_when=asyncio.FIRST_COMPLETED,
         )
         if not done:
             self._add(patience)
-        ended = self._searches & done
-        self._searches -= ended
-        for search in ended:
-            answer = search.result()
-            if answer is None:
-                continue
-            if self._found is not None:
-                self._discard(self._found)
-            self._found = answer
+        for search in self._searches & done:
+            self._searches.discard(search)
+            if self._found is None:
+                self._found = self._result(search)
+            else:
+                self._discard_result(search)
         if self._found is not None:
             found, self._found = self._found, None
-            await self.drop()
+            self.drop()
             self._found = found
+
+    def _result(self, search: asyncio.Task[T | None]) -> T | None:
+        """Return the answer of a search that has ended, None without one."""
+        if search.cancelled():
+            return None
+        exc = search.exception()
+        if isinstance(exc, Exception):
+            self._on_error(exc)
+        return None if exc is not None else search.result()
+
+    def _discard_result(self, search: asyncio.Task[T | None]) -> None:
+        answer = self._result(search)
+        if answer is not None:
+            self._discard(answer)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
+import math
 
 from aiohttp import web
 
@@ -31,6 +32,9 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
+_Answers = replacements.Replacements[outbound.StartedAnswer]
+
+
 class StreamForwarder:
     """Forwards event streams.
 
@@ -55,37 +59,28 @@
         :returns: the relay, complete or broken off, once the caller has
             received anything; a complete answer or a refusal otherwise.
         """
+        call.patience = _head_patience(call)
         relay = Relay(call, req, self._dispatcher, self._closing)
         search = _Search(
             call, relay, self._dispatcher, self._start_model(call)
         )
-        answers: replacements.Replacements[outbound.StartedAnswer] = (
-            replacements.Replacements(
-                search.run, search.discard, search.may_add
-            )
+        answers: _Answers = replacements.Replacements(
+            search.run,
+            lambda started: self._dispatcher.discard(call, started),
+            search.try_add,
+            lambda exc: self._dispatcher.log_error(call, exc),
         )
         try:
-            while True:
-                started = await answers.first(_head_patience(call))
-                if started is None:
-                    break
-                # The search may still be for another server.
-                call.answering_since = None
-                result = await self._use(call, started, relay, answers)
-                if isinstance(result, outbound.FailedAttempt):
-                    if await search.may_go_on(started, result, answers):
-                        continue
-                    break
-                if isinstance(result, _Escalation):
-                    search.model = result.model
-                    continue
-                self._dispatcher.record_result(call, started.member, None)
-                if isinstance(result, outbound.CompleteAnswer):
-                    return result
-                relay.complete = True
-                return relay
+            result = await self._relay(call, relay, search, answers)
+        except Exception as exc:
+            if not relay.started:
+                raise
+            self._dispatcher.log_error(call, exc)
+            return relay
         finally:
-            await answers.drop()
+            answers.drop()
+        if result is not None:
+            return result
         if relay.started:
             return relay
         last = search.last_failure
@@ -93,12 +88,38 @@
             return last.answer
         return self._dispatcher.refusal_for(call, last)
 
+    async def _relay(
+        self,
+        call: calls.Call,
+        relay: "Relay",
+        search: "_Search",
+        answers: _Answers,
+    ) -> "Relay | outbound.CompleteAnswer | None":
+        """Relay answers until one is complete, None when none is."""
+        while (started := await answers.first(call.patience)) is not None:
+            self._dispatcher.use(call, started)
+            call.answering_since = None
+            result = await self._use(call, started, relay, answers)
+            if isinstance(result, outbound.FailedAttempt):
+                if not await search.may_go_on(started, result, answers):
+                    return None
+                continue
+            if isinstance(result, _Escalation):
+                search.model = result.model
+                continue
+            self._dispatcher.record_result(call, started.member, None)
+            if isinstance(result, outbound.CompleteAnswer):
+                return result
+            relay.complete = True
+            return relay
+        return None
+
     async def _use(
         self,
         call: calls.Call,
         started: outbound.StartedAnswer,
         relay: "Relay",
-        answers: replacements.Replacements[outbound.StartedAnswer],
+        answers: _Answers,
     ) -> (
         "outbound.FailedAttempt | outbound.CompleteAnswer | _Escalation | None"
     ):
@@ -256,33 +277,30 @@
             started = await self._begin(choice)
             if isinstance(started, outbound.StartedAnswer):
                 return started
-            self.last_failure = started
+            self.last_failure = outbound.preferred_failure(
+                self.last_failure, started
+            )
             dispatcher.record_result(call, choice.member, started)
             if not await dispatcher.may_retry(call, choice.member, started):
                 return None
         return None
 
-    def may_add(self) -> bool:
-        """Return whether another server may be asked besides a silent one."""
+    def try_add(self) -> bool:
+        """Return whether another server is asked besides a silent one."""
         if self._place() is None:
             return False
-        return self._dispatcher.may_replace(self._call)
-
-    def discard(self, started: outbound.StartedAnswer) -> None:
-        """End an answer that isn't used."""
-        self._dispatcher.discard(self._call, started)
+        return self._dispatcher.try_replace(self._call)
 
     async def may_go_on(
         self,
         started: outbound.StartedAnswer,
         failure: outbound.FailedAttempt,
-        answers: replacements.Replacements[outbound.StartedAnswer],
+        answers: _Answers,
     ) -> bool:
         """Record that an answer failed; return whether to look for another."""
         call, dispatcher = self._call, self._dispatcher
         self.last_failure = failure
         dispatcher.record_result(call, started.member, failure)
-        call.answering_since = None
         if answers.pending:
             dispatcher.log_attempt_ended(call, started.member, failure)
             return True
@@ -309,18 +327,58 @@
         started = await self._dispatcher.start(
             call, choice, relay.model or self.model, relay.last_event
         )
-        if (
-            isinstance(started, outbound.FailedAttempt)
-            or not relay.started
-            or relay.is_continued_by(started.head)
-        ):
+        if isinstance(started, outbound.FailedAttempt):
+            return started
+        failure = None
+        if relay.started and not relay.is_continued_by(started.head):
+            failure = outbound.FailedAttempt(
+                retries.Outcome.FAILED,
+                f"status {started.head.status}, not the rest of a stream",
+            )
+        elif started.head.is_success and call.attempt_counts.running > 1:
+            # A head alone doesn't show that the server can go on.
+            failure = await self._read_first_event(started)
+        if failure is None:
             return started
         started.exchange.close()
         self._dispatcher.finish(started.member)
-        return outbound.FailedAttempt(
-            retries.Outcome.FAILED,
-            f"status {started.head.status}, not the rest of a stream",
-        )
+        return failure
+
+    async def _read_first_event(
+        self, started: outbound.StartedAnswer
+    ) -> outbound.FailedAttempt | None:
+        """Read up to the first new event; return why there is none."""
+        call, dispatcher = self._call, self._dispatcher
+        budget, limits = dispatcher.buffer_budget, dispatcher.limits
+        try:
+            with budget.open(
+                limits.event_bytes, started.exchange.close
+            ) as buffer:
+                splitter = eventstream.EventSplitter(buffer)
+                while True:
+                    chunk = await outbound.with_timeout(
+                        started.exchange.chunk(), dispatcher.time_left(call)
+                    )
+                    if not chunk:
+                        raise upstream.IncompleteAnswer("no new event")
+                    started.first_bytes += chunk
+                    if any(map(self._relay.is_new, splitter.feed(chunk))):
+                        return None
+                    if len(started.first_bytes) > limits.event_bytes:
+                        raise upstream.IncompleteAnswer("no new event")
+        except upstream.IncompleteAnswer as exc:
+            return outbound.FailedAttempt.incomplete(exc)
+        except buffers.LimitExceeded as exc:
+            return outbound.FailedAttempt(
+                retries.Outcome.UNKNOWN, str(exc), limit=f"event_{exc.limit}"
+            )
+        except TimeoutError:
+            return outbound.FailedAttempt(
+                retries.Outcome.UNKNOWN, "no new event in time"
+            )
+        except asyncio.CancelledError:
+            dispatcher.discard(call, started)
+            raise
 
 
 class Relay:
@@ -371,7 +429,7 @@
     async def run(
         self,
         started: outbound.StartedAnswer,
-        answers: replacements.Replacements[outbound.StartedAnswer],
+        answers: _Answers,
     ) -> outbound.FailedAttempt | None:
         """Forward events until the stream ends, breaks off or is replaced.
 
@@ -412,22 +470,23 @@
     async def _forward_events(
         self,
         started: outbound.StartedAnswer,
-        answers: replacements.Replacements[outbound.StartedAnswer],
+        answers: _Answers,
         buffer: buffers.Buffer,
         progress: stream_progress.StreamProgress,
     ) -> None:
         splitter = eventstream.EventSplitter(buffer)
-        while chunk := await self._next_chunk(
+        chunk = started.first_bytes or await self._next_chunk(
             started, answers, buffer, progress
-        ):
+        )
+        while chunk:
             for event in splitter.feed(chunk):
-                if event.comment or self._is_duplicate(event):
-                    progress.record_filler(len(event.data))
-                else:
-                    if answers.pending:
-                        await answers.drop()
+                if self.is_new(event):
+                    answers.drop()
                     await self._forward_event(started, event)
                     progress.record_event()
+                else:
+                    progress.record_filler(len(event.data))
+            chunk = await self._next_chunk(started, answers, buffer, progress)
         if splitter.partial:
             raise upstream.IncompleteAnswer("ended within an event")
         if self._call.answering_since is None and not started.head.marks_end:
@@ -437,16 +496,16 @@
     async def _next_chunk(
         self,
         started: outbound.StartedAnswer,
-        answers: replacements.Replacements[outbound.StartedAnswer],
+        answers: _Answers,
         buffer: buffers.Buffer,
         progress: stream_progress.StreamProgress,
     ) -> bytes:
         exchange = started.exchange
         time_left = self._dispatcher.time_left(self._call)
+        silence_left = progress.time_left(self._longest_silence)
         try:
-            if not self._call.route.resumable:
+            if not self._call.route.resumable or time_left <= silence_left:
                 return await outbound.with_timeout(exchange.chunk(), time_left)
-            silence_left = progress.time_left(self._longest_silence)
             if silence_left > 0 and not answers.pending:
                 with contextlib.suppress(TimeoutError):
                     return await outbound.with_timeout(
@@ -460,22 +519,25 @@
     async def _read_or_replace(
         self,
         exchange: upstream.Exchange,
-        answers: replacements.Replacements[outbound.StartedAnswer],
+        answers: _Answers,
     ) -> bytes:
         """Return the next bytes of a server that has been silent.
 
         :raises _Replaced: when another server has begun to answer.
         """
-        time_left = self._dispatcher.time_left(self._call)
-        read = asyncio.ensure_future(
-            outbound.with_timeout(exchange.chunk(), time_left)
-        )
+
+        async def read_chunk() -> bytes:
+            time_left = self._dispatcher.time_left(self._call)
+            return await outbound.with_timeout(exchange.chunk(), time_left)
+
+        read = asyncio.create_task(read_chunk())
         try:
             if await answers.found_before(read, self._longest_silence):
                 raise _Replaced
             return await read
         finally:
             read.cancel()
+            await asyncio.gather(read, return_exceptions=True)
 
     @property
     def _longest_silence(self) -> float:
@@ -510,6 +572,10 @@
         assert self._resp is not None
         await self._resp.write(event.data)
 
+    def is_new(self, event: eventstream.StreamEvent) -> bool:
+        """Whether the caller hasn't received an event and needs it."""
+        return not event.comment and not self._is_duplicate(event)
+
     def _is_duplicate(self, event: eventstream.StreamEvent) -> bool:
         """Whether the caller has received an event; ids only increase."""
         if not event.id.isdecimal() or not self.last_event.isdecimal():
@@ -543,13 +609,13 @@
     """Another server has begun to answer in place of a silent one."""
 
 
-def _head_patience(call: calls.Call) -> float | None:
+def _head_patience(call: calls.Call) -> float:
     """Return the seconds to wait for the head before another server is asked.
 
-    :returns: None when a silent server may not be replaced.
+    Infinite when a silent server may not be replaced.
     """
     if not call.route.retryable:
-        return None
+        return math.inf
     return max(MIN_SILENCE_TIMEOUT, call.route.target_latency)
 
 
--- a/packages/limpetwalk/limpetwalk/gateway/call.py
+++ b/packages/limpetwalk/limpetwalk/gateway/call.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
+import math
 
 from . import retries
 from . import types
@@ -21,6 +22,8 @@
         or empty.
     :param session: key of the session that it belongs to, or empty.
     :param fingerprint: equal when a caller sends the same request again.
+    :param patience: time without an answer after which another server may be
+        asked besides a silent one, in seconds; infinite for never.
     :param slow: whether the first byte of the latest response took unusually
         long.
     :param answering_since: instant of the first event of the latest response,
@@ -44,6 +47,7 @@
     last_event: str
     session: str
     fingerprint: str
+    patience: float = math.inf
     slow: bool = False
     answering_since: float | None = None
     attempt_counts: retries.AttemptCounts = field(
--- a/packages/limpetwalk/limpetwalk/gateway/retries.py
+++ b/packages/limpetwalk/limpetwalk/gateway/retries.py
@@ -47,20 +47,25 @@
 
     :param ran: attempts that ran or may have run.
     :param sent: attempts that reached a server.
-    :param running: attempts that have not ended.
+    :param running: attempts that were sent and have not ended.
     """
 
     ran: int = 0
     sent: int = 0
     running: int = 0
 
-    def record_start(self) -> None:
-        """Count an attempt that begins."""
+    def record_sent(self) -> None:
+        """Count an attempt that is sent."""
         self.running += 1
 
+    def record_end(self, outcome: Outcome) -> None:
+        """Count the end of an attempt, by its outcome."""
+        if outcome is not Outcome.UNREACHED:
+            self.running -= 1
+        self.record(outcome)
+
     def record(self, outcome: Outcome) -> None:
-        """Count an attempt that has ended, by its outcome."""
-        self.running = max(0, self.running - 1)
+        """Count an attempt by its outcome."""
         if outcome is not Outcome.UNREACHED:
             self.sent += 1
         if outcome in (Outcome.UNKNOWN, Outcome.FAILED):
--- a/tests/limpetwalk_node/gateway/test_silent_servers.py
+++ b/tests/limpetwalk_node/gateway/test_silent_servers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import time
+from typing import Any
 from unittest import mock
 
 from aiohttp import web
@@ -38,14 +39,17 @@
         self.asked: list[str] = []
         self.ended_at: dict[str, float] = {}
 
-    async def configure(self, version: int, attempts: int) -> None:
+    async def configure(
+        self, version: int, attempts: int, slo_ms: float = 200
+    ) -> None:
         """Put a configuration into force.
 
         :param attempts: servers that the stream may be sent to.
+        :param slo_ms: target latency of the stream's first event.
         """
         config = site.config_row(version=version)
         config["routes"][0].update(
-            attempts=attempts, itl_slo_ms=LARGEST_GAP * 1000, slo_ms=200
+            attempts=attempts, itl_slo_ms=LARGEST_GAP * 1000, slo_ms=slo_ms
         )
         await self.run_.site.store.put("op", "config", config)
         state = self.run_.gateway.cluster_state
@@ -166,6 +170,94 @@
         considered = self.run_.lines.events("request.silent")
         self.assertLessEqual(len(considered), PAUSE / LARGEST_GAP + 1)
 
+    async def test_pause_counts_from_the_last_event(self) -> None:
+        await self.configure(version=3, attempts=3, slo_ms=1500)
+        self.serve(self.hang, self.rest)
+        began = time.monotonic()
+        self.assertEqual(ALL_EVENTS, await self.read())
+        self.assertLess(time.monotonic() - began, 1.0)
+
+    async def test_replacement_that_ends_after_its_head_costs_no_answer(
+        self,
+    ) -> None:
+        async def break_off(req: web.Request) -> web.StreamResponse:
+            async with self.answer(req) as resp:
+                await asyncio.sleep(0.1)
+                assert req.transport is not None
+                req.transport.abort()
+            return resp
+
+        await self.configure(version=3, attempts=2)
+        self.serve(self.pause, break_off)
+        self.assertEqual(ALL_EVENTS, await self.read())
+        self.assertEqual(2, len(self.asked))
+
+    async def test_error_of_a_search_costs_no_answer(self) -> None:
+        dispatcher = self.run_.gateway.dispatcher
+        start = dispatcher.start
+
+        async def fail_second(*args: Any) -> Any:
+            if self.asked:
+                raise OverflowError("port must be 0-65535")
+            return await start(*args)
+
+        self.serve(self.pause, self.rest)
+        with mock.patch.object(dispatcher, "start", fail_second):
+            self.assertEqual(ALL_EVENTS, await self.read())
+        errors = self.run_.lines.events("error.unexpected")
+        self.assertTrue(errors)
+        for error in errors:
+            self.assertIn("OverflowError", error["error"])
+
+    async def test_error_within_a_stream_closes_the_connection(self) -> None:
+        self.serve(self.rest, self.rest)
+        with mock.patch.object(
+            streaming.Relay, "is_new", side_effect=[True, KeyError("id")]
+        ):
+            reader, writer = await asyncio.open_connection(
+                *self.run_.gateway.addresses["callers"]
+            )
+            headers = {
+                **site.request_headers("a-1", 2000),
+                **site.STREAM_HEADERS,
+            }
+            head = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
+            writer.write(f"GET /stream/x HTTP/1.1\r\n{head}\r\n".encode())
+            async with asyncio.timeout(2.0):
+                received = await reader.read()
+            writer.close()
+        self.assertEqual(1, received.count(b"HTTP/1.1"), received)
+        self.assertNotIn(b"\r\n0\r\n", received)
+
+    async def test_server_given_up_before_its_head_counts_as_failed(
+        self,
+    ) -> None:
+        self.serve(self.wait, self.rest)
+        self.assertEqual(ALL_EVENTS, await self.read())
+        silent = self.asked[0]
+        await self.run_.until(
+            lambda: self.run_.lines.events("request.try_ended")
+        )
+        (ended,) = self.run_.lines.events("request.try_ended")
+        self.assertEqual(
+            (silent, "unknown"), (ended["server"], ended["outcome"])
+        )
+        member = self.run_.gateway.cluster_state.fleet.get(silent)
+        self.assertEqual(1, member.health.failures_in_row)
+        self.assertEqual(0, member.health.in_flight)
+
+    async def test_replacement_that_is_not_needed_counts_as_no_failure(
+        self,
+    ) -> None:
+        await self.configure(version=3, attempts=3, slo_ms=1500)
+        self.serve(self.pause, self.wait)
+        self.assertEqual(ALL_EVENTS, await self.read())
+        unused = self.asked[1]
+        await self.run_.until(lambda: unused in self.ended_at)
+        member = self.run_.gateway.cluster_state.fleet.get(unused)
+        self.assertEqual(0, member.health.failures_in_row)
+        self.assertEqual(0, member.health.in_flight)
+
     async def test_requests_end_when_the_caller_leaves(self) -> None:
         self.serve(self.hang, self.wait)
         with self.assertRaises(TimeoutError):
