Send load reports past a node whose address can't be used

A node's row with an IPv6 address made sendto() raise ValueError on the program's event loop, and a load beyond 32 bits made the report's field raise KjException: no node after that one got the report, on any turn.

test_supervision.Datagrams.test_odd_peers_and_loads_cost_no_other_report failed with KjException before, and with ValueError when only the fields were bounded. Fields are bounded now, and a node whose address can't be used is passed over; on the standard event loop the error goes to error_received(), which ignores it already.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Mapping
+import contextlib
 import importlib
 import pathlib
 import time
@@ -36,6 +37,8 @@
 IDLE_INTERVAL = 1.0
 # Largest datagram that is sent, bytes.
 MAX_DATAGRAM_BYTES = 60_000
+# Largest number that a field of a report holds.
+MAX_FIELD = 2**32 - 1
 SCHEMA = pathlib.Path(__file__).with_name("pressure.capnp")
 
 Loads = Mapping[str, server_load.Load]
@@ -207,7 +210,7 @@
         (entry,) = message.init("evidence", 1)
         entry.order = order
         entry.report = report
-        self._transport.sendto(message.to_bytes(), peer.address)
+        self._send(message.to_bytes(), peer)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable nodes, whose rows may outlive them."""
@@ -229,9 +232,9 @@
             entries, loads.items(), strict=True
         ):
             entry.server = server_id
-            entry.waitingMs = int(load.pending_prefill * 1000)
-            entry.active = load.active
-            entry.recent = load.recent
+            entry.waitingMs = _field(load.pending_prefill * 1000)
+            entry.active = _field(load.active)
+            entry.recent = _field(load.recent)
         states = self._tables()
         for entry, state in zip(
             report.init("tables", len(states)), states, strict=True
@@ -246,13 +249,23 @@
         ):
             entry.server = limit.server
             entry.perSecond = -1.0 if limit.rate is None else limit.rate
-            entry.ageMs = int(limit.age * 1000)
+            entry.ageMs = _field(limit.age * 1000)
         data = report.to_bytes()
         if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
             return
         peers = self._peers()
         for name in receivers:
-            self._transport.sendto(data, peers[name].address)
+            self._send(data, peers[name])
+
+    def _send(self, data: bytes, peer: peer_groups.Peer) -> None:
+        """Send a datagram, unless the node's row names no usable address."""
+        if self._transport is not None:
+            with contextlib.suppress(ValueError):
+                self._transport.sendto(data, peer.address)
+
+
+def _field(value: float) -> int:
+    return min(MAX_FIELD, max(0, int(value)))
 
 
 class _IdleFilter:
--- a/tests/limpetwalk_node/gateway/test_supervision.py
+++ b/tests/limpetwalk_node/gateway/test_supervision.py
@@ -8,6 +8,8 @@
 import unittest
 from unittest import mock
 
+import uvloop
+
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import server_limits
@@ -146,6 +148,48 @@
 class Datagrams(unittest.IsolatedAsyncioTestCase):
     """The task that sends and receives load reports."""
 
+    def test_odd_peers_and_loads_cost_no_other_report(self) -> None:
+        """On the event loop of the program."""
+        uvloop.run(self._send_past_an_odd_peer())
+
+    async def _send_past_an_odd_peer(self) -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            address = sock.getsockname()
+        peers = {
+            "odd": peer_groups.Peer(("::1", 7340), ""),
+            "sound": peer_groups.Peer(address, ""),
+        }
+        loads = mock.Mock(spec=server_load.ServerLoads)
+        loads.own_loads.return_value = {
+            "s-1": server_load.Load(1e9, 2**40, 2**40)
+        }
+        limits = mock.Mock(spec=server_limits.ServerLimits)
+        limits.observed.return_value = []
+        broadcast = load_broadcast.LoadBroadcast(
+            "sound",
+            lambda: peers,
+            loads,
+            limits,
+            lambda: [],
+            store_watch.PeerNews(mock.Mock(monotonic=lambda: 0.0)),
+            harness.journal(harness.Lines()),
+        )
+        running = asyncio.create_task(broadcast.run(address))
+        async with asyncio.timeout(5):
+            while not loads.own_loads.called:
+                await asyncio.sleep(0.02)
+        broadcast._send_report(
+            "", loads.own_loads.return_value, ["odd", "sound"]
+        )
+        broadcast.send_evidence("odd", "order", "{}")
+        async with asyncio.timeout(5):
+            while not loads.apply_report.called:
+                await asyncio.sleep(0.02)
+        self.assertFalse(running.done())
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
     async def test_socket_is_bound_again(self) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             sock.bind(("127.0.0.1", 0))
