Take late requests in a planned stop only if they can end

Callers whose plain request came more than about four seconds after a SIGTERM and took a second got no answer: such requests were taken and passed on until five sixths of the grace were over, then the listeners closed within 0.1 s, also for requests that may not be repeated. A caller that read a large answer slowly lost its end, since a request counted as done once its answer was handed to the transport. A request that was read between the last check and the closing was passed on and cut.

From the balancer's two checks on, a request is taken only if its deadline is before the end of the node's time, else it is refused with 503 and Retry-After: it has not run, and its connection closes. The node waits until 0.7 s (at most a sixth) before the end of the grace, counted from the signal, and until answers are written. What is open then is answered: 503 when no server was tried, else 504 node_stopped; a stream that has begun is broken off. The usual time of a route instead of the deadline would let more in, but promises nothing. test_late_stream_is_refused_with_retry_after sets the flag by its new name; node.stopped counts what was ended.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
@@ -67,6 +67,13 @@
         self._busy = False
         self._expect_head()
 
+    @property
+    def answering(self) -> bool:
+        """Whether an answer has not been written completely."""
+        transport = self.transport
+        unsent = transport.get_write_buffer_size() if transport else 0
+        return self._request_in_progress or unsent > 0
+
     def data_received(self, data: bytes) -> None:
         """Count the bytes of a head."""
         if not self._busy and not self._head_complete:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -52,7 +52,7 @@
 class NodeStopped(Event):
     """The process ends.
 
-    :param cut: number of requests that were still open.
+    :param cut: number of requests that were ended because no time was left.
     """
 
     name: ClassVar[str] = "node.stopped"
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 from typing import Any
 
 from aiohttp import web
@@ -46,6 +47,20 @@
 _NO_ACCESS_LOG.setLevel(logging.CRITICAL)
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _OpenRequest:
+    """Request that is being answered.
+
+    :param task: task that answers it.
+    :param call: the call that it makes, once the request was read.
+    :param ended: whether the node ends it because it stops.
+    """
+
+    task: "asyncio.Task[Any] | None"
+    call: calls.Call | None = None
+    ended: bool = False
+
+
 class Frontend(web.Server):
     """HTTP server for callers.
 
@@ -72,9 +87,12 @@
             dispatcher, lambda: self.closing
         )
         self._background: set[asyncio.Task[Any]] = set()
-        self.open_requests = 0
+        self._open: set[_OpenRequest] = set()
         self.closing = False
-        self.refusing_streams = False
+        self.refusing_late = False
+        self._ends_at = math.inf
+        # Requests that the node ended because it stops.
+        self.ended_requests = 0
         self._requests = metrics.counter(
             "limpetwalk_requests", "Requests by status.", ("status",)
         )
@@ -119,10 +137,46 @@
             auto_decompress=False,
         )
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that are being answered."""
+        return len(self._open)
+
+    @property
+    def answering(self) -> bool:
+        """Whether callers have not received all of their answers."""
+        return bool(self._open) or any(
+            isinstance(conn, caller_connection.CallerConnection)
+            and conn.answering
+            for conn in self.connections
+        )
+
     @property
     def busy(self) -> bool:
         """Whether requests, or calls whose caller has left, are running."""
-        return bool(self.open_requests or self._background)
+        return bool(self._background) or self.answering
+
+    def begin_stop(self, time_left: float) -> None:
+        """Close each connection with its next answer.
+
+        :param time_left: time in which all answers must end, in seconds.
+        """
+        self.closing = True
+        self._ends_at = self._clock.monotonic() + time_left
+
+    def end_open_requests(self) -> None:
+        """Answer the requests for which the node has no time left.
+
+        An answer that has begun is broken off. Requests that are read from
+        now on are refused, since connections are about to be closed.
+        """
+        self.refusing_late = True
+        self._ends_at = -math.inf
+        for request in self._open:
+            self.ended_requests += 1
+            request.ended = True
+            if request.task is not None:
+                request.task.cancel()
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         conn = req.protocol
@@ -136,18 +190,36 @@
     async def _handle_request(
         self, req: web.BaseRequest
     ) -> web.StreamResponse:
-        self.open_requests += 1
+        open_request = _OpenRequest(asyncio.current_task())
+        self._open.add(open_request)
         arrived = self._clock.monotonic()
         caller_attempt_id = req.headers.get(
             self._dispatcher.header_format.names.attempt, ""
         )
         try:
-            resp = await self._answer(req, arrived, caller_attempt_id)
+            resp = await self._answer(
+                req, arrived, caller_attempt_id, open_request
+            )
         except asyncio.CancelledError:
+            if open_request.ended and not _has_begun(req):
+                return self._end_request(
+                    open_request, caller_attempt_id, arrived
+                )
             elapsed_ms = int((self._clock.monotonic() - arrived) * 1000)
-            self._journal.emit(
-                events.RequestAbandoned(caller_attempt_id, elapsed_ms, 0)
-            )
+            if open_request.ended:
+                self._journal.emit(
+                    events.RequestFailed(
+                        caller_attempt_id,
+                        0,
+                        refusal.Reason.STOPPED.label,
+                        elapsed_ms,
+                        0,
+                    )
+                )
+            else:
+                self._journal.emit(
+                    events.RequestAbandoned(caller_attempt_id, elapsed_ms, 0)
+                )
             raise
         except Exception as exc:
             self._journal.emit(
@@ -161,7 +233,7 @@
                 arrived,
             )
         finally:
-            self.open_requests -= 1
+            self._open.discard(open_request)
         if self.closing and not resp.prepared:
             resp.force_close()
         self._requests.labels(str(resp.status)).inc()
@@ -169,7 +241,11 @@
         return resp
 
     async def _answer(
-        self, req: web.BaseRequest, arrived: float, caller_attempt_id: str
+        self,
+        req: web.BaseRequest,
+        arrived: float,
+        caller_attempt_id: str,
+        open_request: _OpenRequest,
     ) -> web.StreamResponse:
         if not self._cluster_state.ready:
             await self._wait_until_ready()
@@ -189,11 +265,12 @@
         call = self._admission.build_call(
             req, admitted.ok_value, body, arrived
         )
-        if self.refusing_streams and call.route.streaming:
+        if self.refusing_late and self._may_be_cut(call):
             stopping = refusal.Refusal(
                 refusal.Reason.STOPPING, STOPPING_RETRY_AFTER
             )
             return self._refuse(stopping, caller_attempt_id, arrived, call)
+        open_request.call = call
         if self._dispatcher.poison_requests.is_blocked(call):
             poison = refusal.Refusal(refusal.Reason.POISON)
             return self._refuse(poison, caller_attempt_id, arrived, call)
@@ -204,6 +281,31 @@
             return self._finish_plain(call, await self._plain.serve(call))
         return await self._serve_to_completion(call)
 
+    def _may_be_cut(self, call: calls.Call) -> bool:
+        """Whether a call may need more time than this node has left."""
+        return call.route.streaming or call.deadline > self._ends_at
+
+    def _end_request(
+        self,
+        request: _OpenRequest,
+        caller_attempt_id: str,
+        arrived: float,
+    ) -> web.StreamResponse:
+        """Answer a request that this node has no time left for.
+
+        A request that was sent to a server may have run.
+        """
+        if request.task is not None:
+            request.task.uncancel()
+        call = request.call
+        answer = refusal.Refusal(refusal.Reason.STOPPING, STOPPING_RETRY_AFTER)
+        if call is not None and call.tried_servers:
+            answer = refusal.Refusal(refusal.Reason.STOPPED)
+        resp = self._refuse(answer, caller_attempt_id, arrived, call)
+        resp.force_close()
+        self._requests.labels(str(resp.status)).inc()
+        return resp
+
     async def _wait_until_ready(self) -> None:
         """Wait until the store was read once, up to a time limit."""
         wait_until = self._clock.monotonic() + FIRST_READ_TIMEOUT
@@ -330,5 +432,11 @@
         )
 
 
+def _has_begun(req: web.BaseRequest) -> bool:
+    """Whether the head of an answer was written, or is about to be."""
+    writer = req.writer
+    return bool(writer.output_size or getattr(writer, "chunked", False))
+
+
 def _milliseconds(seconds: float | None) -> int:
     return -1 if seconds is None else int(seconds * 1000)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -38,11 +38,15 @@
 # Length of the queue of connections that wait to be accepted.
 BACKLOG = 512
 # Time after which the balancer knows that a node is not ready, seconds: it
-# checks once per second and acts on the second failed check. Streams that
-# arrive later may not finish within the grace period, so they are refused.
+# checks once per second and acts on the second failed check. Requests that
+# arrive later are refused unless they are sure to end in time.
 BALANCER_DELAY = 2.6
-# Share of the grace period after which open requests are closed.
-GRACE_SHARE = 5 / 6
+# Time before the end of the grace period at which open requests are ended,
+# seconds, and its largest share of that period.
+STOP_MARGIN = 0.7
+MAX_MARGIN_SHARE = 1 / 6
+# Time for writing the answers of requests that were ended, seconds.
+LAST_ANSWERS_TIME = 0.15
 # Interval between two checks whether a stopping node is idle, seconds.
 IDLE_CHECK_INTERVAL = 0.05
 # Factor on the longest wait for changes of the shared rows. A change that is
@@ -190,18 +194,28 @@
             name: runner.addresses[0] for name, runner in self._runners.items()
         }
 
-    async def drain(self) -> None:
-        """Let open requests finish within the grace period."""
+    async def drain(self, signalled_at: float | None = None) -> None:
+        """Let open requests finish within the grace period.
+
+        :param signalled_at: instant of the signal on the loop's clock, None
+            for now.
+        """
         loop = asyncio.get_running_loop()
-        started = loop.time()
-        end = started + self.platform.settings.bounds.grace * GRACE_SHARE
+        started = loop.time() if signalled_at is None else signalled_at
+        grace = self.platform.settings.bounds.grace
+        end = started + grace - min(STOP_MARGIN, grace * MAX_MARGIN_SHARE)
         self.readiness.draining = True
-        self.frontend.closing = True
+        self.frontend.begin_stop(end - loop.time())
         self.journal.emit(events.NodeStopping(self.frontend.open_requests))
-        await asyncio.sleep(BALANCER_DELAY)
-        self.frontend.refusing_streams = True
+        refusing_from = min(end, started + BALANCER_DELAY)
+        await asyncio.sleep(refusing_from - loop.time())
+        self.frontend.refusing_late = True
         while self.frontend.busy and loop.time() < end:
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
+        self.frontend.end_open_requests()
+        end = loop.time() + LAST_ANSWERS_TIME
+        while self.frontend.answering and loop.time() < end:
+            await asyncio.sleep(IDLE_CHECK_INTERVAL / 10)
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close the listeners and the platform's connections."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
@@ -95,10 +95,15 @@
     started: float,
     sock: socket.socket | None,
 ) -> None:
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    signalled: asyncio.Future[float] = loop.create_future()
+
+    def stop() -> None:
+        if not signalled.done():
+            signalled.set_result(loop.time())
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
+        loop.add_signal_handler(signal_number, stop)
     gateway = node.Gateway(
         platform=platform,
         journal=journal,
@@ -124,9 +129,10 @@
                 int((time.monotonic() - started) * 1000),
             )
         )
-        await stop.wait()
-        await gateway.drain()
+        await gateway.drain(await signalled)
         journal.emit(
-            events.NodeStopped(gateway.frontend.open_requests, journal.dropped)
+            events.NodeStopped(
+                gateway.frontend.ended_requests, journal.dropped
+            )
         )
     journal.flush(0.2)
--- a/packages/limpetwalk/limpetwalk/gateway/refusal.py
+++ b/packages/limpetwalk/limpetwalk/gateway/refusal.py
@@ -12,6 +12,7 @@
 
     NO_CONFIG = ("no_configuration", 503)
     STOPPING = ("node_stopping", 503)
+    STOPPED = ("node_stopped", 504)
     NO_ROUTE = ("no_route", 404)
     NO_KEY = ("unknown_key", 401)
     BODY_TOO_LARGE = ("body_too_large", 413)
--- a/tests/limpetwalk_node/gateway/test_streams.py
+++ b/tests/limpetwalk_node/gateway/test_streams.py
@@ -210,7 +210,7 @@
 
     async def test_late_stream_is_refused_with_retry_after(self) -> None:
         self.run_.gateway.frontend.closing = True
-        self.run_.gateway.frontend.refusing_streams = True
+        self.run_.gateway.frontend.refusing_late = True
         async with self.run_.stream() as resp:
             self.assertEqual(503, resp.status)
             self.assertIn("Retry-After", resp.headers)
