Take a node's row without a port as sound

A node whose settings leave its port for other nodes open publishes port 0. Since odd shared rows are logged, its own row was reported as unreadable: test_poison_requests.PoisonRows .test_malformed_report_is_logged_and_ignored counted three such lines where it expects two, on each run. Port 0 stands for no port now, and such a node is sent no datagrams.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -472,5 +472,7 @@
     if not isinstance(row["host"], str) or not isinstance(zone, str):
         raise ValueError("host and zone must be strings")
     ipaddress.ip_address(row["host"])
-    port = json_decoder.integer(row["port"], 1, MAX_PORT)
-    return peer_groups.Peer((row["host"], port), zone)
+    port = json_decoder.integer(row["port"], 0, MAX_PORT)
+    # A node at no port of its own takes no datagrams.
+    address = (row["host"], port) if port else NO_PEER.address
+    return peer_groups.Peer(address, zone)
