--- a/tests/limpetwalk_node/gateway/harness.py
+++ b/tests/limpetwalk_node/gateway/harness.py
@@ -61,37 +61,53 @@
 class RunningGateway:
     """Gateway with simulated platform services and a client."""
 
-    def __init__(self) -> None:
-        self.site = site.Site()
+    def __init__(self, shared_site: site.Site | None = None) -> None:
+        self.site = shared_site or site.Site()
+        self._owns_site = shared_site is None
         self.lines = Lines()
         self.metrics = metrics_.Metrics()
         self._stack = contextlib.AsyncExitStack()
 
     async def start(
-        self, services: dict[str, str] | None = None, name: str = "node-1"
+        self,
+        services: dict[str, str] | None = None,
+        name: str = "node-1",
+        peers_port: int = 0,
     ) -> None:
         """Start everything, and wait until the gateway is ready.
 
         :param services: service of each backend server, by its id.
         :param name: name of the node.
+        :param peers_port: port for other nodes; 0 for any free port.
         """
-        await self.site.start(
-            services or {"e-1": site.ENGINE, "p-1": site.PLAIN}
-        )
+        if self._owns_site:
+            await self.site.start(
+                services or {"e-1": site.ENGINE, "p-1": site.PLAIN}
+            )
         folder = self._stack.enter_context(tempfile.TemporaryDirectory())
         path = pathlib.Path(folder) / "node.toml"
-        path.write_text(site.settings_text(name, self.site.store_port, GRACE))
+        path.write_text(
+            site.settings_text(
+                name, self.site.store_port, GRACE, peers=peers_port
+            )
+        )
         self._stack.enter_context(
             mock.patch.dict(os.environ, {settings.PATH_VARIABLE: str(path)})
         )
         self._stack.enter_context(
             mock.patch.object(settings, "METRICS_PORT", 0)
         )
-        journal = logs.Journal(name, self.lines, self.metrics)
-        logger.remove()
-        self._stack.enter_context(logs.send_lines_to(self.lines.write))
+        if self._owns_site:
+            node_journal = logs.Journal(name, self.lines, self.metrics)
+            logger.remove()
+            self._stack.enter_context(logs.send_lines_to(self.lines.write))
+        else:
+            # loguru's sinks would get the lines of all gateways.
+            node_journal = journal(self.lines)
         self.gateway = node.Gateway(
-            platform=adapter.Adapter(), journal=journal, metrics=self.metrics
+            platform=adapter.Adapter(),
+            journal=node_journal,
+            metrics=self.metrics,
         )
         await self.gateway.start()
         self.client = aiohttp.ClientSession()
@@ -101,7 +117,8 @@
         """Stop everything."""
         await self.client.close()
         await self.gateway.stop()
-        await self.site.stop()
+        if self._owns_site:
+            await self.site.stop()
         await self._stack.aclose()
 
     async def until(self, condition: Any) -> None:
