Reach servers through a peer when the link to them is lost

Callers of a node that was partitioned from the servers got 503 rejected_by_servers, while all other nodes reached the servers.

The cause is that a node knew one way to a server only. Now it asks a peer for a tunnel (CONNECT between nodes, with a secret from the peer's row in the shared table) when its own connection is refused or takes long. All decisions stay with the node that the caller is connected to; the peer passes bytes on. An answer other than 200 says that no byte has reached a server, so what is told as not run is true, and each request still runs at most once.

A node learns which of its links are lost from peers that get through where it didn't. It asks peers first for these servers, tries the links again after a pause, and takes itself for cut off when it has lost several and reaches none; it tells so in its load reports, so that no other node asks it.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -397,7 +397,9 @@
     try:
         row = json.loads(text)
         return peer_groups.Peer(
-            (str(row["host"]), int(row["port"])), str(row.get("zone", ""))
+            (str(row["host"]), int(row["port"])),
+            str(row.get("zone", "")),
+            str(row.get("secret", "")),
         )
     except (AttributeError, KeyError, TypeError, ValueError):
         return peer_groups.Peer(("127.0.0.1", 9))
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -25,6 +25,7 @@
 from limpetwalk.gateway import version_tallies
 
 from . import cluster_state
+from . import connector
 from . import events
 from . import logs
 from . import outbound
@@ -43,6 +44,7 @@
     :param settings: returns the settings in force.
     :param state: configuration, servers and nodes known to this node.
     :param quarantine: requests that have crashed servers.
+    :param connections: opens connections to servers.
     :param buffer_budget: memory for incomplete bodies and events.
     :param limits: limits of a server's response.
     """
@@ -53,6 +55,7 @@
         header_format: ports.HeaderFormat,
         state: cluster_state.ClusterState,
         quarantine: poison_requests.PoisonRequests,
+        connections: connector.Connector,
         clock: clocks.Clock,
         journal: logs.Journal,
         metrics: metrics_.Metrics,
@@ -66,6 +69,7 @@
         self.clock = clock
         self.journal = journal
         self.poison_requests = quarantine
+        self._connector = connections
         self._settings = settings
         self._rng = random.Random()
         self._prefix_cache = prefix_cache.PrefixCacheTracker(
@@ -400,13 +404,9 @@
         if member.is_cold(self.clock.monotonic()):
             self._cold_pacer.record_sent(member.id)
         self.server_limits.record_sent(member.id)
-        entry = member.entry
         try:
-            exchange = await upstream.Exchange.connect(
-                entry.host,
-                entry.port,
-                min(CONNECT_TIMEOUT, timeout),
-                self.limits,
+            exchange = await self._connector.connect(
+                member, min(CONNECT_TIMEOUT, timeout), self.limits
             )
         except upstream.ServerUnreachable as exc:
             return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -460,3 +460,44 @@
     place: str
     error: str
     request: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLinkChanged(Event):
+    """The link to a server that peers reach was lost, or works again."""
+
+    name: ClassVar[str] = "server.link"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    server: str
+    lost: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CutOffChanged(Event):
+    """This node has lost its links to all servers, or reaches one again."""
+
+    name: ClassVar[str] = "node.cut_off"
+    cut_off: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnable(Event):
+    """A peer could not connect to a server for this node."""
+
+    name: ClassVar[str] = "tunnel.unable"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    peer: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class TunnelDeclined(Event):
+    """This node has declined to connect to a server for another one.
+
+    :param host: address of the other node.
+    """
+
+    name: ClassVar[str] = "tunnel.declined"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    host: str
+    reason: str
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -16,6 +16,7 @@
 
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import server_limits
+from limpetwalk.gateway import server_links
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import store_watch
 from limpetwalk.gateway import types
@@ -49,6 +50,8 @@
     :param limits: limits that servers name.
     :param tables: returns what this node knows of the store's tables.
     :param news: receives what other nodes know of them.
+    :param links: links of this node to servers.
+    :param peer_choice: receives whether other nodes are cut off.
     :ivar on_evidence: called with the sender, the order and the report of each
         piece of evidence that this node receives as a collector.
     """
@@ -61,6 +64,8 @@
         limits: server_limits.ServerLimits,
         tables: Callable[[], Collection[store_watch.TableState]],
         news: store_watch.PeerNews,
+        links: server_links.ServerLinks,
+        peer_choice: server_links.PeerChoice,
         journal: logs.Journal,
     ) -> None:
         self._node = node
@@ -69,6 +74,8 @@
         self._server_limits = limits
         self._tables = tables
         self._news = news
+        self._links = links
+        self._peer_choice = peer_choice
         self._journal = journal
         self.on_evidence: Callable[[str, str, str], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -170,6 +177,7 @@
             ],
             hops=2 if report.group else 1,
         )
+        self._peer_choice.record_report(sender, report.cutOff)
         self._news.record(
             sender,
             [
@@ -220,7 +228,10 @@
         """
         self._sequence += 1
         report = self._schema.Told.new_message(
-            sender=self._node, sequence=self._sequence, group=group
+            sender=self._node,
+            sequence=self._sequence,
+            group=group,
+            cutOff=self._links.cut_off,
         )
         entries = report.init("loads", len(loads))
         for entry, (server_id, load) in zip(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 import json
 import random
+import secrets
 import socket
 from typing import Any
 
@@ -17,11 +18,13 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import ports
+from limpetwalk.gateway import server_links
 from limpetwalk.gateway import store_watch
 from limpetwalk.gateway import types
 
 from . import admission
 from . import cluster_state
+from . import connector
 from . import dispatch
 from . import events
 from . import frontend
@@ -32,6 +35,7 @@
 from . import rollouts
 from . import status
 from . import table_follower
+from . import tunnels
 
 # Length of the queue of connections that wait to be accepted.
 BACKLOG = 512
@@ -59,6 +63,8 @@
 # Upper bound of the random delay of a write that all nodes may have to make
 # after a restoration of the store, seconds for each node.
 WRITE_DELAY_PER_NODE = 0.01
+# Size of the secret by which other nodes ask this one for tunnels, bytes.
+SECRET_BYTES = 16
 
 
 # Interval between two checks of the settings file, seconds. The file may
@@ -93,6 +99,33 @@
         self.cluster_state = cluster_state.ClusterState(
             clock, self.journal, self.metrics
         )
+        news = store_watch.PeerNews(clock)
+        self.links = server_links.ServerLinks(
+            clock,
+            random.Random(),
+            lambda id_: self.cluster_state.fleet.get(id_) is not None,
+            self._log_link,
+            self._log_cut_off,
+        )
+        peer_choice = server_links.PeerChoice(
+            platform.settings.name,
+            lambda: platform.settings.zone,
+            lambda: self.cluster_state.peers,
+            news.heard,
+            clock,
+            random.Random(),
+        )
+        connections = connector.Connector(
+            self.links, peer_choice, self.journal, self.metrics
+        )
+        self._secret = secrets.token_hex(SECRET_BYTES)
+        self.tunnels = tunnels.Tunnels(
+            self._secret,
+            self.cluster_state.fleet,
+            self.links,
+            self.journal,
+            self.metrics,
+        )
         self.dispatcher = dispatch.Dispatcher(
             lambda: platform.settings,
             platform.header_format,
@@ -101,9 +134,11 @@
                 platform.settings.name,
                 self.cluster_state,
                 lambda: platform.shared,
+                connections,
                 self.journal,
                 random.Random(),
             ),
+            connections,
             clock,
             self.journal,
             self.metrics,
@@ -123,7 +158,6 @@
         self.readiness = status.Readiness(
             self.cluster_state, self.journal, platform.readiness_path
         )
-        news = store_watch.PeerNews(clock)
         broadcast = load_broadcast.LoadBroadcast(
             platform.settings.name,
             lambda: self.cluster_state.peers,
@@ -131,6 +165,8 @@
             self.dispatcher.server_limits,
             lambda: [follower.state for follower in self.followers],
             news,
+            self.links,
+            peer_choice,
             self.journal,
         )
         self.followers = self._make_followers(
@@ -145,6 +181,7 @@
         for follower in self.followers:
             news.listen(follower.state.table, follower.note_peer)
         self._tasks: list[asyncio.Task[None]] = []
+        await self.tunnels.start(platform.settings.peers)
         for follower in self.followers:
             self._spawn(follower.run(), "watch")
         self._spawn(self._publish_presence(), "presence")
@@ -191,18 +228,25 @@
         end = started + self.platform.settings.bounds.grace * GRACE_SHARE
         self.readiness.draining = True
         self.frontend.closing = True
+        self.tunnels.closing = True
         self.journal.emit(events.NodeStopping(self.frontend.open_requests))
         await asyncio.sleep(BALANCER_DELAY)
         self.frontend.refusing_streams = True
-        while self.frontend.busy and loop.time() < end:
+        while self._busy and loop.time() < end:
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
 
+    @property
+    def _busy(self) -> bool:
+        """Whether requests of callers, or of other nodes, are under way."""
+        return self.frontend.busy or self.tunnels.open_count > 0
+
     async def stop(self, exception: Exception | None = None) -> None:
         """Close the listeners and the platform's connections."""
         for task in self._tasks:
             task.cancel()
         for runner in self._runners.values():
             await runner.cleanup()
+        self.tunnels.close()
         self.dispatcher.poison_requests.close()
         await self.platform.close()
 
@@ -326,9 +370,27 @@
     def _presence_key(self) -> str:
         return cluster_state.NODE_PREFIX + self.platform.settings.name
 
+    @property
+    def _presence_row(self) -> str:
+        host, port = self.platform.settings.peers
+        return json.dumps(
+            {
+                "host": host,
+                "port": port,
+                "zone": self.platform.settings.zone,
+                "secret": self._secret,
+            }
+        )
+
+    def _log_link(self, server_id: str, lost: bool) -> None:
+        self.journal.emit(events.ServerLinkChanged(server_id, lost))
+
+    def _log_cut_off(self, cut_off: bool) -> None:
+        self.journal.emit(events.CutOffChanged(cut_off))
+
     def _restore_presence(self, rows: Mapping[str, str]) -> None:
         """Publish this node's address again if the store has lost it."""
-        if self._presence_key not in rows:
+        if rows.get(self._presence_key) != self._presence_row:
             self._spawn(
                 self._publish_presence(self._random_delay()), "presence"
             )
@@ -364,14 +426,10 @@
         :param delay: time to wait before, in seconds.
         """
         await asyncio.sleep(delay)
-        host, port = self.platform.settings.peers
-        zone = self.platform.settings.zone
-        value = json.dumps({"host": host, "port": port, "zone": zone})
+        put = ports.SharedPut(self._presence_key, self._presence_row)
         while True:
             try:
-                await self.platform.shared.put(
-                    [ports.SharedPut(self._presence_key, value)]
-                )
+                await self.platform.shared.put([put])
             except exceptions.StoreError:
                 # The follower of the same table logs the outage.
                 await asyncio.sleep(PRESENCE_RETRY_PAUSE)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -18,6 +18,7 @@
 from limpetwalk.gateway import ports
 
 from . import cluster_state
+from . import connector
 from . import events
 from . import logs
 from . import upstream
@@ -78,6 +79,7 @@
 
     :param node: name of this node.
     :param shared: returns the table that the nodes share.
+    :param connections: opens connections to servers.
     :param rng: random source for the delay of writes.
     """
 
@@ -86,10 +88,12 @@
         node: str,
         state: cluster_state.ClusterState,
         shared: Callable[[], ports.SharedTable],
+        connections: connector.Connector,
         journal: logs.Journal,
         rng: random.Random,
     ) -> None:
         self._node = node
+        self._connector = connections
         self._cluster_state = state
         self._shared = shared
         self._journal = journal
@@ -178,9 +182,7 @@
         await asyncio.sleep(COLLECT_SECONDS)
         broken_calls, report.unchecked = report.unchecked, []
         try:
-            exchange = await upstream.Exchange.connect(
-                member.entry.host, member.entry.port, PROBE_TIMEOUT
-            )
+            exchange = await self._connector.connect(member, PROBE_TIMEOUT)
         except upstream.ServerUnreachable as exc:
             # A server that is silent may be cut off from this node.
             crashed = exc.refused
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
@@ -10,6 +10,7 @@
   tables @4 :List(Table);
   evidence @5 :List(Evidence);
   limits @6 :List(Limit);
+  cutOff @7 :Bool;        # whether the sender has lost its links to servers
 }
 
 struct Limit {
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
 import socket
@@ -84,54 +85,27 @@
 
 
 class Exchange:
-    """A request and its response on one connection."""
+    """A request and its response on one connection.
+
+    :param limits: limits of the response.
+    :param on_close: called once when the exchange is closed.
+    """
 
     def __init__(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        limits: buffers.ResponseLimits,
+        limits: buffers.ResponseLimits = buffers.ResponseLimits(),
+        on_close: Callable[[], None] | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._limits = limits
+        self._on_close = on_close
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=limits.head_bytes
         )
 
-    @classmethod
-    async def connect(
-        cls,
-        host: str,
-        port: int,
-        timeout: float,
-        limits: buffers.ResponseLimits = buffers.ResponseLimits(),
-    ) -> "Exchange":
-        """Open a connection.
-
-        :param timeout: longest time to wait, in seconds.
-        :param limits: limits of the response.
-        :raises ServerUnreachable: when the connection fails.
-        """
-        try:
-            async with asyncio.timeout(timeout):
-                reader, writer = await asyncio.open_connection(
-                    host, port, limit=READ_BYTES
-                )
-        except (OSError, TimeoutError) as exc:
-            raise ServerUnreachable(
-                f"connection to {host}:{port} failed: {exc!r}",
-                isinstance(exc, ConnectionRefusedError),
-            ) from exc
-        sock = writer.get_extra_info("socket")
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
-        return cls(reader, writer, limits)
-
     def send(
         self, method: str, target: str, headers: RawHeaders, body: bytes
     ) -> None:
@@ -215,6 +189,9 @@
 
     def close(self) -> None:
         """Abort the connection, so that the server stops its work."""
+        if self._on_close is not None:
+            self._on_close()
+            self._on_close = None
         transport = self._writer.transport
         if transport is not None:
             transport.abort()
@@ -238,6 +215,28 @@
             ) from exc
 
 
+async def open_connection(
+    host: str, port: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to a server or to a peer that leads to one.
+
+    :raises OSError: when the connection fails.
+    """
+    reader, writer = await asyncio.open_connection(
+        host, port, limit=READ_BYTES
+    )
+    set_options(writer.get_extra_info("socket"))
+    return reader, writer
+
+
+def set_options(sock: socket.socket) -> None:
+    """Set the options of a connection that carries requests to a server."""
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+    )
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def _decode(headers: RawHeaders) -> multidict.CIMultiDict[str]:
     return multidict.CIMultiDict(
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/packages/limpetwalk/limpetwalk/gateway/peer_groups.py
+++ b/packages/limpetwalk/limpetwalk/gateway/peer_groups.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 import math
 
 # Largest number of nodes that form a single group.
@@ -24,10 +25,13 @@
 
     :param address: ``(host, port)`` at which it receives reports.
     :param zone: availability zone, empty when unknown.
+    :param secret: what proves to it that a request for a tunnel comes from a
+        node; empty for one that carries no tunnels.
     """
 
     address: Address
     zone: str = ""
+    secret: str = field(default="", repr=False)
 
 
 @dataclass(frozen=True, slots=True)
