Let a peer tell that a server is down only where it can know

A node whose connections to two servers failed since its last success can't tell any more, and says so; the asking node goes on to another peer. It also takes itself for cut off sooner.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
@@ -122,6 +122,7 @@
                     return await self._open_directly(member, limits)
             except OSError as exc:
                 failure = exc
+                self.links.record_failed(member.id)
             finally:
                 by_peer.on_result = None
                 timer.cancel()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/tunnels.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/tunnels.py
@@ -179,6 +179,7 @@
         else:
             self._links.record_connected(member.id)
             return None
+        self._links.record_failed(member.id)
         return declined if self._links.works else LINK_LOST
 
     def record(self, result: str) -> None:
@@ -269,6 +270,7 @@
         self._conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._connecting: asyncio.Task[None] | None = None
 
@@ -297,17 +299,23 @@
             # Nothing may be sent before the answer.
             self.abort()
             return
+        self._head_bytes += len(data)
         self._conn.receive_data(data)
         try:
             event = self._conn.next_event()
         except h11.RemoteProtocolError:
             self._decline(MALFORMED)
             return
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._decline(MALFORMED)
+            return
         if event is h11.NEED_DATA:
             return
         self._stop_timer()
         assert isinstance(event, h11.Request)
         found = self._tunnels.find(event)
+        if isinstance(found, fleet.Member) and self._conn.trailing_data[0]:
+            found = MALFORMED
         if isinstance(found, Declined):
             self._decline(found)
         else:
--- a/packages/limpetwalk/limpetwalk/gateway/server_links.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_links.py
@@ -22,11 +22,12 @@
 MAX_PAUSE = 3.0
 # Shares of a pause between which its length is drawn.
 JITTER = (0.7, 1.0)
-# Lost links that make a node cut off.
+# Lost links that make a node cut off, if it has not connected to any server
+# for ``WORKING_WINDOW`` seconds, or has since failed to connect to
+# ``MIN_FAILED_SERVERS``.
 MIN_LOST_LINKS = 2
-# Time without a connection of its own after which a node may be cut off, in
-# seconds.
 WORKING_WINDOW = 1.0
+MIN_FAILED_SERVERS = 3
 # Bounds of the time between two direct attempts of a node that is cut off, in
 # seconds.
 PROBE_INTERVAL = (0.2, 0.4)
@@ -82,6 +83,7 @@
         self._on_cut_off = on_cut_off
         self._lost: dict[str, _LostLink] = {}
         self._connected_at = -WORKING_WINDOW
+        self._failed: set[str] = set()
         self._next_probe = 0.0
         self.cut_off = False
 
@@ -109,16 +111,22 @@
 
     @property
     def works(self) -> bool:
-        """Whether this node has connected to some server lately.
+        """Whether this node connects to servers, except perhaps to one.
 
         A node whose links don't work can't tell that a server is down.
         """
         age = self._clock.monotonic() - self._connected_at
-        return age < WORKING_WINDOW and not self.cut_off
+        return (
+            age < WORKING_WINDOW
+            and len(self._failed) <= 1
+            and not self.cut_off
+        )
 
     def record_connected(self, server_id: str) -> None:
         """Record that a direct connection was established."""
         now = self._connected_at = self._clock.monotonic()
+        if self._failed:
+            self._failed.clear()
         if not self._lost:
             return
         if self._lost.pop(server_id, None) is not None:
@@ -130,6 +138,10 @@
             spread = now + self._rng.uniform(0.0, RECOVERY_SPREAD)
             link.retry_at = min(link.retry_at, spread)
 
+    def record_failed(self, server_id: str) -> None:
+        """Record that a direct connection failed, for whatever reason."""
+        self._failed.add(server_id)
+
     def record_lost(self, server_id: str) -> None:
         """Record that a peer got through where this node did not."""
         now = self._clock.monotonic()
@@ -144,7 +156,10 @@
         if (
             not self.cut_off
             and len(self._lost) >= MIN_LOST_LINKS
-            and now - self._connected_at >= WORKING_WINDOW
+            and (
+                len(self._failed) >= MIN_FAILED_SERVERS
+                or now - self._connected_at >= WORKING_WINDOW
+            )
         ):
             self._set_cut_off(True)
 
