Don't blame servers for links that a cut-off node has lost

A node that is cut off, and whose peers have no room, backed off every server for up to 3 s; so its callers were refused even after a peer could help again.

An attempt that found no way no longer counts as the server's failure where the node takes itself for cut off and no peer said that the server is down; nor does an answer that broke off while the link to its server is in doubt. Failures to connect from before the node knew are forgotten.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -256,10 +256,12 @@
         """
         now = self.clock.monotonic()
         outcome = failure.outcome if failure else None
+        link_lost = failure is not None and self._is_link_lost(member, failure)
         failed = outcome not in (None, retries.Outcome.NOT_RUN)
         unreached = outcome is retries.Outcome.UNREACHED
-        member.health.record(failed, now, unreached)
-        if member.health.backoff_until > now and failed:
+        if not link_lost:
+            member.health.record(failed, now, unreached)
+        if member.health.backoff_until > now and failed and not link_lost:
             self.journal.emit(
                 events.ServerBackingOff(
                     member.id,
@@ -285,6 +287,14 @@
             if outcome is retries.Outcome.UNKNOWN:
                 self.poison_requests.check_server(call, member)
 
+    def _is_link_lost(
+        self, member: fleet.Member, failure: outbound.FailedAttempt
+    ) -> bool:
+        """Return whether an attempt failed by this node's own links."""
+        if failure.outcome is retries.Outcome.UNKNOWN:
+            return self._connector.links.is_in_doubt(member.id)
+        return failure.link_lost
+
     def record_pace(
         self,
         call: calls.Call,
@@ -409,7 +419,7 @@
                 member, min(CONNECT_TIMEOUT, timeout), self.limits
             )
         except upstream.ServerUnreachable as exc:
-            return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
+            return outbound.FailedAttempt.unreached(exc)
         keep_open = False
         try:
             headers = outbound.server_headers(
@@ -447,7 +457,7 @@
                     verdict.outcome, verdict.detail, answer
                 )
         except upstream.ServerUnreachable as exc:
-            return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
+            return outbound.FailedAttempt.unreached(exc)
         except upstream.IncompleteAnswer as exc:
             return outbound.FailedAttempt.incomplete(exc)
         except TimeoutError:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -105,7 +105,7 @@
             random.Random(),
             lambda id_: self.cluster_state.fleet.get(id_) is not None,
             self._log_link,
-            self._log_cut_off,
+            self._record_cut_off,
         )
         peer_choice = server_links.PeerChoice(
             platform.settings.name,
@@ -385,8 +385,11 @@
     def _log_link(self, server_id: str, lost: bool) -> None:
         self.journal.emit(events.ServerLinkChanged(server_id, lost))
 
-    def _log_cut_off(self, cut_off: bool) -> None:
+    def _record_cut_off(self, cut_off: bool) -> None:
         self.journal.emit(events.CutOffChanged(cut_off))
+        if cut_off:
+            for member in self.cluster_state.fleet:
+                member.health.forget_unreached()
 
     def _restore_presence(self, rows: Mapping[str, str]) -> None:
         """Publish this node's address again if the store has lost it."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/outbound.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/outbound.py
@@ -26,12 +26,21 @@
 
     :param answer: answer of a failure that may be passed on unchanged.
     :param limit: name of the limit that the answer exceeded, or empty.
+    :param link_lost: whether the cause is this node's link to the server.
     """
 
     outcome: retries.Outcome
     detail: str
     answer: "CompleteAnswer | None" = None
     limit: str = ""
+    link_lost: bool = False
+
+    @classmethod
+    def unreached(cls, exc: upstream.ServerUnreachable) -> "FailedAttempt":
+        """Return the attempt that found no way to its server."""
+        return cls(
+            retries.Outcome.UNREACHED, str(exc), link_lost=exc.link_lost
+        )
 
     @classmethod
     def incomplete(cls, exc: upstream.IncompleteAnswer) -> "FailedAttempt":
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -36,11 +36,16 @@
 
     :param refused: whether the server's host answered that nothing listens
         at the port.
+    :param link_lost: whether this node has lost its links to the servers,
+        and no peer could tell whether this one is up.
     """
 
-    def __init__(self, detail: str, refused: bool = False) -> None:
+    def __init__(
+        self, detail: str, refused: bool = False, link_lost: bool = False
+    ) -> None:
         super().__init__(detail)
         self.refused = refused
+        self.link_lost = link_lost
 
 
 class IncompleteAnswer(Exception):
--- a/packages/limpetwalk/limpetwalk/gateway/fleet.py
+++ b/packages/limpetwalk/limpetwalk/gateway/fleet.py
@@ -78,6 +78,15 @@
             self.backoff_until = now + self._next_backoff
             self._next_backoff = min(MAX_BACKOFF, self._next_backoff * 2)
 
+    def forget_unreached(self) -> None:
+        """Forget failures to connect, which were not the server's."""
+        if self.unreached_since is not None:
+            self.unreached_since = None
+            self.failures_in_row = 0
+            self.failure_weight = 0.0
+            self.backoff_until = -math.inf
+            self._next_backoff = FIRST_BACKOFF
+
     def failure_share(self, now: float) -> float:
         """Return the share of recent requests that failed, 0 to 1.
 
--- a/packages/limpetwalk/limpetwalk/gateway/server_links.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_links.py
@@ -48,12 +48,10 @@
 class _LostLink:
     """Link to a server that peers reach.
 
-    :param lost_at: instant at which the link was found lost.
     :param retry_at: instant from which the link is tried again.
     :param pause: length of the next pause, in seconds.
     """
 
-    lost_at: float
     retry_at: float
     pause: float = FIRST_PAUSE
 
@@ -104,10 +102,13 @@
         """Return whether the link to a server is known to be lost."""
         return server_id in self._lost
 
-    def lost_since(self, server_id: str, instant: float) -> bool:
-        """Return whether a link was found lost after an instant."""
-        link = self._lost.get(server_id)
-        return link is not None and link.lost_at >= instant
+    def is_in_doubt(self, server_id: str) -> bool:
+        """Return whether an answer may have broken off by a lost link."""
+        return (
+            self.cut_off
+            or server_id in self._lost
+            or len(self._failed) >= MIN_FAILED_SERVERS
+        )
 
     @property
     def works(self) -> bool:
@@ -149,7 +150,7 @@
             del self._lost[each]
         link = self._lost.get(server_id)
         if link is None:
-            link = self._lost[server_id] = _LostLink(now, now)
+            link = self._lost[server_id] = _LostLink(now)
             self._on_link(server_id, True)
         link.retry_at = now + link.pause * self._rng.uniform(*JITTER)
         link.pause = min(MAX_PAUSE, 2 * link.pause)
