Don't take a lost link for a crash of the server

When the links of a node are reset, its answers break off and new connections are refused, as after a crash. Sound requests became suspects, and a node with three such servers would have quarantined them for all nodes.

The check that distinguishes a crash goes the same ways as requests: a server that a peer reaches has not crashed. Where no peer can tell, a refusal counts only while this node's links aren't in doubt.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
@@ -89,7 +89,7 @@
             raise upstream.ServerUnreachable(
                 f"connection to {tunnels.authority(member)} failed: {exc!r}",
                 isinstance(exc, ConnectionRefusedError),
-                self.links.cut_off,
+                self.links.is_in_doubt(member.id),
             ) from exc
         except upstream.ServerUnreachable:
             self._ways.labels("none").inc()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -107,7 +107,7 @@
             self._log_link,
             self._record_cut_off,
         )
-        peer_choice = server_links.PeerChoice(
+        self.peer_choice = server_links.PeerChoice(
             platform.settings.name,
             lambda: platform.settings.zone,
             lambda: self.cluster_state.peers,
@@ -116,7 +116,7 @@
             random.Random(),
         )
         connections = connector.Connector(
-            self.links, peer_choice, self.journal, self.metrics
+            self.links, self.peer_choice, self.journal, self.metrics
         )
         self._secret = secrets.token_hex(SECRET_BYTES)
         self.tunnels = tunnels.Tunnels(
@@ -166,7 +166,7 @@
             lambda: [follower.state for follower in self.followers],
             news,
             self.links,
-            peer_choice,
+            self.peer_choice,
             self.journal,
         )
         self.followers = self._make_followers(
--- a/tests/limpetwalk_node/gateway/links.py
+++ b/tests/limpetwalk_node/gateway/links.py
@@ -111,11 +111,8 @@
         for name in self.names:
             await self.add_node(name)
         for run in self.nodes:
-            await run.until(
-                lambda run=run: (
-                    len(run.gateway.cluster_state.peers) == len(self.names)
-                )
-            )
+            choice = run.gateway.peer_choice
+            await run.until(choice.next_peer)
 
     async def add_node(self, name: str) -> harness.RunningGateway:
         """Start one more gateway."""
--- a/tests/limpetwalk_node/gateway/test_lost_links.py
+++ b/tests/limpetwalk_node/gateway/test_lost_links.py
@@ -1,6 +1,9 @@
 """Tests of nodes that have lost their links to the servers."""
 
 import asyncio
+from typing import Any
+
+from aiohttp import web
 
 from limpetwalk.gateway import server_links
 from limpetwalk_bench.hub import server
@@ -13,11 +16,6 @@
 class CutOffNode(links.LinksCase):
     """A node has lost its links to all servers; its peer has not."""
 
-    async def asyncSetUp(self) -> None:
-        await super().asyncSetUp()
-        # Each node has heard the other.
-        await asyncio.sleep(0.5)
-
     async def cut_off(self, fault: links.Fault) -> None:
         """Cut the first node off, and wait until it knows."""
         self.links[0].cut(fault)
@@ -63,3 +61,47 @@
         self.assertEqual([], node.lines.events("server.resting"))
         await asyncio.sleep(server_links.AVOID_TIME)
         await self.send_all()
+
+
+class BrokenAnswers(links.LinksCase):
+    """Answers break off while connections of the node are refused."""
+
+    async def break_off(self, cut_off: bool = False) -> None:
+        """Send a request whose answer breaks off, and wait for the check.
+
+        :param cut_off: whether the node finds out at once.
+        """
+        node_links = self.nodes[0].gateway.links
+
+        async def end(req: web.Request) -> None:
+            self.links[0].cut(links.Fault.REFUSE)
+            for server_id in self.services if cut_off else ():
+                node_links.record_failed(server_id)
+                node_links.record_lost(server_id)
+            assert req.transport is not None
+            req.transport.abort()
+
+        for each in self.site.servers.values():
+            each.behaviour = end
+        async with self.nodes[0].request("POST", "/once/x", data=b"") as resp:
+            self.assertEqual(502, resp.status)
+        await asyncio.sleep(0.5)
+
+    @property
+    def suspected(self) -> list[dict[str, Any]]:
+        return self.nodes[0].lines.events("request.suspected")
+
+    async def test_server_that_a_peer_reaches_has_not_crashed(self) -> None:
+        await self.break_off()
+        self.assertEqual([], self.suspected)
+
+    async def test_server_that_no_peer_reaches_has_crashed(self) -> None:
+        self.links[1].cut(links.Fault.REFUSE)
+        self.nodes[1].gateway.links.record_connected("e-1")
+        await self.break_off()
+        self.assertEqual(1, len(self.suspected))
+
+    async def test_cut_off_node_without_peers_reports_no_crash(self) -> None:
+        self.nodes[1].gateway.tunnels.closing = True
+        await self.break_off(cut_off=True)
+        self.assertEqual([], self.suspected)
