Don't count answers that a lost link broke off against a version

A good version could be judged bad on a node whose links were reset: each answer that broke off counted as a failure of its version.

Such an answer is now counted 0.4 s later, unless the link to its server is in doubt by then; the next attempt's connection, or the check for a crash, has told meanwhile. Answers with a status and slow ones count at once, as before, and a version that ends answers itself still counts.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -36,6 +36,9 @@
 # within a region and is shorter than the second after which TCP retransmits a
 # lost packet.
 CONNECT_TIMEOUT = 0.3
+# Time after an answer broke off in which this node finds out whether it has
+# lost its links, seconds. It covers the next attempt's connection.
+LINK_NEWS_DELAY = 0.4
 
 
 class Dispatcher:
@@ -272,7 +275,11 @@
         self._attempts.labels(outcome.value if outcome else "answered").inc()
         if failure is not None and failure.limit:
             self._limits_exceeded.labels(failure.limit).inc()
-        if outcome not in (
+        if outcome is retries.Outcome.UNKNOWN:
+            asyncio.get_running_loop().call_later(
+                LINK_NEWS_DELAY, self._record_broken_off, member
+            )
+        elif outcome not in (
             retries.Outcome.NOT_RUN,
             retries.Outcome.UNREACHED,
         ):
@@ -287,6 +294,13 @@
             if outcome is retries.Outcome.UNKNOWN:
                 self.poison_requests.check_server(call, member)
 
+    def _record_broken_off(self, member: fleet.Member) -> None:
+        """Count an answer that broke off, unless a lost link may be why."""
+        if not self._connector.links.is_in_doubt(member.id):
+            self.version_tallies.record(
+                member.entry.service, member.entry.version, False
+            )
+
     def _is_link_lost(
         self, member: fleet.Member, failure: outbound.FailedAttempt
     ) -> bool:
--- a/tests/limpetwalk_node/gateway/test_lost_links.py
+++ b/tests/limpetwalk_node/gateway/test_lost_links.py
@@ -1,12 +1,15 @@
 """Tests of nodes that have lost their links to the servers."""
 
 import asyncio
+import json
 from typing import Any
 
 from aiohttp import web
 
 from limpetwalk.gateway import server_links
 from limpetwalk_bench.hub import server
+from limpetwalk_bench.hub import site
+from limpetwalk_node.gateway import dispatch
 
 from . import links
 
@@ -105,3 +108,31 @@
         self.nodes[1].gateway.tunnels.closing = True
         await self.break_off(cut_off=True)
         self.assertEqual([], self.suspected)
+
+    async def failures(self) -> int:
+        """Return the failures that count against the servers' version."""
+        await asyncio.sleep(2 * dispatch.LINK_NEWS_DELAY)
+        tallies = self.nodes[0].gateway.dispatcher.version_tallies
+        report = json.loads(tallies.report_json(site.PLAIN, "v2", ""))
+        return int(report["base"]["failures"])
+
+    async def test_lost_link_is_no_evidence_against_a_version(self) -> None:
+        await self.break_off(cut_off=True)
+        self.assertEqual(0, await self.failures())
+
+    async def test_link_that_is_found_lost_later_is_no_evidence_either(
+        self,
+    ) -> None:
+        await self.break_off()
+        self.assertEqual(0, await self.failures())
+
+    async def test_answer_that_a_server_broke_off_is_evidence(self) -> None:
+        async def end(req: web.Request) -> None:
+            assert req.transport is not None
+            req.transport.abort()
+
+        for each in self.site.servers.values():
+            each.behaviour = end
+        async with self.nodes[0].request("POST", "/once/x", data=b"") as resp:
+            self.assertEqual(502, resp.status)
+        self.assertEqual(1, await self.failures())
