--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -468,11 +468,12 @@
         ``ROW_ERRORS`` when one is missing.
     """
     row = json_decoder.decode(text)
-    zone = row.get("zone", "")
-    if not isinstance(row["host"], str) or not isinstance(zone, str):
-        raise ValueError("host and zone must be strings")
+    zone, secret = row.get("zone", ""), row.get("secret", "")
+    for text_field in (row["host"], zone, secret):
+        if not isinstance(text_field, str):
+            raise ValueError("host, zone and secret must be strings")
     ipaddress.ip_address(row["host"])
     port = json_decoder.integer(row["port"], 0, MAX_PORT)
     # A node at no port of its own takes no datagrams.
     address = (row["host"], port) if port else NO_PEER.address
-    return peer_groups.Peer(address, zone)
+    return peer_groups.Peer(address, zone, secret)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -26,6 +26,7 @@
 from limpetwalk.gateway import version_tallies
 
 from . import cluster_state
+from . import connector
 from . import events
 from . import logs
 from . import outbound
@@ -36,6 +37,9 @@
 # within a region and is shorter than the second after which TCP retransmits a
 # lost packet.
 CONNECT_TIMEOUT = 0.3
+# Time after an answer broke off in which this node finds out whether it has
+# lost its links, seconds. It covers the next attempt's connection.
+LINK_NEWS_DELAY = 0.4
 
 
 class Dispatcher:
@@ -44,6 +48,7 @@
     :param settings: returns the settings in force.
     :param state: configuration, servers and nodes known to this node.
     :param quarantine: requests that have crashed servers.
+    :param connections: opens connections to servers.
     :param buffer_budget: memory for incomplete bodies and events.
     :param limits: limits of a server's response.
     """
@@ -54,6 +59,7 @@
         header_format: ports.HeaderFormat,
         state: cluster_state.ClusterState,
         quarantine: poison_requests.PoisonRequests,
+        connections: connector.Connector,
         clock: clocks.Clock,
         journal: logs.Journal,
         metrics: metrics_.Metrics,
@@ -67,6 +73,7 @@
         self.clock = clock
         self.journal = journal
         self.poison_requests = quarantine
+        self._connector = connections
         self._settings = settings
         self._rng = random.Random()
         self._prefix_cache = prefix_cache.PrefixCacheTracker(
@@ -289,10 +296,12 @@
         """
         now = self.clock.monotonic()
         outcome = failure.outcome if failure else None
+        link_lost = failure is not None and self._is_link_lost(member, failure)
         failed = outcome not in (None, retries.Outcome.NOT_RUN)
         unreached = outcome is retries.Outcome.UNREACHED
-        member.health.record(failed, now, unreached)
-        if member.health.backoff_until > now and failed:
+        if not link_lost:
+            member.health.record(failed, now, unreached)
+        if member.health.backoff_until > now and failed and not link_lost:
             self.journal.emit(
                 events.ServerBackingOff(
                     member.id,
@@ -303,7 +312,11 @@
         self._attempts.labels(outcome.value if outcome else "answered").inc()
         if failure is not None and failure.limit:
             self._limits_exceeded.labels(failure.limit).inc()
-        if outcome not in (
+        if outcome is retries.Outcome.UNKNOWN:
+            asyncio.get_running_loop().call_later(
+                LINK_NEWS_DELAY, self._record_broken_off, member
+            )
+        elif outcome not in (
             retries.Outcome.NOT_RUN,
             retries.Outcome.UNREACHED,
         ):
@@ -318,6 +331,21 @@
             if outcome is retries.Outcome.UNKNOWN:
                 self.poison_requests.check_server(call, member)
 
+    def _record_broken_off(self, member: fleet.Member) -> None:
+        """Count an answer that broke off, unless a lost link may be why."""
+        if not self._connector.links.is_in_doubt(member.id):
+            self.version_tallies.record(
+                member.entry.service, member.entry.version, False
+            )
+
+    def _is_link_lost(
+        self, member: fleet.Member, failure: outbound.FailedAttempt
+    ) -> bool:
+        """Return whether an attempt failed by this node's own links."""
+        if failure.outcome is retries.Outcome.UNKNOWN:
+            return self._connector.links.is_in_doubt(member.id)
+        return failure.link_lost
+
     def record_pace(
         self,
         call: calls.Call,
@@ -487,16 +515,12 @@
         if member.is_cold(self.clock.monotonic()):
             self._cold_pacer.record_sent(member.id)
         self.server_limits.record_sent(member.id)
-        entry = member.entry
         try:
-            exchange = await upstream.Exchange.connect(
-                entry.host,
-                entry.port,
-                min(CONNECT_TIMEOUT, timeout),
-                self.limits,
+            exchange = await self._connector.connect(
+                member, min(CONNECT_TIMEOUT, timeout), self.limits
             )
         except upstream.ServerUnreachable as exc:
-            return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
+            return outbound.FailedAttempt.unreached(exc)
         keep_open = False
         sent_at = math.inf
         try:
@@ -536,7 +560,7 @@
                     verdict.outcome, verdict.detail, answer
                 )
         except upstream.ServerUnreachable as exc:
-            return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
+            return outbound.FailedAttempt.unreached(exc)
         except upstream.IncompleteAnswer as exc:
             return outbound.FailedAttempt.incomplete(exc)
         except TimeoutError:
