Bound direct attempts during a cut, and test its ends

One request at a time tries a lost link again; others don't wait for the outcome. A node that can't listen for tunnels says so and isn't asked, in place of ending.

Tests of what a cut asks for beside answers: links used again within a second, a link to some servers lost, few direct attempts, a caller that leaves, a peer that stops, is killed, or is cut off itself.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -181,7 +181,14 @@
         for follower in self.followers:
             news.listen(follower.state.table, follower.note_peer)
         self._tasks: list[asyncio.Task[None]] = []
-        await self.tunnels.start(platform.settings.peers)
+        try:
+            await self.tunnels.start(platform.settings.peers)
+        except OSError as exc:
+            # Without a secret in its row, this node isn't asked for tunnels.
+            self._secret = ""
+            self.journal.emit(
+                events.UnexpectedError("listening for tunnels", str(exc))
+            )
         for follower in self.followers:
             self._spawn(follower.run(), "watch")
         self._spawn(self._publish_presence(), "presence")
--- a/packages/limpetwalk/limpetwalk/gateway/server_links.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_links.py
@@ -94,9 +94,13 @@
             self._next_probe = now + self._rng.uniform(*PROBE_INTERVAL)
             return False
         link = self._lost.get(server_id)
-        if link is None or now >= link.retry_at:
+        if link is None:
             return False
-        return True
+        if now < link.retry_at:
+            return True
+        # Others don't wait for the outcome of this attempt.
+        link.retry_at = now + PROBE_INTERVAL[1]
+        return False
 
     def is_lost(self, server_id: str) -> bool:
         """Return whether the link to a server is known to be lost."""
--- a/tests/limpetwalk/gateway/test_server_links.py
+++ b/tests/limpetwalk/gateway/test_server_links.py
@@ -45,6 +45,13 @@
         self.assertGreater(pauses[-1], pauses[0])
         self.assertLess(max(pauses), server_links.MAX_PAUSE + 0.1)
 
+    def test_one_request_at_a_time_tries_a_lost_link(self) -> None:
+        self.links.record_connected("b")
+        self.lose("a")
+        self.clock.advance(server_links.FIRST_PAUSE)
+        self.assertFalse(self.links.prefers_peer("a"))
+        self.assertTrue(self.links.prefers_peer("a"))
+
     def test_node_that_loses_all_links_in_turn_is_cut_off(self) -> None:
         self.links.record_connected("a")
         self.lose("a", "b", "c")
--- a/tests/limpetwalk_node/gateway/test_lost_links.py
+++ b/tests/limpetwalk_node/gateway/test_lost_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from typing import Any
+from unittest import mock
 
 from aiohttp import web
 
@@ -10,6 +11,7 @@
 from limpetwalk_bench.hub import server
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import dispatch
+from limpetwalk_node.gateway import node
 
 from . import links
 
@@ -22,9 +24,9 @@
     async def cut_off(self, fault: links.Fault) -> None:
         """Cut the first node off, and wait until it knows."""
         self.links[0].cut(fault)
-        node = self.nodes[0]
+        run = self.nodes[0]
         async with asyncio.timeout(5):
-            while not node.gateway.links.cut_off:
+            while not run.gateway.links.cut_off:
                 await self.send_all(1)
 
     async def send_all(self, count: int = 5) -> None:
@@ -54,17 +56,109 @@
 
     async def test_servers_are_not_blamed_when_no_peer_has_room(self) -> None:
         await self.cut_off(links.Fault.REFUSE)
-        node = self.nodes[0]
+        run = self.nodes[0]
         carrier = self.nodes[1].gateway.tunnels
         carrier.closing = True
         for _ in range(8):
-            async with node.request("POST", "/again/x", data=b"") as resp:
+            async with run.request("POST", "/again/x", data=b"") as resp:
                 self.assertEqual(503, resp.status)
         carrier.closing = False
-        self.assertEqual([], node.lines.events("server.resting"))
+        self.assertEqual([], run.lines.events("server.resting"))
         await asyncio.sleep(server_links.AVOID_TIME)
         await self.send_all()
 
+    async def test_links_are_used_again_soon_after_the_cut(self) -> None:
+        await self.cut_off(links.Fault.HANG)
+        self.links[0].restore()
+        await asyncio.sleep(0.5)
+        await self.send_all(1)
+        await asyncio.sleep(server_links.RECOVERY_SPREAD)
+        self.links[0].attempts.clear()
+        await self.send_all(2)
+        self.assertEqual(6, len(self.links[0].attempts))
+        await self.nodes[0].until(
+            lambda: self.nodes[1].gateway.tunnels.open_count == 0
+        )
+
+    async def test_few_direct_connections_are_tried_during_the_cut(
+        self,
+    ) -> None:
+        await self.cut_off(links.Fault.REFUSE)
+        self.links[0].attempts.clear()
+        await self.send_all()
+        self.assertLess(len(self.links[0].attempts), 5)
+
+    async def test_link_to_one_server_is_lost(self) -> None:
+        self.links[0].cut(links.Fault.HANG, ["e-1", "p-1"])
+        await self.send_all()
+        self.assertFalse(self.nodes[0].gateway.links.cut_off)
+        self.assertEqual(15, self.executed)
+
+    async def test_caller_that_leaves_ends_the_run_behind_a_peer(self) -> None:
+        ended = asyncio.Event()
+
+        async def wait(req: web.Request) -> None:
+            try:
+                await asyncio.sleep(30)
+            finally:
+                ended.set()
+
+        await self.cut_off(links.Fault.REFUSE)
+        self.server("e-1").behaviour = self.server("e-2").behaviour = wait
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.3), self.nodes[0].stream() as resp:
+                await resp.read()
+        async with asyncio.timeout(0.5):
+            await ended.wait()
+
+    async def test_stopping_peer_finishes_what_it_carries(self) -> None:
+        arrived = asyncio.Event()
+
+        async def pause(req: web.Request) -> None:
+            arrived.set()
+            await asyncio.sleep(0.5)
+
+        await self.cut_off(links.Fault.REFUSE)
+        self.server("p-1").behaviour = self.server("p-2").behaviour = pause
+        request = asyncio.create_task(self.send_once())
+        carrier = self.nodes[1].gateway
+        await arrived.wait()
+        with mock.patch.object(node, "BALANCER_DELAY", 0.0):
+            await carrier.drain()
+        self.assertEqual(0, carrier.tunnels.open_count)
+        self.assertEqual(200, await request)
+
+    async def send_once(self) -> int:
+        """Send a request that may not be repeated; return its status."""
+        async with self.nodes[0].request("POST", "/once/x", data=b"") as resp:
+            await resp.read()
+            return resp.status
+
+    async def test_request_whose_peer_is_killed_runs_once(self) -> None:
+        async def pause(req: web.Request) -> None:
+            self.nodes[1].gateway.tunnels.close()
+            await asyncio.sleep(0.2)
+
+        await self.cut_off(links.Fault.REFUSE)
+        before = self.executed
+        self.server("p-1").behaviour = self.server("p-2").behaviour = pause
+        self.assertEqual(502, await self.send_once())
+        self.assertEqual(1, self.executed - before)
+
+
+class CutOffPeer(links.LinksCase):
+    """Two of three nodes have lost their links."""
+
+    names = ("node-1", "node-2", "node-3")
+
+    async def test_peers_that_are_cut_off_too_are_passed_over(self) -> None:
+        for node_links in self.links[:2]:
+            node_links.cut(links.Fault.HANG)
+        for _ in range(20):
+            for run in self.nodes[:2]:
+                async with run.request("POST", "/again/x", data=b"") as resp:
+                    self.assertEqual(200, resp.status)
+
 
 class BrokenAnswers(links.LinksCase):
     """Answers break off while connections of the node are refused."""
