--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -188,7 +188,14 @@
             news.listen(follower.state.table, follower.note_peer)
         self._tasks: list[asyncio.Task[None]] = []
         self._supervisor = supervision.Supervisor(self.journal, self.metrics)
-        await self.tunnels.start(platform.settings.peers)
+        try:
+            await self.tunnels.start(platform.settings.peers)
+        except OSError as exc:
+            # Without a secret in its row, this node isn't asked for tunnels.
+            self._secret = ""
+            self.journal.emit(
+                events.UnexpectedError("listening for tunnels", str(exc))
+            )
         for follower in self.followers:
             self._supervise(follower.run, f"watch {follower.state.table}")
         self._spawn(self._publish_presence(), "presence")
--- a/tests/limpetwalk_node/gateway/test_supervision.py
+++ b/tests/limpetwalk_node/gateway/test_supervision.py
@@ -173,6 +173,8 @@
             limits,
             lambda: [],
             store_watch.PeerNews(mock.Mock(monotonic=lambda: 0.0)),
+            mock.Mock(cut_off=False),
+            mock.Mock(),
             harness.journal(harness.Lines()),
         )
         running = asyncio.create_task(broadcast.run(address))
@@ -207,6 +209,8 @@
             limits,
             lambda: [],
             store_watch.PeerNews(clock),
+            mock.Mock(cut_off=False),
+            mock.Mock(),
             journal,
         )
         failing = FailingOnce(broadcast._interval, failures=2)
