Ask the smaller model again when no larger one can be had

Callers got 502 answer_broken although a model had answered: its answer was dropped for a larger model, whose servers then rejected the request or were gone.

The answer itself can't be kept without two runs at once, so the smaller model is asked once more, and its answer is final.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/streaming.py
@@ -99,13 +99,13 @@
         while (started := await answers.first(call.patience)) is not None:
             self._dispatcher.use(call, started)
             call.answering_since = None
-            result = await self._use(call, started, relay, answers)
+            result = await self._use(call, started, relay, search, answers)
             if isinstance(result, outbound.FailedAttempt):
                 if not await search.may_go_on(started, result, answers):
                     return None
                 continue
             if isinstance(result, _Escalation):
-                search.model = result.model
+                search.escalate(started, result.model)
                 continue
             self._dispatcher.record_result(call, started.member, None)
             if isinstance(result, outbound.CompleteAnswer):
@@ -119,6 +119,7 @@
         call: calls.Call,
         started: outbound.StartedAnswer,
         relay: "Relay",
+        search: "_Search",
         answers: _Answers,
     ) -> (
         "outbound.FailedAttempt | outbound.CompleteAnswer | _Escalation | None"
@@ -126,7 +127,9 @@
         try:
             if not started.head.is_success:
                 return await self._dispatcher.read_answer(call, started)
-            escalation = self._escalation(call, started, relay)
+            escalation = None
+            if search.may_escalate:
+                escalation = self._escalation(call, started, relay)
             if escalation is not None:
                 return escalation
             return await relay.run(started, answers)
@@ -264,7 +267,9 @@
         self._call = call
         self._relay = relay
         self._dispatcher = dispatcher
-        self.model = model
+        self._model = model
+        self._dropped: outbound.StartedAnswer | None = None
+        self.may_escalate = True
         self.last_failure: outbound.FailedAttempt | None = None
 
     async def run(self) -> outbound.StartedAnswer | None:
@@ -272,6 +277,8 @@
         call, dispatcher = self._call, self._dispatcher
         while dispatcher.time_left(call) > retries.MIN_TIME_LEFT:
             choice = self._place()
+            if choice is None and self._return_to_dropped_model():
+                continue
             if choice is None:
                 return None
             started = await self._begin(choice)
@@ -285,6 +292,23 @@
                 return None
         return None
 
+    def escalate(self, dropped: outbound.StartedAnswer, model: str) -> None:
+        """Search for a server with a larger model.
+
+        :param dropped: answer of the smaller model.
+        """
+        self._dropped = dropped
+        self._model = model
+
+    def _return_to_dropped_model(self) -> bool:
+        """Ask the smaller model again if no larger one can be had."""
+        if self._dropped is None or self._relay.started:
+            return False
+        self._call.tried_servers.discard(self._dropped.member.id)
+        self._model, self._dropped = self._dropped.model, None
+        self.may_escalate = False
+        return True
+
     def try_add(self) -> bool:
         """Return whether another server is asked besides a silent one."""
         if self._place() is None:
@@ -308,7 +332,7 @@
 
     def _place(self) -> placement.Choice | None:
         relay = self._relay
-        model = relay.model or self.model
+        model = relay.model or self._model
         return self._dispatcher.place(self._call, model, relay.version)
 
     async def _begin(
@@ -325,7 +349,7 @@
                 )
             )
         started = await self._dispatcher.start(
-            call, choice, relay.model or self.model, relay.last_event
+            call, choice, relay.model or self._model, relay.last_event
         )
         if isinstance(started, outbound.FailedAttempt):
             return started
--- a/tests/limpetwalk_node/gateway/test_streams.py
+++ b/tests/limpetwalk_node/gateway/test_streams.py
@@ -64,6 +64,21 @@
         report = json.loads(tallies.report_json(site.ENGINE, "v2", ""))
         self.assertEqual(2, report["base"]["successes"])
 
+    async def test_smaller_model_is_asked_again_when_no_larger_one_answers(
+        self,
+    ) -> None:
+        async def reject_large(req: web.Request) -> web.StreamResponse | None:
+            if req.headers["Model"] == "large":
+                return web.Response(status=503, headers={"Not-Executed": "1"})
+            return None
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).confidence = {"small": 10}
+            self.server(server_id).behaviour = reject_large
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+            self.assertEqual(self.all_events, await resp.read())
+
     async def test_broken_stream_is_resumed_at_another_server(
         self,
     ) -> None:
