Answer a request that was read before the last answer of a connection

In a planned stop each answer closes its connection, also when the next request on it had been read already: it ended without an answer, though it was read whole. test_late_requests.LastAnswers .test_request_sent_before_the_last_answer_is_answered showed one answer for two requests before. The connection now closes with the answer after which no request waits. It had not been passed on, so nothing could run twice. A stream still closes its connection.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
@@ -74,6 +74,11 @@
         unsent = transport.get_write_buffer_size() if transport else 0
         return self._request_in_progress or unsent > 0
 
+    @property
+    def has_next(self) -> bool:
+        """Whether a further request was read already."""
+        return bool(self._messages)
+
     def data_received(self, data: bytes) -> None:
         """Count the bytes of a head."""
         if not self._busy and not self._head_complete:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -234,7 +234,7 @@
             )
         finally:
             self._open.discard(open_request)
-        if self.closing and not resp.prepared:
+        if self.closing and not resp.prepared and not _has_next(req):
             resp.force_close()
         self._requests.labels(str(resp.status)).inc()
         self._latency.record(self._clock.monotonic() - arrived)
@@ -432,6 +432,14 @@
         )
 
 
+def _has_next(req: web.BaseRequest) -> bool:
+    """Whether the connection has a further request to answer."""
+    conn = req.protocol
+    return (
+        isinstance(conn, caller_connection.CallerConnection) and conn.has_next
+    )
+
+
 def _has_begun(req: web.BaseRequest) -> bool:
     """Whether the head of an answer was written, or is about to be."""
     writer = req.writer
--- a/tests/limpetwalk_node/gateway/test_late_requests.py
+++ b/tests/limpetwalk_node/gateway/test_late_requests.py
@@ -259,3 +259,21 @@
             async with self.run_.request("POST", path) as resp:
                 self.assertEqual(503, resp.status)
         self.assertEqual([], self.server("p-1").executed)
+
+    async def test_request_sent_before_the_last_answer_is_answered(
+        self,
+    ) -> None:
+        async def work(req: web.Request) -> None:
+            await asyncio.sleep(0.3)
+
+        self.server("p-1").behaviour = work
+        self.run_.gateway.frontend.begin_stop(5.0)
+        text = ""
+        for number in range(2):
+            headers = site.request_headers(f"a-{number}", 2000)
+            lines = [f"{name}: {value}" for name, value in headers.items()]
+            text += "\r\n".join(["GET /once/x HTTP/1.1", *lines, "", ""])
+        reader = await self.send(text)
+        answers = await asyncio.wait_for(reader.read(), 3)
+        self.assertEqual(2, answers.count(b"HTTP/1.1 200 OK"), answers)
+        self.assertEqual(1, answers.count(b"Connection: close"), answers)
