Ask a peer that couldn't help if there is no other

With one peer whose links work, a single slow answer of it left a node that was cut off without a way for a second: test_peers_that_are_cut_off_too failed once in six runs, on a busy machine, with 503. Peers that couldn't help come last now, rather than not at all; those that report to be cut off are still left out.

--- a/packages/limpetwalk/limpetwalk/gateway/server_links.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_links.py
@@ -234,7 +234,8 @@
         """Return the peer to ask, or None when no peer can help.
 
         Peers of this node's own zone come first, unless most of it is cut
-        off. The peer with fewer tunnels of two random ones is taken.
+        off, and those last that couldn't help a moment ago. The peer with
+        fewer tunnels of two random ones is taken.
 
         :param asked: peers that were asked already.
         """
@@ -246,8 +247,9 @@
             and name not in asked
             and name in peers
             and peers[name].secret
-            and self._is_able(name)
+            and not self._is_cut_off(name)
         ]
+        able = [name for name in able if not self._is_avoided(name)] or able
         zone = self._zone()
         near = [name for name in able if peers[name].zone == zone]
         cut_off = 1 + sum(
@@ -264,10 +266,9 @@
         name = min(pair, key=lambda each: self._open.get(each, 0))
         return name, peers[name]
 
-    def _is_able(self, name: str) -> bool:
+    def _is_avoided(self, name: str) -> bool:
         now = self._clock.monotonic()
-        avoided = now < self._avoid_until.get(name, now)
-        return not avoided and not self._is_cut_off(name)
+        return now < self._avoid_until.get(name, now)
 
     def _is_cut_off(self, name: str) -> bool:
         at = self._cut_off_at.get(name)
--- a/tests/limpetwalk/gateway/test_server_links.py
+++ b/tests/limpetwalk/gateway/test_server_links.py
@@ -182,6 +182,13 @@
         self.clock.advance(server_links.AVOID_TIME)
         self.assertEqual({"x-2", "x-3"}, set(self.chosen()))
 
+    def test_only_peer_is_asked_again_although_it_could_not_help(self) -> None:
+        self.heard = {"x-2"}
+        self.choice.record_unable("x-2")
+        self.assertEqual({"x-2"}, set(self.chosen()))
+        self.choice.record_report("x-2", True)
+        self.assertEqual(set(), set(self.chosen()))
+
     def test_silent_and_older_peers_and_asked_ones_are_left_out(self) -> None:
         self.heard = {"x-2", "y-1", "gone"}
         self.peers["x-2"] = peer_groups.Peer(("127.0.0.1", 2), "x")
