Back servers off that no node reaches

With all servers down for all nodes, failures to connect after the third didn't count, since the node took its links for doubtful; so servers weren't backed off and callers weren't told when the first is expected back. Found by reading; the test failed with two of four servers backed off.

Only a node that is cut off, which needs peers that got through, leaves such failures out. Doubt alone still keeps a refusal from counting as a crash.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
@@ -88,8 +88,9 @@
             self._ways.labels("none").inc()
             raise upstream.ServerUnreachable(
                 f"connection to {tunnels.authority(member)} failed: {exc!r}",
-                isinstance(exc, ConnectionRefusedError),
-                self.links.is_in_doubt(member.id),
+                isinstance(exc, ConnectionRefusedError)
+                and not self.links.is_in_doubt(member.id),
+                self.links.cut_off,
             ) from exc
         except upstream.ServerUnreachable:
             self._ways.labels("none").inc()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -305,8 +305,9 @@
         self, member: fleet.Member, failure: outbound.FailedAttempt
     ) -> bool:
         """Return whether an attempt failed by this node's own links."""
+        links = self._connector.links
         if failure.outcome is retries.Outcome.UNKNOWN:
-            return self._connector.links.is_in_doubt(member.id)
+            return links.cut_off or links.is_lost(member.id)
         return failure.link_lost
 
     def record_pace(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -35,9 +35,9 @@
     """No byte of the request was sent.
 
     :param refused: whether the server's host answered that nothing listens
-        at the port.
-    :param link_lost: whether this node has lost its links to the servers,
-        and no peer could tell whether this one is up.
+        at the port, and a lost link can't be why.
+    :param link_lost: whether this node is cut off from the servers, and no
+        peer could tell whether this one is up.
     """
 
     def __init__(
--- a/tests/limpetwalk_node/gateway/test_lost_links.py
+++ b/tests/limpetwalk_node/gateway/test_lost_links.py
@@ -160,6 +160,25 @@
                     self.assertEqual(200, resp.status)
 
 
+class AllServersDown(links.LinksCase):
+    """No node reaches any server."""
+
+    async def test_servers_that_nobody_reaches_are_backed_off(self) -> None:
+        for node_links in self.links:
+            node_links.cut(links.Fault.REFUSE)
+        run = self.nodes[0]
+        for _ in range(3):
+            async with run.stream() as resp:
+                self.assertEqual(503, resp.status)
+            async with run.request("POST", "/again/x", data=b"") as resp:
+                self.assertEqual(503, resp.status)
+        backed_off = {
+            line["server"] for line in run.lines.events("server.resting")
+        }
+        self.assertEqual(set(self.services), backed_off)
+        self.assertFalse(run.gateway.links.cut_off)
+
+
 class BrokenAnswers(links.LinksCase):
     """Answers break off while connections of the node are refused."""
 
