Show that brittle servers fall over

Callers: requests that run at a server are cut when it falls over, and its neighbours, which get its share, fall next. A server names in its answers (Server-Brittle) how many requests it may turn away in a second for want of room; nothing reads it.

The stand-in of a server and the cluster model learn to fall over.

--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/server.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/server.py
@@ -28,6 +28,39 @@
     received_at: float = field(default_factory=time.monotonic)
 
 
+@dataclass
+class Brittleness:
+    """Server that falls over when it rejects too many requests.
+
+    :param room: requests that it takes at once.
+    :param rejections: requests that it may reject in a second.
+    :param down_seconds: time for which it is away after a fall.
+    :ivar falls: instants at which it fell over.
+    """
+
+    room: int
+    rejections: int
+    down_seconds: float = 2.0
+    falls: list[float] = field(default_factory=list)
+    active: int = 0
+    _rejected_at: list[float] = field(default_factory=list)
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the server is away."""
+        now = time.monotonic()
+        return bool(self.falls) and now < self.falls[-1] + self.down_seconds
+
+    def reject(self) -> None:
+        """Count a rejection, and fall over when there are too many."""
+        now = time.monotonic()
+        recent = [at for at in self._rejected_at if at > now - 1.0]
+        self._rejected_at = [*recent, now]
+        if len(self._rejected_at) > self.rejections:
+            self.falls.append(now)
+            self._rejected_at = []
+
+
 Behaviour = Callable[[web.Request], Awaitable[web.StreamResponse | None]]
 
 
@@ -42,6 +75,7 @@
     :param extra_headers: headers added to each answer.
     :param behaviour: handler called first; its response, if any, replaces
         the usual one.
+    :param brittleness: how the server falls over, None if it doesn't.
     :param received: all requests that reached the server, in order.
     """
 
@@ -51,6 +85,7 @@
     confidence: dict[str, int] = field(default_factory=dict)
     extra_headers: dict[str, str] = field(default_factory=dict)
     behaviour: Behaviour | None = None
+    brittleness: Brittleness | None = None
     received: list[ReceivedRequest] = field(default_factory=list)
 
     def app(self) -> web.Application:
@@ -71,6 +106,27 @@
         self.received.append(received_request)
         if req.headers.get("Target-Instance") not in (None, self.id):
             return web.Response(status=421, headers={"Instance-Id": self.id})
+        brittleness = self.brittleness
+        if brittleness is None:
+            return await self._execute(req, received_request)
+        if brittleness.is_down:
+            assert req.transport is not None
+            req.transport.abort()
+            return web.Response(status=502)
+        if brittleness.active >= brittleness.room:
+            brittleness.reject()
+            headers = self.answer_headers(req)
+            headers["Not-Executed"] = "1"
+            return web.Response(status=503, headers=headers)
+        brittleness.active += 1
+        try:
+            return await self._execute(req, received_request)
+        finally:
+            brittleness.active -= 1
+
+    async def _execute(
+        self, req: web.Request, received_request: ReceivedRequest
+    ) -> web.StreamResponse:
         received_request.executed = True
         if self.behaviour is not None:
             resp = await self.behaviour(req)
@@ -85,11 +141,14 @@
 
     def answer_headers(self, req: web.Request) -> dict[str, str]:
         """Return the headers that mark an answer as this server's."""
-        return {
+        headers = {
             "Attempt-Id": req.headers.get("Attempt-Id", ""),
             "Server-Seal": f"seal-{self.id}",
             **self.extra_headers,
         }
+        if self.brittleness is not None:
+            headers["Server-Brittle"] = str(self.brittleness.rejections)
+        return headers
 
     async def _stream(self, req: web.Request) -> web.StreamResponse:
         headers = self.answer_headers(req)
--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -1,9 +1,11 @@
 """Many nodes that place generations at shared engines, in simulated time.
 
 The nodes use the product's own classes to choose servers and to report loads.
-A request that a full engine rejects is sent to another one.
+A request that a full engine rejects is sent to another one. A brittle engine
+falls over when it rejects too many.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -65,11 +67,29 @@
     reports_per_sum: int = 1
 
 
+@dataclass(frozen=True, slots=True)
+class Brittleness:
+    """How engines fall over.
+
+    :param rejections: requests that an engine may reject in a second; it says
+        so in its answers.
+    :param queue: requests that it lets wait once the nodes have heard of it.
+    :param heard_after: time until then, in seconds.
+    :param down_seconds: time for which an engine that fell over is away.
+    """
+
+    rejections: int
+    queue: int = 0
+    heard_after: float = 3.0
+    down_seconds: float = 4.0
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """Load of a cluster.
 
     :param models: share of requests and pace, by model.
+    :param brittle: how engines fall over, None if they don't.
     """
 
     nodes: int
@@ -79,6 +99,7 @@
     models: Mapping[str, tuple[float, float]]
     seconds: float
     speed: engines.EngineSpeed = engines.EngineSpeed()
+    brittle: Brittleness | None = None
 
 
 @dataclass(slots=True)
@@ -105,11 +126,18 @@
 
     :param rejected: attempts that full engines rejected.
     :param reports: reports that were sent.
+    :param falls: number of times that an engine fell over.
     """
 
     outcomes: list[Outcome] = field(default_factory=list)
     rejected: int = 0
     reports: int = 0
+    falls: int = 0
+
+    def served_share(self) -> float:
+        """Return the share of requests that got a first event."""
+        served = sum(o.first is not None for o in self.outcomes)
+        return served / max(1, len(self.outcomes))
 
     def in_time_share(self, kind: str = "") -> float:
         """Return the share of requests that were answered in time."""
@@ -152,6 +180,22 @@
     arrived_at: float
     tried: set[str] = field(default_factory=set)
     choice: placement.Choice | None = None
+    started: bool = False
+
+
+@dataclass(slots=True)
+class _Site:
+    """Engine at its place, with the requests there.
+
+    :param rejected_at: instants of the rejections in the last second.
+    """
+
+    engine: engines.Engine
+    queued: list[_Request] = field(default_factory=list)
+    running: list[_Request] = field(default_factory=list)
+    rejected_at: collections.deque[float] = field(
+        default_factory=collections.deque
+    )
 
 
 class Cluster:
@@ -165,25 +209,21 @@
         self._reporting = reporting
         self._rng = random.Random(seed)
         self._clock = clocks.ManualClock()
-        self._arrivals_end = self._clock.monotonic() + load.seconds
+        self._started_at = self._clock.monotonic()
+        self._arrivals_end = self._started_at + load.seconds
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._sequence = itertools.count(1)
         self._fleet = fleet.Fleet(self._clock)
-        self._engines: dict[str, engines.Engine] = {}
+        self._sites: dict[str, _Site] = {}
         for number in range(load.servers):
-            name = f"s{number}"
-            self._engines[name] = engines.Engine(load.speed)
-            self._fleet.put(
-                _server(name, number, load), types.Version(1, number + 1)
-            )
+            self._add_server(number)
         self._nodes = {
             f"n{number:03d}": _Node(
                 f"z{number % load.zones}", self._fleet, self._clock
             )
             for number in range(load.nodes)
         }
-        self._queued: dict[str, list[_Request]] = {}
         self._exchanges = self._plan_exchanges()
         self._result = Result()
 
@@ -272,26 +312,70 @@
 
     def _reach(self, req: _Request) -> None:
         server_id = _server_id(req)
-        engine = self._engines[server_id]
-        if engine.active < engine.speed.slots:
-            self._begin(req)
-        elif engine.is_full:
-            self._result.rejected += 1
+        site = self._sites.get(server_id)
+        if site is None:
             self._end_at_server(req)
             self._place(req)
+        elif not site.queued and site.engine.has_slot(req.work):
+            self._begin(site, req)
+        elif len(site.queued) < self._queue_size():
+            site.queued.append(req)
         else:
-            engine.waiting.append(req.work)
-            self._queued.setdefault(server_id, []).append(req)
+            self._result.rejected += 1
+            self._end_at_server(req)
+            self._reject(server_id, site)
+            self._place(req)
+
+    def _queue_size(self) -> int:
+        brittle = self._load.brittle
+        now = self._clock.monotonic()
+        if brittle and now >= self._started_at + brittle.heard_after:
+            return brittle.queue
+        return self._load.speed.queue
 
-    def _begin(self, req: _Request) -> None:
-        engine = self._engines[_server_id(req)]
-        first, end = engine.begin(req.work, self._clock.monotonic())
+    def _reject(self, server_id: str, site: _Site) -> None:
+        brittle = self._load.brittle
+        now = self._clock.monotonic()
+        if not brittle or now < self._started_at + brittle.heard_after:
+            return
+        site.rejected_at.append(now)
+        while site.rejected_at[0] < now - 1.0:
+            site.rejected_at.popleft()
+        if len(site.rejected_at) > brittle.rejections:
+            self._fall(server_id, brittle.down_seconds)
+
+    def _fall(self, server_id: str, down_seconds: float) -> None:
+        self._result.falls += 1
+        site = self._sites.pop(server_id)
+        self._fleet.remove(server_id)
+        for req in site.queued + site.running:
+            if req.started:
+                req.node.loads.end_request(server_id)
+            else:
+                self._end_at_server(req)
+                self._finish(req, None)
+        number = next(self._order)
+        self._after(down_seconds, lambda: self._add_server(number))
+
+    def _add_server(self, number: int) -> None:
+        name = f"s{number}"
+        self._sites[name] = _Site(engines.Engine(self._load.speed))
+        self._fleet.put(
+            _server(name, number, self._load), types.Version(1, number + 1)
+        )
+
+    def _begin(self, site: _Site, req: _Request) -> None:
+        site.running.append(req)
+        first, end = site.engine.begin(req.work, self._clock.monotonic())
         self._at(first, lambda: self._first_event(req))
         self._at(end, lambda: self._end(req))
 
     def _first_event(self, req: _Request) -> None:
         assert req.choice is not None
+        if _server_id(req) not in self._sites:
+            return
         now = self._clock.monotonic()
+        req.started = True
         req.node.loads.finish_prefill(
             _server_id(req), req.choice.prefill_seconds
         )
@@ -304,13 +388,14 @@
         self._finish(req, now - req.arrived_at)
 
     def _end(self, req: _Request) -> None:
-        server_id = _server_id(req)
-        engine = self._engines[server_id]
-        engine.active -= 1
-        req.node.loads.end_request(server_id)
-        if engine.waiting:
-            engine.waiting.popleft()
-            self._begin(self._queued[server_id].pop(0))
+        site = self._sites.get(_server_id(req))
+        if site is None:
+            return
+        site.engine.end(req.work)
+        site.running.remove(req)
+        req.node.loads.end_request(_server_id(req))
+        while site.queued and site.engine.has_slot(site.queued[0].work):
+            self._begin(site, site.queued.pop(0))
 
     def _end_at_server(self, req: _Request) -> None:
         assert req.choice is not None
--- a/packages/limpetwalk-bench/limpetwalk_bench/model/engines.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/engines.py
@@ -1,6 +1,5 @@
 """Model engines: slots, prefill one prompt after another, prefix cache."""
 
-import collections
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -16,6 +15,8 @@
         token, when the engine runs a single request.
     :param crowding: share by which each further request lengthens a step.
     :param cache_seconds: time for which a part of a prompt stays cached.
+    :param memory: tokens that the running requests may occupy together; 0
+        for any number.
     """
 
     slots: int = 16
@@ -24,6 +25,7 @@
     step_seconds: float = 0.00612
     crowding: float = 0.02
     cache_seconds: float = 9.3
+    memory: int = 0
 
 
 @dataclass(slots=True)
@@ -40,24 +42,31 @@
     parts: tuple[tuple[str, int], ...]
     output_tokens: int
 
+    @property
+    def tokens(self) -> int:
+        """Tokens that the request occupies while it runs."""
+        return sum(tokens for _, tokens in self.parts) + self.output_tokens
+
 
 @dataclass(slots=True)
 class Engine:
     """Engine in simulated time.
 
-    :param waiting: requests that wait for a slot.
+    :param used_memory: tokens that the running requests occupy.
     """
 
     speed: EngineSpeed
     active: int = 0
-    waiting: collections.deque[Work] = field(default_factory=collections.deque)
     prefilled_until: float = 0.0
+    used_memory: int = 0
     _cached: dict[tuple[str, str], float] = field(default_factory=dict)
 
-    @property
-    def is_full(self) -> bool:
-        """Whether the engine rejects a further request."""
-        return len(self.waiting) >= self.speed.queue
+    def has_slot(self, work: Work) -> bool:
+        """Return whether a request may begin at once."""
+        if self.active >= self.speed.slots:
+            return False
+        memory = self.speed.memory
+        return not memory or self.used_memory + work.tokens <= memory
 
     def begin(self, work: Work, now: float) -> tuple[float, float]:
         """Begin a request that has a slot.
@@ -65,6 +74,7 @@
         :returns: instants of its first event and of its end.
         """
         self.active += 1
+        self.used_memory += work.tokens
         prefill = (
             self._uncached_tokens(work, now)
             * self.speed.prefill_seconds
@@ -79,6 +89,11 @@
         first = self.prefilled_until + step
         return first, first + work.output_tokens * step
 
+    def end(self, work: Work) -> None:
+        """End a request that has begun."""
+        self.active -= 1
+        self.used_memory -= work.tokens
+
     def _uncached_tokens(self, work: Work, now: float) -> int:
         uncached = 0
         for part, tokens in work.parts:
--- a/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
@@ -1,8 +1,11 @@
 """Loads of the model: contract reviews, summaries and short questions."""
 
+import dataclasses
+
 from limpetwalk_node.gateway import load_broadcast
 
 from . import cluster
+from . import engines
 
 # Numbers of nodes, each with two servers for five nodes.
 SIZES = (9, 80, 195)
@@ -14,6 +17,12 @@
 QUESTIONS_PER_NODE = 0.186
 # Share of the requests and pace, by model.
 MODELS = {"small": (0.55, 0.3), "middle": (0.1, 0.8), "large": (0.35, 3.0)}
+# Engine of many slots, whose memory takes about 25 long prompts.
+LARGE_ENGINE = engines.EngineSpeed(slots=128, queue=32, memory=240_000)
+# Server of a plain service, whose requests take about 50 ms.
+PLAIN_SERVER = engines.EngineSpeed(
+    slots=6, queue=12, prefill_seconds=0.0, step_seconds=0.001
+)
 
 
 def cluster_kinds(nodes: int) -> tuple[cluster.Kind, ...]:
@@ -41,6 +50,55 @@
     )
 
 
+def overloaded(
+    nodes: int,
+    servers: int,
+    excess: float,
+    speed: engines.EngineSpeed,
+    brittle: cluster.Brittleness,
+    seconds: float = 14.0,
+) -> cluster.Load:
+    """Return the load of a cluster whose brittle engines get too much.
+
+    :param excess: load as a multiple of that of ``NODES_PER_SERVER`` nodes
+        for each engine.
+    """
+    load = cluster_of(nodes, seconds)
+    kinds = cluster_kinds(1)
+    factor = excess * servers * NODES_PER_SERVER
+    return dataclasses.replace(
+        load,
+        servers=servers,
+        kinds=tuple(
+            dataclasses.replace(kind, rate=kind.rate * factor)
+            for kind in kinds
+        ),
+        speed=speed,
+        brittle=brittle,
+    )
+
+
+def overloaded_plain(
+    nodes: int,
+    servers: int,
+    rate: float,
+    brittle: cluster.Brittleness,
+    seconds: float = 14.0,
+) -> cluster.Load:
+    """Return the load of brittle servers of a plain service.
+
+    :param rate: requests per second.
+    """
+    return dataclasses.replace(
+        cluster_of(nodes, seconds),
+        servers=servers,
+        kinds=(cluster.Kind("plain", rate, 1, 1, 44, 1, 1.0),),
+        models={"plain": (1.0, 1.0)},
+        speed=PLAIN_SERVER,
+        brittle=brittle,
+    )
+
+
 def reportings(nodes: int) -> dict[str, cluster.Reporting]:
     """Return ways to report loads, by name."""
     to_all = load_broadcast.INTERVAL * (
--- a/tests/limpetwalk_bench/model/test_cluster.py
+++ b/tests/limpetwalk_bench/model/test_cluster.py
@@ -3,6 +3,7 @@
 import unittest
 
 from limpetwalk_bench.model import cluster
+from limpetwalk_bench.model import engines
 from limpetwalk_bench.model import loads
 
 
@@ -39,3 +40,39 @@
                 if outcome.size >= largest and not outcome.in_time
             ]
             self.assertLess(len(late), 0.05 * len(sizes) / 10)
+
+
+class BrittleServers(unittest.TestCase):
+    """Brittle servers that get more requests than they have room for."""
+
+    seeds = (1, 2, 3)
+
+    def assert_few_falls(self, load: cluster.Load) -> None:
+        """Check that servers fall no more often than the platform allows."""
+        way = "to groups" if load.nodes > 24 else "to all"
+        reporting = loads.reportings(load.nodes)[way]
+        for seed in self.seeds:
+            falls = cluster.Cluster(load, reporting, seed).run().falls
+            self.assertLessEqual(falls, 2 + load.servers / 10, seed)
+
+    def test_few_engines_of_little_memory_do_not_fall_over(self) -> None:
+        for rejections in (3, 10):
+            brittle = cluster.Brittleness(rejections)
+            self.assert_few_falls(
+                loads.overloaded(9, 5, 5.0, loads.LARGE_ENGINE, brittle)
+            )
+
+    def test_engines_before_groups_of_nodes_do_not_fall_over(self) -> None:
+        for rejections in (3, 10):
+            brittle = cluster.Brittleness(rejections)
+            self.assert_few_falls(
+                loads.overloaded(48, 16, 2.0, engines.EngineSpeed(), brittle)
+            )
+
+    def test_plain_servers_do_not_fall_over(self) -> None:
+        for rejections in (3, 10):
+            brittle = cluster.Brittleness(rejections)
+            for rate in (150, 500):
+                self.assert_few_falls(
+                    loads.overloaded_plain(9, 3, rate, brittle)
+                )
--- a/tests/limpetwalk_node/gateway/test_streams.py
+++ b/tests/limpetwalk_node/gateway/test_streams.py
@@ -192,6 +192,30 @@
         self.assertEqual(("e-1", 1.5), (limited["server"], limited["per_s"]))
 
 
+class BrittleServers(harness.GatewayCase):
+    """Servers that fall over when they reject too many requests."""
+
+    services = {"e-1": site.ENGINE, "e-2": site.ENGINE}
+
+    async def call(self, number: int) -> int:
+        """Send a request, and return the status of its answer."""
+        await asyncio.sleep(0.02 * number)
+        async with self.run_.stream(Attempt_Id=f"a-{number}") as resp:
+            await resp.read()
+            return resp.status
+
+    async def test_brittle_servers_do_not_fall_over(self) -> None:
+        servers = [self.server(server_id) for server_id in self.services]
+        for brittle in servers:
+            brittle.event_interval = 0.1
+            brittle.brittleness = server.Brittleness(room=4, rejections=2)
+        statuses = await asyncio.gather(*map(self.call, range(150)))
+        falls = [b.brittleness.falls for b in servers if b.brittleness]
+        self.assertEqual([[], []], falls)
+        self.assertEqual({200, 503}, set(statuses))
+        self.assertGreater(statuses.count(200), 30)
+
+
 class Stopping(harness.GatewayCase):
     """The gateway is drained."""
 
