Share what servers state about themselves in one place

No change in behaviour. ServerLimits held the observations of answers, their age and hops, and when they end; a second value that servers state needs the same. The sharing moves to stated_values, and the intervals of reports to peer_groups, where decisions can use them. Tests of limits name the new places; their checks are unchanged.

--- a/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from limpetwalk.gateway import peer_groups
 from limpetwalk_node.gateway import load_broadcast
 
 from . import cluster
@@ -101,9 +102,7 @@
 
 def reportings(nodes: int) -> dict[str, cluster.Reporting]:
     """Return ways to report loads, by name."""
-    to_all = load_broadcast.INTERVAL * (
-        1 + nodes // load_broadcast.NODES_PER_INTERVAL
-    )
+    to_all = peer_groups.single_group_interval(nodes)
     return {
         "to all": cluster.Reporting(to_all, grouped=False),
         "to groups": cluster.Reporting(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -15,8 +15,8 @@
 from typing import Any
 
 from limpetwalk.gateway import peer_groups
-from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import stated_values
 from limpetwalk.gateway import store_watch
 from limpetwalk.gateway import types
 from limpetwalk.peers import rendezvous
@@ -24,10 +24,6 @@
 from . import events
 from . import logs
 
-# Interval between two reports of a node in a single group of fewer than
-# ``NODES_PER_INTERVAL`` nodes, in seconds. Larger groups report less often.
-INTERVAL = 0.1
-NODES_PER_INTERVAL = 10
 # Interval between two reports within one of several groups, in seconds, and
 # number of them for each sum that is sent to the other groups.
 GROUP_INTERVAL = 0.2
@@ -58,7 +54,7 @@
         node: str,
         peers: Callable[[], Mapping[str, peer_groups.Peer]],
         loads: server_load.ServerLoads,
-        limits: server_limits.ServerLimits,
+        limits: stated_values.StatedValues,
         tables: Callable[[], Collection[store_watch.TableState]],
         news: store_watch.PeerNews,
         journal: logs.Journal,
@@ -66,7 +62,7 @@
         self._node = node
         self._peers = peers
         self._server_loads = loads
-        self._server_limits = limits
+        self._limits = limits
         self._tables = tables
         self._news = news
         self._journal = journal
@@ -124,7 +120,7 @@
         exchange = self.exchange
         if exchange.partners:
             return GROUP_INTERVAL
-        return INTERVAL * (1 + len(exchange.members) // NODES_PER_INTERVAL)
+        return peer_groups.single_group_interval(len(exchange.members))
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Apply the report of another node."""
@@ -154,22 +150,15 @@
             report.sequence,
             {
                 entry.server: server_load.Load(
-                    entry.waitingMs / 1000, entry.active, entry.recent
+                    entry.waitingMs / 1000,
+                    entry.active,
+                    entry.recent,
                 )
                 for entry in report.loads
             },
         )
-        self._server_limits.merge(
-            [
-                server_limits.ObservedLimit(
-                    entry.server,
-                    entry.perSecond if entry.perSecond >= 0 else None,
-                    entry.ageMs / 1000,
-                )
-                for entry in report.limits
-            ],
-            hops=2 if report.group else 1,
-        )
+        hops = 2 if report.group else 1
+        self._limits.merge(_read_stated(report.limits), hops)
         self._news.record(
             sender,
             [
@@ -238,13 +227,8 @@
             entry.era = state.version.era
             entry.version = state.version.counter
             entry.unavailable = state.unavailable
-        limits = self._server_limits.observed(max_hops=1 if group else 0)
-        for entry, limit in zip(
-            report.init("limits", len(limits)), limits, strict=True
-        ):
-            entry.server = limit.server
-            entry.perSecond = -1.0 if limit.rate is None else limit.rate
-            entry.ageMs = int(limit.age * 1000)
+        observed = self._limits.observed(max_hops=1 if group else 0)
+        _write_stated(report.init("limits", len(observed)), observed)
         data = report.to_bytes()
         if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
             return
@@ -253,6 +237,26 @@
             self._transport.sendto(data, peers[name].address)
 
 
+def _read_stated(entries: Any) -> list[stated_values.Observed]:
+    return [
+        stated_values.Observed(
+            entry.server,
+            entry.perSecond if entry.perSecond >= 0 else None,
+            entry.ageMs / 1000,
+        )
+        for entry in entries
+    ]
+
+
+def _write_stated(
+    entries: Any, observed: list[stated_values.Observed]
+) -> None:
+    for entry, item in zip(entries, observed, strict=True):
+        entry.server = item.server
+        entry.perSecond = -1.0 if item.value is None else item.value
+        entry.ageMs = int(item.age * 1000)
+
+
 class _IdleFilter:
     """Decides whether a report must be sent, when there is no load.
 
--- a/packages/limpetwalk/limpetwalk/gateway/peer_groups.py
+++ b/packages/limpetwalk/limpetwalk/gateway/peer_groups.py
@@ -14,6 +14,14 @@
 
 # Largest number of nodes that form a single group.
 MAX_SINGLE_GROUP = 24
+# Interval between two reports of a node in a single group of fewer than
+# ``NODES_PER_INTERVAL`` nodes, in seconds. Larger groups report less often.
+INTERVAL = 0.1
+NODES_PER_INTERVAL = 10
+# Time in which nodes don't know what the others have just sent, in seconds:
+# the interval of reports in a single group, or within and between groups.
+SINGLE_GROUP_DELAY = 0.3
+GROUPS_DELAY = 0.8
 
 Address = tuple[str, int]
 
@@ -49,6 +57,24 @@
     return nodes > MAX_SINGLE_GROUP
 
 
+def single_group_interval(nodes: int) -> float:
+    """Return the interval between two reports of a node in a single group.
+
+    :param nodes: number of nodes.
+    :returns: seconds.
+    """
+    return INTERVAL * (1 + nodes // NODES_PER_INTERVAL)
+
+
+def report_delay(nodes: int) -> float:
+    """Return the time in which nodes don't know what the others sent.
+
+    :param nodes: number of nodes.
+    :returns: seconds.
+    """
+    return GROUPS_DELAY if has_groups(nodes) else SINGLE_GROUP_DELAY
+
+
 def plan(node: str, peers: Mapping[str, Peer]) -> Exchange:
     """Return the peers with which a node exchanges reports.
 
--- a/tests/limpetwalk/gateway/test_server_limits.py
+++ b/tests/limpetwalk/gateway/test_server_limits.py
@@ -6,6 +6,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import stated_values
 
 
 class Nodes:
@@ -186,9 +187,9 @@
 
     def test_answer_without_a_limit_ends_it(self) -> None:
         self.first.record_answer("s", "2.5")
-        self.assertEqual(2.5, self.first.limit("s"))
+        self.assertEqual(2.5, self.first.value("s"))
         self.first.record_answer("s", None)
-        self.assertIsNone(self.first.limit("s"))
+        self.assertIsNone(self.first.value("s"))
         self.assertEqual([("s", 2.5), ("s", None)], self.nodes.changes)
 
     def test_servers_without_a_limit_get_everything(self) -> None:
@@ -197,7 +198,7 @@
     def test_node_that_was_not_told_learns_it_from_a_report(self) -> None:
         self.first.record_answer("s", "2")
         self.second.merge(self.first.observed(max_hops=0), hops=1)
-        self.assertEqual(2.0, self.second.limit("s"))
+        self.assertEqual(2.0, self.second.value("s"))
 
     def test_only_new_observations_are_reported(self) -> None:
         for number in range(78):
@@ -206,7 +207,7 @@
         self.first.record_answer("s-5", "2")
         reported = self.first.observed(max_hops=0)
         self.assertEqual(["s-5"], [limit.server for limit in reported])
-        self.assertEqual(2.0, self.first.limit("s-6"))
+        self.assertEqual(2.0, self.first.value("s-6"))
 
     def test_newer_observation_wins(self) -> None:
         self.first.record_answer("s", "2")
@@ -216,14 +217,14 @@
         self.second.record_answer("s", None)
         self.second.merge(
             [
-                server_limits.ObservedLimit(
-                    limit.server, limit.rate, limit.age + 1.0
+                stated_values.Observed(
+                    limit.server, limit.value, limit.age + 1.0
                 )
                 for limit in report
             ],
             hops=1,
         )
-        self.assertIsNone(self.second.limit("s"))
+        self.assertIsNone(self.second.value("s"))
 
     def test_reports_do_not_keep_a_limit_alive(self) -> None:
         """A report looks younger than it is by the time that it took."""
@@ -232,19 +233,19 @@
             self.second.merge(self.first.observed(max_hops=0), hops=1)
             self.first.merge(self.second.observed(max_hops=0), hops=1)
             self.nodes.clock.advance(0.1)
-        self.assertIsNone(self.first.limit("s"))
-        self.assertIsNone(self.second.limit("s"))
+        self.assertIsNone(self.first.value("s"))
+        self.assertIsNone(self.second.value("s"))
 
     def test_limit_that_nothing_confirms_ends(self) -> None:
         self.first.record_answer("s", "0")
-        self.nodes.clock.advance(server_limits.LIMIT_LIFETIME + 0.1)
-        self.assertIsNone(self.first.limit("s"))
+        self.nodes.clock.advance(stated_values.LIFETIME + 0.1)
+        self.assertIsNone(self.first.value("s"))
         self.assertEqual([], self.first.observed(max_hops=0))
 
     def test_malformed_limits_are_ignored(self) -> None:
         for text in ("", "fast", "nan", "inf", "-1", "1,5"):
             self.first.record_answer("s", text)
-            self.assertIsNone(self.first.limit("s"), text)
+            self.assertIsNone(self.first.value("s"), text)
 
     def test_limit_of_zero_still_lets_the_server_be_asked(self) -> None:
         self.nodes.tell("s", "0")
