Send few requests at a time beyond what a brittle server accepted

The whole gateway's test of brittle servers failed beside busy processes: a node sent three requests to an engine with room for four and eight slots before the first of the rejections came back, two a second are allowed. Cause: what was sent and not answered yet may be rejected too, and only rejections that were known counted.

A request beyond what a server is known to have accepted is a probe, and a node has no more of them at a time than the rejections that the server may still make.

--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -199,6 +199,7 @@
     tried: set[str] = field(default_factory=set)
     choice: placement.Choice | None = None
     started: bool = False
+    probe: brittle_servers.Probe | None = None
 
 
 @dataclass(slots=True)
@@ -332,6 +333,7 @@
         req.choice = choice
         req.tried.add(choice.member.id)
         req.node.loads.start_request(choice.member.id, choice.prefill_seconds)
+        req.probe = req.node.brittle.start_probe(choice.member.id)
         self._after(DELAY, lambda: self._reach(req))
 
     def _reach(self, req: _Request) -> None:
@@ -403,6 +405,7 @@
         now = self._clock.monotonic()
         req.started = True
         self._hear(req)
+        req.node.brittle.end_probe(req.probe, accepted=True)
         req.node.loads.finish_prefill(
             _server_id(req), req.choice.prefill_seconds
         )
@@ -435,6 +438,7 @@
     def _end_at_server(self, req: _Request) -> None:
         assert req.choice is not None
         server_id = _server_id(req)
+        req.node.brittle.end_probe(req.probe, accepted=False)
         req.node.loads.finish_prefill(server_id, req.choice.prefill_seconds)
         req.node.loads.end_request(server_id)
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -219,13 +219,16 @@
         self._log_placement(call, choice, model, time_left)
         self._count_request(choice)
         started: outbound.StartedAnswer | outbound.FailedAttempt | None = None
+        probe = self.brittle_servers.start_probe(member.id)
         try:
             started = await self._send(
                 call, member, model, last_event, min(time_left, timeout)
             )
         finally:
             self.server_loads.finish_prefill(member.id, choice.prefill_seconds)
-            if not isinstance(started, outbound.StartedAnswer):
+            has_started = isinstance(started, outbound.StartedAnswer)
+            self.brittle_servers.end_probe(probe, accepted=has_started)
+            if not has_started:
                 self.finish(member)
         if isinstance(started, outbound.StartedAnswer):
             self._record_head(call, choice, started)
--- a/packages/limpetwalk/limpetwalk/gateway/brittle_servers.py
+++ b/packages/limpetwalk/limpetwalk/gateway/brittle_servers.py
@@ -5,7 +5,8 @@
 slots, or less where rejections have shown so; what the nodes have there, and
 may have placed there unheard, stays below it. Rejections of all nodes are
 counted, and a server that has rejected many of what it may gets nothing until
-they are old.
+they are old. Requests beyond what a server is known to have accepted are
+probes, of which a node has few at a time.
 """
 
 from collections.abc import Callable
@@ -44,12 +45,16 @@
 class _Room:
     """Requests that a server has room for, as learnt from rejections.
 
+    :param accepted: requests at the server with which it accepted one.
+    :param probes: requests beyond those that this node waits for.
     :param rejected: recent rejections that have been learnt from.
     :param own_rejected_at: instant of this node's last rejection.
     """
 
     size: float
     grown_at: float
+    accepted: float
+    probes: int = 0
     rejected: int = 0
     own_rejected_at: float = -math.inf
 
@@ -62,6 +67,7 @@
         known = lasting * active + (1.0 - lasting) * self.size
         size = SHARE_AFTER_REJECTION * min(self.size, known)
         self.size = max(1.0, size)
+        self.accepted = min(self.accepted, self.size)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +84,17 @@
     unheard: float
 
 
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Request to a server beyond what it is known to have accepted.
+
+    :param active: requests at the server with it.
+    """
+
+    server: str
+    active: int
+
+
 class BrittleServers(stated_values.StatedValues):
     """Rejections per second that servers state, and their room.
 
@@ -107,6 +124,32 @@
         self._rng = rng
         self._rooms: dict[str, _Room] = {}
 
+    def start_probe(self, server_id: str) -> Probe | None:
+        """Record that a request is sent, if it is a probe.
+
+        The request already counts in the load.
+        """
+        room = self._rooms.get(server_id)
+        if room is None:
+            return None
+        active = self._loads.total_loads([server_id])[server_id].active
+        if active <= room.accepted:
+            return None
+        room.probes += 1
+        return Probe(server_id, active)
+
+    def end_probe(self, probe: Probe | None, accepted: bool) -> None:
+        """Record whether a server accepted a request that was sent.
+
+        :param probe: None if the request was none.
+        """
+        room = self._rooms.get(probe.server) if probe is not None else None
+        if probe is None or room is None:
+            return
+        room.probes = max(0, room.probes - 1)
+        if accepted:
+            room.accepted = min(room.size, max(room.accepted, probe.active))
+
     def record_rejection(self, server_id: str) -> bool:
         """Record that a server rejected a request of this node.
 
@@ -205,6 +248,8 @@
             or now < room.own_rejected_at + view.delay
         ):
             return 0.0
+        if active + 1 > room.accepted and room.probes >= max(1.0, allowed):
+            return 0.0
         free = room.size - own - view.lasting * (active - own)
         if free < 1.0:
             return 0.0
@@ -213,15 +258,21 @@
 
     def _add_rooms(self, members: Sequence[fleet.Member]) -> None:
         """Add the rooms of new servers, which are like the others'."""
+        now = self._clock.monotonic()
         known = [
-            self._rooms[member.id].size
+            self._rooms[member.id]
             for member in members
             if member.id in self._rooms
         ]
+        loads = self._loads.total_loads([member.id for member in members])
         for member in members:
-            if member.id not in self._rooms:
-                size = statistics.fmean(known) if known else math.inf
-                self._rooms[member.id] = _Room(size, self._clock.monotonic())
+            if member.id in self._rooms:
+                continue
+            size, accepted = math.inf, float(loads[member.id].active)
+            if known:
+                size = statistics.fmean(room.size for room in known)
+                accepted = statistics.fmean(room.accepted for room in known)
+            self._rooms[member.id] = _Room(size, now, accepted)
 
     def _room(
         self, member: fleet.Member, rejected: int, active: int, view: _View
--- a/tests/limpetwalk/gateway/test_brittle_servers.py
+++ b/tests/limpetwalk/gateway/test_brittle_servers.py
@@ -116,6 +116,33 @@
         self.clock.advance(0.2)
         self.assertEqual(["s0"], self.chosen(self.members[0]))
 
+    def test_few_requests_at_a_time_try_what_was_not_accepted(self) -> None:
+        self.brittle.record_answer("s0", "2")
+        self.send(count=3)
+        self.chosen(self.members[0])
+        self.send()
+        probe = self.brittle.start_probe("s0")
+        self.assertEqual([], self.chosen(self.members[0]))
+        self.brittle.end_probe(probe, accepted=True)
+        self.assertEqual(["s0"], self.chosen(self.members[0]))
+
+    def test_requests_within_what_was_accepted_are_no_probes(self) -> None:
+        self.brittle.record_answer("s0", "2")
+        self.send(count=4)
+        self.chosen(self.members[0])
+        self.loads.end_request("s0")
+        self.loads.end_request("s0")
+        self.send()
+        self.assertIsNone(self.brittle.start_probe("s0"))
+        self.assertEqual(["s0"], self.chosen(self.members[0]))
+
+    def test_probe_that_ended_unanswered_proves_nothing(self) -> None:
+        self.brittle.record_answer("s0", "2")
+        self.chosen(self.members[0])
+        self.send()
+        self.brittle.end_probe(self.brittle.start_probe("s0"), accepted=False)
+        self.assertIsNotNone(self.brittle.start_probe("s0"))
+
     def test_server_that_has_not_answered_is_like_the_others(self) -> None:
         self.brittle.record_answer("s0", "3")
         self.send("s1", 8)
