--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -169,6 +169,7 @@
             lambda: self.cluster_state.peers,
             self.dispatcher.server_loads,
             self.dispatcher.server_limits,
+            self.dispatcher.brittle_servers,
             lambda: [follower.state for follower in self.followers],
             news,
             self.links,
--- a/tests/limpetwalk_node/gateway/test_streams.py
+++ b/tests/limpetwalk_node/gateway/test_streams.py
@@ -207,6 +207,31 @@
         self.assertEqual(("e-1", 1.5), (limited["server"], limited["per_s"]))
 
 
+class BrittleServers(harness.GatewayCase):
+    """Servers that fall over when they reject too many requests."""
+
+    services = {"e-1": site.ENGINE, "e-2": site.ENGINE}
+
+    async def call(self, number: int) -> int:
+        """Send a request, and return the status of its answer."""
+        await asyncio.sleep(0.04 * number)
+        async with self.run_.stream(Attempt_Id=f"a-{number}") as resp:
+            await resp.read()
+            return resp.status
+
+    async def test_brittle_servers_do_not_fall_over(self) -> None:
+        servers = [self.server(server_id) for server_id in self.services]
+        for brittle in servers:
+            brittle.event_interval = 0.2
+            brittle.brittleness = server.Brittleness(room=4, rejections=2)
+        statuses = await asyncio.gather(*map(self.call, range(75)))
+        falls = [b.brittleness.falls for b in servers if b.brittleness]
+        self.assertEqual([[], []], falls)
+        self.assertEqual({200, 503}, set(statuses))
+        # Half of what both servers can answer in the three seconds.
+        self.assertGreaterEqual(statuses.count(200), 12)
+
+
 class Stopping(harness.GatewayCase):
     """The gateway is drained."""
 
