Keep what the store's stand-in lost before a second restoration

Two restorations overlapped there: the second one replaced the list of lost rows, so nobody wrote the servers' rows again. The fault is the stand-in's: operators and servers know what they have written, however often the store is restored.

--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
@@ -135,7 +135,7 @@
         :param ver: version of the copy that the store is restored from.
         """
         async with self._changed:
-            self._lost = [row for row in self._log if row.ver > ver]
+            self._lost += [row for row in self._log if row.ver > ver]
             self._log = [row for row in self._log if row.ver <= ver]
             self.rows = {(row.table, row.key): row for row in self._log}
             self.ver = ver
