Let servers fall silent in the fault soak

A server stops in the middle of its answers for 0.8 to 1.5 s, loses nothing and goes on; one server or all of them. Nodes may not cut an answer for that, so the check of answers that were cut excuses no silence (a new test shows it).

--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
@@ -60,6 +60,9 @@
         if fault.link_fault is not None:
             await self._inject_link_fault(fault, fault.link_fault)
             return
+        if fault.kind is fault_plan.FaultKind.SERVER_SILENT:
+            await self._inject_silence(fault)
+            return
         begin, end = _LASTING_FAULTS[fault.kind]
         key = (fault.kind, fault.target)
         self._active_counts[key] += 1
@@ -85,6 +88,14 @@
         finally:
             paths[fault.target].remove_fault(link_fault)
 
+    async def _inject_silence(self, fault: fault_plan.Fault) -> None:
+        path = self.server_paths[fault.target]
+        path.hold()
+        try:
+            await asyncio.sleep(fault.duration)
+        finally:
+            path.release()
+
     async def kill(self, fault: fault_plan.Fault) -> None:
         """Send SIGKILL to a node."""
         self.nodes[fault.target].signal(signal.SIGKILL)
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_plan.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_plan.py
@@ -20,6 +20,13 @@
 SERIES_SHARE = 0.2
 # Mean number of times that the store is restored in a soak.
 MEAN_RESTORATIONS = 0.7
+# Mean number of times in a soak that servers fall silent, and for how long, in
+# seconds: around the longest gap between events that the route allows.
+MEAN_SILENCES = 1.5
+MIN_SILENCE = 0.8
+MAX_SILENCE = 1.5
+# Share of the silences in which all servers fall silent.
+ALL_SILENT_SHARE = 0.5
 
 
 class FaultKind(enum.Enum):
@@ -41,6 +48,8 @@
         and servers write again what was lost.
     :cvar CONFIG_CHANGE: the operator writes a new configuration.
     :cvar SERVER_LEAVES: a server announces that it leaves, and comes back.
+    :cvar SERVER_SILENT: a server stops in the middle of its answers, loses
+        nothing and goes on.
     """
 
     KILL = "kill"
@@ -58,6 +67,7 @@
     STORE_RESTORED = "store_restored"
     CONFIG_CHANGE = "change"
     SERVER_LEAVES = "leave"
+    SERVER_SILENT = "server_silent"
 
 
 class LinkFault(enum.Enum):
@@ -87,13 +97,19 @@
     )
 )
 # Kinds that are drawn apart, so that the other faults of a seed don't change.
-EXTRA_KINDS = frozenset((FaultKind.STORE_RESTORED,))
+EXTRA_KINDS = frozenset(
+    (
+        FaultKind.STORE_RESTORED,
+        FaultKind.SERVER_SILENT,
+    )
+)
 SERVER_KINDS = frozenset(
     (
         FaultKind.SERVER_LINK,
         FaultKind.SERVER_ERRORS,
         FaultKind.SERVER_TRUNCATES,
         FaultKind.SERVER_LEAVES,
+        FaultKind.SERVER_SILENT,
     )
 )
 
@@ -144,6 +160,7 @@
                 for number in range(1, SERIES_LENGTH)
             ]
     faults += _draw_restorations(seed, length)
+    faults += _draw_silences(seed, length, servers)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -157,6 +174,24 @@
     return faults
 
 
+def _draw_silences(
+    seed: int, length: float, servers: Sequence[str]
+) -> list[Fault]:
+    rng = random.Random(f"silences {seed}")
+    faults = []
+    at = 0.0
+    while (at := at + rng.expovariate(MEAN_SILENCES / length)) < length:
+        duration = min(rng.uniform(MIN_SILENCE, MAX_SILENCE), length - at)
+        silent = [rng.choice(servers)]
+        if rng.random() < ALL_SILENT_SHARE:
+            silent = list(servers)
+        faults += [
+            Fault(at, duration, FaultKind.SERVER_SILENT, server)
+            for server in silent
+        ]
+    return faults
+
+
 def _draw_fault(
     rng: random.Random,
     at: float,
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/proxy.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/proxy.py
@@ -1,6 +1,7 @@
 """TCP proxy on loopback that injects link faults."""
 
 import asyncio
+from collections.abc import Coroutine
 import socket
 import struct
 
@@ -26,6 +27,9 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._hold_count = 0
+        self._flowing = asyncio.Event()
+        self._flowing.set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -50,13 +54,28 @@
         """
         self._faults.append(fault)
         if fault is fault_plan.LinkFault.RESET:
-            for writer in list(self._writers):
-                _reset(writer)
+            self.reset_connections()
 
     def remove_fault(self, fault: fault_plan.LinkFault) -> None:
         """End a fault; a direction that has lost data stays blocked."""
         self._faults.remove(fault)
 
+    def hold(self) -> None:
+        """Forward nothing, and lose nothing, until ``release``."""
+        self._hold_count += 1
+        self._flowing.clear()
+
+    def release(self) -> None:
+        """End one ``hold``; with the last one, forward what was held."""
+        self._hold_count -= 1
+        if not self._hold_count:
+            self._flowing.set()
+
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for writer in list(self._writers):
+            _reset(writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -87,9 +106,12 @@
             (reader, upstream[1], drop_to_server),
             (upstream[0], writer, drop_from_server),
         ):
-            task = asyncio.create_task(self._pump(source, sink, drop_faults))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(self._pump(source, sink, drop_faults))
+
+    def _spawn(self, coro: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _pump(
         self,
@@ -111,9 +133,11 @@
                     continue
                 if fault_plan.LinkFault.DELAY in self._faults:
                     await asyncio.sleep(DELAY)
+                await self._flowing.wait()
                 sink.write(data)
                 await sink.drain()
             if not dropping:
+                await self._flowing.wait()
                 sink.close()
         except OSError:
             _reset(sink)
--- a/tests/limpetwalk_bench/soak/test_checks.py
+++ b/tests/limpetwalk_bench/soak/test_checks.py
@@ -208,3 +208,11 @@
             seal="",
         )
         self.assertEqual({"recovery"}, self.violated(failed))
+
+    def test_silence_is_no_excuse(self) -> None:
+        cut = make_outcome("stream", body=b"", complete=False, error="cut")
+        silence = fault_plan.Fault(
+            0.9, 1.0, fault_plan.FaultKind.SERVER_SILENT, "p-1"
+        )
+        violations = self.violated(cut, make_request(), faults=(silence,))
+        self.assertEqual({"finished"}, violations)
--- a/tests/limpetwalk_bench/soak/test_fault_plan.py
+++ b/tests/limpetwalk_bench/soak/test_fault_plan.py
@@ -1,11 +1,30 @@
 """Faults drawn from a seed."""
 
+import collections
 import unittest
 
 from limpetwalk_bench.soak import fault_plan
 
 NODES = ("node-1", "node-2")
 SERVERS = ("e-1", "p-1")
+# Faults that were drawn before there were extra kinds.
+USUAL_FAULTS_OF_SEED_7 = [
+    (0.42, "pause", "node-1"),
+    (0.72, "pause", "node-1"),
+    (1.02, "pause", "node-1"),
+    (1.24, "server_link", "e-1"),
+    (1.54, "server_link", "e-1"),
+    (1.81, "reload", "node-2"),
+    (1.84, "server_link", "e-1"),
+    (2.11, "reload", "node-2"),
+    (2.41, "reload", "node-2"),
+    (2.7, "reload", "node-1"),
+    (3.24, "reload", "node-1"),
+    (3.41, "term", "node-1"),
+    (3.71, "term", "node-1"),
+    (4.01, "term", "node-1"),
+    (4.31, "reload", "node-1"),
+]
 
 
 class DrawFaults(unittest.TestCase):
@@ -57,3 +76,23 @@
         self.assertGreater(overlaps, 3)
         distinct = {(fault.kind, fault.target) for fault in faults}
         self.assertLess(len(distinct), len(faults))
+
+    def test_extra_kinds_leave_the_other_faults_of_a_seed(self) -> None:
+        faults = fault_plan.draw_faults(7, 5.0, NODES, SERVERS)
+        usual = [
+            (round(fault.at, 2), fault.kind.value, fault.target)
+            for fault in faults
+            if fault.kind not in fault_plan.EXTRA_KINDS
+        ]
+        self.assertEqual(USUAL_FAULTS_OF_SEED_7, usual)
+
+    def test_one_or_all_servers_fall_silent(self) -> None:
+        servers_by_time = collections.defaultdict(set)
+        for seed in range(20):
+            for fault in fault_plan.draw_faults(seed, 20.0, NODES, SERVERS):
+                if fault.kind is fault_plan.FaultKind.SERVER_SILENT:
+                    servers_by_time[seed, fault.at].add(fault.target)
+                    self.assertLessEqual(
+                        fault.duration, fault_plan.MAX_SILENCE
+                    )
+        self.assertEqual({1, 2}, set(map(len, servers_by_time.values())))
--- a/tests/limpetwalk_bench/soak/test_proxy.py
+++ b/tests/limpetwalk_bench/soak/test_proxy.py
@@ -102,3 +102,19 @@
         self.assertEqual(b"a", await self.exchange(b"a"))
         elapsed = asyncio.get_running_loop().time() - started
         self.assertGreaterEqual(elapsed, proxy.DELAY)
+
+    async def test_holds_data_without_loss(self) -> None:
+        await self.open()
+        await self.exchange(b"a")
+        self.proxy.hold()
+        self.proxy.hold()
+        self.assertEqual(
+            b"nothing", await self.exchange(b"b", ABSENCE_TIMEOUT)
+        )
+        self.proxy.release()
+        self.assertEqual(
+            b"nothing", await self.exchange(b"c", ABSENCE_TIMEOUT)
+        )
+        self.proxy.release()
+        async with asyncio.timeout(ARRIVAL_TIMEOUT):
+            self.assertEqual(b"bc", await self.reader.readexactly(2))
