Let nodes lose their links to servers in the fault soak

Nodes lose their links to some or all servers while callers, the store and the other nodes still reach them: one node, several or all, for two to four seconds or again and again. New connections hang or are refused; open ones stop, are reset or live on. A node process runs the unchanged node on an event loop that takes each connection to a server through the node's own proxy, since all nodes read one address for a server. Its listener really hangs (a full backlog) or refuses (shut down), so a node can tell that no byte was sent.

The new check cut_nodes holds the users' bound: from 1 s after the cut of all links, requests at these nodes are served at least two thirds as often as at the others, unless at most 10 + 1 in 50 of all requests fail there. Only nodes that run and reach the store count, and only while another such node has its links. An answer that was cut is excused by a cut of the node's own link to a server that ran the request, unless open connections live on; by an outage of another node only if the node lacked links and the answer had begun.

--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 from dataclasses import dataclass
 
 from ..hub import server
@@ -32,6 +33,16 @@
 # Share of a caller's deadline after which an end without an answer is not a
 # violation, since the remaining time may have been too short.
 CHECKED_DEADLINE_SHARE = 5 / 6
+# Time from the start of a cut until nodes without links must serve again, and
+# time for a node to start and be ready, in seconds.
+CUT_CONTACT_TIME = 1.0
+RESTART_TIME = 4.0
+# Bounds of the users: nodes without links must serve this share of what the
+# others serve, unless fewer requests fail there than a number and a share of
+# all requests.
+MIN_SERVED_RATIO = 2 / 3
+TOLERATED_FAILURES = 10
+TOLERATED_FAILURE_SHARE = 1 / 50
 # Kinds that close or stall the connections of a node.
 NODE_OUTAGES = frozenset(
     (fault_plan.FaultKind.KILL, fault_plan.FaultKind.PAUSE)
@@ -104,6 +115,7 @@
         violations += _check_end(observed, outcome, own)
     violations += _check_drain(observed)
     violations += _check_recovery(observed)
+    violations += _check_cut_nodes(observed)
     return violations
 
 
@@ -177,6 +189,8 @@
     if outcome.hung:
         yield Violation("answered", outcome.id, f"nothing from {outcome.node}")
         return
+    if outcome.status and _affected_by_peer_outage(observed, outcome):
+        return
     elapsed = outcome.ended_at - outcome.sent_at
     incomplete = not outcome.status or not outcome.complete
     if (
@@ -195,6 +209,39 @@
     )
 
 
+def _affected_by_peer_outage(
+    observed: Observations, outcome: callers.Outcome
+) -> bool:
+    """Return whether a node that may have passed on the answer had an outage.
+
+    A node that has lost links to servers may use another node's.
+    """
+    return _had_cut_links(
+        observed, outcome.node, outcome.sent_at, outcome.ended_at
+    ) and any(
+        _affected_by_node_outage(
+            observed, dataclasses.replace(outcome, node=node)
+        )
+        for node in _node_names(observed)
+    )
+
+
+def _had_cut_links(
+    observed: Observations, node: str, begin: float, end: float
+) -> bool:
+    return any(
+        fault.kind is fault_plan.FaultKind.NODE_LINKS
+        and fault.target == node
+        and observed.started + fault.at <= end
+        and observed.started + fault.ends_at + EFFECT_TIME >= begin
+        for fault in observed.faults
+    )
+
+
+def _node_names(observed: Observations) -> set[str]:
+    return {outcome.node for outcome in observed.outcomes}
+
+
 def _affected_by_node_outage(
     observed: Observations, outcome: callers.Outcome
 ) -> bool:
@@ -218,14 +265,33 @@
     observed: Observations, outcome: callers.Outcome, server_id: str
 ) -> bool:
     return any(
-        fault.target == server_id
-        and fault.kind in SERVER_OUTAGES
+        _affects_answers(observed, outcome, fault, server_id)
         and outcome.sent_at <= observed.started + fault.ends_at + EFFECT_TIME
         and outcome.ended_at >= observed.started + fault.at
         for fault in observed.faults
     )
 
 
+def _affects_answers(
+    observed: Observations,
+    outcome: callers.Outcome,
+    fault: fault_plan.Fault,
+    server_id: str,
+) -> bool:
+    if fault.kind is fault_plan.FaultKind.NODE_LINKS:
+        return (
+            server_id in fault.servers
+            and fault.link_cut is not fault_plan.LinkCut.REFUSE
+            and (
+                fault.target == outcome.node
+                or _had_cut_links(
+                    observed, outcome.node, outcome.sent_at, outcome.ended_at
+                )
+            )
+        )
+    return fault.target == server_id and fault.kind in SERVER_OUTAGES
+
+
 def _check_drain(observed: Observations) -> Iterable[Violation]:
     node_by_attempt = {
         outcome.id: outcome.node for outcome in observed.outcomes
@@ -239,10 +305,15 @@
             attempt_id = request.headers.get("Attempt-Id", "")
             if not drained_at < request.received_at < back_at:
                 continue
-            if not _node_had_outage(
-                observed,
-                node_by_attempt.get(attempt_id, ""),
-                request.received_at,
+            node = node_by_attempt.get(attempt_id, "")
+            senders = {node}
+            if _had_cut_links(
+                observed, node, request.received_at, request.received_at
+            ):
+                senders |= _node_names(observed)
+            if not any(
+                _node_had_outage(observed, sender, request.received_at)
+                for sender in senders
             ):
                 yield Violation("drain", attempt_id, f"reached {fault.target}")
 
@@ -274,3 +345,111 @@
                 outcome.id,
                 f"{outcome.status} {outcome.error} from {outcome.node}",
             )
+
+
+def _check_cut_nodes(observed: Observations) -> Iterable[Violation]:
+    """Check that nodes without links to servers serve about as the others."""
+    for begin, end in _times_of_cuts(observed):
+        at_cut: list[callers.Outcome] = []
+        at_others: list[callers.Outcome] = []
+        for outcome in observed.outcomes:
+            if not begin <= outcome.sent_at < end or not _was_in_touch(
+                observed, outcome
+            ):
+                continue
+            if _lacks_links(observed, outcome.node, outcome.sent_at):
+                if _others_reach_servers(observed, outcome):
+                    at_cut.append(outcome)
+            elif _reaches_servers(observed, outcome.node, outcome.sent_at):
+                at_others.append(outcome)
+        if not at_cut or not at_others:
+            continue
+        failed = sum(not outcome.served for outcome in at_cut)
+        cut_rate = 1 - failed / len(at_cut)
+        other_rate = sum(outcome.served for outcome in at_others) / len(
+            at_others
+        )
+        tolerated = TOLERATED_FAILURES + TOLERATED_FAILURE_SHARE * (
+            len(at_cut) + len(at_others)
+        )
+        if cut_rate < MIN_SERVED_RATIO * other_rate and failed > tolerated:
+            yield Violation(
+                "cut_nodes",
+                "",
+                f"{begin - observed.started:.2f} s to"
+                f" {end - observed.started:.2f} s: served {cut_rate:.2f} of"
+                f" {len(at_cut)} at nodes without links, {other_rate:.2f} of"
+                f" {len(at_others)} at the others",
+            )
+
+
+def _times_of_cuts(observed: Observations) -> list[tuple[float, float]]:
+    """Return the times in which nodes must have noticed that links are cut."""
+    times: list[tuple[float, float]] = []
+    for fault in sorted(observed.faults, key=lambda fault: fault.at):
+        begin = observed.started + fault.at + CUT_CONTACT_TIME
+        end = observed.started + fault.ends_at
+        if not _cuts_all_servers(observed, fault) or begin >= end:
+            continue
+        if times and begin <= times[-1][1]:
+            begin, last_end = times.pop()
+            end = max(end, last_end)
+        times.append((begin, end))
+    return times
+
+
+def _cuts_all_servers(observed: Observations, fault: fault_plan.Fault) -> bool:
+    return fault.kind is fault_plan.FaultKind.NODE_LINKS and set(
+        fault.servers
+    ) >= set(observed.servers)
+
+
+def _lacks_links(observed: Observations, node: str, at: float) -> bool:
+    return any(
+        fault.target == node
+        and _cuts_all_servers(observed, fault)
+        and fault.at + CUT_CONTACT_TIME
+        <= at - observed.started
+        < fault.ends_at
+        for fault in observed.faults
+    )
+
+
+def _reaches_servers(observed: Observations, node: str, at: float) -> bool:
+    return not any(
+        fault.target == node
+        and _cuts_all_servers(observed, fault)
+        and fault.at <= at - observed.started
+        and at - observed.started < fault.ends_at + CUT_CONTACT_TIME
+        for fault in observed.faults
+    )
+
+
+def _others_reach_servers(
+    observed: Observations, outcome: callers.Outcome
+) -> bool:
+    return any(
+        _reaches_servers(observed, node, outcome.sent_at)
+        and _was_in_touch(observed, dataclasses.replace(outcome, node=node))
+        for node in _node_names(observed) - {outcome.node}
+    )
+
+
+def _was_in_touch(observed: Observations, outcome: callers.Outcome) -> bool:
+    """Return whether the outcome's node ran and reached the store."""
+    for fault in observed.faults:
+        if fault.target not in ("", outcome.node):
+            continue
+        end = observed.started + fault.ends_at + EFFECT_TIME
+        if fault.kind is fault_plan.FaultKind.TERM:
+            end = observed.started + fault.at + nodes.GRACE + RESTART_TIME
+        elif fault.kind is fault_plan.FaultKind.KILL:
+            end = observed.started + fault.at + RESTART_TIME
+        elif fault.kind not in NODE_OUTAGES | STORE_OUTAGES:
+            continue
+        if (
+            observed.started + fault.at <= outcome.ended_at
+            and outcome.sent_at <= end
+        ):
+            return False
+    return True
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
@@ -11,6 +11,7 @@
 from ..hub import server
 from ..hub import site
 from . import fault_plan
+from . import node_link
 from . import nodes
 from . import proxy
 
@@ -27,6 +28,8 @@
     :param entry_nodes: entry nodes by name.
     :param store_paths: proxy before the store, by name of the node.
     :param server_paths: proxy before a server, by its identifier.
+    :param node_links: paths of each node, by its name, to the proxies before
+        the servers, by their identifiers.
     :param services: name of the backend, by server identifier.
     """
 
@@ -36,12 +39,14 @@
         entry_nodes: dict[str, nodes.Node],
         store_paths: dict[str, proxy.Proxy],
         server_paths: dict[str, proxy.Proxy],
+        node_links: dict[str, dict[str, node_link.NodeLink]],
         services: dict[str, str],
     ) -> None:
         self.site = stand_ins
         self.nodes = entry_nodes
         self.store_paths = store_paths
         self.server_paths = server_paths
+        self.node_links = node_links
         self.services = services
         self._config_version = 1
         self._last_born = 1
@@ -60,6 +65,9 @@
         if fault.link_fault is not None:
             await self._inject_link_fault(fault, fault.link_fault)
             return
+        if fault.link_cut is not None:
+            await self._inject_link_cut(fault, fault.link_cut)
+            return
         if fault.kind is fault_plan.FaultKind.SERVER_SILENT:
             await self._inject_silence(fault)
             return
@@ -88,6 +96,21 @@
         finally:
             paths[fault.target].remove_fault(link_fault)
 
+    async def _inject_link_cut(
+        self, fault: fault_plan.Fault, link_cut: fault_plan.LinkCut
+    ) -> None:
+        links = [
+            self.node_links[fault.target][server_id]
+            for server_id in fault.servers
+        ]
+        for link in links:
+            link.cut(link_cut)
+        try:
+            await asyncio.sleep(fault.duration)
+        finally:
+            for link in links:
+                link.restore(link_cut)
+
     async def _inject_silence(self, fault: fault_plan.Fault) -> None:
         path = self.server_paths[fault.target]
         path.hold()
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_plan.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_plan.py
@@ -20,6 +20,15 @@
 SERIES_SHARE = 0.2
 # Mean number of times that the store is restored in a soak.
 MEAN_RESTORATIONS = 0.7
+# Mean number of times in a soak that nodes lose their links to servers, and
+# the shortest and longest time for which they do, in seconds.
+MEAN_LINK_CUTS = 1.5
+MIN_CUT_DURATION = 2.0
+MAX_CUT_DURATION = 4.0
+# Share of the cuts that affect the links to all servers, and share of those
+# that come and go.
+ALL_SERVERS_SHARE = 0.7
+FLAPPING_SHARE = 0.3
 # Mean number of times in a soak that servers fall silent, and for how long, in
 # seconds: around the longest gap between events that the route allows.
 MEAN_SILENCES = 1.5
@@ -50,6 +59,7 @@
     :cvar SERVER_LEAVES: a server announces that it leaves, and comes back.
     :cvar SERVER_SILENT: a server stops in the middle of its answers, loses
         nothing and goes on.
+    :cvar NODE_LINKS: the paths of a node to servers are cut.
     """
 
     KILL = "kill"
@@ -68,6 +78,7 @@
     CONFIG_CHANGE = "change"
     SERVER_LEAVES = "leave"
     SERVER_SILENT = "server_silent"
+    NODE_LINKS = "node_links"
 
 
 class LinkFault(enum.Enum):
@@ -87,6 +98,20 @@
     DROP_BOTH = "silence"
 
 
+class LinkCut(enum.Enum):
+    """What happens to connections on a path that is cut.
+
+    :cvar HANG: open connections stop, and new ones aren't established; both
+        go on after the cut.
+    :cvar RESET: open connections are reset, and new ones refused.
+    :cvar REFUSE: open connections live on, and new ones are refused.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    REFUSE = "refuse"
+
+
 NODE_KINDS = frozenset(
     (
         FaultKind.KILL,
@@ -94,6 +119,7 @@
         FaultKind.PAUSE,
         FaultKind.RELOAD,
         FaultKind.STORE_LINK,
+        FaultKind.NODE_LINKS,
     )
 )
 # Kinds that are drawn apart, so that the other faults of a seed don't change.
@@ -101,6 +127,7 @@
     (
         FaultKind.STORE_RESTORED,
         FaultKind.SERVER_SILENT,
+        FaultKind.NODE_LINKS,
     )
 )
 SERVER_KINDS = frozenset(
@@ -124,6 +151,8 @@
         and the configuration.
     :param link_fault: what happens to connections; None unless the kind is
         a link.
+    :param link_cut: how the links of a node are cut; None for other kinds.
+    :param servers: servers to which the links of a node are cut.
     """
 
     at: float
@@ -131,6 +160,8 @@
     kind: FaultKind
     target: str = ""
     link_fault: LinkFault | None = None
+    link_cut: LinkCut | None = None
+    servers: tuple[str, ...] = ()
 
     @property
     def ends_at(self) -> float:
@@ -160,6 +191,7 @@
                 for number in range(1, SERIES_LENGTH)
             ]
     faults += _draw_restorations(seed, length)
+    faults += _draw_link_cuts(seed, length, nodes, servers)
     faults += _draw_silences(seed, length, servers)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
@@ -174,6 +206,41 @@
     return faults
 
 
+def _draw_link_cuts(
+    seed: int, length: float, nodes: Sequence[str], servers: Sequence[str]
+) -> list[Fault]:
+    rng = random.Random(f"link cuts {seed}")
+    faults = []
+    at = 0.0
+    while (at := at + rng.expovariate(MEAN_LINK_CUTS / length)) < length:
+        duration = rng.uniform(MIN_CUT_DURATION, MAX_CUT_DURATION)
+        duration = min(duration, length - at)
+        cut_nodes = rng.sample(nodes, rng.randint(1, len(nodes)))
+        cut_servers = tuple(servers)
+        if rng.random() >= ALL_SERVERS_SHARE:
+            count = rng.randint(1, len(servers) - 1)
+            cut_servers = tuple(rng.sample(servers, count))
+        link_cut = rng.choice(list(LinkCut))
+        repeat_count = 1
+        if rng.random() < FLAPPING_SHARE:
+            repeat_count = SERIES_LENGTH
+        # As long as the links are cut, they work between two cuts.
+        part = duration / (2 * repeat_count - 1)
+        faults += [
+            Fault(
+                at + 2 * part * number,
+                part,
+                FaultKind.NODE_LINKS,
+                node,
+                link_cut=link_cut,
+                servers=cut_servers,
+            )
+            for number in range(repeat_count)
+            for node in cut_nodes
+        ]
+    return faults
+
+
 def _draw_silences(
     seed: int, length: float, servers: Sequence[str]
 ) -> list[Fault]:
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
@@ -1,6 +1,8 @@
 """Entry nodes as processes, each on its own loopback address."""
 
 import asyncio
+from collections.abc import Mapping
+import json
 import os
 import pathlib
 import resource
@@ -11,11 +13,12 @@
 
 from ..hub import site
 from ..site import ports
+from . import node_process
 from . import proxy
 
 PROGRAM = (
     "-m",
-    "limpetwalk_node.gateway",
+    "limpetwalk_bench.soak.node_process",
     "--adapter=limpetwalk_platform.adapter",
     "--platform=franchise-hub",
 )
@@ -41,15 +44,21 @@
         )
         self._settings_path = folder / f"{name}.toml"
         self._log_path = folder / f"{name}.log"
+        self._server_paths: Mapping[str, str] = {}
         self._process: asyncio.subprocess.Process | None = None
         self._task: asyncio.Task[None] | None = None
         self.start_count = 0
 
-    def start(self, store: proxy.Proxy) -> None:
+    def start(
+        self, store: proxy.Proxy, server_paths: Mapping[str, str]
+    ) -> None:
         """Write the settings, start the process and keep restarting it.
 
         :param store: proxy on the path from the node to the store.
+        :param server_paths: address on the path from the node to a server, by
+            the address that the server announces.
         """
+        self._server_paths = server_paths
         self._settings_path.write_text(
             site.settings_text(
                 self.name,
@@ -108,7 +117,11 @@
                 process.kill()
 
     async def _run(self) -> None:
-        env = {**os.environ, "LIMPETWALK_CONFIG": str(self._settings_path)}
+        env = {
+            **os.environ,
+            "LIMPETWALK_CONFIG": str(self._settings_path),
+            node_process.PATHS_VARIABLE: json.dumps(dict(self._server_paths)),
+        }
         while True:
             with self._log_path.open("ab") as log:
                 self._process = await asyncio.create_subprocess_exec(
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 from dataclasses import dataclass
+import itertools
 import os
 import pathlib
 import random
 import time
+from typing import TypeVar
 
 import aiohttp
 
@@ -15,6 +17,7 @@
 from . import checks
 from . import fault_injector
 from . import fault_plan
+from . import node_link
 from . import nodes
 from . import proxy
 
@@ -37,6 +40,12 @@
 # must be served, in seconds.
 SETTLE_TIME = 6.0
 CALM_TIME = 2.0
+# Number of loopback addresses for the nodes of one process; a multiple of
+# NODE_COUNT.
+MAX_HOSTS = 240
+
+_soak_numbers = itertools.count()
+_Path = TypeVar("_Path", bound=proxy.Proxy)
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,37 +133,56 @@
     await stand_ins.start({})
     server_paths = {}
     for server_id, service in BACKEND_BY_SERVER.items():
-        link = await _start_proxy(stack, 0)
+        link = await _start(stack, proxy.Proxy(0))
         await stand_ins.add_server(
             server_id, service, address=f"127.0.0.1:{link.port}"
         )
         stand_ins.servers[server_id].event_interval = EVENT_INTERVAL
         link.target_port = stand_ins.ports[server_id]
         server_paths[server_id] = link
-    # The addresses depend on the process id, so that soaks can run in
-    # parallel.
+    # The addresses depend on the process id and on the soaks before, so that
+    # soaks can run in parallel.
     subnet = f"127.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}"
+    first = next(_soak_numbers) * NODE_COUNT % MAX_HOSTS + 1
     entry_nodes, store_paths = {}, {}
+    node_links: dict[str, dict[str, node_link.NodeLink]] = {}
     for number in range(1, NODE_COUNT + 1):
-        node = nodes.Node(f"node-{number}", f"{subnet}.{number}", folder)
-        store_paths[node.name] = await _start_proxy(
-            stack, stand_ins.store_port
+        host = f"{subnet}.{first + number - 1}"
+        node = nodes.Node(f"node-{number}", host, folder)
+        store_paths[node.name] = await _start(
+            stack, proxy.Proxy(stand_ins.store_port)
+        )
+        node_links[node.name] = {
+            server_id: await _start(
+                stack, node_link.NodeLink(node.host, path.port)
+            )
+            for server_id, path in server_paths.items()
+        }
+        node.start(
+            store_paths[node.name],
+            {
+                f"127.0.0.1:{path.port}": (
+                    node_links[node.name][server_id].address
+                )
+                for server_id, path in server_paths.items()
+            },
         )
-        node.start(store_paths[node.name])
         stack.push_async_callback(node.stop)
         entry_nodes[node.name] = node
     return fault_injector.FaultInjector(
-        stand_ins, entry_nodes, store_paths, server_paths, BACKEND_BY_SERVER
+        stand_ins,
+        entry_nodes,
+        store_paths,
+        server_paths,
+        node_links,
+        BACKEND_BY_SERVER,
     )
 
 
-async def _start_proxy(
-    stack: contextlib.AsyncExitStack, port: int
-) -> proxy.Proxy:
-    link = proxy.Proxy(port)
-    await link.start()
-    stack.push_async_callback(link.stop)
-    return link
+async def _start(stack: contextlib.AsyncExitStack, path: _Path) -> _Path:
+    await path.start()
+    stack.push_async_callback(path.stop)
+    return path
 
 
 async def _wait_until_ready(injector: fault_injector.FaultInjector) -> None:
--- a/tests/limpetwalk_bench/soak/test_checks.py
+++ b/tests/limpetwalk_bench/soak/test_checks.py
@@ -216,3 +216,160 @@
         )
         violations = self.violated(cut, make_request(), faults=(silence,))
         self.assertEqual({"finished"}, violations)
+
+    def test_cut_answer_is_excused_by_a_cut_link(self) -> None:
+        cut = make_outcome("stream", body=b"", complete=False, error="cut")
+        for link_cut, node, server_id, expected in (
+            (fault_plan.LinkCut.HANG, "node-1", "p-1", set()),
+            (fault_plan.LinkCut.RESET, "node-1", "p-1", set()),
+            (fault_plan.LinkCut.REFUSE, "node-1", "p-1", {"finished"}),
+            (fault_plan.LinkCut.HANG, "node-2", "p-1", {"finished"}),
+            (fault_plan.LinkCut.HANG, "node-1", "p-2", {"finished"}),
+        ):
+            fault = cut_links(0.9, 0.5, node, (server_id,), link_cut)
+            violations = self.violated(cut, make_request(), faults=(fault,))
+            self.assertEqual(expected, violations, fault)
+
+    def test_answer_may_be_lost_with_the_peer_that_passes_it_on(self) -> None:
+        cut = make_outcome("stream", body=b"", complete=False, error="cut")
+        kill = fault_plan.Fault(0.9, 0.5, fault_plan.FaultKind.KILL, "node-2")
+        peer = make_outcome(
+            id="c-2", route="again", node="node-2", answered_attempt_id="c-2"
+        )
+        peer = dataclasses.replace(peer, body=b"done c-2")
+        requests = (make_request(), make_request("c-2"))
+        for links, outcome, expected in (
+            (cut_links(0.5, 3.0, "node-1"), cut, set()),
+            (cut_links(0.5, 3.0, "node-2"), cut, {"finished"}),
+            (
+                cut_links(0.5, 3.0, "node-1", (), fault_plan.LinkCut.REFUSE),
+                dataclasses.replace(cut, status=0),
+                {"finished"},
+            ),
+        ):
+            violations = self.violated(
+                outcome,
+                *requests,
+                faults=(kill, links),
+                more_outcomes=(peer,),
+            )
+            self.assertEqual(expected, violations, links)
+
+
+def cut_links(
+    at: float,
+    duration: float,
+    node: str,
+    servers: tuple[str, ...] = ("p-1",),
+    link_cut: fault_plan.LinkCut = fault_plan.LinkCut.REFUSE,
+) -> fault_plan.Fault:
+    """Return a cut of a node's links to servers."""
+    return fault_plan.Fault(
+        at,
+        duration,
+        fault_plan.FaultKind.NODE_LINKS,
+        node,
+        link_cut=link_cut,
+        servers=servers,
+    )
+
+
+class NodesWithoutLinks(unittest.TestCase):
+    """Requests at nodes that are cut off from all servers."""
+
+    def violated(
+        self,
+        served: int,
+        failed: int,
+        *faults: fault_plan.Fault,
+        sent_at: float = START + 12.5,
+        others_served: int = 90,
+        others_failed: int = 10,
+    ) -> bool:
+        """Return whether the service at node-1 is too poor.
+
+        :param served: number of requests served at node-1.
+        :param failed: number of requests that failed there.
+        :param sent_at: time at which all requests were sent, in seconds.
+        :param others_served: number of requests served at node-2.
+        """
+        outcomes = []
+        for node, count, status in (
+            ("node-1", served, 200),
+            ("node-1", failed, 503),
+            ("node-2", others_served, 200),
+            ("node-2", others_failed, 503),
+        ):
+            outcome = make_outcome(
+                node=node, status=status, sent_at=sent_at, ended_at=sent_at + 1
+            )
+            outcomes += [outcome] * count
+        observations = checks.Observations(
+            outcomes,
+            {"p-1": server.Server("p-1"), "p-2": server.Server("p-2")},
+            faults,
+            START,
+            START + 50,
+        )
+        return "cut_nodes" in {
+            violation.promise
+            for violation in checks.find_violations(observations)
+        }
+
+    cut = cut_links(11.0, 3.0, "node-1", ("p-1", "p-2"))
+
+    def test_bound(self) -> None:
+        # 0.6 is two thirds of the others' 0.9. Of 200 requests, 14 may fail.
+        for served, failed, expected in (
+            (60, 40, False),
+            (59, 41, True),
+            (0, 100, True),
+            (0, 12, False),
+            (0, 13, True),
+        ):
+            self.assertIs(
+                expected, self.violated(served, failed, self.cut), served
+            )
+
+    def test_other_times(self) -> None:
+        for sent_at, expected in (
+            (START + 10.9, False),
+            (START + 11.9, False),
+            (START + 12.1, True),
+            (START + 13.9, True),
+            (START + 14.1, False),
+        ):
+            violated = self.violated(0, 100, self.cut, sent_at=sent_at)
+            self.assertIs(expected, violated, sent_at)
+
+    def test_some_servers_only(self) -> None:
+        cut = cut_links(11.0, 3.0, "node-1", ("p-1",))
+        self.assertFalse(self.violated(0, 100, cut))
+
+    def test_all_nodes(self) -> None:
+        other = cut_links(11.5, 2.0, "node-2", ("p-1", "p-2"))
+        self.assertFalse(self.violated(0, 100, self.cut, other))
+
+    def test_cuts_that_come_and_go(self) -> None:
+        again = cut_links(15.0, 3.0, "node-1", ("p-1", "p-2"))
+        for sent_at, expected in ((15.5, False), (16.5, True)):
+            violated = self.violated(
+                0, 100, self.cut, again, sent_at=START + sent_at
+            )
+            self.assertIs(expected, violated, sent_at)
+
+    def test_nodes_out_of_touch_do_not_count(self) -> None:
+        for kind, target, expected in (
+            (fault_plan.FaultKind.KILL, "node-1", False),
+            (fault_plan.FaultKind.KILL, "node-2", False),
+            (fault_plan.FaultKind.TERM, "node-1", False),
+            (fault_plan.FaultKind.PAUSE, "node-1", False),
+            (fault_plan.FaultKind.STORE_DOWN, "", False),
+            (fault_plan.FaultKind.STORE_LINK, "node-1", False),
+            (fault_plan.FaultKind.RELOAD, "node-1", True),
+            (fault_plan.FaultKind.SERVER_ERRORS, "p-1", True),
+        ):
+            fault = fault_plan.Fault(11.6, 0.5, kind, target)
+            self.assertIs(
+                expected, self.violated(0, 100, self.cut, fault), kind
+            )
--- a/tests/limpetwalk_bench/soak/test_fault_plan.py
+++ b/tests/limpetwalk_bench/soak/test_fault_plan.py
@@ -86,6 +86,37 @@
         ]
         self.assertEqual(USUAL_FAULTS_OF_SEED_7, usual)
 
+    def test_cut_links(self) -> None:
+        cuts = [
+            fault
+            for seed in range(50)
+            for fault in fault_plan.draw_faults(seed, 20.0, NODES, SERVERS)
+            if fault.kind is fault_plan.FaultKind.NODE_LINKS
+        ]
+        self.assertEqual(
+            set(fault_plan.LinkCut), {fault.link_cut for fault in cuts}
+        )
+        counts = collections.Counter(len(fault.servers) for fault in cuts)
+        self.assertEqual({1, 2}, set(counts))
+        self.assertGreater(counts[2], counts[1])
+        for fault in cuts:
+            self.assertLessEqual(set(fault.servers), set(SERVERS))
+        nodes_by_time = collections.defaultdict(set)
+        for fault in cuts:
+            nodes_by_time[fault.at].add(fault.target)
+        self.assertEqual({1, 2}, set(map(len, nodes_by_time.values())))
+
+    def test_some_cuts_come_and_go(self) -> None:
+        durations = [
+            fault.duration
+            for seed in range(50)
+            for fault in fault_plan.draw_faults(seed, 20.0, NODES, SERVERS)
+            if fault.kind is fault_plan.FaultKind.NODE_LINKS
+        ]
+        shortest_steady = fault_plan.MIN_CUT_DURATION
+        self.assertTrue(any(each < shortest_steady for each in durations))
+        self.assertTrue(any(each > shortest_steady for each in durations))
+
     def test_one_or_all_servers_fall_silent(self) -> None:
         servers_by_time = collections.defaultdict(set)
         for seed in range(20):
