--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -91,6 +91,7 @@
         self.closing = False
         self.refusing_late = False
         self._ends_at = math.inf
+        self._last_request_at = -math.inf
         # Requests that the node ended because it stops.
         self.ended_requests = 0
         self._requests = metrics.counter(
@@ -156,6 +157,11 @@
         """Whether requests, or calls whose caller has left, are running."""
         return bool(self._background) or self.answering
 
+    @property
+    def quiet_time(self) -> float:
+        """Time since the last request was read, in seconds."""
+        return self._clock.monotonic() - self._last_request_at
+
     def begin_stop(self, time_left: float) -> None:
         """Close each connection with its next answer.
 
@@ -193,6 +199,7 @@
         open_request = _OpenRequest(asyncio.current_task())
         self._open.add(open_request)
         arrived = self._clock.monotonic()
+        self._last_request_at = arrived
         caller_attempt_id = req.headers.get(
             self._dispatcher.header_format.names.attempt, ""
         )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -45,6 +45,9 @@
 # seconds, and its largest share of that period.
 STOP_MARGIN = 0.7
 MAX_MARGIN_SHARE = 1 / 6
+# Time without a request after which a stopping node closes its connections,
+# seconds. While callers still send, each is better told to go elsewhere.
+QUIET_TIME = 0.3
 # Time for writing the answers of requests that were ended, seconds.
 LAST_ANSWERS_TIME = 0.15
 # Interval between two checks whether a stopping node is idle, seconds.
@@ -210,7 +213,9 @@
         refusing_from = min(end, started + BALANCER_DELAY)
         await asyncio.sleep(refusing_from - loop.time())
         self.frontend.refusing_late = True
-        while self.frontend.busy and loop.time() < end:
+        while loop.time() < end and (
+            self.frontend.busy or self.frontend.quiet_time < QUIET_TIME
+        ):
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
         self.frontend.end_open_requests()
         end = loop.time() + LAST_ANSWERS_TIME
