--- a/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
@@ -36,7 +36,14 @@
 
 
 class NoPeer(Exception):
-    """No peer could tell whether the server is up."""
+    """No peer could tell whether the server is up.
+
+    :param asked: whether there was a peer to ask.
+    """
+
+    def __init__(self, asked: bool) -> None:
+        super().__init__()
+        self.asked = asked
 
 
 class Connector:
@@ -88,8 +95,7 @@
             self._ways.labels("none").inc()
             raise upstream.ServerUnreachable(
                 f"connection to {tunnels.authority(member)} failed: {exc!r}",
-                isinstance(exc, ConnectionRefusedError)
-                and not self.links.is_in_doubt(member.id),
+                isinstance(exc, ConnectionRefusedError),
                 self.links.cut_off,
             ) from exc
         except upstream.ServerUnreachable:
@@ -131,7 +137,11 @@
             try:
                 async with asyncio.timeout_at(deadline):
                     exchange = await by_peer.result()
-            except (NoPeer, TimeoutError):
+            except NoPeer as exc:
+                if exc.asked and self.links.is_in_doubt(member.id):
+                    raise OSError(f"{failure!r}, peers can't tell") from None
+                raise failure from None
+            except TimeoutError:
                 raise failure from None
         finally:
             by_peer.close()
@@ -181,7 +191,7 @@
                     status == tunnels.REFUSED.status,
                 )
             self._record_unable(name, str(status))
-        raise NoPeer
+        raise NoPeer(bool(asked))
 
     def _exchange(
         self,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -184,8 +184,8 @@
         try:
             exchange = await self._connector.connect(member, PROBE_TIMEOUT)
         except upstream.ServerUnreachable as exc:
-            # A server that is silent may be cut off from all nodes.
-            crashed = exc.refused
+            # A server that is silent, or that lost links lead to, may be up.
+            crashed = exc.refused and not exc.link_lost
         else:
             crashed = False
             exchange.close()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -35,7 +35,7 @@
     """No byte of the request was sent.
 
     :param refused: whether the server's host answered that nothing listens
-        at the port, and a lost link can't be why.
+        at the port.
     :param link_lost: whether this node is cut off from the servers, and no
         peer could tell whether this one is up.
     """
