Check in the fault soak that nodes wait for a silent server

A request that ran on a server which was sound and fell silent must be served, unless its deadline was near: a node that ends it sooner violates 'waited', also where the caller gets a whole 502. Before, only answers that were cut counted.

--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
@@ -194,18 +194,38 @@
     elapsed = outcome.ended_at - outcome.sent_at
     incomplete = not outcome.status or not outcome.complete
     if (
-        not incomplete
-        or not executions
+        not executions
         or elapsed > callers.DEADLINE * CHECKED_DEADLINE_SHARE
+        or any(
+            _affected_by_server_outage(observed, outcome, server_id)
+            for server_id, _ in executions
+        )
     ):
         return
-    if any(
-        _affected_by_server_outage(observed, outcome, server_id)
+    if incomplete:
+        yield Violation(
+            "finished", outcome.id, f"cut at {outcome.node}: {outcome.error}"
+        )
+    elif any(
+        _met_silence(observed, outcome, server_id)
         for server_id, _ in executions
     ):
-        return
-    yield Violation(
-        "finished", outcome.id, f"cut at {outcome.node}: {outcome.error}"
+        yield Violation(
+            "waited",
+            outcome.id,
+            f"{outcome.status} from {outcome.node} after {elapsed:.2f} s",
+        )
+
+
+def _met_silence(
+    observed: Observations, outcome: callers.Outcome, server_id: str
+) -> bool:
+    return any(
+        fault.kind is fault_plan.FaultKind.SERVER_SILENT
+        and fault.target == server_id
+        and observed.started + fault.at <= outcome.ended_at
+        and outcome.sent_at <= observed.started + fault.ends_at
+        for fault in observed.faults
     )
 
 
--- a/tests/limpetwalk_bench/soak/test_checks.py
+++ b/tests/limpetwalk_bench/soak/test_checks.py
@@ -217,6 +217,25 @@
         violations = self.violated(cut, make_request(), faults=(silence,))
         self.assertEqual({"finished"}, violations)
 
+    def test_silent_server_is_waited_for(self) -> None:
+        silence = fault_plan.Fault(
+            0.9, 1.0, fault_plan.FaultKind.SERVER_SILENT, "p-1"
+        )
+        errors = fault_plan.Fault(
+            0.9, 1.0, fault_plan.FaultKind.SERVER_ERRORS, "p-1"
+        )
+        for ended_at, faults, expected in (
+            (START + 2, (silence,), {"waited"}),
+            (START + 2, (), set()),
+            (START + 2, (silence, errors), set()),
+            (START + 3.4, (silence,), set()),
+        ):
+            given_up = make_outcome(
+                status=502, seal="", body=b"", ended_at=ended_at
+            )
+            violations = self.violated(given_up, make_request(), faults=faults)
+            self.assertEqual(expected, violations, (ended_at, faults))
+
     def test_cut_answer_is_excused_by_a_cut_link(self) -> None:
         cut = make_outcome("stream", body=b"", complete=False, error="cut")
         for link_cut, node, server_id, expected in (
