Start a soak's node without paths to servers where a test needs none

test_endless.Memory and test_stop_under_load start a node of the soak by itself; since they failed with a TypeError. Both pass again, twice each; found by running all of tests.limpetwalk_node.gateway.

--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
@@ -44,21 +44,24 @@
         )
         self._settings_path = folder / f"{name}.toml"
         self._log_path = folder / f"{name}.log"
-        self._server_paths: Mapping[str, str] = {}
+        self._server_paths: dict[str, str] = {}
         self._process: asyncio.subprocess.Process | None = None
         self._task: asyncio.Task[None] | None = None
         self.start_count = 0
 
     def start(
-        self, store: proxy.Proxy, server_paths: Mapping[str, str]
+        self,
+        store: proxy.Proxy,
+        server_paths: Mapping[str, str] | None = None,
     ) -> None:
         """Write the settings, start the process and keep restarting it.
 
         :param store: proxy on the path from the node to the store.
         :param server_paths: address on the path from the node to a server, by
-            the address that the server announces.
+            the address that the server announces; others are used as they
+            are.
         """
-        self._server_paths = server_paths
+        self._server_paths = dict(server_paths or {})
         self._settings_path.write_text(
             site.settings_text(
                 self.name,
@@ -120,7 +123,7 @@
         env = {
             **os.environ,
             "LIMPETWALK_CONFIG": str(self._settings_path),
-            node_process.PATHS_VARIABLE: json.dumps(dict(self._server_paths)),
+            node_process.PATHS_VARIABLE: json.dumps(self._server_paths),
         }
         while True:
             with self._log_path.open("ab") as log:
