Wait for a server that doesn't read a large request for a while

Callers got 502 when a sound server stopped reading a large body for more than two seconds: TCP_USER_TIMEOUT on connections to servers also ends a connection whose peer acknowledges, but has closed its receive window.

The option is gone. A server that went dark is found by the search for a replacement, or at the deadline where the request may not be repeated.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -24,9 +24,6 @@
 RECEIVE_BUFFER_BYTES = 32 * 1024
 # Status that h11 suggests when an element other than data is too large.
 HEADERS_TOO_LARGE = 431
-# TCP_USER_TIMEOUT, the time without an acknowledgement after which the kernel
-# closes a connection, milliseconds. Servers acknowledge within milliseconds.
-TCP_USER_TIMEOUT_MS = 2000
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 
@@ -236,9 +233,6 @@
 
 def set_options(sock: socket.socket) -> None:
     """Set the options of a connection that carries requests to a server."""
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-    )
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
