Weigh the rejections of brittle servers by the delay of reports

Cause: up to 0.8 s pass until a node of another group hears of a rejection; two of three that a server may make were waited for, and the third and fourth were under way. The share from which a server gets nothing shrinks with the delay.

--- a/packages/limpetwalk/limpetwalk/gateway/brittle_servers.py
+++ b/packages/limpetwalk/limpetwalk/gateway/brittle_servers.py
@@ -241,7 +241,8 @@
         own = self._loads.own_active(member.id)
         rejected = self._loads.total_rejected(member.id)
         room = self._room(member, rejected, active, view)
-        allowed = REJECTIONS_SHARE * rejections
+        # Late reports leave others as many again unheard.
+        allowed = REJECTIONS_SHARE * rejections / (1.0 + view.delay)
         # The others hear of this node's rejection after the delay.
         if (
             rejected >= max(1.0, allowed)
--- a/tests/limpetwalk_bench/model/test_cluster.py
+++ b/tests/limpetwalk_bench/model/test_cluster.py
@@ -88,6 +88,14 @@
                 loads.overloaded(48, 16, 2.0, engines.EngineSpeed(), brittle)
             )
 
+    def test_late_reports_do_not_let_engines_fall_over(self) -> None:
+        brittle = cluster.Brittleness(3)
+        load = loads.overloaded(48, 16, 3.0, engines.EngineSpeed(), brittle)
+        for seed in (13, 14):
+            reporting = loads.reportings(48)["to groups"]
+            result = cluster.Cluster(load, reporting, seed).run()
+            self.assertLessEqual(result.falls, 2 + load.servers / 10)
+
     def test_plain_servers_do_not_fall_over(self) -> None:
         for rejections in (3, 10):
             brittle = cluster.Brittleness(rejections)
