Let no answer through a tunnel look complete that isn't, and end tunnels at once

- When the node that carries a tunnel ended (planned stop, kill), its connections closed with FIN, so an answer without a length that broke off there looked complete to the caller's node.
The connection to the asking node now closes with a reset, whatever ends it; only the end of the server's answer is passed on as an end.
The tunnel is opened when the connection to the server is made.
- Connections without a sound request were not bounded in number and counted as tunnels.
They have a bound of their own now.

Each test failed before.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/tunnels.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/tunnels.py
@@ -33,8 +33,10 @@
 # complete.
 MAX_HEAD_BYTES = 4096
 HEAD_TIMEOUT = 0.5
-# Largest number of connections from other nodes.
+# Largest number of tunnels, and of connections at which requests for them may
+# arrive.
 MAX_TUNNELS = 256
+MAX_CONNECTIONS = 2 * MAX_TUNNELS
 # Bytes above which the other end of a tunnel isn't read.
 BUFFER_BYTES = 32 * 1024
 # Time for which the asking node may read the rest of an answer after the
@@ -107,8 +109,8 @@
 
     @property
     def open_count(self) -> int:
-        """Number of connections from other nodes."""
-        return len(self._ends)
+        """Number of connections that are carried for other nodes."""
+        return sum(1 for end in self._ends if end.admitted)
 
     async def start(self, address: tuple[str, int]) -> None:
         """Accept connections.
@@ -129,9 +131,12 @@
         for end in list(self._ends):
             end.abort()
 
-    def add(self, end: "_AskingEnd") -> None:
-        """Count a connection that was accepted."""
+    def try_add(self, end: "_AskingEnd") -> bool:
+        """Count a connection that was accepted, if there is room for it."""
+        if len(self._ends) >= MAX_CONNECTIONS:
+            return False
         self._ends.add(end)
+        return True
 
     def discard(self, end: "_AskingEnd") -> None:
         """Stop counting a connection."""
@@ -151,7 +156,7 @@
             return UNKNOWN_SERVER
         if self.closing:
             return STOPPING
-        if self.open_count > MAX_TUNNELS:
+        if self.open_count >= MAX_TUNNELS:
             return FULL
         if self._links.cut_off or self._links.is_lost(member.id):
             return LINK_LOST
@@ -234,17 +239,21 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def reset(self) -> None:
-        """Close the connection so that the other side sees a failure."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        sock = self.transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        self.transport.abort()
-
 
 class _ServerEnd(_End):
-    """Connection to the server."""
+    """Connection to the server.
+
+    :param asking: connection from the node that asked for it.
+    """
+
+    def __init__(self, asking: "_AskingEnd") -> None:
+        super().__init__()
+        self._asking = asking
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Open the tunnel, before the server sends or ends anything."""
+        super().connection_made(transport)
+        self._asking.open(self)
 
     def eof_received(self) -> bool:
         """Pass on the end of the answer, and keep the rest open for it."""
@@ -258,7 +267,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Pass on a failure, so that no answer looks complete."""
         if self.other is not None:
-            self.other.reset()
+            self.other.abort()
 
 
 class _AskingEnd(_End):
@@ -273,6 +282,12 @@
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
         self._connecting: asyncio.Task[None] | None = None
+        self._opened = False
+
+    @property
+    def admitted(self) -> bool:
+        """Whether the request for a tunnel was sound."""
+        return self._connecting is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the request, for a limited time."""
@@ -285,7 +300,9 @@
             (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         ):
             sock.setsockopt(socket.IPPROTO_TCP, option, value)
-        self._tunnels.add(self)
+        if not self._tunnels.try_add(self):
+            self.abort()
+            return
         self._head_timer = asyncio.get_running_loop().call_later(
             HEAD_TIMEOUT, self.abort
         )
@@ -336,21 +353,28 @@
             other.other = None
             other.abort()
 
-    async def _connect(self, member: fleet.Member) -> None:
-        server_end = _ServerEnd()
-        declined = await self._tunnels.connect(member, lambda: server_end)
-        if declined is not None:
-            self._decline(declined)
-            return
+    def open(self, server_end: _ServerEnd) -> None:
+        """Tell the asking node that the server is connected."""
         if self.transport is None or self.transport.is_closing():
             server_end.abort()
             return
+        # Even the end of this process must not look like that of an answer.
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.transport.write(
             self._conn.send(h11.Response(status_code=200, headers=[]))
         )
         self.other, server_end.other = server_end, self
+        self._opened = True
         self._tunnels.record("opened")
 
+    async def _connect(self, member: fleet.Member) -> None:
+        declined = await self._tunnels.connect(
+            member, lambda: _ServerEnd(self)
+        )
+        if declined is not None and not self._opened:
+            self._decline(declined)
+
     def _decline(self, declined: Declined) -> None:
         self._stop_timer()
         assert self.transport is not None
--- a/tests/limpetwalk_node/gateway/test_tunnels.py
+++ b/tests/limpetwalk_node/gateway/test_tunnels.py
@@ -1,8 +1,10 @@
 """Tests of connections that a node carries for other nodes."""
 
 import asyncio
+import contextlib
 import random
 import socket
+import threading
 import unittest
 from unittest import mock
 
@@ -154,6 +156,18 @@
             status, _ = await self.carrier.ask("CONNECT ")
         self.assertEqual(0, status)
 
+    async def test_connections_without_a_request_are_bounded(self) -> None:
+        with mock.patch.object(tunnels, "MAX_CONNECTIONS", 2):
+            idle = [
+                await asyncio.open_connection(*self.carrier.address)
+                for _ in range(3)
+            ]
+            async with asyncio.timeout(tunnels.HEAD_TIMEOUT / 2):
+                self.assertEqual(b"", await idle[2][0].read())
+            self.assertEqual(0, self.carrier.tunnels.open_count)
+            for _, writer in idle:
+                writer.close()
+
     async def test_bytes_before_the_answer_are_not_passed_on(self) -> None:
         _, answer = await self.carrier.ask(
             self.carrier.head() + "GET / HTTP/1.1\r\n\r\n"
@@ -285,6 +299,52 @@
 
         self.run_on_both(check)
 
+    def test_answer_of_a_carrier_that_ends_does_not_look_complete(
+        self,
+    ) -> None:
+        async def check(tunnel: Tunnel) -> None:
+            tunnel.carrier.answer = b"HTTP/1.1 200 OK\r\n\r\nfirst part"
+            tunnel.carrier.hold.clear()
+            exchange = await tunnel.open()
+            await exchange.head()
+            self.assertEqual(b"first part", await exchange.chunk())
+            tunnel.carrier.tunnels.close()
+            with self.assertRaises(upstream.IncompleteAnswer):
+                await exchange.chunk()
+            exchange.close()
+            tunnel.carrier.hold.set()
+
+        self.run_on_both(check)
+
+    def test_server_that_closes_at_once_ends_the_exchange(self) -> None:
+        async def check(tunnel: Tunnel) -> None:
+            with socket.socket() as sock:
+                sock.bind(("127.0.0.1", 0))
+                sock.listen()
+                threading.Thread(
+                    target=_accept_and_close, args=(sock,), daemon=True
+                ).start()
+                entry = builders.server(
+                    "e-1", host="127.0.0.1", port=sock.getsockname()[1]
+                )
+                carrier = tunnel.carrier
+                carrier.member = carrier.fleet.put(entry, builders.version(2))
+                for _ in range(30):
+                    exchange = await tunnel.open()
+                    async with asyncio.timeout(1):
+                        with self.assertRaises(upstream.IncompleteAnswer):
+                            await exchange.head()
+                    exchange.close()
+                    async with asyncio.timeout(1):
+                        while carrier.tunnels.open_count:
+                            await asyncio.sleep(0.001)
+                sock.shutdown(socket.SHUT_RDWR)
+            carrier.ended.set()
+
+        self.run_on_both(check)
+
 
-if __name__ == "__main__":
-    unittest.main()
+def _accept_and_close(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        while True:
+            sock.accept()[0].close()
