Let any direct connection end the belief of being cut off

A node that took itself for cut off, and whose lost servers peers then found to be down, stayed cut off for good: it carried no tunnels, asked peers for all connections and left its failures out of account, since a connection ended the belief only while a lost link was known.

--- a/packages/limpetwalk/limpetwalk/gateway/server_links.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_links.py
@@ -132,8 +132,6 @@
         now = self._connected_at = self._clock.monotonic()
         if self._failed:
             self._failed.clear()
-        if not self._lost:
-            return
         if self._lost.pop(server_id, None) is not None:
             self._on_link(server_id, False)
         if not self.cut_off:
--- a/tests/limpetwalk/gateway/test_server_links.py
+++ b/tests/limpetwalk/gateway/test_server_links.py
@@ -76,6 +76,15 @@
         self.assertLessEqual(direct, 10 / server_links.PROBE_INTERVAL[0])
         self.assertGreaterEqual(direct, 10 / server_links.PROBE_INTERVAL[1])
 
+    def test_node_whose_lost_servers_are_down_is_not_cut_off_for_good(
+        self,
+    ) -> None:
+        self.lose("a", "b", "c")
+        for server_id in ("a", "b", "c"):
+            self.links.record_down(server_id)
+        self.links.record_connected("d")
+        self.assertFalse(self.links.cut_off)
+
     def test_all_links_are_tried_soon_after_one_works_again(self) -> None:
         for _ in range(4):
             self.lose("a", "b", "c")
