--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -172,7 +172,10 @@
     async def test_odd_evidence_does_not_stop_the_leader(self) -> None:
         await self.order()
         await self.run_.until(lambda: self.status() == "in_progress")
-        stage = self.cluster_state.rollouts.stages[site.ENGINE]
+        # The feed delivers the node's own stage a little later.
+        stages = self.cluster_state.rollouts.stages
+        await self.run_.until(lambda: site.ENGINE in stages)
+        stage = stages[site.ENGINE]
         key = f"tally/{site.ENGINE}/{stage.order_id}/n2"
         row = {"nodes": {"n2": {"base": {"failures": "x"}, "candidate": {}}}}
         await self.store.put("limpetwalk-work", key, row)
