--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -2,10 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
+from limpetwalk.gateway import brittle_servers
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import cold_pacing
@@ -25,6 +27,7 @@
 from limpetwalk.gateway import version_tallies
 
 from . import cluster_state
+from . import connector
 from . import events
 from . import logs
 from . import outbound
@@ -35,6 +38,9 @@
 # within a region and is shorter than the second after which TCP retransmits a
 # lost packet.
 CONNECT_TIMEOUT = 0.3
+# Time after an answer broke off in which this node finds out whether it has
+# lost its links, seconds. It covers the next attempt's connection.
+LINK_NEWS_DELAY = 0.4
 
 
 class Dispatcher:
@@ -43,6 +49,7 @@
     :param settings: returns the settings in force.
     :param state: configuration, servers and nodes known to this node.
     :param quarantine: requests that have crashed servers.
+    :param connections: opens connections to servers.
     :param buffer_budget: memory for incomplete bodies and events.
     :param limits: limits of a server's response.
     """
@@ -53,6 +60,7 @@
         header_format: ports.HeaderFormat,
         state: cluster_state.ClusterState,
         quarantine: poison_requests.PoisonRequests,
+        connections: connector.Connector,
         clock: clocks.Clock,
         journal: logs.Journal,
         metrics: metrics_.Metrics,
@@ -66,6 +74,7 @@
         self.clock = clock
         self.journal = journal
         self.poison_requests = quarantine
+        self._connector = connections
         self._settings = settings
         self._rng = random.Random()
         self._prefix_cache = prefix_cache.PrefixCacheTracker(
@@ -87,6 +96,14 @@
             random.Random(),
             self._log_limit,
         )
+        self.brittle_servers = brittle_servers.BrittleServers(
+            lambda: state.nodes,
+            self.server_loads,
+            clock,
+            self._demand,
+            random.Random(),
+            self._log_brittle,
+        )
         self.prefill_times = prefill_time.PrefillTimes()
         self._placer = placement.Placer(
             settings().zone,
@@ -96,6 +113,7 @@
             self.prefill_times,
             clock,
             self._may_send,
+            self._with_room,
         )
         self.version_tallies = version_tallies.VersionTallies(
             state.fleet.members
@@ -125,6 +143,14 @@
             "Requests sent once more, by the reason.",
             ("reason",),
         )
+        self._held_back = metrics.counter(
+            "limpetwalk_brittle_held_back",
+            "Choices of a server for which no brittle server had room.",
+        )
+        self._brittle_rejections = metrics.counter(
+            "limpetwalk_brittle_rejections",
+            "Requests that brittle servers rejected.",
+        )
         self.first_byte_latency = metrics.latency(
             "limpetwalk_first_byte", "Time to the head of an answer."
         )
@@ -195,20 +221,20 @@
         time_left = self.time_left(call)
         member = choice.member
         call.tried_servers.add(member.id)
-        call.attempt_counts.record_start()
         self._log_placement(call, choice, model, time_left)
         self._count_request(choice)
         started: outbound.StartedAnswer | outbound.FailedAttempt | None = None
+        probe = self.brittle_servers.start_probe(member.id)
         try:
             started = await self._send(
                 call, member, model, last_event, time_left
             )
         finally:
             self.server_loads.finish_prefill(member.id, choice.prefill_seconds)
-            if not isinstance(started, outbound.StartedAnswer):
+            has_started = isinstance(started, outbound.StartedAnswer)
+            self.brittle_servers.end_probe(probe, accepted=has_started)
+            if not has_started:
                 self.finish(member)
-            if started is None:
-                call.attempt_counts.record(retries.Outcome.UNKNOWN)
         if isinstance(started, outbound.StartedAnswer):
             self._record_head(call, choice, started)
         return started
@@ -227,6 +253,9 @@
             return outbound.FailedAttempt(
                 retries.Outcome.UNKNOWN, "body not received in time"
             )
+        except asyncio.CancelledError:
+            self.record_cancelled(call, started.member, started.sent_at)
+            raise
         return outbound.CompleteAnswer(started.head, body, started.member.id)
 
     def discard(
@@ -235,7 +264,35 @@
         """End an answer that isn't used, since another one is."""
         started.exchange.close()
         self.finish(started.member)
-        call.attempt_counts.record(retries.Outcome.UNKNOWN)
+        self.record_cancelled(call, started.member, started.sent_at)
+
+    def record_cancelled(
+        self, call: calls.Call, member: fleet.Member, sent_at: float
+    ) -> None:
+        """Record an attempt that was given up for another one.
+
+        It counts as a failure of its server if that was silent for long.
+
+        :param sent_at: instant at which the request was sent.
+        """
+        if self.clock.monotonic() - sent_at < call.patience:
+            call.attempt_counts.record_end(retries.Outcome.UNKNOWN)
+            return
+        failure = outbound.FailedAttempt(
+            retries.Outcome.UNKNOWN, "silent, and given up"
+        )
+        self.record_result(call, member, failure)
+        self.log_attempt_ended(call, member, failure)
+
+    def use(self, call: calls.Call, started: outbound.StartedAnswer) -> None:
+        """Record that an answer is the one that the caller gets."""
+        call.slow = started.slow
+        if call.session:
+            self.cluster_state.rollouts.record_session(
+                call.session,
+                started.member.entry.version,
+                self.bounds.session,
+            )
 
     def finish(self, member: fleet.Member) -> None:
         """Record that a request at a server has ended."""
@@ -260,10 +317,12 @@
         """
         now = self.clock.monotonic()
         outcome = failure.outcome if failure else None
+        link_lost = failure is not None and self._is_link_lost(member, failure)
         failed = outcome not in (None, retries.Outcome.NOT_RUN)
         unreached = outcome is retries.Outcome.UNREACHED
-        member.health.record(failed, now, unreached)
-        if member.health.backoff_until > now and failed:
+        if not link_lost:
+            member.health.record(failed, now, unreached)
+        if member.health.backoff_until > now and failed and not link_lost:
             self.journal.emit(
                 events.ServerBackingOff(
                     member.id,
@@ -274,7 +333,11 @@
         self._attempts.labels(outcome.value if outcome else "answered").inc()
         if failure is not None and failure.limit:
             self._limits_exceeded.labels(failure.limit).inc()
-        if outcome not in (
+        if outcome is retries.Outcome.UNKNOWN:
+            asyncio.get_running_loop().call_later(
+                LINK_NEWS_DELAY, self._record_broken_off, member
+            )
+        elif outcome not in (
             retries.Outcome.NOT_RUN,
             retries.Outcome.UNREACHED,
         ):
@@ -285,10 +348,26 @@
         if outcome in (None, retries.Outcome.FAILED):
             self.poison_requests.record_answer(call)
         if outcome is not None:
-            call.attempt_counts.record(outcome)
+            call.attempt_counts.record_end(outcome)
             if outcome is retries.Outcome.UNKNOWN:
                 self.poison_requests.check_server(call, member)
 
+    def _record_broken_off(self, member: fleet.Member) -> None:
+        """Count an answer that broke off, unless a lost link may be why."""
+        if not self._connector.links.is_in_doubt(member.id):
+            self.version_tallies.record(
+                member.entry.service, member.entry.version, False
+            )
+
+    def _is_link_lost(
+        self, member: fleet.Member, failure: outbound.FailedAttempt
+    ) -> bool:
+        """Return whether an attempt failed by this node's own links."""
+        links = self._connector.links
+        if failure.outcome is retries.Outcome.UNKNOWN:
+            return links.cut_off or links.is_lost(member.id)
+        return failure.link_lost
+
     def record_pace(
         self,
         call: calls.Call,
@@ -318,7 +397,7 @@
         self.version_tallies.record(
             call.service, member.entry.version, not call.slow
         )
-        call.attempt_counts.record(retries.Outcome.FAILED)
+        call.attempt_counts.record_end(retries.Outcome.FAILED)
         call.tried_servers.discard(member.id)
 
     async def may_retry(
@@ -354,10 +433,10 @@
         self._retries_denied.labels(stop_reason.value).inc()
         return False
 
-    def may_replace(self, call: calls.Call) -> bool:
-        """Return whether another server may be asked besides a silent one.
+    def try_replace(self, call: calls.Call) -> bool:
+        """Take what another attempt besides a silent one costs.
 
-        Takes from the retry budget if it may.
+        :returns: whether the call and the retry budget allow it.
         """
         outcome = retries.Outcome.UNKNOWN
         service_budget = self.budget(call.service)
@@ -382,6 +461,14 @@
         self._retries_denied.labels(stop_reason.value).inc()
         return False
 
+    def log_error(self, call: calls.Call, exc: Exception) -> None:
+        """Log an unexpected error of an attempt."""
+        self.journal.emit(
+            events.UnexpectedError(
+                "sending a request", repr(exc)[:200], call.caller_attempt_id
+            )
+        )
+
     def log_attempt_ended(
         self,
         call: calls.Call,
@@ -450,17 +537,14 @@
         if member.is_cold(self.clock.monotonic()):
             self._cold_pacer.record_sent(member.id)
         self.server_limits.record_sent(member.id)
-        entry = member.entry
         try:
-            exchange = await upstream.Exchange.connect(
-                entry.host,
-                entry.port,
-                min(CONNECT_TIMEOUT, timeout),
-                self.limits,
+            exchange = await self._connector.connect(
+                member, min(CONNECT_TIMEOUT, timeout), self.limits
             )
         except upstream.ServerUnreachable as exc:
-            return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
+            return outbound.FailedAttempt.unreached(exc)
         keep_open = False
+        sent_at = math.inf
         try:
             headers = outbound.server_headers(
                 self.header_format.names,
@@ -472,18 +556,29 @@
             )
             exchange.send(call.method, call.target, headers, call.body)
             sent_at = self.clock.monotonic()
+            call.attempt_counts.record_sent()
             async with asyncio.timeout(timeout):
                 head = await exchange.head()
                 self.server_limits.record_answer(
                     member.id,
                     head.headers.get(self.header_format.names.rate_limit),
                 )
+                self.brittle_servers.record_answer(
+                    member.id,
+                    head.headers.get(self.header_format.names.brittle),
+                )
                 verdict = response_check.check_response(
                     head.status,
                     head.headers,
                     self.header_format.names,
                     call.caller_attempt_id,
                 )
+                if (
+                    head.status == response_check.UNAVAILABLE
+                    and verdict.outcome is retries.Outcome.NOT_RUN
+                    and self.brittle_servers.record_rejection(member.id)
+                ):
+                    self._brittle_rejections.inc()
                 if verdict.outcome is None:
                     keep_open = True
                     return outbound.StartedAnswer(
@@ -497,13 +592,17 @@
                     verdict.outcome, verdict.detail, answer
                 )
         except upstream.ServerUnreachable as exc:
-            return outbound.FailedAttempt(retries.Outcome.UNREACHED, str(exc))
+            return outbound.FailedAttempt.unreached(exc)
         except upstream.IncompleteAnswer as exc:
             return outbound.FailedAttempt.incomplete(exc)
         except TimeoutError:
             return outbound.FailedAttempt(
                 retries.Outcome.UNKNOWN, f"no answer in {timeout:.2f} s"
             )
+        except asyncio.CancelledError:
+            if math.isfinite(sent_at):
+                self.record_cancelled(call, member, sent_at)
+            raise
         finally:
             if not keep_open:
                 exchange.close()
@@ -539,6 +638,12 @@
             return True
         return self._cold_pacer.may_send(member.id, self._cold_rate(member))
 
+    def _with_room(self, members: list[fleet.Member]) -> list[fleet.Member]:
+        with_room = self.brittle_servers.with_room(members)
+        if members and not with_room:
+            self._held_back.inc()
+        return with_room
+
     def _demand(self, server_id: str) -> float:
         """Return the requests per second to the service of a server."""
         member = self.cluster_state.fleet.get(server_id)
@@ -547,6 +652,9 @@
     def _log_limit(self, server_id: str, rate: float | None) -> None:
         self.journal.emit(events.ServerLimited(server_id, rate))
 
+    def _log_brittle(self, server_id: str, rejections: float | None) -> None:
+        self.journal.emit(events.ServerBrittle(server_id, rejections))
+
     def _cold_rate(self, member: fleet.Member) -> float:
         config_catalog = self.cluster_state.catalog
         service = (
@@ -588,7 +696,7 @@
         member, model = started.member, started.model
         seconds_to_head = self.clock.monotonic() - started.sent_at
         self.first_byte_latency.record(seconds_to_head)
-        call.slow = self.version_tallies.is_slow(
+        started.slow = self.version_tallies.is_slow(
             call.service, model, seconds_to_head
         )
         if model:
@@ -596,7 +704,3 @@
                 model, call.prompt.own_tokens, seconds_to_head
             )
             self._prefix_cache.record_read(member.id, model, call.prompt)
-        if call.session:
-            self.cluster_state.rollouts.record_session(
-                call.session, member.entry.version, self.bounds.session
-            )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -52,7 +52,7 @@
 class NodeStopped(Event):
     """The process ends.
 
-    :param cut: number of requests that were still open.
+    :param cut: number of requests that were ended because no time was left.
     """
 
     name: ClassVar[str] = "node.stopped"
@@ -214,6 +214,19 @@
     per_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class ServerBrittle(Event):
+    """A backend server said that it is brittle, or no more.
+
+    :param per_s: rejections per second above which it falls over, or None
+        when it is no longer brittle.
+    """
+
+    name: ClassVar[str] = "server.brittle"
+    server: str
+    per_s: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class EvacuatedZonesChanged(Event):
     """The set of evacuated zones changed."""
@@ -476,3 +489,44 @@
     place: str
     error: str
     request: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLinkChanged(Event):
+    """The link to a server that peers reach was lost, or works again."""
+
+    name: ClassVar[str] = "server.link"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    server: str
+    lost: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CutOffChanged(Event):
+    """This node has lost its links to all servers, or reaches one again."""
+
+    name: ClassVar[str] = "node.cut_off"
+    cut_off: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PeerUnable(Event):
+    """A peer could not connect to a server for this node."""
+
+    name: ClassVar[str] = "tunnel.unable"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    peer: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class TunnelDeclined(Event):
+    """This node has declined to connect to a server for another one.
+
+    :param host: address of the other node.
+    """
+
+    name: ClassVar[str] = "tunnel.declined"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    host: str
+    reason: str
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -9,14 +9,16 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Mapping
+import contextlib
 import importlib
 import pathlib
 import time
 from typing import Any
 
 from limpetwalk.gateway import peer_groups
-from limpetwalk.gateway import server_limits
+from limpetwalk.gateway import server_links
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import stated_values
 from limpetwalk.gateway import store_watch
 from limpetwalk.gateway import types
 from limpetwalk.peers import rendezvous
@@ -24,10 +26,6 @@
 from . import events
 from . import logs
 
-# Interval between two reports of a node in a single group of fewer than
-# ``NODES_PER_INTERVAL`` nodes, in seconds. Larger groups report less often.
-INTERVAL = 0.1
-NODES_PER_INTERVAL = 10
 # Interval between two reports within one of several groups, in seconds, and
 # number of them for each sum that is sent to the other groups.
 GROUP_INTERVAL = 0.2
@@ -36,6 +34,8 @@
 IDLE_INTERVAL = 1.0
 # Largest datagram that is sent, bytes.
 MAX_DATAGRAM_BYTES = 60_000
+# Largest number that a field of a report holds.
+MAX_FIELD = 2**32 - 1
 SCHEMA = pathlib.Path(__file__).with_name("pressure.capnp")
 
 Loads = Mapping[str, server_load.Load]
@@ -47,8 +47,11 @@
     :param node: name of this node.
     :param peers: returns all known nodes by name.
     :param limits: limits that servers name.
+    :param brittle: servers that say that they are brittle.
     :param tables: returns what this node knows of the store's tables.
     :param news: receives what other nodes know of them.
+    :param links: links of this node to servers.
+    :param peer_choice: receives whether other nodes are cut off.
     :ivar on_evidence: called with the sender, the order and the report of each
         piece of evidence that this node receives as a collector.
     """
@@ -58,17 +61,23 @@
         node: str,
         peers: Callable[[], Mapping[str, peer_groups.Peer]],
         loads: server_load.ServerLoads,
-        limits: server_limits.ServerLimits,
+        limits: stated_values.StatedValues,
+        brittle: stated_values.StatedValues,
         tables: Callable[[], Collection[store_watch.TableState]],
         news: store_watch.PeerNews,
+        links: server_links.ServerLinks,
+        peer_choice: server_links.PeerChoice,
         journal: logs.Journal,
     ) -> None:
         self._node = node
         self._peers = peers
         self._server_loads = loads
-        self._server_limits = limits
+        self._limits = limits
+        self._brittle = brittle
         self._tables = tables
         self._news = news
+        self._links = links
+        self._peer_choice = peer_choice
         self._journal = journal
         self.on_evidence: Callable[[str, str, str], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -96,7 +105,8 @@
         # Only load reports need this library, which is slow to import.
         capnp = importlib.import_module("capnp")
         capnp.remove_import_hook()
-        self._schema = capnp.load(str(SCHEMA))
+        if self._schema is None:
+            self._schema = capnp.load(str(SCHEMA))
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=address
@@ -119,12 +129,13 @@
                     self._send_report(exchange.group, loads, exchange.partners)
         finally:
             self._transport.close()
+            self._transport = None
 
     def _interval(self) -> float:
         exchange = self.exchange
         if exchange.partners:
             return GROUP_INTERVAL
-        return INTERVAL * (1 + len(exchange.members) // NODES_PER_INTERVAL)
+        return peer_groups.single_group_interval(len(exchange.members))
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         """Apply the report of another node."""
@@ -154,22 +165,18 @@
             report.sequence,
             {
                 entry.server: server_load.Load(
-                    entry.waitingMs / 1000, entry.active, entry.recent
+                    entry.waitingMs / 1000,
+                    entry.active,
+                    entry.recent,
+                    entry.rejected,
                 )
                 for entry in report.loads
             },
         )
-        self._server_limits.merge(
-            [
-                server_limits.ObservedLimit(
-                    entry.server,
-                    entry.perSecond if entry.perSecond >= 0 else None,
-                    entry.ageMs / 1000,
-                )
-                for entry in report.limits
-            ],
-            hops=2 if report.group else 1,
-        )
+        hops = 2 if report.group else 1
+        self._limits.merge(_read_stated(report.limits), hops)
+        self._brittle.merge(_read_stated(report.brittle), hops)
+        self._peer_choice.record_report(sender, report.cutOff)
         self._news.record(
             sender,
             [
@@ -205,7 +212,7 @@
         (entry,) = message.init("evidence", 1)
         entry.order = order
         entry.report = report
-        self._transport.sendto(message.to_bytes(), peer.address)
+        self._send(message.to_bytes(), peer)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore unreachable nodes, whose rows may outlive them."""
@@ -220,16 +227,20 @@
         """
         self._sequence += 1
         report = self._schema.Told.new_message(
-            sender=self._node, sequence=self._sequence, group=group
+            sender=self._node,
+            sequence=self._sequence,
+            group=group,
+            cutOff=self._links.cut_off,
         )
         entries = report.init("loads", len(loads))
         for entry, (server_id, load) in zip(
             entries, loads.items(), strict=True
         ):
             entry.server = server_id
-            entry.waitingMs = int(load.pending_prefill * 1000)
-            entry.active = load.active
-            entry.recent = load.recent
+            entry.waitingMs = _field(load.pending_prefill * 1000)
+            entry.active = _field(load.active)
+            entry.recent = _field(load.recent)
+            entry.rejected = _field(load.rejected)
         states = self._tables()
         for entry, state in zip(
             report.init("tables", len(states)), states, strict=True
@@ -238,19 +249,49 @@
             entry.era = state.version.era
             entry.version = state.version.counter
             entry.unavailable = state.unavailable
-        limits = self._server_limits.observed(max_hops=1 if group else 0)
-        for entry, limit in zip(
-            report.init("limits", len(limits)), limits, strict=True
+        max_hops = 1 if group else 0
+        for field, stated in (
+            ("limits", self._limits),
+            ("brittle", self._brittle),
         ):
-            entry.server = limit.server
-            entry.perSecond = -1.0 if limit.rate is None else limit.rate
-            entry.ageMs = int(limit.age * 1000)
+            observed = stated.observed(max_hops)
+            _write_stated(report.init(field, len(observed)), observed)
         data = report.to_bytes()
         if self._transport is None or len(data) > MAX_DATAGRAM_BYTES:
             return
         peers = self._peers()
         for name in receivers:
-            self._transport.sendto(data, peers[name].address)
+            self._send(data, peers[name])
+
+    def _send(self, data: bytes, peer: peer_groups.Peer) -> None:
+        """Send a datagram, unless the node's row names no usable address."""
+        if self._transport is not None:
+            with contextlib.suppress(ValueError):
+                self._transport.sendto(data, peer.address)
+
+
+def _field(value: float) -> int:
+    return min(MAX_FIELD, max(0, int(value)))
+
+
+def _read_stated(entries: Any) -> list[stated_values.Observed]:
+    return [
+        stated_values.Observed(
+            entry.server,
+            entry.perSecond if entry.perSecond >= 0 else None,
+            entry.ageMs / 1000,
+        )
+        for entry in entries
+    ]
+
+
+def _write_stated(
+    entries: Any, observed: list[stated_values.Observed]
+) -> None:
+    for entry, item in zip(entries, observed, strict=True):
+        entry.server = item.server
+        entry.perSecond = -1.0 if item.value is None else item.value
+        entry.ageMs = _field(item.age * 1000)
 
 
 class _IdleFilter:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -1,11 +1,13 @@
 """The gateway service: its components, start, drain and stop."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Mapping
 import json
 import random
+import secrets
 import socket
 from typing import Any
 
@@ -17,11 +19,13 @@
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import ports
+from limpetwalk.gateway import server_links
 from limpetwalk.gateway import store_watch
 from limpetwalk.gateway import types
 
 from . import admission
 from . import cluster_state
+from . import connector
 from . import dispatch
 from . import events
 from . import frontend
@@ -31,16 +35,25 @@
 from . import poison_requests
 from . import rollouts
 from . import status
+from . import supervision
 from . import table_follower
+from . import tunnels
 
 # Length of the queue of connections that wait to be accepted.
 BACKLOG = 512
 # Time after which the balancer knows that a node is not ready, seconds: it
-# checks once per second and acts on the second failed check. Streams that
-# arrive later may not finish within the grace period, so they are refused.
+# checks once per second and acts on the second failed check. Requests that
+# arrive later are refused unless they are sure to end in time.
 BALANCER_DELAY = 2.6
-# Share of the grace period after which open requests are closed.
-GRACE_SHARE = 5 / 6
+# Time before the end of the grace period at which open requests are ended,
+# seconds, and its largest share of that period.
+STOP_MARGIN = 0.7
+MAX_MARGIN_SHARE = 1 / 6
+# Time without a request after which a stopping node closes its connections,
+# seconds. While callers still send, each is better told to go elsewhere.
+QUIET_TIME = 0.3
+# Time for writing the answers of requests that were ended, seconds.
+LAST_ANSWERS_TIME = 0.15
 # Interval between two checks whether a stopping node is idle, seconds.
 IDLE_CHECK_INTERVAL = 0.05
 # Factor on the longest wait for changes of the shared rows. A change that is
@@ -59,6 +72,8 @@
 # Upper bound of the random delay of a write that all nodes may have to make
 # after a restoration of the store, seconds for each node.
 WRITE_DELAY_PER_NODE = 0.01
+# Size of the secret by which other nodes ask this one for tunnels, bytes.
+SECRET_BYTES = 16
 
 
 # Interval between two checks of the settings file, seconds. The file may
@@ -93,6 +108,33 @@
         self.cluster_state = cluster_state.ClusterState(
             clock, self.journal, self.metrics
         )
+        news = store_watch.PeerNews(clock)
+        self.links = server_links.ServerLinks(
+            clock,
+            random.Random(),
+            lambda id_: self.cluster_state.fleet.get(id_) is not None,
+            self._log_link,
+            self._record_cut_off,
+        )
+        self.peer_choice = server_links.PeerChoice(
+            platform.settings.name,
+            lambda: platform.settings.zone,
+            lambda: self.cluster_state.peers,
+            news.heard,
+            clock,
+            random.Random(),
+        )
+        connections = connector.Connector(
+            self.links, self.peer_choice, self.journal, self.metrics
+        )
+        self._secret = secrets.token_hex(SECRET_BYTES)
+        self.tunnels = tunnels.Tunnels(
+            self._secret,
+            self.cluster_state.fleet,
+            self.links,
+            self.journal,
+            self.metrics,
+        )
         self.dispatcher = dispatch.Dispatcher(
             lambda: platform.settings,
             platform.header_format,
@@ -101,9 +143,11 @@
                 platform.settings.name,
                 self.cluster_state,
                 lambda: platform.shared,
+                connections,
                 self.journal,
                 random.Random(),
             ),
+            connections,
             clock,
             self.journal,
             self.metrics,
@@ -123,14 +167,16 @@
         self.readiness = status.Readiness(
             self.cluster_state, self.journal, platform.readiness_path
         )
-        news = store_watch.PeerNews(clock)
         broadcast = load_broadcast.LoadBroadcast(
             platform.settings.name,
             lambda: self.cluster_state.peers,
             self.dispatcher.server_loads,
             self.dispatcher.server_limits,
+            self.dispatcher.brittle_servers,
             lambda: [follower.state for follower in self.followers],
             news,
+            self.links,
+            self.peer_choice,
             self.journal,
         )
         self.followers = self._make_followers(
@@ -145,18 +191,30 @@
         for follower in self.followers:
             news.listen(follower.state.table, follower.note_peer)
         self._tasks: list[asyncio.Task[None]] = []
+        self._supervisor = supervision.Supervisor(self.journal, self.metrics)
+        try:
+            await self.tunnels.start(platform.settings.peers)
+        except OSError as exc:
+            # Without a secret in its row, this node isn't asked for tunnels.
+            self._secret = ""
+            self.journal.emit(
+                events.UnexpectedError("listening for tunnels", str(exc))
+            )
         for follower in self.followers:
-            self._spawn(follower.run(), "watch")
+            self._supervise(follower.run, f"watch {follower.state.table}")
         self._spawn(self._publish_presence(), "presence")
         self.cluster_state.on_restoration(self._restore_presence)
         self.cluster_state.on_older_config = lambda: self._spawn(
             self._publish_config_in_force(), "configuration in force"
         )
-        self._spawn(self._check_settings_file(), "settings")
+        self._supervise(self._check_settings_file, "settings")
         self._start_rollout_tasks(clock, broadcast)
-        self._spawn(broadcast.run(platform.settings.peers), "gossip")
-        self._spawn(
-            pauses.detect_pauses(self.journal, self._reread_tables), "pauses"
+        self._supervise(
+            lambda: broadcast.run(platform.settings.peers), "gossip"
+        )
+        self._supervise(
+            lambda: pauses.detect_pauses(self.journal, self._reread_tables),
+            "pauses",
         )
         metrics_page = status.MetricsPage(self.metrics, platform.metrics_path)
         listeners = {
@@ -184,18 +242,36 @@
             name: runner.addresses[0] for name, runner in self._runners.items()
         }
 
-    async def drain(self) -> None:
-        """Let open requests finish within the grace period."""
+    async def drain(self, signalled_at: float | None = None) -> None:
+        """Let open requests finish within the grace period.
+
+        :param signalled_at: instant of the signal on the loop's clock, None
+            for now.
+        """
         loop = asyncio.get_running_loop()
-        started = loop.time()
-        end = started + self.platform.settings.bounds.grace * GRACE_SHARE
+        started = loop.time() if signalled_at is None else signalled_at
+        grace = self.platform.settings.bounds.grace
+        end = started + grace - min(STOP_MARGIN, grace * MAX_MARGIN_SHARE)
         self.readiness.draining = True
-        self.frontend.closing = True
+        self.frontend.begin_stop(end - loop.time())
+        self.tunnels.closing = True
         self.journal.emit(events.NodeStopping(self.frontend.open_requests))
-        await asyncio.sleep(BALANCER_DELAY)
-        self.frontend.refusing_streams = True
-        while self.frontend.busy and loop.time() < end:
+        refusing_from = min(end, started + BALANCER_DELAY)
+        await asyncio.sleep(refusing_from - loop.time())
+        self.frontend.refusing_late = True
+        while loop.time() < end and (
+            self._busy or self.frontend.quiet_time < QUIET_TIME
+        ):
             await asyncio.sleep(IDLE_CHECK_INTERVAL)
+        self.frontend.end_open_requests()
+        end = loop.time() + LAST_ANSWERS_TIME
+        while self.frontend.answering and loop.time() < end:
+            await asyncio.sleep(IDLE_CHECK_INTERVAL / 10)
+
+    @property
+    def _busy(self) -> bool:
+        """Whether requests of callers, or of other nodes, are under way."""
+        return self.frontend.busy or self.tunnels.open_count > 0
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Close the listeners and the platform's connections."""
@@ -203,6 +279,7 @@
             task.cancel()
         for runner in self._runners.values():
             await runner.cleanup()
+        self.tunnels.close()
         self.dispatcher.poison_requests.close()
         await self.platform.close()
 
@@ -280,8 +357,18 @@
             self.journal,
             self.dispatcher.rate,
         )
-        self._spawn(reporter.run(), "evidence")
-        self._spawn(leader.run(), "roll-out lead")
+        self._supervise(reporter.run, "evidence")
+        self._supervise(leader.run, "roll-out lead")
+
+    def _supervise(
+        self, task: Callable[[], Awaitable[None]], place: str
+    ) -> None:
+        """Run a task that starts again whenever it fails.
+
+        :param task: starts the task.
+        :param place: operation that the task runs, for the log.
+        """
+        self._spawn(self._supervisor.run(task, place), place)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None], place: str) -> None:
         """Start a task and log the error if it fails.
@@ -326,9 +413,30 @@
     def _presence_key(self) -> str:
         return cluster_state.NODE_PREFIX + self.platform.settings.name
 
+    @property
+    def _presence_row(self) -> str:
+        host, port = self.platform.settings.peers
+        return json.dumps(
+            {
+                "host": host,
+                "port": port,
+                "zone": self.platform.settings.zone,
+                "secret": self._secret,
+            }
+        )
+
+    def _log_link(self, server_id: str, lost: bool) -> None:
+        self.journal.emit(events.ServerLinkChanged(server_id, lost))
+
+    def _record_cut_off(self, cut_off: bool) -> None:
+        self.journal.emit(events.CutOffChanged(cut_off))
+        if cut_off:
+            for member in self.cluster_state.fleet:
+                member.health.forget_unreached()
+
     def _restore_presence(self, rows: Mapping[str, str]) -> None:
         """Publish this node's address again if the store has lost it."""
-        if self._presence_key not in rows:
+        if rows.get(self._presence_key) != self._presence_row:
             self._spawn(
                 self._publish_presence(self._random_delay()), "presence"
             )
@@ -364,14 +472,10 @@
         :param delay: time to wait before, in seconds.
         """
         await asyncio.sleep(delay)
-        host, port = self.platform.settings.peers
-        zone = self.platform.settings.zone
-        value = json.dumps({"host": host, "port": port, "zone": zone})
+        put = ports.SharedPut(self._presence_key, self._presence_row)
         while True:
             try:
-                await self.platform.shared.put(
-                    [ports.SharedPut(self._presence_key, value)]
-                )
+                await self.platform.shared.put([put])
             except exceptions.StoreError:
                 # The follower of the same table logs the outage.
                 await asyncio.sleep(PRESENCE_RETRY_PAUSE)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/outbound.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/outbound.py
@@ -26,12 +26,21 @@
 
     :param answer: answer of a failure that may be passed on unchanged.
     :param limit: name of the limit that the answer exceeded, or empty.
+    :param link_lost: whether the cause is this node's link to the server.
     """
 
     outcome: retries.Outcome
     detail: str
     answer: "CompleteAnswer | None" = None
     limit: str = ""
+    link_lost: bool = False
+
+    @classmethod
+    def unreached(cls, exc: upstream.ServerUnreachable) -> "FailedAttempt":
+        """Return the attempt that found no way to its server."""
+        return cls(
+            retries.Outcome.UNREACHED, str(exc), link_lost=exc.link_lost
+        )
 
     @classmethod
     def incomplete(cls, exc: upstream.IncompleteAnswer) -> "FailedAttempt":
@@ -39,6 +48,15 @@
         return cls(retries.Outcome.UNKNOWN, str(exc), limit=exc.limit)
 
 
+def preferred_failure(
+    known: FailedAttempt | None, latest: FailedAttempt
+) -> FailedAttempt:
+    """Return the failure to tell the caller of, of two."""
+    if known is not None and known.answer is not None:
+        return known if latest.answer is None else latest
+    return latest
+
+
 @dataclass(slots=True)
 class CompleteAnswer:
     """Answer that was received completely."""
@@ -53,6 +71,8 @@
     """Answer whose headers were accepted and whose body is still unread.
 
     :param sent_at: instant at which the request was sent.
+    :param slow: whether its head took unusually long.
+    :param first_bytes: bytes of the body that were read already.
     """
 
     exchange: upstream.Exchange
@@ -60,6 +80,8 @@
     member: fleet.Member
     model: str
     sent_at: float
+    slow: bool = False
+    first_bytes: bytes = b""
 
 
 def server_headers(
--- a/tests/limpetwalk_node/gateway/test_streams.py
+++ b/tests/limpetwalk_node/gateway/test_streams.py
@@ -64,6 +64,21 @@
         report = json.loads(tallies.report_json(site.ENGINE, "v2", ""))
         self.assertEqual(2, report["base"]["successes"])
 
+    async def test_smaller_model_is_asked_again_when_no_larger_one_answers(
+        self,
+    ) -> None:
+        async def reject_large(req: web.Request) -> web.StreamResponse | None:
+            if req.headers["Model"] == "large":
+                return web.Response(status=503, headers={"Not-Executed": "1"})
+            return None
+
+        for server_id in ("e-1", "e-2"):
+            self.server(server_id).confidence = {"small": 10}
+            self.server(server_id).behaviour = reject_large
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+            self.assertEqual(self.all_events, await resp.read())
+
     async def test_broken_stream_is_resumed_at_another_server(
         self,
     ) -> None:
@@ -192,6 +207,31 @@
         self.assertEqual(("e-1", 1.5), (limited["server"], limited["per_s"]))
 
 
+class BrittleServers(harness.GatewayCase):
+    """Servers that fall over when they reject too many requests."""
+
+    services = {"e-1": site.ENGINE, "e-2": site.ENGINE}
+
+    async def call(self, number: int) -> int:
+        """Send a request, and return the status of its answer."""
+        await asyncio.sleep(0.04 * number)
+        async with self.run_.stream(Attempt_Id=f"a-{number}") as resp:
+            await resp.read()
+            return resp.status
+
+    async def test_brittle_servers_do_not_fall_over(self) -> None:
+        servers = [self.server(server_id) for server_id in self.services]
+        for brittle in servers:
+            brittle.event_interval = 0.2
+            brittle.brittleness = server.Brittleness(room=4, rejections=2)
+        statuses = await asyncio.gather(*map(self.call, range(75)))
+        falls = [b.brittleness.falls for b in servers if b.brittleness]
+        self.assertEqual([[], []], falls)
+        self.assertEqual({200, 503}, set(statuses))
+        # Half of what both servers can answer in the three seconds.
+        self.assertGreaterEqual(statuses.count(200), 12)
+
+
 class Stopping(harness.GatewayCase):
     """The gateway is drained."""
 
@@ -210,7 +250,7 @@
 
     async def test_late_stream_is_refused_with_retry_after(self) -> None:
         self.run_.gateway.frontend.closing = True
-        self.run_.gateway.frontend.refusing_streams = True
+        self.run_.gateway.frontend.refusing_late = True
         async with self.run_.stream() as resp:
             self.assertEqual(503, resp.status)
             self.assertIn("Retry-After", resp.headers)
