--- a/review/1/case.py
+++ b/review/1/case.py
@@ -94,9 +94,11 @@
     await asyncio.sleep(2 * CONFIG_APPLY)
     after = await send_all("after")
     await asyncio.sleep(0.3)
-    stale = [] if not deployment.TROUBLE else [
-        attempt for attempt in after["held"] if attempt in site.runs
-    ]
+    stale = (
+        []
+        if not deployment.TROUBLE
+        else [attempt for attempt in after["held"] if attempt in site.runs]
+    )
     strange = [
         attempt
         for ids in (before, after)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -1,7 +1,8 @@
 """A small deployment on loopback: store, nodes, replicas and clients."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 import json
 import os
 import pathlib
@@ -187,6 +188,7 @@
     ) -> None:
         self.site, self.id = site, name
         self._service, self._zone, self._args = service, zone, args
+        self.version = "v1"
         self.process: asyncio.subprocess.Process | None = None
         self._tasks: list[asyncio.Task] = []
         self._entry: dict = {}
@@ -206,7 +208,7 @@
             "backend": self._service,
             "address": address,
             "zone": self._zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 6,
             "state": "ready",
             "cold_left_ms": 0,
@@ -271,12 +273,20 @@
         await self.store.start("127.0.0.1")
         self.nodes = [Node(self, number) for number in range(nodes)]
 
-    async def add_server(self, *args: str) -> Server:
+    async def add_server(self, *args: str, version: str = "v1") -> Server:
         server = Server(self, *args)
+        server.version = version
         self.servers.append(server)
         await server.start()
         return server
 
+    def expire_entries(self) -> None:
+        """Remove the entries of servers that have ended."""
+        for server in self.servers:
+            ended = server.process is None or server.process.returncode
+            if ended is not None and ("servers", server.id) in self.store.rows:
+                self.store.remove("servers", server.id)
+
     async def close(self) -> None:
         for process in [
             *(node.process for node in self.nodes),
@@ -329,7 +339,9 @@
     """Run a case and exit with its result."""
 
     async def main() -> int:
-        record = os.environ.get("RECORD") or pathlib.Path(folder) / "record.txt"
+        record = (
+            os.environ.get("RECORD") or pathlib.Path(folder) / "record.txt"
+        )
         site = Site(pathlib.Path(record))
         try:
             async with asyncio.timeout(115):
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -82,7 +82,9 @@
         headers = [("Attempt-Id", attempt), ("Server-Seal", f"s.{attempt}")]
         await asyncio.sleep(args.first_s)
         if not args.events:
-            writer.write(wire.response(200, headers, f"{attempt} done".encode()))
+            writer.write(
+                wire.response(200, headers, f"{attempt} done".encode())
+            )
             await writer.drain()
             return
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -20,6 +20,7 @@
         self.version = 100
         self._dropped = 0
         self.era = 1
+        self.away = False
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.address = ""
@@ -53,6 +54,20 @@
         self._changed = asyncio.Event()
         return self.version
 
+    def snapshot(self) -> tuple[float, dict, int]:
+        """Return a copy: the time, the rows and the version."""
+        return time.monotonic(), dict(self.rows), self.version
+
+    def restore(self, copy: tuple[float, dict, int]) -> None:
+        """Come back from a copy; versions are given out again."""
+        _, rows, self.version = copy
+        self.rows = dict(rows)
+        self.history.clear()
+        self._dropped = self.version
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def _serve(self, reader, writer) -> None:
         try:
             while (req := await wire.read_request(reader)) is not None:
@@ -80,6 +95,8 @@
         path, _, query = req.target.partition("?")
         args = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         await asyncio.sleep(0.004)
+        if self.away:
+            return 503, {}
         if path == "/v1/rows-get":
             return 200, self._get(args)
         if path == "/v1/rows-feed":
@@ -113,7 +130,9 @@
         since = int(args["since_rev"])
         deadline = time.monotonic() + int(args.get("wait_ms", 0)) / 1000
         while True:
-            if since < self._dropped:
+            if self.away:
+                return 503, {}
+            if since < self._dropped or since > self.version:
                 return 410, {}
             latest = {}
             for _, table, key, value, version in self.history:
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 of the stand-ins, on asyncio's streams."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 
 @dataclass
