--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -78,8 +78,11 @@
             tenant=req.headers.get("tenant", ""),
             key=req.headers.get("authorization", ""),
             path=req.target,
+            model=req.headers.get("model", ""),
         )
         headers = [("Attempt-Id", attempt), ("Server-Seal", f"s.{attempt}")]
+        if args.confidence >= 0:
+            headers.append(("Confidence", str(args.confidence)))
         await asyncio.sleep(args.first_s)
         if not args.events:
             writer.write(
@@ -111,6 +114,7 @@
     parser.add_argument("--first-s", type=float, default=0.045)
     parser.add_argument("--events", type=int, default=0)
     parser.add_argument("--pause-s", type=float, default=0.02)
+    parser.add_argument("--confidence", type=int, default=-1)
     parser.add_argument("--life-s", type=float, default=150)
     args = parser.parse_args()
     replica = Replica(args)
