--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -346,7 +346,8 @@
         try:
             async with asyncio.timeout(115):
                 return await case(site)
-        except (CannotRun, TimeoutError, OSError) as exc:
+        except Exception as exc:
+            # Python's own exit code for an error is that of a broken rule.
             site.note("could not run", why=repr(exc))
             print(f"could not run: {exc!r}")
             return NOT_RUN
--- a/review/standins/drill.py
+++ b/review/standins/drill.py
@@ -131,12 +131,10 @@
                         await server.kill()
 
 
-async def lose_store(
-    site: deployment.Site, platform: Platform, kill: bool
-) -> None:
+async def lose_store(site: deployment.Site, platform: Platform) -> None:
     """Bring the store back from a copy from before the last stages.
 
-    :param kill: whether all nodes are killed meanwhile.
+    All nodes are killed meanwhile.
     """
     copy = next(
         (
@@ -150,14 +148,12 @@
         raise deployment.CannotRun("no copy of that age was before the end")
     site.store.away = True
     site.note("store away")
-    if kill:
-        await kill_nodes(site)
+    await kill_nodes(site)
     await asyncio.sleep(AWAY)
     site.note("store restored", copy_age=round(time.monotonic() - copy[0], 1))
     site.store.restore(copy)
     site.store.away = False
-    if kill:
-        await start_nodes(site)
+    await start_nodes(site)
     # The operator has written nothing since the copy; the replicas write
     # their entries again.
     await asyncio.sleep(EXPIRY)
