--- a/review/standins/drill.py
+++ b/review/standins/drill.py
@@ -131,10 +131,12 @@
                         await server.kill()
 
 
-async def lose_store(site: deployment.Site, platform: Platform) -> None:
+async def lose_store(
+    site: deployment.Site, platform: Platform, kill: bool
+) -> None:
     """Bring the store back from a copy from before the last stages.
 
-    All nodes are killed meanwhile.
+    :param kill: whether all nodes are killed meanwhile.
     """
     copy = next(
         (
@@ -148,12 +150,14 @@
         raise deployment.CannotRun("no copy of that age was before the end")
     site.store.away = True
     site.note("store away")
-    await kill_nodes(site)
+    if kill:
+        await kill_nodes(site)
     await asyncio.sleep(AWAY)
     site.note("store restored", copy_age=round(time.monotonic() - copy[0], 1))
     site.store.restore(copy)
     site.store.away = False
-    await start_nodes(site)
+    if kill:
+        await start_nodes(site)
     # The operator has written nothing since the copy; the replicas write
     # their entries again.
     await asyncio.sleep(EXPIRY)
