Log what counts against a suspect, and what the check of a server found

Now: request.suspected has what counts, server.checked the finding of each check and how long it took, crash.reported how old a report was when it was read. No decision is changed.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -232,7 +232,8 @@
             elif prefix == NODE_PREFIX:
                 peers[name] = self._peer(name, row.value)
             elif prefix == CRASH_PREFIX:
-                self._apply_crash(name.rpartition("/")[0], row.value)
+                server, _, node = name.rpartition("/")
+                self._apply_crash(server, node, row.value)
             elif prefix == ANSWER_PREFIX:
                 self._apply_answer(name, row.value)
             elif prefix == ROLLOUT_PREFIX:
@@ -305,10 +306,11 @@
             )
             return NO_PEER
 
-    def _apply_crash(self, server: str, text: str) -> None:
+    def _apply_crash(self, server: str, node: str, text: str) -> None:
         """Apply a node's report of the suspects of a crash.
 
         :param server: identifies the server and its start.
+        :param node: name of the node.
         """
         try:
             row = json_decoder.decode(text)
@@ -323,6 +325,10 @@
             )
             return
         self.crash_suspects.record_crash(server, at, suspects)
+        age_ms = int((self.store_time() - at) * 1000)
+        self._journal.emit(
+            events.CrashReported(node, server, len(suspects), age_ms)
+        )
 
     def config_in_force_row(self) -> str:
         """Return the row that tells other nodes of this node's configuration.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -454,6 +454,7 @@
 
     :param servers: largest number of crashes that its fingerprint or one of
         its parts explains.
+    :param counted: how many of these crashes count against it.
     :param parts: prompt parts that other requests may share.
     """
 
@@ -462,9 +463,43 @@
     fingerprint: str
     server: str
     servers: int
+    counted: int
     parts: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerChecked(Event):
+    """A server whose answers broke off was checked for a crash.
+
+    :param requests: number of requests that broke off.
+    :param finding: "crashed", "accepts", "unreached" or "link_lost".
+    :param took_ms: time since the first of them broke off.
+    """
+
+    name: ClassVar[str] = "server.checked"
+    server: str
+    requests: int
+    finding: str
+    took_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReported(Event):
+    """A report of a crash was read from the store.
+
+    :param server: identifies the server and its start.
+    :param suspects: number of its requests that had no answer yet.
+    :param age_ms: time since the crash.
+    """
+
+    name: ClassVar[str] = "crash.reported"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    node: str
+    server: str
+    suspects: int
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestBlocked(Event):
     """A request is not sent, because requests like it crash servers.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -29,6 +29,8 @@
 # Timeout of the connection that distinguishes a crashed server from a lost
 # answer, seconds.
 PROBE_TIMEOUT = 0.25
+# Finding of a check that its server has crashed.
+CRASHED = "crashed"
 # Servers for which this node remembers the suspects that it has reported.
 MAX_REPORTS = 200
 # Largest size of a report, bytes; a row holds 64 KiB after encoding. Suspects
@@ -181,15 +183,16 @@
         """Report the calls that broke off, if their server has crashed."""
         await asyncio.sleep(COLLECT_SECONDS)
         broken_calls, report.unchecked = report.unchecked, []
-        try:
-            exchange = await self._connector.connect(member, PROBE_TIMEOUT)
-        except upstream.ServerUnreachable as exc:
-            # A server that is silent, or that lost links lead to, may be up.
-            crashed = exc.refused and not exc.link_lost
-        else:
-            crashed = False
-            exchange.close()
-        if not crashed:
+        finding = await self._probe(member)
+        self._journal.emit(
+            events.ServerChecked(
+                member.id,
+                len(broken_calls),
+                finding,
+                int((self._cluster_state.store_time() - report.at) * 1000),
+            )
+        )
+        if finding != CRASHED:
             self._reports.pop(server, None)
             return
         suspects = [
@@ -206,12 +209,27 @@
                     call.fingerprint,
                     member.id,
                     evidence.crash_count(call.traits),
+                    evidence.counted(call.traits),
                     call.prompt.shared_parts,
                 )
             )
         put = ports.SharedPut(self._report_key(server), report.to_row())
         await self._publish("publishing a crash", [put])
 
+    async def _probe(self, member: fleet.Member) -> str:
+        """Return what a connection to a server tells about it.
+
+        A server that is silent, or that lost links lead to, may be up.
+        """
+        try:
+            exchange = await self._connector.connect(member, PROBE_TIMEOUT)
+        except upstream.ServerUnreachable as exc:
+            if exc.link_lost:
+                return "link_lost"
+            return CRASHED if exc.refused else "unreached"
+        exchange.close()
+        return "accepts"
+
     def _report_key(self, server: str) -> str:
         return f"{cluster_state.CRASH_PREFIX}{server}/{self._node}"
 
--- a/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
+++ b/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
@@ -111,6 +111,17 @@
             (len(self._servers.get(trait, ())) for trait in traits), default=0
         )
 
+    def counted(self, traits: Iterable[str]) -> int:
+        """Return the largest number of crashes that count against a trait."""
+        return max(
+            (
+                self._count(trait, self._servers[trait])
+                for trait in traits
+                if trait in self._servers
+            ),
+            default=0,
+        )
+
     def blocking(self, traits: Collection[str]) -> frozenset[str]:
         """Return the traits for which a request is blocked, or none.
 
