Count crashes by the order in which a request came to servers

Callers saw all three servers of a service crash every few seconds, on one request that is sent again and again.

Cause: crashes within 0.25 s counted once, unless one attempt saw them, since servers that lose power together are no evidence. Copies of a request overlap, so a round of three crashes was one. A span of time, and the identity of an attempt, stood in for the order of events.

Now a node remembers for each request which crashes of requests like it were known to it when it was sent, and reports them (known_crashes, a field of its own, so that older nodes still read the row; rows without it count by time, as before). Three crashes block a request if one server got it after another had crashed. No clock is compared between nodes. A request that was ever answered may still meet servers that are stopped one after the other, so for it the crashes must lie 0.25 s apart, too.

Ruled out: a shorter span (a popular request at servers that are killed 20 ms apart would be blocked); instants of sending on the store's clock (a node that was frozen tells them seconds too early).

The unit tests of CrashSuspects use the new field, so before they fail for want of it.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -314,10 +314,7 @@
         """
         try:
             row = json_decoder.decode(text)
-            suspects = [
-                crash_suspects.Suspect(str(attempt), tuple(map(str, traits)))
-                for attempt, *traits in row["suspects"]
-            ]
+            suspects = _suspects(row)
             at = _instant(row["at"])
         except ROW_ERRORS as exc:
             self._log_unreadable(
@@ -467,6 +464,27 @@
     return json_decoder.number(value, -MAX_INTEGER, MAX_INTEGER)
 
 
+def _suspects(row: Mapping[str, Any]) -> list[crash_suspects.Suspect]:
+    """Return the suspects of a report of a crash.
+
+    :raises ValueError: when a field is invalid; other errors of
+        ``ROW_ERRORS`` when one is missing.
+    """
+    entries = row["suspects"]
+    known = row.get("known_crashes")
+    if known is None:
+        # A node of an older version wrote the row.
+        known = [None] * len(entries)
+    return [
+        crash_suspects.Suspect(
+            str(attempt),
+            tuple(map(str, traits)),
+            None if servers is None else frozenset(map(str, servers)),
+        )
+        for (attempt, *traits), servers in zip(entries, known, strict=True)
+    ]
+
+
 def _parse_peer(text: str) -> peer_groups.Peer:
     """Return a node from its row.
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -554,6 +554,7 @@
                 last_event,
                 self.time_left(call),
             )
+            self.poison_requests.record_sent(call, member.id)
             exchange.send(call.method, call.target, headers, call.body)
             sent_at = self.clock.monotonic()
             call.attempt_counts.record_sent()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -56,7 +56,7 @@
     """Suspects of one crash that this node knows.
 
     :param at: instant of the crash on the store's clock, in seconds.
-    :param unchecked: calls that broke off, until the server is checked.
+    :param unchecked: calls that broke off, until it is known why.
     """
 
     at: float
@@ -66,14 +66,24 @@
 
     def to_row(self) -> str:
         """Return the report as JSON, with the suspects that fit in a row."""
-        suspects, size = [], 0
+        suspects, known_crashes, size = [], [], 0
         for suspect in self.suspects:
             entry = [suspect.attempt, *suspect.traits]
-            size += len(json.dumps(entry)) + 2
+            known = sorted(suspect.known_crashes or ())
+            size += len(json.dumps([entry, known])) + 2
             if size > MAX_REPORT_BYTES:
                 break
             suspects.append(entry)
-        return json.dumps({"at": self.at, "suspects": suspects})
+            known_crashes.append(known)
+        # A field of its own, since nodes of older versions take all of an
+        # entry for traits.
+        return json.dumps(
+            {
+                "at": self.at,
+                "suspects": suspects,
+                "known_crashes": known_crashes,
+            }
+        )
 
 
 class PoisonRequests:
@@ -120,6 +130,22 @@
             )
         return bool(blocking)
 
+    def record_sent(self, call: calls.Call, server_id: str) -> None:
+        """Remember which crashes were known when a call was sent.
+
+        Servers at which a call broke off that is being checked count too.
+        """
+        known = set(
+            self._cluster_state.crash_suspects.known_crashes(call.traits)
+        )
+        for server, report in self._reports.items():
+            if any(
+                not set(call.traits).isdisjoint(broken.traits)
+                for broken in report.unchecked
+            ):
+                known.add(server)
+        call.known_crashes[server_id] = frozenset(known)
+
     def check_server(self, call: calls.Call, member: fleet.Member) -> None:
         """Check in the background whether a call crashed its server.
 
@@ -196,7 +222,11 @@
             self._reports.pop(server, None)
             return
         suspects = [
-            crash_suspects.Suspect(call.caller_attempt_id, call.traits)
+            crash_suspects.Suspect(
+                call.caller_attempt_id,
+                call.traits,
+                call.known_crashes.get(member.id, frozenset()),
+            )
             for call in broken_calls
         ]
         report.suspects += suspects
--- a/packages/limpetwalk/limpetwalk/gateway/call.py
+++ b/packages/limpetwalk/limpetwalk/gateway/call.py
@@ -30,6 +30,8 @@
         None when there was none.
     :param attempt_counts: numbers of attempts so far.
     :param tried_servers: identifiers of the servers that it was sent to.
+    :param known_crashes: crashed servers that were known to have had a request
+        like it, when it was sent to a server, by that server's identifier.
     """
 
     caller_attempt_id: str
@@ -54,6 +56,7 @@
         default_factory=retries.AttemptCounts
     )
     tried_servers: set[str] = field(default_factory=set)
+    known_crashes: dict[str, frozenset[str]] = field(default_factory=dict)
 
     @property
     def traits(self) -> tuple[str, ...]:
--- a/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
+++ b/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
@@ -7,6 +7,9 @@
 fingerprint and the prompt parts that others may share. An answer that begins
 clears the traits of its request. A trait is blocked when it explains more
 crashes than chance, and no other trait explains the same crashes.
+
+Servers that lose power together are no evidence against the requests that
+they had. A trait that came to a server after another one had crashed is.
 """
 
 import collections
@@ -22,9 +25,8 @@
 # Crashes after which requests are blocked although several traits, which
 # don't occur in the same requests, explain the same crashes.
 CRASHES_TO_BLOCK_ALL = 4
-# Crashes within this time count once for a trait, seconds: servers that lose
-# power together are no evidence against the requests that they had. A request
-# that was sent to one server after another is, however fast they crashed.
+# Time within which several servers may crash of one cause, such as a loss of
+# power, in seconds.
 BURST_SECONDS = 0.25
 # Crashes and begun answers that are remembered.
 MAX_CRASHES = 400
@@ -37,10 +39,13 @@
 
     :param attempt: identifier of the caller's attempt.
     :param traits: fingerprint of the request and ids of its prompt parts.
+    :param known_crashes: servers that had crashed with one of its traits, as
+        its node knew when it sent the request; None if the node didn't tell.
     """
 
     attempt: str
     traits: tuple[str, ...]
+    known_crashes: frozenset[str] | None = None
 
 
 @dataclass(slots=True)
@@ -53,6 +58,19 @@
 
     at: float
     suspects: set[Suspect] = field(default_factory=set)
+    _by_trait: dict[str, list[Suspect]] = field(default_factory=dict)
+
+    def add(self, suspect: Suspect) -> None:
+        """Add a suspect, unless it is known."""
+        if suspect in self.suspects:
+            return
+        self.suspects.add(suspect)
+        for trait in suspect.traits:
+            self._by_trait.setdefault(trait, []).append(suspect)
+
+    def suspects_with(self, trait: str) -> list[Suspect]:
+        """Return the suspects that have a trait."""
+        return self._by_trait.get(trait, [])
 
 
 class CrashSuspects:
@@ -77,7 +95,7 @@
         crash = self._crashes.setdefault(server, Crash(at))
         crash.at = min(crash.at, at)
         for suspect in suspects:
-            crash.suspects.add(suspect)
+            crash.add(suspect)
             for trait in suspect.traits:
                 if self._answered.get(trait, -math.inf) < crash.at:
                     self._servers[trait].add(server)
@@ -112,16 +130,22 @@
         )
 
     def counted(self, traits: Iterable[str]) -> int:
-        """Return the largest number of crashes that count against a trait."""
+        """Return the length of the longest row of crashes of one trait."""
         return max(
             (
-                self._count(trait, self._servers[trait])
+                self._crashes_in_row(trait, self._servers[trait])
                 for trait in traits
                 if trait in self._servers
             ),
             default=0,
         )
 
+    def known_crashes(self, traits: Iterable[str]) -> frozenset[str]:
+        """Return the servers that crashed with one of some traits."""
+        return frozenset().union(
+            *(self._servers.get(trait, ()) for trait in traits)
+        )
+
     def blocking(self, traits: Collection[str]) -> frozenset[str]:
         """Return the traits for which a request is blocked, or none.
 
@@ -174,13 +198,17 @@
         }
         blocks: list[frozenset[str]] = []
         while unexplained:
-            counts = {
-                trait: self._count(trait, servers)
+            guilty = {
+                trait: self._crashes_in_row(trait, servers)
                 for trait, servers in unexplained.items()
+                if self._is_guilty(trait, servers)
             }
-            trait = max(counts, key=lambda name: (counts[name], name))
-            if counts[trait] < CRASHES_TO_BLOCK:
+            if not guilty:
                 break
+            trait = max(
+                guilty,
+                key=lambda name: (guilty[name], len(unexplained[name]), name),
+            )
             servers = unexplained[trait]
             equal = frozenset(
                 name
@@ -188,30 +216,81 @@
                 if others == servers
             )
             alternatives = self._alternatives(equal, servers)
-            if len(alternatives) == 1 or counts[trait] >= CRASHES_TO_BLOCK_ALL:
+            if len(alternatives) == 1 or guilty[trait] >= CRASHES_TO_BLOCK_ALL:
                 blocks += alternatives
             unexplained = _without(unexplained, servers)
         return blocks
 
-    def _count(self, trait: str, servers: Collection[str]) -> int:
-        """Return the number of crashes that count against a trait."""
-        bursts, burst_began = 0, -math.inf
-        for at in sorted(self._crashes[server].at for server in servers):
-            if at - burst_began >= BURST_SECONDS:
-                bursts, burst_began = bursts + 1, at
-        in_a_row = collections.Counter(
-            attempt
-            for server in servers
-            for attempt in self._attempts(server, trait)
-        )
-        return max(bursts, *in_a_row.values(), 0)
+    def _is_guilty(self, trait: str, servers: Collection[str]) -> bool:
+        """Whether crashes of servers with a trait were no coincidence.
+
+        Requests that went to a server after another one had crashed tell a
+        trait that crashes servers from servers that lose power together. One
+        that was ever answered may still meet servers that are stopped in turn.
+        """
+        if len(servers) < CRASHES_TO_BLOCK:
+            return False
+        gap = BURST_SECONDS if trait in self._answered else -math.inf
+        return self._crashes_in_row(trait, servers, gap) > 1
+
+    def _crashes_in_row(
+        self, trait: str, servers: Collection[str], gap: float = -math.inf
+    ) -> int:
+        """Return the length of the longest row of crashes, at most 4.
 
-    def _attempts(self, server: str, trait: str) -> set[str]:
-        return {
-            suspect.attempt
-            for suspect in self._crashes[server].suspects
-            if trait in suspect.traits
+        A row goes on with a crash of a server that got the trait from a node
+        which knew of the crash before.
+
+        :param gap: shortest time between two crashes of a row, in seconds.
+        """
+        earlier = {
+            server: [
+                other
+                for other in self._known_crashes(trait, server, servers)
+                if self._crashes[server].at - self._crashes[other].at >= gap
+            ]
+            for server in servers
         }
+        length, ends = 0, set(servers)
+        while ends and length < CRASHES_TO_BLOCK_ALL:
+            length += 1
+            ends = {
+                server
+                for server, others in earlier.items()
+                if not ends.isdisjoint(others)
+            }
+        return length
+
+    def _known_crashes(
+        self, trait: str, server: str, servers: Collection[str]
+    ) -> set[str]:
+        """Return the crashes before a trait was sent to a server.
+
+        :param servers: servers that crashed with the trait.
+        """
+        known: set[str] = set()
+        at = self._crashes[server].at
+        for suspect in self._crashes[server].suspects_with(trait):
+            if suspect.known_crashes is not None:
+                known |= suspect.known_crashes.intersection(servers)
+                continue
+            known.update(
+                other
+                for other in servers
+                if at - self._crashes[other].at >= BURST_SECONDS
+                or self._has_attempt(other, trait, suspect.attempt, at)
+            )
+        known.discard(server)
+        return known
+
+    def _has_attempt(
+        self, server: str, trait: str, attempt: str, before: float
+    ) -> bool:
+        crash = self._crashes[server]
+        return crash.at < before and any(
+            suspect.attempt == attempt
+            for suspect in crash.suspects_with(trait)
+        )
 
     def _alternatives(
         self, traits: frozenset[str], servers: Collection[str]
@@ -220,7 +299,8 @@
         found = {
             traits.intersection(suspect.traits)
             for server in servers
-            for suspect in self._crashes[server].suspects
+            for trait in traits
+            for suspect in self._crashes[server].suspects_with(trait)
         }
         return sorted(
             (
--- a/tests/limpetwalk/gateway/test_crash_suspects.py
+++ b/tests/limpetwalk/gateway/test_crash_suspects.py
@@ -105,6 +105,83 @@
             )
         self.assertTrue(self.suspects.blocking(["f"]))
 
+    def test_request_that_crashes_servers_in_overlapping_rounds_is_blocked(
+        self,
+    ) -> None:
+        record = (8.61, 8.65, 8.74, 13.13, 13.22, 13.37, 17.8, 17.92)
+        for instants, most_crashes in (
+            (record, 4),
+            ((0.0, 0.02, 0.04, 4.0, 4.02, 4.04, 8.0, 8.02), 4),
+            ((0.0, 0.2, 0.4, 4.0, 4.2, 4.4), 3),
+            ((0.0, 0.01, 4.0, 4.01, 8.0, 8.01), 3),
+        ):
+            with self.subTest(instants=instants):
+                self.assertLessEqual(self.crashes(instants), most_crashes)
+
+    def crashes(self, instants: tuple[float, ...]) -> int:
+        """Return the number of crashes after which a request is blocked.
+
+        Each crash has a copy of the request, and a sound one beside it. A copy
+        knows of the crashes of earlier rounds only.
+        """
+        suspects = crash_suspects.CrashSuspects()
+        for number, at in enumerate(instants):
+            known = frozenset(
+                f"s-{earlier}"
+                for earlier in range(number)
+                if at - instants[earlier] > 0.15
+            )
+            bad = crash_suspects.Suspect(f"a-{number}", ("bad",), known)
+            beside = suspect(f"b-{number}", f"f-{number}")
+            suspects.record_crash(f"s-{number}", at, [bad, beside])
+            self.assertFalse(suspects.blocking([f"f-{number}"]))
+            if suspects.blocking(["bad"]):
+                return number + 1
+        return len(instants) + 1
+
+    def test_request_sent_after_a_crash_is_blocked_after_the_third(
+        self,
+    ) -> None:
+        for number, known in enumerate(((), (), ("s-0",))):
+            self.suspects.record_crash(
+                f"s-{number}",
+                10.0 + number / 25,
+                [
+                    crash_suspects.Suspect(
+                        f"a-{number}", ("bad",), frozenset(known)
+                    )
+                ],
+            )
+        self.assertTrue(self.suspects.blocking(["bad"]))
+
+    def test_sound_request_at_servers_that_are_killed_in_turn_is_not_blocked(
+        self,
+    ) -> None:
+        self.suspects.record_answer(["popular"], 9.0)
+        for number in range(5):
+            known = frozenset(f"s-{earlier}" for earlier in range(number))
+            self.suspects.record_crash(
+                f"s-{number}",
+                10.0 + number / 20,
+                [crash_suspects.Suspect("a", ("popular",), known)],
+            )
+        self.assertFalse(self.suspects.blocking(["popular"]))
+
+    def test_sound_request_at_servers_that_lose_power_together_is_not_blocked(
+        self,
+    ) -> None:
+        for number in range(3):
+            self.suspects.record_crash(
+                f"s-{number}",
+                10.0,
+                [
+                    crash_suspects.Suspect(
+                        f"a-{number}", ("popular",), frozenset()
+                    )
+                ],
+            )
+        self.assertFalse(self.suspects.blocking(["popular"]))
+
     def test_memory_of_crashes_is_bounded(self) -> None:
         for number in range(2 * crash_suspects.MAX_CRASHES):
             self.suspects.record_crash(
--- a/tests/limpetwalk_node/gateway/test_crash_rounds.py
+++ b/tests/limpetwalk_node/gateway/test_crash_rounds.py
@@ -1,8 +1,13 @@
 """Tests of one request that crashes servers at several nodes at once."""
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
 import itertools
+import os
+import random
 import time
+from typing import Any
 
 from aiohttp import web
 
@@ -23,9 +28,10 @@
 BAD, GOOD = "/again/bad", "/again/good"
 
 
-class RepeatedRequest(links.LinksCase):
-    """Callers send the same request to three nodes, in rounds."""
+class CrashCase(links.LinksCase):
+    """Three nodes before three plain servers that one request crashes."""
 
+    down_time = DOWN_TIME
     services = {"p-1": site.PLAIN, "p-2": site.PLAIN, "p-3": site.PLAIN}
     names = ("node-1", "node-2", "node-3")
 
@@ -60,20 +66,26 @@
 
     async def replace(self, server_id: str) -> None:
         """Start a new server in the place of one that crashed."""
-        await asyncio.sleep(DOWN_TIME)
+        await asyncio.sleep(self.down_time)
         await self.site.store.remove("servers", server_id)
         new_id = f"{server_id}+"
         await self.site.add_server(new_id, site.PLAIN)
         self.let_crash(new_id)
 
-    async def send(self, node: int, path: str = BAD) -> int:
-        headers = {"Attempt-Id": f"a-{next(self.numbers)}"}
+    async def send(
+        self, node: int, path: str = BAD, attempt: str = "a"
+    ) -> int:
+        headers = {"Attempt-Id": f"{attempt}-{next(self.numbers)}"}
         async with self.nodes[node].request(
             "GET", path, headers=headers
         ) as resp:
             await resp.read()
             return resp.status
 
+
+class RepeatedRequest(CrashCase):
+    """Callers send the same request to all nodes, in rounds."""
+
     async def send_round(self) -> None:
         """Send the request to all nodes, and wait for new servers."""
         copies = []
@@ -99,3 +111,60 @@
         for node in range(len(self.nodes)):
             self.assertEqual(502, await self.send(node))
             self.assertEqual(200, await self.send(node, GOOD))
+
+
+class CrashSoak(CrashCase):
+    """Callers send the same request at random instants."""
+
+    down_time = 2.0
+    # Requests a second that crash servers, and others, and time in which they
+    # are sent, in seconds.
+    bad_rate, good_rate = 4.0, 12.0
+    length = float(os.environ.get("CRASH_SOAK_SECONDS", "8"))
+    seeds = os.environ.get("CRASH_SOAK_SEEDS", "4")
+
+    async def test_repeats_stay_in_their_bound_and_sound_requests_are_served(
+        self,
+    ) -> None:
+        first, _, last = self.seeds.partition("-")
+        for seed in range(int(first), int(last or first) + 1):
+            with self.subTest(seed=seed):
+                await self.play(random.Random(seed))
+
+    async def play(self, rng: random.Random) -> None:
+        bad_path = f"{BAD}?{rng.random()}"
+        self.crashes.clear()
+        self.arrivals.clear()
+        until = time.monotonic() + self.length
+
+        async def send_bad(node: int) -> None:
+            """Send the request as a caller that tries once more."""
+            if await self.send(node, bad_path) == 502:
+                await self.send(rng.randrange(len(self.nodes)), bad_path)
+
+        async def send_good(node: int) -> None:
+            await self.send(node, GOOD, "sound")
+
+        async def send_all(
+            rate: float, send: Callable[[int], Coroutine[Any, Any, None]]
+        ) -> None:
+            async with asyncio.TaskGroup() as group:
+                while time.monotonic() < until:
+                    await asyncio.sleep(rng.expovariate(rate))
+                    group.create_task(send(rng.randrange(len(self.nodes))))
+
+        await asyncio.gather(
+            send_all(self.bad_rate, send_bad),
+            send_all(self.good_rate, send_good),
+        )
+        await asyncio.gather(*self.replacements)
+        self.replacements.clear()
+        bound = self.crashes[2] + CONTACT_TIME
+        late = [at for at in self.arrivals if at > bound]
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, self.crashes)
+        for run in self.nodes:
+            for line in run.lines.events("request.blocked"):
+                self.assertFalse(line["request"].startswith("sound"), line)
+        for node in range(len(self.nodes)):
+            self.assertEqual(502, await self.send(node, bad_path))
+            self.assertEqual(200, await self.send(node, GOOD))
--- a/tests/limpetwalk_node/gateway/test_poison_requests.py
+++ b/tests/limpetwalk_node/gateway/test_poison_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from typing import Any
 from unittest import mock
 
@@ -10,6 +11,7 @@
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import cluster_state
 from limpetwalk_node.gateway import poison_requests
+from limpetwalk_node.gateway import upstream
 
 from . import harness
 
@@ -210,9 +212,35 @@
             lambda: ("limpetwalk", "answered/aa") in store.rows
         )
 
+    async def test_request_sent_on_after_crashes_known_to_another_node(
+        self,
+    ) -> None:
+        state = self.run_.gateway.cluster_state
+        now = state.store_time()
+        known: list[str] = []
+        for number in range(3):
+            row = {
+                "at": now + number / 25,
+                "suspects": [[f"a-{number}", f"f-{number}", "aa"]],
+                "known_crashes": [known],
+            }
+            known = [*known, f"s-{number}.1"]
+            await self.run_.site.store.put(
+                "limpetwalk", f"crashed/s-{number}.1/node-2", row
+            )
+        await self.run_.until(
+            lambda: state.crash_suspects.crash_count(["aa"]) == 3
+        )
+        async with self.run_.stream() as resp:
+            self.assertEqual(502, resp.status)
+
     async def test_malformed_report_is_logged_and_ignored(self) -> None:
         store = self.run_.site.store
-        await store.put("limpetwalk", "crashed/s-1.1/node-2", {"at": 1})
+        await store.put(
+            "limpetwalk",
+            "crashed/s-1.1/node-2",
+            {"at": 1, "suspects": [["a", "f"]], "known_crashes": []},
+        )
         await store.put("limpetwalk", "answered/aa", [])
         await self.run_.until(
             lambda: len(self.run_.lines.events("row.unreadable")) == 2
@@ -221,6 +249,57 @@
             self.assertEqual(200, resp.status)
 
 
+class CheckOfAServer(harness.GatewayCase):
+    """Check whether a server crashed, while more requests break off."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        gateway = self.run_.gateway
+        self.finding = asyncio.Event()
+        self.refuses = True
+
+        async def connect(*args: Any) -> mock.Mock:
+            refuses = self.refuses
+            await self.finding.wait()
+            if refuses:
+                raise upstream.ServerUnreachable("refused", refused=True)
+            return mock.Mock()
+
+        self.requests = poison_requests.PoisonRequests(
+            "node-1",
+            gateway.cluster_state,
+            lambda: mock.AsyncMock(),
+            mock.Mock(connect=connect),
+            harness.journal(self.run_.lines),
+            random.Random(1),
+        )
+        self.addCleanup(self.requests.close)
+        (self.member,) = gateway.cluster_state.fleet.usable(site.PLAIN)
+
+    def break_off(self, attempt: str) -> mock.Mock:
+        """Let a request break off at the server."""
+        call = mock.Mock(
+            caller_attempt_id=attempt,
+            traits=("f",),
+            answering_since=None,
+            known_crashes={},
+        )
+        self.requests.record_sent(call, self.member.id)
+        self.requests.check_server(call, self.member)
+        return call
+
+    async def test_request_knows_of_a_crash_that_is_being_checked(
+        self,
+    ) -> None:
+        self.break_off("a-1")
+        entry = self.member.entry
+        call = self.break_off("a-2")
+        self.assertEqual(
+            {self.member.id: {f"{entry.id}.{entry.boot_ms}"}},
+            call.known_crashes,
+        )
+
+
 class PoisonCall(harness.GatewayCase):
     """The same request, which crashes plain servers, sent again and again."""
 
