Let a retry wait while the check of its server connects

A retry that came in between went out before it was known whether it would be blocked. Calls now stay until it is known why they broke off; those that broke off later than the connection are checked again.

test_retry_waits_for_a_check_that_is_under_way failed before. The test of a request that breaks off after the connection passed before, and guards that.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -208,8 +208,14 @@
     ) -> None:
         """Report the calls that broke off, if their server has crashed."""
         await asyncio.sleep(COLLECT_SECONDS)
-        broken_calls, report.unchecked = report.unchecked, []
+        broken_calls = list(report.unchecked)
         finding = await self._probe(member)
+        del report.unchecked[: len(broken_calls)]
+        if report.unchecked:
+            # These broke off after the connection that tells.
+            report.check = self._spawn(
+                self._report_crash(server, member, report)
+            )
         self._journal.emit(
             events.ServerChecked(
                 member.id,
@@ -219,7 +225,8 @@
             )
         )
         if finding != CRASHED:
-            self._reports.pop(server, None)
+            if not report.suspects and not report.unchecked:
+                self._reports.pop(server, None)
             return
         suspects = [
             crash_suspects.Suspect(
--- a/tests/limpetwalk_node/gateway/test_poison_requests.py
+++ b/tests/limpetwalk_node/gateway/test_poison_requests.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from limpetwalk.gateway import crash_suspects
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import cluster_state
 from limpetwalk_node.gateway import poison_requests
@@ -288,6 +289,39 @@
         self.requests.check_server(call, self.member)
         return call
 
+    def suspects(self) -> list[str]:
+        return [
+            line["request"]
+            for line in self.run_.lines.events("request.suspected")
+        ]
+
+    async def test_request_that_breaks_off_after_the_connection_is_checked(
+        self,
+    ) -> None:
+        self.refuses = False
+        self.break_off("a-1")
+        await asyncio.sleep(2 * poison_requests.COLLECT_SECONDS)
+        self.refuses = True
+        self.break_off("a-2")
+        self.finding.set()
+        await self.run_.until(self.suspects)
+        self.assertEqual(["a-2"], self.suspects())
+
+    async def test_retry_waits_for_a_check_that_is_under_way(self) -> None:
+        evidence = self.run_.gateway.cluster_state.crash_suspects
+        for number in range(2):
+            evidence.record_crash(
+                f"s-{number}", 0.0, [crash_suspects.Suspect("b", ("f",))]
+            )
+        call = self.break_off("a-1")
+        await asyncio.sleep(2 * poison_requests.COLLECT_SECONDS)
+        waiting = asyncio.create_task(self.requests.wait_for_check(call))
+        await asyncio.sleep(poison_requests.COLLECT_SECONDS)
+        self.assertFalse(waiting.done())
+        self.finding.set()
+        await waiting
+        self.assertEqual(["a-1"], self.suspects())
+
     async def test_request_knows_of_a_crash_that_is_being_checked(
         self,
     ) -> None:
