Publish an answer once the crashes that it and earlier ones cleared are two

Crashes stay in the store; that an answer had cleared them was written there only if two stood against the trait at that moment. With an answer after each crash it was one each time, so a node that starts read all crashes and no answer.

A node now counts the crashes that it has cleared without telling, and tells from two on. So at most one cleared crash of a trait stands in the store.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -369,7 +369,7 @@
                 self.published_answers, key=self.published_answers.__getitem__
             )
             del self.published_answers[oldest]
-        self.crash_suspects.record_answer([trait], at)
+        self.crash_suspects.record_published_answer(trait, at)
 
     def _apply_config(self, config: types.Config, full_read: bool) -> None:
         previous = self.catalog.version if self.catalog else 0
--- a/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
+++ b/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import math
+from typing import Any
 
 # Crashes that traits must explain before requests with them are blocked.
 CRASHES_TO_BLOCK = 3
@@ -82,6 +83,11 @@
         self._answered: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        # Crashes of traits that this node has cleared, and that others and
+        # the store may still hold against them.
+        self._cleared_here: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._blocks: list[frozenset[str]] | None = []
 
     def record_crash(
@@ -107,22 +113,26 @@
         """Clear the traits of a request whose answer has begun.
 
         :param at: instant of its first byte on the shared clock, in seconds.
-        :returns: the traits that other nodes may be about to block.
+        :returns: the traits that other nodes, also those that start later,
+            may be about to block.
         """
         exposed = []
         for trait in traits:
-            self._answered[trait] = max(
-                at, self._answered.pop(trait, -math.inf)
-            )
-            if trait not in self._servers:
-                continue
-            if len(self._servers[trait]) >= CRASHES_TO_BLOCK - 1:
+            standing = len(self._servers.get(trait, ()))
+            cleared_here = self._cleared_here.pop(trait, 0)
+            cleared = self._clear(trait, at)
+            if standing + cleared_here >= CRASHES_TO_BLOCK - 1:
                 exposed.append(trait)
-            self._clear(trait)
-        while len(self._answered) > MAX_ANSWERS:
-            self._answered.popitem(last=False)
+            elif cleared + cleared_here:
+                self._cleared_here[trait] = cleared + cleared_here
+        _bound(self._cleared_here, MAX_ANSWERS)
         return exposed
 
+    def record_published_answer(self, trait: str, at: float) -> None:
+        """Clear a trait of a request that any node has answered."""
+        self._clear(trait, at)
+        self._cleared_here.pop(trait, None)
+
     def crash_count(self, traits: Iterable[str]) -> int:
         """Return the largest number of crashes that one trait explains."""
         return max(
@@ -158,20 +168,28 @@
                 return block
         return frozenset()
 
-    def _clear(self, trait: str) -> None:
-        """Drop the crashes before the latest answer from a trait's."""
-        answered_at = self._answered[trait]
+    def _clear(self, trait: str, at: float) -> int:
+        """Drop the crashes before an answer from a trait's.
+
+        :returns: the number of crashes that were dropped.
+        """
+        answered_at = max(at, self._answered.pop(trait, -math.inf))
+        self._answered[trait] = answered_at
+        _bound(self._answered, MAX_ANSWERS)
+        servers = self._servers.get(trait, set())
         remaining = {
             server
-            for server in self._servers[trait]
+            for server in servers
             if self._crashes[server].at > answered_at
         }
-        if len(remaining) < len(self._servers[trait]):
+        cleared = len(servers) - len(remaining)
+        if cleared:
             self._blocks = None
         if remaining:
             self._servers[trait] = remaining
         else:
-            del self._servers[trait]
+            self._servers.pop(trait, None)
+        return cleared
 
     def _forget(self, server: str) -> None:
         crash = self._crashes.pop(server)
@@ -312,6 +330,12 @@
         )
 
 
+def _bound(entries: "collections.OrderedDict[str, Any]", most: int) -> None:
+    """Drop the oldest entries beyond a number."""
+    while len(entries) > most:
+        entries.popitem(last=False)
+
+
 def _without(
     unexplained: Mapping[str, set[str]], servers: Collection[str]
 ) -> dict[str, set[str]]:
--- a/tests/limpetwalk/gateway/test_crash_suspects.py
+++ b/tests/limpetwalk/gateway/test_crash_suspects.py
@@ -82,6 +82,25 @@
         exposed = self.suspects.record_answer(["busy", "p-0"], 5.0)
         self.assertEqual(["busy"], exposed)
 
+    def test_answers_are_returned_once_they_have_cleared_two_crashes(
+        self,
+    ) -> None:
+        returned = []
+        for number in range(4):
+            self.crash(number, suspect(f"a-{number}", "busy"))
+            returned.append(
+                self.suspects.record_answer(["busy"], number + 0.5)
+            )
+        self.assertEqual([[], ["busy"], [], ["busy"]], returned)
+
+    def test_published_answers_are_not_returned_again(self) -> None:
+        for number in range(2):
+            self.crash(number, suspect(f"a-{number}", "busy"))
+            self.assertEqual(
+                [], self.suspects.record_answer(["busy"], number + 0.5)
+            )
+            self.suspects.record_published_answer("busy", number + 0.6)
+
 
 class CrashesTogether(unittest.TestCase):
     """Servers that lose power together, and a request that crashes a row."""
--- a/tests/limpetwalk_node/gateway/test_poison_requests.py
+++ b/tests/limpetwalk_node/gateway/test_poison_requests.py
@@ -235,6 +235,33 @@
         async with self.run_.stream() as resp:
             self.assertEqual(502, resp.status)
 
+    async def test_answers_between_crashes_outlast_a_restart_of_nodes(
+        self,
+    ) -> None:
+        state = self.run_.gateway.cluster_state
+        for number in range(4):
+            row = {
+                "at": state.store_time(),
+                "suspects": [[f"a-{number}", f"f-{number}", "aa"]],
+                "known_crashes": [[f"s-{number - 1}.1"]],
+            }
+            await self.run_.site.store.put(
+                "limpetwalk", f"crashed/s-{number}.1/node-2", row
+            )
+            await self.run_.until(
+                lambda: state.crash_suspects.crash_count(["aa"])
+            )
+            async with self.run_.stream() as resp:
+                await resp.read()
+            await asyncio.sleep(0.3)
+        restarted = harness.RunningGateway(self.run_.site)
+        await restarted.start(name="node-3")
+        self.addAsyncCleanup(restarted.stop)
+        evidence = restarted.gateway.cluster_state.crash_suspects
+        self.assertLess(evidence.crash_count(["aa"]), 2)
+        async with restarted.stream() as resp:
+            self.assertEqual(200, resp.status)
+
     async def test_malformed_report_is_logged_and_ignored(self) -> None:
         store = self.run_.site.store
         await store.put(
