End each block after a time with one trial request

It now ends 300 s after the last crash (doubled with each further crash, to 4,800 s) for one request: at the node that ranks first for the traits, and at another one each 10 s. An answer clears, a crash prolongs. 300 s cost a service one server in that time while the request still comes; a sound one that was blocked waits that long at the most.

The tests of trials and of the time are new; without them there is no end to test.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -321,8 +321,9 @@
                 "shared", ports.Unreadable(server, (repr(exc),))
             )
             return
-        self.crash_suspects.record_crash(server, at, suspects)
-        age_ms = int((self.store_time() - at) * 1000)
+        now = self.store_time()
+        self.crash_suspects.record_crash(server, at, suspects, now)
+        age_ms = int((now - at) * 1000)
         self._journal.emit(
             events.CrashReported(node, server, len(suspects), age_ms)
         )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -513,6 +513,18 @@
     traits: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RequestTrial(Event):
+    """A request is sent although it is blocked, as the block's time is over.
+
+    :param traits: traits that are blocked.
+    """
+
+    name: ClassVar[str] = "request.trial"
+    request: str
+    traits: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class UnexpectedError(Event):
     """An unexpected error.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -278,7 +278,7 @@
             )
             return self._refuse(stopping, caller_attempt_id, arrived, call)
         open_request.call = call
-        if self._dispatcher.poison_requests.is_blocked(call):
+        if not self._dispatcher.poison_requests.may_start(call):
             poison = refusal.Refusal(refusal.Reason.POISON)
             return self._refuse(poison, caller_attempt_id, arrived, call)
         self._dispatcher.budget(call.service).record_request()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
+import math
 import random
 from typing import Any
 
@@ -16,6 +17,7 @@
 from limpetwalk.gateway import crash_suspects
 from limpetwalk.gateway import fleet
 from limpetwalk.gateway import ports
+from limpetwalk.peers import rendezvous
 
 from . import cluster_state
 from . import connector
@@ -47,6 +49,12 @@
 # faster.
 ANSWER_DELAY_PER_NODE = 0.01
 MAX_ANSWER_DELAY = 1.5
+# Time between two trials of a blocked request, at one node and between the
+# nodes, in seconds. It covers a run, the check of its server and the time
+# until all nodes know of the crash.
+TRIAL_INTERVAL = 10.0
+# Blocks whose latest trial is remembered.
+MAX_TRIALS = 1000
 # Published answers of this node that are written again if they get lost.
 MAX_OWN_ANSWERS = 200
 
@@ -116,19 +124,58 @@
         self._own_answers: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
+        self._trials: collections.OrderedDict[frozenset[str], float] = (
+            collections.OrderedDict()
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         state.on_restoration(self._write_lost_rows)
 
     def is_blocked(self, call: calls.Call) -> bool:
         """Whether requests like a call have crashed too many servers."""
-        blocking = self._cluster_state.crash_suspects.blocking(call.traits)
-        if blocking:
+        block = self._cluster_state.crash_suspects.block(call.traits)
+        if block is None:
+            return False
+        self._journal.emit(
+            events.RequestBlocked(
+                call.caller_attempt_id, tuple(sorted(block.traits))
+            )
+        )
+        return True
+
+    def may_start(self, call: calls.Call) -> bool:
+        """Whether a call may be sent: it isn't blocked, or is a trial.
+
+        When the time of a block is over, the nodes let one request through
+        after another. An answer ends the block, a crash prolongs it.
+        """
+        block = self._cluster_state.crash_suspects.block(call.traits)
+        if block is None:
+            return True
+        if self._is_trial(block):
             self._journal.emit(
-                events.RequestBlocked(
-                    call.caller_attempt_id, tuple(sorted(blocking))
+                events.RequestTrial(
+                    call.caller_attempt_id, tuple(sorted(block.traits))
                 )
             )
-        return bool(blocking)
+            return True
+        return not self.is_blocked(call)
+
+    def _is_trial(self, block: crash_suspects.Block) -> bool:
+        """Whether this node lets one request through a block now."""
+        nodes = self._cluster_state.nodes | {self._node}
+        order = rendezvous.rank(",".join(sorted(block.traits)), nodes)
+        now = self._cluster_state.store_time()
+        due = block.until + TRIAL_INTERVAL * order.index(self._node)
+        due = max(
+            due, self._trials.get(block.traits, -math.inf) + TRIAL_INTERVAL
+        )
+        if now < due:
+            return False
+        self._trials[block.traits] = now
+        self._trials.move_to_end(block.traits)
+        while len(self._trials) > MAX_TRIALS:
+            self._trials.popitem(last=False)
+        return True
 
     def record_sent(self, call: calls.Call, server_id: str) -> None:
         """Remember which crashes were known when a call was sent.
@@ -238,7 +285,8 @@
         ]
         report.suspects += suspects
         evidence = self._cluster_state.crash_suspects
-        evidence.record_crash(server, report.at, suspects)
+        now = self._cluster_state.store_time()
+        evidence.record_crash(server, report.at, suspects, now)
         for call in broken_calls:
             self._journal.emit(
                 events.CrashSuspected(
--- a/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
+++ b/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
@@ -29,6 +29,10 @@
 # Time within which several servers may crash of one cause, such as a loss of
 # power, in seconds.
 BURST_SECONDS = 0.25
+# Time after its last crash for which a trait is blocked, in seconds. It
+# doubles with each further crash, up to a number of times.
+BLOCK_SECONDS = 300.0
+MAX_DOUBLINGS = 4
 # Crashes and begun answers that are remembered.
 MAX_CRASHES = 400
 MAX_ANSWERS = 20_000
@@ -49,15 +53,30 @@
     known_crashes: frozenset[str] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Block:
+    """Block of requests that have some traits.
+
+    :param traits: requests that have all of them are blocked.
+    :param until: instant on the shared clock from which one may be tried
+        again, in seconds.
+    """
+
+    traits: frozenset[str]
+    until: float
+
+
 @dataclass(slots=True)
 class Crash:
     """Crash of a server, as all nodes have reported it so far.
 
     :param at: instant of the crash on the clock that the nodes share, in
         seconds.
+    :param heard_at: instant of the first report on that clock, in seconds.
     """
 
     at: float
+    heard_at: float
     suspects: set[Suspect] = field(default_factory=set)
     _by_trait: dict[str, list[Suspect]] = field(default_factory=dict)
 
@@ -88,17 +107,22 @@
         self._cleared_here: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self._blocks: list[frozenset[str]] | None = []
+        self._blocks: list[Block] | None = []
 
     def record_crash(
-        self, server: str, at: float, suspects: Iterable[Suspect]
+        self,
+        server: str,
+        at: float,
+        suspects: Iterable[Suspect],
+        heard_at: float = math.inf,
     ) -> None:
         """Record one node's report of a crash.
 
         :param server: identifies the server and its start.
         :param at: instant of the crash on the shared clock, in seconds.
+        :param heard_at: instant of the report on that clock, in seconds.
         """
-        crash = self._crashes.setdefault(server, Crash(at))
+        crash = self._crashes.setdefault(server, Crash(at, heard_at))
         crash.at = min(crash.at, at)
         for suspect in suspects:
             crash.add(suspect)
@@ -159,14 +183,22 @@
     def blocking(self, traits: Collection[str]) -> frozenset[str]:
         """Return the traits for which a request is blocked, or none.
 
+        :param traits: traits of the request.
+        """
+        block = self.block(traits)
+        return block.traits if block else frozenset()
+
+    def block(self, traits: Collection[str]) -> Block | None:
+        """Return the block that holds for a request, or None.
+
         :param traits: traits of the request.
         """
         if self._blocks is None:
             self._blocks = self._find_blocks()
         for block in self._blocks:
-            if block.issubset(traits):
+            if block.traits.issubset(traits):
                 return block
-        return frozenset()
+        return None
 
     def _clear(self, trait: str, at: float) -> int:
         """Drop the crashes before an answer from a trait's.
@@ -202,8 +234,8 @@
                 if not servers:
                     del self._servers[trait]
 
-    def _find_blocks(self) -> list[frozenset[str]]:
-        """Return sets of traits; requests that have all of one are blocked.
+    def _find_blocks(self) -> list[Block]:
+        """Return the blocks that the evidence demands.
 
         The traits that explain most crashes come first. What they explain is
         no evidence against the traits of requests that were at the same
@@ -214,7 +246,7 @@
             for trait, servers in self._servers.items()
             if len(servers) >= CRASHES_TO_BLOCK
         }
-        blocks: list[frozenset[str]] = []
+        blocks: list[Block] = []
         while unexplained:
             guilty = {
                 trait: self._crashes_in_row(trait, servers)
@@ -235,10 +267,23 @@
             )
             alternatives = self._alternatives(equal, servers)
             if len(alternatives) == 1 or guilty[trait] >= CRASHES_TO_BLOCK_ALL:
-                blocks += alternatives
+                until = self._blocked_until(servers)
+                blocks += [Block(subset, until) for subset in alternatives]
             unexplained = _without(unexplained, servers)
         return blocks
 
+    def _blocked_until(self, servers: Collection[str]) -> float:
+        """Return the instant until which the traits of crashes are blocked.
+
+        An instant that lies ahead of the shared clock doesn't prolong it.
+        """
+        last_crash_at = max(
+            min(self._crashes[server].at, self._crashes[server].heard_at)
+            for server in servers
+        )
+        doublings = min(len(servers) - CRASHES_TO_BLOCK, MAX_DOUBLINGS)
+        return last_crash_at + BLOCK_SECONDS * 2**doublings
+
     def _is_guilty(self, trait: str, servers: Collection[str]) -> bool:
         """Whether crashes of servers with a trait were no coincidence.
 
--- a/tests/limpetwalk/gateway/test_crash_suspects.py
+++ b/tests/limpetwalk/gateway/test_crash_suspects.py
@@ -211,6 +211,33 @@
         )
 
 
+class BlockTime(unittest.TestCase):
+    """Time after which a blocked request is tried again."""
+
+    def block_time(self, crashes: int, at: float, heard_at: float) -> float:
+        """Return the time from the last report to the end of the block."""
+        suspects = crash_suspects.CrashSuspects()
+        for number in range(crashes):
+            suspects.record_crash(
+                f"s-{number}",
+                at + number,
+                [suspect(f"a-{number}", "bad")],
+                heard_at + number,
+            )
+        block = suspects.block(["bad"])
+        assert block is not None
+        return block.until - (heard_at + crashes - 1)
+
+    def test_block_doubles_with_each_crash_up_to_a_limit(self) -> None:
+        times = [self.block_time(crashes, 5.0, 5.0) for crashes in range(3, 9)]
+        self.assertEqual([300, 600, 1200, 2400, 4800, 4800], times)
+
+    def test_crash_ahead_of_the_shared_clock_does_not_block_for_longer(
+        self,
+    ) -> None:
+        self.assertEqual(300, self.block_time(3, 1e6, 5.0))
+
+
 class CrashLoad(unittest.TestCase):
     """A fleet under a load with a part that crashes servers.
 
--- a/tests/limpetwalk_node/gateway/test_poison_requests.py
+++ b/tests/limpetwalk_node/gateway/test_poison_requests.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from limpetwalk.gateway import crash_suspects
+from limpetwalk.peers import rendezvous
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import cluster_state
 from limpetwalk_node.gateway import poison_requests
@@ -262,6 +263,60 @@
         async with restarted.stream() as resp:
             self.assertEqual(200, resp.status)
 
+    def block(self, run: harness.RunningGateway) -> None:
+        """Block a part at a node until just now."""
+        state = run.gateway.cluster_state
+        for number in range(3):
+            state.crash_suspects.record_crash(
+                f"s-{number}",
+                state.store_time()
+                - crash_suspects.BLOCK_SECONDS
+                - 3.0
+                + number,
+                [crash_suspects.Suspect(f"a-{number}", ("aa",))],
+            )
+
+    async def test_answer_to_a_trial_ends_a_block(self) -> None:
+        self.block(self.run_)
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+            await resp.read()
+        async with self.run_.stream() as resp:
+            self.assertEqual(200, resp.status)
+        self.assertEqual(1, len(self.run_.lines.events("request.trial")))
+
+    async def test_one_request_at_a_time_tries_a_block(self) -> None:
+        self.block(self.run_)
+        self.server("e-1").events = 1
+
+        async def hang(req: web.Request) -> None:
+            await asyncio.sleep(0.3)
+
+        self.server("e-1").behaviour = hang
+
+        async def send() -> int:
+            async with self.run_.stream() as resp:
+                return resp.status
+
+        statuses = await asyncio.gather(*(send() for _ in range(5)))
+        self.assertEqual([200, 502, 502, 502, 502], sorted(statuses))
+        self.assertEqual(1, len(self.server("e-1").received))
+
+    async def test_other_nodes_leave_the_trial_to_the_first(self) -> None:
+        other = harness.RunningGateway(self.run_.site)
+        await other.start(name="node-2")
+        self.addAsyncCleanup(other.stop)
+        runs = {"node-1": self.run_, "node-2": other}
+        for run in runs.values():
+            state = run.gateway.cluster_state
+            await run.until(lambda state=state: len(state.nodes) == 2)
+            self.block(run)
+        first, second = rendezvous.rank("aa", runs)
+        async with runs[second].stream() as resp:
+            self.assertEqual(502, resp.status)
+        async with runs[first].stream() as resp:
+            self.assertEqual(200, resp.status)
+
     async def test_malformed_report_is_logged_and_ignored(self) -> None:
         store = self.run_.site.store
         await store.put(
