Ask for a key wherever the configuration has tenants

Cause: admission took "no keys known" for "no keys asked for". Whether routes that aren't public ask for a key is now a field of the configuration: it has tenants, be their list empty, or has none at all.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
@@ -81,7 +81,7 @@
             workspace = current_catalog.workspace(key)
         if (
             workspace is None
-            and current_catalog.config.keys
+            and current_catalog.config.keys_required
             and not route.public
         ):
             return Err(refusal.Refusal(refusal.Reason.NO_KEY))
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -138,6 +138,7 @@
 
     :param version: grows with each change, not always by one.
     :param keys: workspaces by API key.
+    :param keys_required: whether routes that aren't public need a key.
     """
 
     version: int
@@ -145,6 +146,7 @@
     services: dict[str, Service]
     keys: dict[str, Workspace]
     limits: Limits
+    keys_required: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limpetwalk_node/gateway/test_frontend.py
+++ b/tests/limpetwalk_node/gateway/test_frontend.py
@@ -152,6 +152,39 @@
         async with self.run_.request("POST", "/once/x") as resp:
             self.assertEqual(401, resp.status)
 
+    async def test_no_request_runs_once_the_last_key_is_taken_away(
+        self,
+    ) -> None:
+        for version, tenants in (
+            (5, [{"name": site.WORKSPACE, "api_keys": []}]),
+            (6, []),
+        ):
+            await self.run_.site.store.put(
+                "op", "config", site.config_row(version, tenants=tenants)
+            )
+            state = self.run_.gateway.cluster_state
+            await self.run_.until(
+                lambda version=version: state.catalog.version == version
+            )
+            for key in (f"Token {site.API_KEY}", "Token never held", None):
+                with self.subTest(version=version, key=key):
+                    async with self.run_.request(
+                        "GET", "/again/x", headers={"Authorization": key}
+                    ) as resp:
+                        self.assertEqual(401, resp.status)
+        self.assertEqual([], self.server("p-1").received)
+
+    async def test_site_without_tenants_asks_for_no_key(self) -> None:
+        row = site.config_row(5)
+        del row["tenants"]
+        await self.run_.site.store.put("op", "config", row)
+        state = self.run_.gateway.cluster_state
+        await self.run_.until(lambda: state.catalog.version == 5)
+        async with self.run_.request(
+            "GET", "/again/x", headers={"Authorization": None}
+        ) as resp:
+            self.assertEqual(200, resp.status)
+
     async def test_older_configuration_is_ignored(self) -> None:
         await self.run_.site.store.put(
             "op", "config", site.config_row(version=7)
