Count a refused connection as a crash where no peer can tell

In a round in which all servers of a small site go down within some 50 ms, server.checked says "unreached", not "crashed": three failed connections put a node's links in doubt, its peers' links don't work either by the same count, so none could tell, and the crash wasn't reported. A count of failures stood in for their cause.

The check now counts the refusal unless a peer gets through or the node knows that it is cut off. A cut that only looks like it adds crashes without an order, which block nothing.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/connector.py
@@ -139,7 +139,10 @@
                     exchange = await by_peer.result()
             except NoPeer as exc:
                 if exc.asked and self.links.is_in_doubt(member.id):
-                    raise OSError(f"{failure!r}, peers can't tell") from None
+                    # It keeps its type: a refusal may count as a crash.
+                    raise type(failure)(
+                        f"{failure!r}, peers can't tell"
+                    ) from None
                 raise failure from None
             except TimeoutError:
                 raise failure from None
--- a/tests/limpetwalk_node/gateway/test_crash_rounds.py
+++ b/tests/limpetwalk_node/gateway/test_crash_rounds.py
@@ -23,8 +23,6 @@
 # of them; bounds of the users' rule.
 CONTACT_TIME = 3.0
 MAX_LATE_ARRIVALS = 3
-# Pause between two copies of the request in one round, in seconds.
-COPY_INTERVAL = 0.04
 BAD, GOOD = "/again/bad", "/again/good"
 
 
@@ -86,12 +84,15 @@
 class RepeatedRequest(CrashCase):
     """Callers send the same request to all nodes, in rounds."""
 
+    # Pause between two copies of the request in one round, in seconds.
+    copy_interval = 0.04
+
     async def send_round(self) -> None:
         """Send the request to all nodes, and wait for new servers."""
         copies = []
         for node in range(len(self.nodes)):
             copies.append(asyncio.create_task(self.send(node)))
-            await asyncio.sleep(COPY_INTERVAL)
+            await asyncio.sleep(self.copy_interval)
         await asyncio.gather(*copies)
         await asyncio.gather(*self.replacements)
         self.replacements.clear()
@@ -100,6 +101,16 @@
     async def test_request_that_crashes_all_servers_in_rounds_is_blocked(
         self,
     ) -> None:
+        await self.check_rounds()
+
+    async def test_request_that_crashes_all_servers_at_once_is_blocked(
+        self,
+    ) -> None:
+        self.copy_interval = 0.01
+        await self.check_rounds()
+
+    async def check_rounds(self) -> None:
+        """Check that few copies arrive later than the bound allows."""
         while len(self.crashes) < 3:
             await self.send_round()
         bound = self.crashes[2] + CONTACT_TIME
--- a/tests/limpetwalk_node/gateway/test_lost_links.py
+++ b/tests/limpetwalk_node/gateway/test_lost_links.py
@@ -182,18 +182,22 @@
 class BrokenAnswers(links.LinksCase):
     """Answers break off while connections of the node are refused."""
 
-    async def break_off(self, cut_off: bool = False) -> None:
+    async def break_off(
+        self, cut_off: bool = False, all_failed: bool = False
+    ) -> None:
         """Send a request whose answer breaks off, and wait for the check.
 
         :param cut_off: whether the node finds out at once.
+        :param all_failed: whether connections to all servers fail then.
         """
         node_links = self.nodes[0].gateway.links
 
         async def end(req: web.Request) -> None:
             self.links[0].cut(links.Fault.REFUSE)
-            for server_id in self.services if cut_off else ():
+            for server_id in self.services if cut_off or all_failed else ():
                 node_links.record_failed(server_id)
-                node_links.record_lost(server_id)
+                if cut_off:
+                    node_links.record_lost(server_id)
             assert req.transport is not None
             req.transport.abort()
 
@@ -217,6 +221,13 @@
         await self.break_off()
         self.assertEqual(1, len(self.suspected))
 
+    async def test_crash_while_all_servers_are_down_is_reported(self) -> None:
+        self.links[1].cut(links.Fault.REFUSE)
+        for server_id in self.services:
+            self.nodes[1].gateway.links.record_failed(server_id)
+        await self.break_off(all_failed=True)
+        self.assertEqual(1, len(self.suspected))
+
     async def test_cut_off_node_without_peers_reports_no_crash(self) -> None:
         self.nodes[1].gateway.tunnels.closing = True
         await self.break_off(cut_off=True)
