Take the rest of a refused request's body for no head

Seen in the review: a request that is refused before its body is read (404, 401, 503) had what was left of the body counted against the limit of the next head. From 24 KB on the connection was closed with a 431 that belongs to nothing, and the reset could cost the caller the refusal.

Heads are counted from the end of the body on; aiohttp reads the rest for up to 10 s. The test failed before (broken pipe after 24 KB of 90).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/caller_connection.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from aiohttp import streams
 from aiohttp import web
 
 TIMEOUT_RESPONSE = (
@@ -50,6 +51,7 @@
         "_head_complete",
         "_timer",
         "_busy",
+        "_body",
     )
 
     def __init__(
@@ -65,6 +67,7 @@
         self._on_limit = on_limit
         self._timer: asyncio.TimerHandle | None = None
         self._busy = False
+        self._body: streams.StreamReader | None = None
         self._expect_head()
 
     @property
@@ -80,15 +83,23 @@
         return bool(self._messages)
 
     def data_received(self, data: bytes) -> None:
-        """Count the bytes of a head."""
-        if not self._busy and not self._head_complete:
+        """Count the bytes of a head.
+
+        What is left of the body of a refused request isn't part of one.
+        """
+        in_body = self._body is not None and not self._body.is_eof()
+        if not self._busy and not in_body and not self._head_complete:
             self._count_head(data)
         super().data_received(data)
 
-    def begin_request(self) -> None:
-        """Record that a request is being answered."""
+    def begin_request(self, body: streams.StreamReader) -> None:
+        """Record that a request is being answered.
+
+        :param body: body of the request.
+        """
         self._expect_head()
         self._busy = True
+        self._body = body
 
     def end_request(self) -> None:
         """Record that a request was answered."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -187,7 +187,7 @@
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         conn = req.protocol
         assert isinstance(conn, caller_connection.CallerConnection)
-        conn.begin_request()
+        conn.begin_request(req.content)
         try:
             return await self._handle_request(req)
         finally:
--- a/tests/limpetwalk_node/gateway/test_frontend.py
+++ b/tests/limpetwalk_node/gateway/test_frontend.py
@@ -132,6 +132,28 @@
         ) as resp:
             self.assertEqual(401, resp.status)
 
+    async def test_caller_that_is_refused_before_its_body_gets_the_answer(
+        self,
+    ) -> None:
+        host, port = self.run_.gateway.addresses["callers"]
+        reader, writer = await asyncio.open_connection(host, port)
+        self.addCleanup(writer.close)
+        body = b"x" * 90_000
+        fields = {
+            **site.request_headers("a-9", 2000),
+            "Content-Length": str(len(body)),
+        }
+        head = "".join(f"{name}: {text}\r\n" for name, text in fields.items())
+        for path, status in (("nowhere", b"404"), ("once", b"200")):
+            writer.write(f"POST /{path}/x HTTP/1.1\r\n{head}\r\n".encode())
+            for start in range(0, len(body), 10_000):
+                writer.write(body[start : start + 10_000])
+                await asyncio.sleep(0.01)
+            answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+            self.assertEqual(status, answer.split()[1])
+            length = answer.lower().split(b"content-length: ")[1]
+            await reader.readexactly(int(length.split(b"\r\n")[0]))
+
     async def test_body_over_the_limit(self) -> None:
         async with self.run_.request(
             "POST", "/once/x", data=b"x" * 100_001
