--- a/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/table_follower.py
@@ -134,7 +134,8 @@
             retry_pause = MIN_RETRY_PAUSE
             self._count_read("ok")
             self._note_answer()
-            if 0 < self._latest.era < batch.version.era:
+            has_read = self._latest > types.Version()
+            if has_read and self._latest.era < batch.version.era:
                 self._note_restoration(batch)
             if batch.full_read and not self._is_settled():
                 batch = dataclasses.replace(
--- a/tests/limpetwalk_node/gateway/test_table_follower.py
+++ b/tests/limpetwalk_node/gateway/test_table_follower.py
@@ -119,6 +119,17 @@
         feed = await self.follow(3, exceptions.HistoryLost("3"), 9)
         self.assertEqual([None, 3, None, 9], feed.calls)
 
+    async def test_first_restoration_of_a_store_is_noticed(self) -> None:
+        await self.follow(
+            types.Version(0, 9),
+            exceptions.HistoryLost(),
+            types.Version(1, 4),
+        )
+        self.assertEqual(
+            [(True, False), (False, True)],
+            [(batch.full_read, batch.restored) for batch in self.batches],
+        )
+
     async def test_rows_are_kept_until_a_restored_table_has_settled(
         self,
     ) -> None:
