Let signals wait until the program handles them

The handlers came after the imports and the first read of the settings; until then, and again once the event loop had restored the default actions at the end, a signal ended the process. They are blocked now from the first statement on, released once all handlers are set, and blocked again before the loop ends. A signal that came in between is handled, so a SIGHUP reloads and a SIGTERM stops in order.

Not covered: the interpreter's own start, some hundredths of a second.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/__main__.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/__main__.py
@@ -9,6 +9,8 @@
 import socket
 import sys
 
+from . import signals
+
 LISTEN_FLAG = "--listen="
 # Number of connections that may wait until the program accepts them.
 BACKLOG = 512
@@ -34,6 +36,7 @@
 
 def run() -> None:
     """Run the program."""
+    signals.hold()
     try:
         sock = listen(sys.argv)
     except (OSError, ValueError) as exc:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import signal
 import socket
 import sys
 import time
@@ -20,6 +19,7 @@
 from . import events
 from . import logs
 from . import node
+from . import signals
 
 EXIT_OK = 0
 EXIT_SETTINGS = 1
@@ -102,7 +102,7 @@
         if not signalled.done():
             signalled.set_result(loop.time())
 
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in signals.STOP:
         loop.add_signal_handler(signal_number, stop)
     gateway = node.Gateway(
         platform=platform,
@@ -116,7 +116,8 @@
         ),
         max_buffered_bytes=_BUFFERED_KIB.value * buffers.KIB,
     )
-    loop.add_signal_handler(signal.SIGHUP, gateway.reload)
+    loop.add_signal_handler(signals.RELOAD, gateway.reload)
+    signals.release()
     entry = aiomisc.entrypoint(log_config=False, catch_signals=())
     async with entry as services:
         await services.start_services(gateway)
@@ -135,4 +136,5 @@
                 gateway.frontend.ended_requests, journal.dropped
             )
         )
+    signals.hold()
     journal.flush(0.2)
