Bound what the bodies of requests take of a node's memory together

Each body was bounded, all together were not, and each was held up to three times (read, joined to its head, in the transport).

One account counts the bodies, answers and carried connections that a node holds; its limit is 0.4 of the memory that the platform names. A body is let in before it is read, if it fits and leaves its workspace at no more than twice what stays free; else 503 memory_used, not run, Retry-After 0.5 to 2 s. Bodies aren't joined to their heads any more.

The tests are new and need the account; a run of theirs without it means nothing.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
@@ -10,6 +10,7 @@
 
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import catalog
+from limpetwalk.gateway import memory_account
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import refusal
 from limpetwalk.gateway import types
@@ -20,6 +21,9 @@
 # Retry-After of a node that has no configuration yet, seconds: about the time
 # that a read of the store takes.
 START_RETRY_AFTER = 0.5
+# Bounds of the Retry-After of a body for which there is no room, seconds:
+# about the time in which requests end and make room.
+MEMORY_RETRY_AFTER = (0.5, 2.0)
 # Time subtracted from each deadline, so that the answer reaches the caller
 # before it, seconds.
 DEADLINE_MARGIN = 0.02
@@ -87,16 +91,27 @@
             return Err(refusal.Refusal(refusal.Reason.NO_KEY))
         return Ok(AdmittedRequest(current_catalog, route, workspace))
 
-    async def read_body(self, req: web.BaseRequest) -> bytes | None:
-        """Return the complete body, or None when it exceeds the limit."""
+    async def read_body(
+        self, req: web.BaseRequest, held: memory_account.HeldBytes
+    ) -> Result[bytes, refusal.Refusal]:
+        """Return the complete body, or the refusal to answer with.
+
+        A body of known length that has no room is refused before it is read.
+
+        :param held: what the request holds.
+        """
         current_catalog = self._cluster_state.catalog
         limit = (
             current_catalog.config.limits.body_bytes if current_catalog else 0
         )
-        if (req.content_length or 0) > limit:
-            return None
+        too_large = refusal.Refusal(refusal.Reason.BODY_TOO_LARGE)
+        length = req.content_length
+        if (length or 0) > limit:
+            return Err(too_large)
         if not req.body_exists:
-            return b""
+            return Ok(b"")
+        if length is not None and not held.try_add(length):
+            return Err(self._no_memory())
         if req.headers.get("Expect", "").lower() == "100-continue":
             if req.transport is not None:
                 req.transport.write(CONTINUE)
@@ -104,8 +119,17 @@
         async for chunk in req.content.iter_any():
             data += chunk
             if len(data) > limit:
-                return None
-        return bytes(data)
+                return Err(too_large)
+            if length is None and not held.try_add(len(chunk)):
+                return Err(self._no_memory())
+        return Ok(bytes(data))
+
+    def _no_memory(self) -> refusal.Refusal:
+        """Return the refusal of a body for which there is no room."""
+        return refusal.Refusal(
+            refusal.Reason.NO_MEMORY,
+            round(self._rng.uniform(*MEMORY_RETRY_AFTER), 2),
+        )
 
     def build_call(
         self,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -525,6 +525,19 @@
     traits: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryBound(Event):
+    """Bodies of requests are turned away for want of memory, or no more.
+
+    :param parts: bytes held, by part.
+    """
+
+    name: ClassVar[str] = "memory.bound"
+    holds: bool
+    held_bytes: int
+    parts: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class UnexpectedError(Event):
     """An unexpected error.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -12,6 +12,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import call as calls
+from limpetwalk.gateway import memory_account
 from limpetwalk.gateway import refusal
 from limpetwalk.gateway import types
 
@@ -53,11 +54,13 @@
 
     :param task: task that answers it.
     :param call: the call that it makes, once the request was read.
+    :param held: what it holds until it has ended.
     :param ended: whether the node ends it because it stops.
     """
 
     task: "asyncio.Task[Any] | None"
     call: calls.Call | None = None
+    held: memory_account.HeldBytes | None = None
     ended: bool = False
 
 
@@ -65,6 +68,7 @@
     """HTTP server for callers.
 
     :param state: configuration, servers and nodes known to this node.
+    :param memory: account of the bytes that the node holds.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         state: cluster_state.ClusterState,
         admission_checks: admission.Admission,
         dispatcher: dispatch.Dispatcher,
+        memory: memory_account.MemoryAccount,
         clock: clocks.Clock,
         journal: logs.Journal,
         metrics: metrics_.Metrics,
@@ -80,6 +85,7 @@
         self._cluster_state = state
         self._admission = admission_checks
         self._dispatcher = dispatcher
+        self._memory = memory
         self._clock = clock
         self._journal = journal
         self._plain = plain.PlainForwarder(dispatcher)
@@ -241,6 +247,8 @@
             )
         finally:
             self._open.discard(open_request)
+            if open_request.held is not None:
+                open_request.held.release()
         if self.closing and not resp.prepared and not _has_next(req):
             resp.force_close()
         self._requests.labels(str(resp.status)).inc()
@@ -259,18 +267,20 @@
         admitted = self._admission.admit(req)
         if isinstance(admitted, Err):
             return self._refuse(admitted.err_value, caller_attempt_id, arrived)
+        workspace = admitted.ok_value.workspace
+        held = self._memory.body(workspace.name if workspace else "")
+        open_request.held = held
         try:
             body = await outbound.with_timeout(
-                self._admission.read_body(req), BODY_TIMEOUT
+                self._admission.read_body(req, held), BODY_TIMEOUT
             )
         except TimeoutError:
             slow_body = refusal.Refusal(refusal.Reason.SLOW_BODY)
             return self._refuse(slow_body, caller_attempt_id, arrived)
-        if body is None:
-            too_large = refusal.Refusal(refusal.Reason.BODY_TOO_LARGE)
-            return self._refuse(too_large, caller_attempt_id, arrived)
+        if isinstance(body, Err):
+            return self._refuse(body.err_value, caller_attempt_id, arrived)
         call = self._admission.build_call(
-            req, admitted.ok_value, body, arrived
+            req, admitted.ok_value, body.ok_value, arrived
         )
         if self.refusing_late and self._may_be_cut(call):
             stopping = refusal.Refusal(
@@ -286,7 +296,7 @@
             return await self._stream(call, req)
         if call.route.retryable:
             return self._finish_plain(call, await self._plain.serve(call))
-        return await self._serve_to_completion(call)
+        return await self._serve_to_completion(call, open_request)
 
     def _may_be_cut(self, call: calls.Call) -> bool:
         """Whether a call may need more time than this node has left."""
@@ -323,12 +333,15 @@
             await asyncio.sleep(FIRST_READ_CHECK_INTERVAL)
 
     async def _serve_to_completion(
-        self, call: calls.Call
+        self, call: calls.Call, open_request: _OpenRequest
     ) -> web.StreamResponse:
         """Serve a call that continues to run when the caller has left."""
         task = asyncio.create_task(self._plain.serve(call))
         self._background.add(task)
         task.add_done_callback(self._background.discard)
+        held, open_request.held = open_request.held, None
+        if held is not None:
+            task.add_done_callback(lambda done: held.release())
         return self._finish_plain(call, await asyncio.shield(task))
 
     def _finish_plain(
@@ -346,7 +359,7 @@
                 call, result.head.status, result.server, elapsed_seconds
             )
         )
-        return replies.complete_response(result)
+        return replies.complete_response(result, self._memory)
 
     async def _stream(
         self, call: calls.Call, req: web.BaseRequest
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -18,6 +18,7 @@
 from limpetwalk import exceptions
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import buffers
+from limpetwalk.gateway import memory_account
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import server_links
 from limpetwalk.gateway import store_watch
@@ -72,6 +73,9 @@
 # Upper bound of the random delay of a write that all nodes may have to make
 # after a restoration of the store, seconds for each node.
 WRITE_DELAY_PER_NODE = 0.01
+# Share of a process's memory for what callers and servers send. The rest is
+# for the program, connections and what is copied while it is read.
+MEMORY_SHARE = 0.4
 # Size of the secret by which other nodes ask this one for tunnels, bytes.
 SECRET_BYTES = 16
 
@@ -154,12 +158,14 @@
             buffers.BufferBudget(self.max_buffered_bytes),
             self.limits,
         )
+        self.memory = self._memory_account()
         self.frontend = frontend.Frontend(
             self.cluster_state,
             admission.Admission(
                 self.cluster_state, platform.header_format, random.Random()
             ),
             self.dispatcher,
+            self.memory,
             clock,
             self.journal,
             self.metrics,
@@ -235,6 +241,29 @@
             for name, (server, address) in listeners.items()
         }
 
+    def _memory_account(self) -> memory_account.MemoryAccount:
+        account = memory_account.MemoryAccount(
+            lambda: MEMORY_SHARE * self.platform.settings.memory_bytes,
+            lambda holds: self.journal.emit(
+                events.MemoryBound(holds, account.total_bytes, account.parts)
+            ),
+        )
+        budget = self.dispatcher.buffer_budget
+        account.count("incomplete_answers", lambda: budget.total_bytes)
+        account.count("tunnels", lambda: self.tunnels.held_bytes)
+        gauge = self.metrics.gauge(
+            "limpetwalk_held_bytes",
+            "Bytes held for callers and servers, by part.",
+            ("part",),
+        )
+
+        def size_of(part: str) -> Callable[[], float]:
+            return lambda: account.parts[part]
+
+        for part in account.parts:
+            gauge.labels(part).set_function(size_of(part))
+        return account
+
     @property
     def addresses(self) -> dict[str, tuple[str, int]]:
         """Return the listening addresses by purpose."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/replies.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/replies.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 import multidict
 
+from limpetwalk.gateway import memory_account
 from limpetwalk.gateway import refusal
 
 from . import outbound
@@ -42,13 +43,34 @@
     )
 
 
-def complete_response(answer: outbound.CompleteAnswer) -> web.Response:
-    """Return a response with the unchanged answer of a server."""
-    return web.Response(
+class _HeldResponse(web.Response):
+    """Response whose body is held until the caller has read most of it."""
+
+    held: memory_account.HeldBytes | None = None
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Write the body and release it."""
+        try:
+            await super().write_eof(data)
+        finally:
+            if self.held is not None:
+                self.held.release()
+
+
+def complete_response(
+    answer: outbound.CompleteAnswer, memory: memory_account.MemoryAccount
+) -> web.Response:
+    """Return a response with the unchanged answer of a server.
+
+    :param memory: account of the bytes that the node holds.
+    """
+    resp = _HeldResponse(
         status=answer.head.status,
         headers=forwarded_headers(answer.head.headers),
         body=answer.body,
     )
+    resp.held = memory.answer(len(answer.body))
+    return resp
 
 
 def refusal_response(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/tunnels.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/tunnels.py
@@ -107,6 +107,11 @@
             "Connections to servers that are carried for other nodes.",
         ).set_function(lambda: self.open_count)
 
+    @property
+    def held_bytes(self) -> int:
+        """Largest size of what the open tunnels hold, in bytes."""
+        return 2 * BUFFER_BYTES * self.open_count
+
     @property
     def open_count(self) -> int:
         """Number of connections that are carried for other nodes."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/upstream.py
@@ -120,17 +120,21 @@
         if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             framed.append((b"Content-Length", str(len(body)).encode()))
         try:
-            data = self._conn.send(
+            head = self._conn.send(
                 h11.Request(method=method, target=target, headers=framed)
             )
             if body:
-                data += self._conn.send(h11.Data(data=body)) or b""
-            data += self._conn.send(h11.EndOfMessage()) or b""
+                self._conn.send(h11.Data(data=body))
+            self._conn.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             raise ServerUnreachable(
                 f"request is not valid HTTP: {exc}"
             ) from exc
-        self._writer.write(data)
+        # Framed by its length, the body is sent as it is. It isn't joined to
+        # the head, which would copy it.
+        self._writer.write(head)
+        if body:
+            self._writer.write(body)
 
     async def head(self) -> ResponseHead:
         """Return the status and headers of the response.
--- a/packages/limpetwalk/limpetwalk/gateway/refusal.py
+++ b/packages/limpetwalk/limpetwalk/gateway/refusal.py
@@ -17,6 +17,7 @@
     NO_KEY = ("unknown_key", 401)
     BODY_TOO_LARGE = ("body_too_large", 413)
     UNREADABLE = ("unreadable_request", 400)
+    NO_MEMORY = ("memory_used", 503)
     SLOW_BODY = ("body_not_received", 408)
     NO_SERVER = ("no_server", 503)
     REJECTED = ("rejected_by_servers", 503)
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -12,6 +12,8 @@
 # length of an id in characters.
 MAX_SHARED_PARTS = 32
 MAX_PART_ID = 40
+# Memory of a process where the platform names none, bytes.
+DEFAULT_MEMORY_BYTES = 300e6
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -302,6 +304,7 @@
     :param callers: ``(host, port)`` for callers.
     :param readiness: ``(host, port)`` of the readiness check.
     :param metrics: ``(host, port)`` of the metrics page.
+    :param memory_bytes: memory above which the process is killed.
     """
 
     name: str
@@ -310,4 +313,5 @@
     readiness: tuple[str, int]
     metrics: tuple[str, int]
     peers: tuple[str, int]
+    memory_bytes: float = DEFAULT_MEMORY_BYTES
     bounds: Bounds = field(default_factory=Bounds)
--- /dev/null
+++ b/tests/limpetwalk_node/gateway/test_memory.py
@@ -0,0 +1,75 @@
+"""Tests of the memory that bodies of requests may take in a gateway."""
+
+import asyncio
+from unittest import mock
+
+from aiohttp import web
+
+from limpetwalk_node.gateway import node
+
+from . import harness
+
+BODY = b"x" * 90_000
+# Limit for four bodies of one workspace.
+LIMIT = 600_000
+
+
+class RequestBodies(harness.GatewayCase):
+    """Bodies of allowed size, but more than the node can hold."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        settings = self.run_.gateway.platform.settings
+        share = LIMIT / settings.memory_bytes
+        self.enterContext(mock.patch.object(node, "MEMORY_SHARE", share))
+        self.ended = asyncio.Event()
+
+        async def hang(req: web.Request) -> None:
+            await self.ended.wait()
+
+        self.server("p-1").behaviour = hang
+
+    async def send(self, path: str = "/once/x", **kwargs: object) -> int:
+        async with self.run_.request("POST", path, **kwargs) as resp:
+            await resp.read()
+            if resp.status == 503:
+                self.assertIn("Retry-After", resp.headers)
+            return resp.status
+
+    async def fill(self) -> list["asyncio.Task[int]"]:
+        tasks = [asyncio.create_task(self.send(data=BODY)) for _ in range(4)]
+        await self.run_.until(lambda: len(self.server("p-1").received) == 4)
+        return tasks
+
+    async def test_body_without_room_is_refused_and_not_run(self) -> None:
+        tasks = await self.fill()
+        self.assertEqual(503, await self.send(data=BODY))
+
+        async def chunks():  # type: ignore[no-untyped-def]
+            for _ in range(9):
+                yield BODY[:10_000]
+
+        self.assertEqual(503, await self.send(data=chunks()))
+        self.assertEqual(4, len(self.server("p-1").received))
+        self.ended.set()
+        self.assertEqual([200] * 4, await asyncio.gather(*tasks))
+        self.assertEqual(200, await self.send(data=BODY))
+        holds = [
+            line["holds"] for line in self.run_.lines.events("memory.bound")
+        ]
+        self.assertEqual([True, False], holds)
+
+    async def test_memory_is_free_once_requests_have_ended(self) -> None:
+        tasks = await self.fill()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.ended.set()
+        frontend = self.run_.gateway.frontend
+        await self.run_.until(lambda: not frontend.busy)
+        for path in ("/nowhere/x", "/again/x", "/once/x"):
+            await self.send(path, data=BODY)
+        async with self.run_.stream() as resp:
+            await resp.read()
+        await self.run_.until(lambda: not frontend.busy)
+        self.assertEqual(0, self.run_.gateway.memory.total_bytes)
