Take a node for cut off by its failures only, not by a quiet second

A node with two lost links that had connected to nothing for a second took itself for cut off, although its other links work; a quiet second says nothing of them. Now three servers must have failed since it last connected.

--- a/packages/limpetwalk/limpetwalk/gateway/server_links.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_links.py
@@ -22,12 +22,12 @@
 MAX_PAUSE = 3.0
 # Shares of a pause between which its length is drawn.
 JITTER = (0.7, 1.0)
-# Lost links that make a node cut off, if it has not connected to any server
-# for ``WORKING_WINDOW`` seconds, or has since failed to connect to
-# ``MIN_FAILED_SERVERS``.
+# Lost links that make a node cut off, if it has failed to connect to
+# ``MIN_FAILED_SERVERS`` since it last connected to any.
 MIN_LOST_LINKS = 2
-WORKING_WINDOW = 1.0
 MIN_FAILED_SERVERS = 3
+# Time for which a connection shows that this node's links work, in seconds.
+WORKING_WINDOW = 1.0
 # Bounds of the time between two direct attempts of a node that is cut off, in
 # seconds.
 PROBE_INTERVAL = (0.2, 0.4)
@@ -159,10 +159,7 @@
         if (
             not self.cut_off
             and len(self._lost) >= MIN_LOST_LINKS
-            and (
-                len(self._failed) >= MIN_FAILED_SERVERS
-                or now - self._connected_at >= WORKING_WINDOW
-            )
+            and len(self._failed) >= MIN_FAILED_SERVERS
         ):
             self._set_cut_off(True)
 
--- a/tests/limpetwalk/gateway/test_server_links.py
+++ b/tests/limpetwalk/gateway/test_server_links.py
@@ -60,6 +60,15 @@
             self.links.prefers_peer("d") or self.links.prefers_peer("d")
         )
 
+    def test_quiet_node_with_two_lost_links_is_not_cut_off(self) -> None:
+        self.links.record_connected("c")
+        self.clock.advance(60.0)
+        self.lose("a", "b")
+        self.assertFalse(self.links.cut_off)
+        self.assertFalse(self.links.prefers_peer("c"))
+        self.lose("c")
+        self.assertTrue(self.links.cut_off)
+
     def test_node_that_reaches_some_servers_is_not_cut_off(self) -> None:
         for server_id in ("a", "b", "c"):
             self.lose(server_id)
