Complete or revert a roll-out only where a server of that version is up

The roll-out stood at its first stage again, all servers but the new ones were gone, and the nodes gave requests only to versions without servers. A second later the leader reverted for want of proof.

A decision that can't be undone was taken without asking whether there is a server to go to; the entries of the copy don't tell, since the servers behind them may be gone. Now a server is known to be up when it has answered since the start or restoration, or its entry has outlasted the time in which it would have expired. Without one nothing is reverted (a version that fails is halted), and after five seconds without one the ordered version serves and completes.

Ruled out: a newer sequence in the entry as proof (heartbeats that change only that don't reach the feed).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -194,6 +194,8 @@
     def apply_servers(self, batch: ports.Batch[types.Server]) -> None:
         """Apply entries of backend servers."""
         present = set()
+        if batch.restored:
+            self.fleet.doubt_entries()
 
         def apply(change: ports.Change[types.Server]) -> None:
             entry = change.entry
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -317,6 +317,11 @@
         """
         now = self.clock.monotonic()
         outcome = failure.outcome if failure else None
+        if outcome not in (
+            retries.Outcome.UNKNOWN,
+            retries.Outcome.UNREACHED,
+        ):
+            member.heard_at = now
         link_lost = failure is not None and self._is_link_lost(member, failure)
         failed = outcome not in (None, retries.Outcome.NOT_RUN)
         unreached = outcome is retries.Outcome.UNREACHED
@@ -619,6 +624,7 @@
             call.service,
             available_versions,
             state.fleet.trusted_versions(call.service),
+            state.fleet.proven_versions(call.service),
         )
         chosen = state.rollouts.choose_versions(
             split, call.session or call.caller_attempt_id, self.bounds.session
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/rollouts.py
@@ -299,10 +299,12 @@
         stage = self._known_rollouts.stage(order.service)
         observed = self._collect_evidence(order, stage, rows)
         self._log_evidence(order, observed)
+        fleet = self._cluster_state.fleet
         ready = any(
             member.entry.version == order.target
-            for member in self._cluster_state.fleet.usable(order.service)
+            for member in fleet.usable(order.service)
         )
+        proven_versions = fleet.proven_versions(order.service)
         decided_stage = rollout_policy.next_stage(
             stage,
             order,
@@ -311,6 +313,7 @@
             ready,
             self._known_rollouts.order_age(order.service),
             now,
+            self._known_rollouts.base_state(order.service, proven_versions),
         )
         if decided_stage is not None:
             await self._publish(order.service, decided_stage, lease_version)
--- a/packages/limpetwalk/limpetwalk/gateway/fleet.py
+++ b/packages/limpetwalk/limpetwalk/gateway/fleet.py
@@ -14,6 +14,10 @@
 # register again after its recovery, as the platform states. Until then they
 # may still be used.
 EXPIRY_GRACE = 2.0
+# Time after which an entry that was read at a node's start, or from the copy
+# of a restored store, shows that its server is up, in seconds: entries expire
+# after three intervals of about a second.
+ENTRY_PROOF_TIME = 5.0
 # Half-life of a recorded outcome's weight, in seconds. At the supported
 # deployment sizes, each node sends a server several requests in this time.
 FAILURE_HALF_LIFE = 4.0
@@ -113,6 +117,7 @@
     :param expires_at: instant from which a server whose entry was removed
         is no longer used.
     :param health: health of the server as seen by this node.
+    :param heard_at: instant at which it last answered this node.
     """
 
     entry: types.Server
@@ -120,6 +125,7 @@
     cold_until: float = -math.inf
     expires_at: float = math.inf
     health: ServerHealth = field(default_factory=ServerHealth)
+    heard_at: float = -math.inf
 
     @property
     def id(self) -> str:
@@ -146,6 +152,8 @@
         self._by_service: dict[str, list[Member]] = {}
         self._trusted_versions: dict[str, set[str]] = {}
         self._store_recovered_at = -math.inf
+        # Instant of the first read, or of the store's last restoration.
+        self._doubted_at = -math.inf
         self.evacuated: frozenset[str] = frozenset()
         self.fully_read = False
 
@@ -153,6 +161,10 @@
         """Record that the store responds again after an outage."""
         self._store_recovered_at = self._clock.monotonic()
 
+    def doubt_entries(self) -> None:
+        """Record that entries may be of servers that are gone."""
+        self._doubted_at = self._clock.monotonic()
+
     def put(
         self, entry: types.Server, row_version: types.Version
     ) -> Member | None:
@@ -220,6 +232,8 @@
         :returns: identifiers of the servers that are removed now.
         """
         missing = set(self._members) - set(ids)
+        if not self.fully_read:
+            self.doubt_entries()
         self.fully_read = True
         removed = [
             server_id for server_id in missing if self.remove(server_id)
@@ -249,6 +263,20 @@
                 continue
             yield member
 
+    def proven_versions(self, service: str) -> set[str]:
+        """Return the versions of the usable servers that are known to be up.
+
+        A server has answered since its entry was in doubt, or the entry has
+        outlasted the time in which it would have expired.
+        """
+        doubted_at = self._doubted_at
+        settled = self._clock.monotonic() - doubted_at >= ENTRY_PROOF_TIME
+        return {
+            member.entry.version
+            for member in self.usable(service)
+            if settled or member.heard_at >= doubted_at
+        }
+
     def trusted_versions(self, service: str) -> set[str]:
         """Return the versions that served before any roll-out was ordered."""
         return self._trusted_versions.setdefault(service, set())
--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -18,6 +18,9 @@
 # Maximum number of sessions whose version is remembered; the least recently
 # used are evicted.
 MAX_SESSIONS = 20_000
+# Time without a server of another version after which the ordered one gets all
+# requests, in seconds. It covers the restart of servers that lost power.
+BASE_GONE_TIME = 5.0
 # Largest instant, in seconds, and number of requests of a stage.
 MAX_INSTANT = 2.0**63
 MAX_REQUESTS = 2**53
@@ -38,6 +41,19 @@
     REVERTED = "reverted"
 
 
+class BaseState(enum.Enum):
+    """Servers of other versions than the ordered one.
+
+    :cvar READY: there are some.
+    :cvar ABSENT: there are none, but were a moment ago.
+    :cvar GONE: there have been none for ``BASE_GONE_TIME``.
+    """
+
+    READY = "ready"
+    ABSENT = "absent"
+    GONE = "gone"
+
+
 @dataclass(frozen=True, slots=True)
 class Stage:
     """Stage of a roll-out, as decided by the leader.
@@ -99,6 +115,14 @@
         stage._check()
         return stage
 
+    @property
+    def may_get_all(self) -> bool:
+        """Whether the version may serve where there is no other.
+
+        It gets no requests once it was found to fail.
+        """
+        return self.phase is not Phase.REVERTED and self.share > 0
+
     def _check(self) -> None:
         """Raise ``ValueError`` when a field has no possible value."""
         if not isinstance(self.target, str) or not isinstance(
@@ -132,6 +156,7 @@
         self.stage_versions: dict[str, types.Version] = {}
         self.lost_stages: set[str] = set()
         self._sessions: dict[str, tuple[str, float]] = {}
+        self._base_absent_since: dict[str, float] = {}
 
     def apply_order(
         self, order: types.RolloutOrder, restored: bool = False
@@ -261,17 +286,53 @@
             return None
         return stage
 
+    def base_state(self, service: str, versions: Iterable[str]) -> BaseState:
+        """Return whether there are servers to go back to in a roll-out.
+
+        :param versions: versions of the servers that are known to be up.
+        """
+        target = self._target(service)
+        if not target or not set(versions) <= {target}:
+            self._base_absent_since.pop(service, None)
+            return BaseState.READY
+        now = self._clock.monotonic()
+        since = self._base_absent_since.setdefault(service, now)
+        if now - since < BASE_GONE_TIME:
+            return BaseState.ABSENT
+        return BaseState.GONE
+
+    def _target(self, service: str) -> str:
+        """Return the version that is or was rolled out last, or empty."""
+        stage = self.stage(service)
+        if stage is not None:
+            return stage.target
+        order = self.orders.get(service)
+        return order.target if order is not None else ""
+
     def allowed_split(
-        self, service: str, versions: Iterable[str], trusted: set[str]
+        self,
+        service: str,
+        versions: Iterable[str],
+        trusted: set[str],
+        proven: Iterable[str] | None = None,
     ) -> "Split":
         """Return the versions that may get requests.
 
         :param versions: versions of the available servers.
         :param trusted: versions that served before any order.
+        :param proven: versions of the servers that are known to be up; None
+            if all are.
         """
         available = set(versions)
         stage = self.stage(service)
         order = self.orders.get(service)
+        base_state = self.base_state(
+            service, available if proven is None else proven
+        )
+        if base_state is BaseState.GONE and (
+            stage is None or stage.may_get_all
+        ):
+            return Split(frozenset(available), frozenset(), 0.0)
         if stage is not None:
             return _split_by_stage(stage, available)
         if order is not None:
--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -110,9 +110,13 @@
     candidate_ready: bool,
     order_age: float,
     now: float,
+    base_state: rollout.BaseState = rollout.BaseState.READY,
 ) -> rollout.Stage | None:
     """Return the stage that follows, or None when nothing changes.
 
+    Complete and reverted can't be undone, so each needs a server of the
+    version that it leaves.
+
     :param stage: stage of this order, None before the first.
     :param order: order of the roll-out.
     :param observed: evidence of all nodes.
@@ -120,6 +124,7 @@
     :param candidate_ready: whether a server of the new version is usable.
     :param order_age: seconds since this node received the order.
     :param now: the store's clock, in seconds.
+    :param base_state: servers of other versions.
     """
     if stage is None:
         if not candidate_ready:
@@ -140,12 +145,24 @@
     if stage.phase in (rollout.Phase.COMPLETE, rollout.Phase.REVERTED):
         return None
     reason = _revert_reason(stage, observed, bounds)
-    if reason:
+    if reason and base_state is rollout.BaseState.READY:
         return _revert(stage, observed, now, reason)
+    if reason:
+        return _halt(stage, observed, now, reason) if stage.share else None
     elapsed = now - stage.started
     if stage.phase is rollout.Phase.FULL:
-        return _after_full(stage, order, observed, elapsed, now)
-    return _after_canary(stage, order, observed, bounds, elapsed, now)
+        following = _after_full(stage, order, observed, elapsed, now)
+    elif base_state is rollout.BaseState.GONE:
+        following = _without_base(stage, observed, now)
+    else:
+        following = _after_canary(stage, order, observed, bounds, elapsed, now)
+    if following is None:
+        return None
+    has_server = {
+        rollout.Phase.COMPLETE: candidate_ready,
+        rollout.Phase.REVERTED: base_state is rollout.BaseState.READY,
+    }
+    return following if has_server.get(following.phase, True) else None
 
 
 def _revert_reason(
@@ -203,6 +220,17 @@
     )
 
 
+def _without_base(
+    stage: rollout.Stage, observed: Evidence, now: float
+) -> rollout.Stage | None:
+    """Return the stage after a canary that has lost all other versions."""
+    if not stage.share or _is_doubtful(observed.base, observed.candidate):
+        return None
+    return _advance(
+        stage, rollout.Phase.FULL, 1.0, observed, now, "no other version"
+    )
+
+
 def _canary_share(
     order: types.RolloutOrder, observed: Evidence, bounds: types.Bounds
 ) -> float:
@@ -325,6 +353,13 @@
     return _advance(stage, rollout.Phase.REVERTED, 0.0, observed, now, reason)
 
 
+def _halt(
+    stage: rollout.Stage, observed: Evidence, now: float, reason: str
+) -> rollout.Stage:
+    """Return the stage of a version that fails while there is no other."""
+    return _advance(stage, rollout.Phase.CANARY, 0.0, observed, now, reason)
+
+
 def _advance(
     stage: rollout.Stage,
     phase: rollout.Phase,
--- a/tests/limpetwalk/gateway/test_fleet.py
+++ b/tests/limpetwalk/gateway/test_fleet.py
@@ -54,6 +54,20 @@
         self.fleet.evacuated = frozenset(("z2",))
         self.assertEqual({"a"}, self.usable())
 
+    def test_entry_of_a_start_or_a_copy_proves_no_server(self) -> None:
+        member = self.fleet.put(builders.server("a"), builders.version(1))
+        assert member is not None
+        self.fleet.retain_only({"a"})
+        for _ in range(2):
+            self.clock.advance(0.1)
+            self.assertEqual(set(), self.fleet.proven_versions("s"))
+            member.heard_at = self.clock.monotonic()
+            self.assertEqual({"v1"}, self.fleet.proven_versions("s"))
+            self.clock.advance(0.1)
+            self.fleet.doubt_entries()
+        self.clock.advance(fleet.ENTRY_PROOF_TIME)
+        self.assertEqual({"v1"}, self.fleet.proven_versions("s"))
+
     def test_older_entry_is_ignored(self) -> None:
         self.fleet.put(builders.server("a", leaving=True), builders.version(5))
         self.assertIsNone(
--- a/tests/limpetwalk_node/gateway/test_rollouts.py
+++ b/tests/limpetwalk_node/gateway/test_rollouts.py
@@ -63,6 +63,9 @@
             self.run_.gateway.dispatcher.version_tallies.record(
                 site.ENGINE, version, good
             )
+        for member in self.run_.gateway.cluster_state.fleet:
+            if member.entry.version == version:
+                member.heard_at = time.monotonic()
 
 
 class Leader(RolloutCase):
