Heed servers that say they leave, or want nothing for a while

No module read either, so a server that said so was asked on.

What a server says of itself is read in one place now, and not from answers that belong to another request or server. Leaving goes before the server's entry, to the end of that start. Where all servers of a service want nothing, callers are refused at once and told the first server's time.

Not done: telling other nodes of a leaving server, the load model of paused services, the stand-ins' own settings for both, and the soak.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import datetime
 import math
 import random
 
@@ -23,6 +24,7 @@
 from limpetwalk.gateway import return_time
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import server_pauses
 from limpetwalk.gateway import types
 from limpetwalk.gateway import version_tallies
 
@@ -41,6 +43,8 @@
 # Time after an answer broke off in which this node finds out whether it has
 # lost its links, seconds. It covers the next attempt's connection.
 LINK_NEWS_DELAY = 0.4
+# Value of the statements of servers that says nothing.
+NO_STATEMENT = "0"
 
 
 class Dispatcher:
@@ -104,6 +108,7 @@
             random.Random(),
             self._log_brittle,
         )
+        self._pauses = server_pauses.ServerPauses(clock, random.Random())
         self.prefill_times = prefill_time.PrefillTimes()
         self._placer = placement.Placer(
             settings().zone,
@@ -528,6 +533,7 @@
             self.time_left(call),
             self.clock.monotonic(),
             self._rng,
+            lambda member: self._pauses.until(member.entry.start),
         )
         return round(seconds, 2)
 
@@ -565,20 +571,14 @@
             call.attempt_counts.record_sent()
             async with asyncio.timeout(timeout):
                 head = await exchange.head()
-                self.server_limits.record_answer(
-                    member.id,
-                    head.headers.get(self.header_format.names.rate_limit),
-                )
-                self.brittle_servers.record_answer(
-                    member.id,
-                    head.headers.get(self.header_format.names.brittle),
-                )
                 verdict = response_check.check_response(
                     head.status,
                     head.headers,
                     self.header_format.names,
                     call.caller_attempt_id,
                 )
+                if not verdict.foreign:
+                    self._record_statements(member, head)
                 if (
                     head.status == response_check.UNAVAILABLE
                     and verdict.outcome is retries.Outcome.NOT_RUN
@@ -638,7 +638,38 @@
             other_versions = frozenset() if split.share < 1 else other_versions
         return [versions for versions in (chosen, other_versions) if versions]
 
+    def _record_statements(
+        self, member: fleet.Member, head: upstream.ResponseHead
+    ) -> None:
+        """Record what a server says of itself in the head of an answer."""
+        names = self.header_format.names
+        headers = head.headers
+        self.server_limits.record_answer(
+            member.id, headers.get(names.rate_limit)
+        )
+        self.brittle_servers.record_answer(
+            member.id, headers.get(names.brittle)
+        )
+        is_leaving = headers.get(names.leaving, NO_STATEMENT) != NO_STATEMENT
+        if is_leaving and self.cluster_state.fleet.record_leaving(
+            member.entry
+        ):
+            self.journal.emit(events.ServerStatement(member.id, "leaving"))
+        if head.status != response_check.UNAVAILABLE:
+            return
+        seconds = server_pauses.parse_retry_after(
+            headers.getall("Retry-After", []),
+            datetime.datetime.now(datetime.UTC),
+        )
+        if seconds is not None:
+            pause = self._pauses.record(member.entry.start, seconds)
+            self.journal.emit(
+                events.ServerStatement(member.id, "pause", round(pause, 2))
+            )
+
     def _may_send(self, member: fleet.Member) -> bool:
+        if self._pauses.is_paused(member.entry.start):
+            return False
         if not self.server_limits.may_send(member.id):
             return False
         if not member.is_cold(self.clock.monotonic()):
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -525,6 +525,21 @@
     traits: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerStatement(Event):
+    """A backend server said that it leaves, or wants nothing for a while.
+
+    :param statement: "leaving" or "pause".
+    :param for_s: time that is believed, in seconds; 0 for no end.
+    """
+
+    name: ClassVar[str] = "server.statement"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    server: str
+    statement: str
+    for_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryBound(Event):
     """Bodies of requests are turned away for want of memory, or no more.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -203,7 +203,7 @@
         if call.answering_since is not None:
             return
         entry = member.entry
-        server = f"{entry.id}.{entry.boot_ms}"
+        server = entry.start
         report = self._reports.get(server)
         if report is None:
             report = _Report(self._cluster_state.store_time())
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/tunnels.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/tunnels.py
@@ -163,6 +163,8 @@
             return STOPPING
         if self.open_count >= MAX_TUNNELS:
             return FULL
+        if self._servers.is_leaving(member.entry):
+            return UNKNOWN_SERVER
         if self._links.cut_off or self._links.is_lost(member.id):
             return LINK_LOST
         return member
--- a/packages/limpetwalk/limpetwalk/gateway/fleet.py
+++ b/packages/limpetwalk/limpetwalk/gateway/fleet.py
@@ -152,6 +152,10 @@
         self._by_service: dict[str, list[Member]] = {}
         self._trusted_versions: dict[str, set[str]] = {}
         self._store_recovered_at = -math.inf
+        # Starts of servers that have said that they leave.
+        self._said_leaving: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         # Instant of the first read, or of the store's last restoration.
         self._doubted_at = -math.inf
         self.evacuated: frozenset[str] = frozenset()
@@ -208,6 +212,24 @@
         self._index()
         return True
 
+    def record_leaving(self, entry: types.Server) -> bool:
+        """Record that a server has said that it leaves.
+
+        This goes before its entry, until it starts again.
+
+        :returns: whether that is news.
+        """
+        if entry.start in self._said_leaving:
+            return False
+        self._said_leaving[entry.start] = None
+        if len(self._said_leaving) > MAX_REMOVED:
+            self._said_leaving.popitem(last=False)
+        return True
+
+    def is_leaving(self, entry: types.Server) -> bool:
+        """Return whether a server takes no new requests."""
+        return entry.leaving or entry.start in self._said_leaving
+
     def is_outdated(self, entry: types.Server) -> bool:
         """Return whether a later state of a server is known.
 
@@ -257,7 +279,7 @@
         now = self._clock.monotonic()
         for member in self.members(service):
             entry = member.entry
-            if entry.leaving or now >= member.expires_at:
+            if self.is_leaving(entry) or now >= member.expires_at:
                 continue
             if entry.zone in self.evacuated:
                 continue
--- a/packages/limpetwalk/limpetwalk/gateway/ports.py
+++ b/packages/limpetwalk/limpetwalk/gateway/ports.py
@@ -202,6 +202,7 @@
     :param session: key of the session that a request belongs to.
     :param rate_limit: requests per second that a server takes from all nodes.
     :param brittle: rejections per second above which a server falls over.
+    :param leaving: server's statement that it takes no new requests.
     :param reserved: headers that only nodes may set.
     """
 
@@ -220,6 +221,7 @@
     session: str
     rate_limit: str
     brittle: str
+    leaving: str
     reserved: frozenset[str] = field(default_factory=frozenset)
 
 
--- a/packages/limpetwalk/limpetwalk/gateway/response_check.py
+++ b/packages/limpetwalk/limpetwalk/gateway/response_check.py
@@ -21,11 +21,14 @@
     :param detail: explanation for the log.
     :param final: whether the response may be passed on to the caller when no
         other attempt gives a better one.
+    :param foreign: whether it belongs to another request, or comes from
+        another server than was asked.
     """
 
     outcome: retries.Outcome | None
     detail: str = ""
     final: bool = False
+    foreign: bool = False
 
 
 def check_response(
@@ -43,10 +46,16 @@
     echoed = headers.get(names.attempt)
     if echoed is not None and echoed != attempt:
         return Verdict(
-            retries.Outcome.UNKNOWN, f"answer of another request {echoed}"
+            retries.Outcome.UNKNOWN,
+            f"answer of another request {echoed}",
+            foreign=True,
         )
     if status == MISDIRECTED or names.not_run in headers:
-        return Verdict(retries.Outcome.NOT_RUN, f"status {status}")
+        return Verdict(
+            retries.Outcome.NOT_RUN,
+            f"status {status}",
+            foreign=status == MISDIRECTED,
+        )
     sealed = names.seal in headers
     if not sealed or status in NOT_RUN_STATUSES:
         return Verdict(
--- a/packages/limpetwalk/limpetwalk/gateway/return_time.py
+++ b/packages/limpetwalk/limpetwalk/gateway/return_time.py
@@ -1,12 +1,15 @@
 """Decides when a caller that was refused should come back.
 
 Serves a load during which all servers of a service are down, as after requests
-that crash each server that runs them. Callers retry once or twice. One that
-comes back before the first server does has lost its retry, and those that come
-back together overload the first server, which is cold.
+that crash each server that runs them, or want nothing for a while. Callers
+retry once or twice. One that comes back before the first server does has lost
+its retry, and those that come back together overload the first server, which
+is cold.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
+import math
 import random
 
 from . import fleet
@@ -30,16 +33,27 @@
     time_left: float,
     now: float,
     rng: random.Random,
+    paused_until: Callable[[fleet.Member], float] = lambda member: -math.inf,
 ) -> float:
     """Return the seconds after which a caller should retry.
 
     :param members: usable servers of the service.
     :param time_left: time until the caller's deadline, in seconds.
+    :param paused_until: returns the instant until which a server wants no
+        requests.
     """
-    down_since = [member.health.unreached_since for member in members]
+    returns = []
+    for member in members:
+        down_since = member.health.unreached_since
+        paused = paused_until(member)
+        if down_since is not None:
+            returns.append(max(down_since + RESTART_TIME, paused))
+        elif paused > now:
+            returns.append(paused)
+        else:
+            returns.append(-math.inf)
     seconds = min(MAX_BUSY_TIME, time_left * BUSY_FRACTION)
-    if down_since and None not in down_since:
-        first_down = min(since for since in down_since if since is not None)
-        expected = first_down + RESTART_TIME - now
-        seconds = max(seconds, expected) + rng.uniform(0.0, SPREAD)
+    first_return = min(returns, default=-math.inf)
+    if math.isfinite(first_return):
+        seconds = max(seconds, first_return - now) + rng.uniform(0.0, SPREAD)
     return max(MIN_TIME, min(seconds, time_left * LONGEST_FRACTION))
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -178,6 +178,11 @@
     models: tuple[str, ...]
     sequence: int = 0
 
+    @property
+    def start(self) -> str:
+        """Identifies this start of the server."""
+        return f"{self.id}.{self.boot_ms}"
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutOrder:
