Tell few known crashes of a trait, and ask for servers in roll-outs only

A row of a report holds 40 KB: with all known crashes of a popular part behind each suspect, later suspects would not fit. Three of each trait are enough for the order. Which servers are known to be up is worked out only for services with an order or a stage, since it is asked for each request.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -624,7 +624,7 @@
             call.service,
             available_versions,
             state.fleet.trusted_versions(call.service),
-            state.fleet.proven_versions(call.service),
+            lambda: state.fleet.proven_versions(call.service),
         )
         chosen = state.rollouts.choose_versions(
             split, call.session or call.caller_attempt_id, self.bounds.session
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/poison_requests.py
@@ -186,7 +186,7 @@
             self._cluster_state.crash_suspects.known_crashes(call.traits)
         )
         for server, report in self._reports.items():
-            if any(
+            if report.unchecked and any(
                 not set(call.traits).isdisjoint(broken.traits)
                 for broken in report.unchecked
             ):
--- a/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
+++ b/packages/limpetwalk/limpetwalk/gateway/crash_suspects.py
@@ -18,6 +18,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+import heapq
 import math
 from typing import Any
 
@@ -29,6 +30,8 @@
 # Time within which several servers may crash of one cause, such as a loss of
 # power, in seconds.
 BURST_SECONDS = 0.25
+# Crashes of one trait that a node tells as known; a row holds few.
+MAX_KNOWN_CRASHES = 3
 # Time after its last crash for which a trait is blocked, in seconds. It
 # doubles with each further crash, up to a number of times.
 BLOCK_SECONDS = 300.0
@@ -163,6 +166,9 @@
             (len(self._servers.get(trait, ())) for trait in traits), default=0
         )
 
+    def _crashed_at(self, server: str) -> float:
+        return self._crashes[server].at
+
     def counted(self, traits: Iterable[str]) -> int:
         """Return the length of the longest row of crashes of one trait."""
         return max(
@@ -175,10 +181,17 @@
         )
 
     def known_crashes(self, traits: Iterable[str]) -> frozenset[str]:
-        """Return the servers that crashed with one of some traits."""
-        return frozenset().union(
-            *(self._servers.get(trait, ()) for trait in traits)
-        )
+        """Return the servers that crashed lately with one of some traits."""
+        known: set[str] = set()
+        for trait in traits:
+            servers = self._servers.get(trait)
+            if servers:
+                known.update(
+                    heapq.nlargest(
+                        MAX_KNOWN_CRASHES, servers, self._crashed_at
+                    )
+                )
+        return frozenset(known)
 
     def blocking(self, traits: Collection[str]) -> frozenset[str]:
         """Return the traits for which a request is blocked, or none.
--- a/packages/limpetwalk/limpetwalk/gateway/rollout.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout.py
@@ -1,5 +1,6 @@
 """Chooses which versions of a service may serve during a roll-out."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import replace
@@ -314,25 +315,24 @@
         service: str,
         versions: Iterable[str],
         trusted: set[str],
-        proven: Iterable[str] | None = None,
+        proven: Callable[[], Iterable[str]] | None = None,
     ) -> "Split":
         """Return the versions that may get requests.
 
         :param versions: versions of the available servers.
         :param trusted: versions that served before any order.
-        :param proven: versions of the servers that are known to be up; None
-            if all are.
+        :param proven: returns the versions of the servers that are known to
+            be up; None if all are.
         """
         available = set(versions)
         stage = self.stage(service)
         order = self.orders.get(service)
-        base_state = self.base_state(
-            service, available if proven is None else proven
-        )
-        if base_state is BaseState.GONE and (
-            stage is None or stage.may_get_all
+        if (stage is not None and stage.may_get_all) or (
+            stage is None and order is not None
         ):
-            return Split(frozenset(available), frozenset(), 0.0)
+            up = available if proven is None else proven()
+            if self.base_state(service, up) is BaseState.GONE:
+                return Split(frozenset(available), frozenset(), 0.0)
         if stage is not None:
             return _split_by_stage(stage, available)
         if order is not None:
