--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 SECONDS ?= 12
 OUT ?= docs/measurements
 
-.PHONY: help setup test format lint unit demo bench soak fault-soak clean
+.PHONY: help setup test format lint unit demo bench soak fault-soak \
+    upgrade-soak clean
 
 help:
 	@echo "make test    set up .venv, then run formatter check, linter and tests"
@@ -22,6 +23,7 @@
 	@echo "make bench   run the quick measurements into docs/measurements"
 	@echo "make soak SEED=n   run the property tests longer, from another seed"
 	@echo "make fault-soak SEEDS=a-b  run entry nodes as processes under faults"
+	@echo "make upgrade-soak COMMIT=c SEEDS=a-b  the same, from an older build"
 	@echo "make format  rewrite the sources in the project's format"
 
 setup: $(STAMP)
@@ -63,6 +65,12 @@
 soak: $(STAMP)
 	SOAK_SEED=$(SEED) $(VENV)/bin/nose2 --config nose2.cfg $(SOAKED)
 
+# The fault soak with nodes that are replaced in turn by the present build, from
+# that of COMMIT, and back again.
+upgrade-soak: $(STAMP)
+	$(VENV)/bin/python -m limpetwalk_bench.soak --seeds=$(SEEDS) \
+	    --seconds=$(SECONDS) --from_commit=$(COMMIT)
+
 # Entry nodes as separate processes under random faults: nodes are killed,
 # paused and stopped, and their connections and the store are disrupted.
 fault-soak: $(STAMP)
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/__main__.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/__main__.py
@@ -15,12 +15,18 @@
 from absl import app
 from absl import flags
 
+from . import builds
 from . import runner
 
 _SEEDS = flags.DEFINE_string("seeds", "1", "Seed, or FIRST-LAST.")
 _SECONDS = flags.DEFINE_float(
     "seconds", 15.0, "Seconds in which faults strike.", lower_bound=0.1
 )
+_COMMIT = flags.DEFINE_string(
+    "from_commit",
+    None,
+    "Commit whose program the nodes run at first; they are replaced in turn.",
+)
 _LOGS = flags.DEFINE_string(
     "logs", None, "Folder that keeps the nodes' logs, one folder a seed."
 )
@@ -40,10 +46,14 @@
         ) from None
 
 
-def _run_soak(seed: int, logs: pathlib.Path) -> runner.Summary:
+def _run_soak(
+    seed: int, logs: pathlib.Path, older_build: tuple[str, ...]
+) -> runner.Summary:
     folder = logs / str(seed)
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(runner.run_soak(seed, _SECONDS.value, folder))
+    return asyncio.run(
+        runner.run_soak(seed, _SECONDS.value, folder, older_build)
+    )
 
 
 def _main(argv: list[str]) -> int:
@@ -53,8 +63,14 @@
     logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
     any_violated = False
     with tempfile.TemporaryDirectory() as scratch:
+        older_build: tuple[str, ...] = ()
+        if _COMMIT.value:
+            older_build = builds.export(
+                _COMMIT.value, pathlib.Path(scratch) / "build"
+            )
         for seed in _parse_seeds(_SEEDS.value):
-            summary = _run_soak(seed, pathlib.Path(_LOGS.value or scratch))
+            logs = pathlib.Path(_LOGS.value or scratch)
+            summary = _run_soak(seed, logs, older_build)
             print(json.dumps(dataclasses.asdict(summary)), flush=True)
             any_violated = any_violated or bool(summary.broken)
     return int(any_violated)
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
@@ -34,6 +34,8 @@
     :param host: loopback address that no other node uses, since the port of
         the metrics page is the same on all nodes.
     :param folder: folder for its settings file and its log.
+    :ivar build: folders from which its next process imports the program, empty
+        for the installed one.
     """
 
     def __init__(self, name: str, host: str, folder: pathlib.Path) -> None:
@@ -48,6 +50,7 @@
         self._process: asyncio.subprocess.Process | None = None
         self._task: asyncio.Task[None] | None = None
         self.start_count = 0
+        self.build: tuple[str, ...] = ()
 
     def start(
         self,
@@ -126,6 +129,7 @@
             node_process.PATHS_VARIABLE: json.dumps(self._server_paths),
         }
         while True:
+            env["PYTHONPATH"] = os.pathsep.join(self.build)
             with self._log_path.open("ab") as log:
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
@@ -1,6 +1,7 @@
 """One soak: nodes, stand-ins, callers and faults, and its summary."""
 
 import asyncio
+from collections.abc import Sequence
 import contextlib
 from dataclasses import dataclass
 import itertools
@@ -66,14 +67,22 @@
     broken: list[checks.Violation]
 
 
-async def run_soak(seed: int, length: float, folder: pathlib.Path) -> Summary:
+async def run_soak(
+    seed: int,
+    length: float,
+    folder: pathlib.Path,
+    older_build: tuple[str, ...] = (),
+) -> Summary:
     """Run one soak.
 
     :param length: seconds in which all faults start and end.
     :param folder: folder for settings and logs of the nodes.
+    :param older_build: folders of the program with which all nodes start, see
+        ``builds``; they are replaced one after the other by the present one,
+        and back again. Empty if all run the present one throughout.
     """
     async with contextlib.AsyncExitStack() as stack:
-        injector = await _build_environment(stack, folder)
+        injector = await _build_environment(stack, folder, older_build)
         await _wait_until_ready(injector)
         outcomes: list[callers.Outcome] = []
         faults = fault_plan.draw_faults(
@@ -94,7 +103,12 @@
                 )
                 for number in range(CALLER_COUNT)
             ]
-            await _inject_all(injector, faults, started)
+            disturbances = [_inject_all(injector, faults, started)]
+            if older_build:
+                disturbances.append(
+                    _replace_builds(entry_nodes, length, older_build)
+                )
+            await asyncio.gather(*disturbances)
             calm_from = time.monotonic() + SETTLE_TIME
             await asyncio.sleep(SETTLE_TIME + CALM_TIME)
             for task in caller_tasks:
@@ -112,6 +126,19 @@
         )
 
 
+async def _replace_builds(
+    entry_nodes: Sequence[nodes.Node],
+    length: float,
+    older_build: tuple[str, ...],
+) -> None:
+    """Replace the program of all nodes in turn, and then the old one's."""
+    for build in ((), older_build):
+        for node in entry_nodes:
+            await asyncio.sleep(length / (2 * len(entry_nodes) + 1))
+            node.build = build
+            await node.terminate()
+
+
 async def _inject_all(
     injector: fault_injector.FaultInjector,
     faults: tuple[fault_plan.Fault, ...],
@@ -126,7 +153,9 @@
 
 
 async def _build_environment(
-    stack: contextlib.AsyncExitStack, folder: pathlib.Path
+    stack: contextlib.AsyncExitStack,
+    folder: pathlib.Path,
+    build: tuple[str, ...],
 ) -> fault_injector.FaultInjector:
     stand_ins = site.Site()
     stack.push_async_callback(stand_ins.stop)
@@ -149,6 +178,7 @@
     for number in range(1, NODE_COUNT + 1):
         host = f"{subnet}.{first + number - 1}"
         node = nodes.Node(f"node-{number}", host, folder)
+        node.build = build
         store_paths[node.name] = await _start(
             stack, proxy.Proxy(stand_ins.store_port)
         )
--- a/tests/limpetwalk_bench/soak/test_runner.py
+++ b/tests/limpetwalk_bench/soak/test_runner.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 
+from limpetwalk_bench.soak import builds
 from limpetwalk_bench.soak import runner
 
 # Seconds in which faults start and end in each soak.
@@ -16,6 +17,8 @@
     # Nodes without links to servers refused requests.
     23,
 )
+# Seed of a soak in which all nodes are replaced by another build and back.
+UPGRADE_SEED = 5
 
 
 class RunSoak(unittest.TestCase):
@@ -29,17 +32,24 @@
     async def run_soaks() -> dict[int, runner.Summary]:
         with tempfile.TemporaryDirectory() as scratch:
             folders = {
-                seed: pathlib.Path(scratch) / str(seed) for seed in SEEDS
+                seed: pathlib.Path(scratch) / str(seed)
+                for seed in (*SEEDS, UPGRADE_SEED)
             }
             for folder in folders.values():
                 folder.mkdir()
+            build = builds.export("HEAD", pathlib.Path(scratch) / "build")
             summaries = await asyncio.gather(
                 *(
-                    runner.run_soak(seed, SECONDS, folder)
+                    runner.run_soak(
+                        seed,
+                        SECONDS,
+                        folder,
+                        build if seed == UPGRADE_SEED else (),
+                    )
                     for seed, folder in folders.items()
                 )
             )
-        return dict(zip(SEEDS, summaries, strict=True))
+        return dict(zip(folders, summaries, strict=True))
 
     def assert_guarantees_hold(self, seed: int) -> None:
         summary = self.summaries[seed]
@@ -47,6 +57,9 @@
         self.assertGreater(summary.served, 0)
         self.assertGreater(summary.faults, 0)
 
+    def test_guarantees_hold_while_builds_are_replaced(self) -> None:
+        self.assert_guarantees_hold(UPGRADE_SEED)
+
     def test_guarantees_hold(self) -> None:
         self.assert_guarantees_hold(7)
 
