Let no crashed stand-in answer in the tests of rounds of crashes

Traced: in each failure that was caught with its callers' answers, the request that crashes servers had got a 200 before. The stand-in aborts the connections that it knows when it crashes; one that it accepted in that moment stayed open, and it answered there a second later, so the nodes rightly took the request for sound. It aborts that connection, too, and each such answer fails the test.

--- a/tests/limpetwalk_node/gateway/test_crash_rounds.py
+++ b/tests/limpetwalk_node/gateway/test_crash_rounds.py
@@ -58,6 +58,9 @@
                     asyncio.create_task(self.replace(server_id))
                 )
                 await self.site.crash_server(server_id)
+            # A connection that was accepted in that moment is still open.
+            if req.transport is not None:
+                req.transport.abort()
             await asyncio.sleep(1)
 
         self.server(server_id).behaviour = crash
@@ -78,6 +81,8 @@
             "GET", path, headers=headers
         ) as resp:
             await resp.read()
+            if path.startswith(BAD):
+                self.assertNotEqual(200, resp.status)
             return resp.status
 
 
