--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
@@ -132,7 +132,11 @@
                 attempt_id not in outcome_ids
                 and request.received_at < last_end - callers.DEADLINE * 2
             ):
-                yield Violation("unasked", attempt_id, "no caller sent it")
+                yield Violation(
+                    "unasked",
+                    attempt_id,
+                    f"no caller sent it: {request.method} {request.path}",
+                )
             if request.body != attempt_id.encode():
                 yield Violation(
                     "unasked", attempt_id, f"body {request.body[:40]!r}"
