Test that a popular request is served after all servers lost power

Now through three gateways, twice in a row: a popular request is at all three servers when they go down at once, and is served as soon as they are back, although no answer to it was known before the first time.

--- a/tests/limpetwalk_node/gateway/test_crash_rounds.py
+++ b/tests/limpetwalk_node/gateway/test_crash_rounds.py
@@ -129,6 +129,46 @@
             self.assertEqual(200, await self.send(node, GOOD))
 
 
+class PowerLoss(CrashCase):
+    """All servers go down at once, with a popular request at each of them."""
+
+    async def test_popular_request_is_served_as_soon_as_servers_are_back(
+        self,
+    ) -> None:
+        async def wait(req: web.Request) -> None:
+            await asyncio.sleep(1)
+
+        for _ in range(2):
+            servers = [
+                server_id
+                for server_id in self.site.servers
+                if server_id not in self.down
+            ]
+            for server_id in servers:
+                self.server(server_id).behaviour = wait
+            copies = [
+                asyncio.create_task(self.send(node, GOOD))
+                for node in range(len(self.nodes))
+                for _ in range(4)
+            ]
+            await self.nodes[0].until(
+                lambda servers=servers: all(
+                    self.server(server_id).received for server_id in servers
+                )
+            )
+            self.down.update(servers)
+            for server_id in servers:
+                await self.site.crash_server(server_id)
+            await asyncio.gather(*copies)
+            await asyncio.gather(*(self.replace(id_) for id_ in servers))
+            await asyncio.sleep(0.2)
+            for node in range(len(self.nodes)):
+                self.assertEqual(200, await self.send(node, GOOD))
+        for run in self.nodes:
+            self.assertGreater(len(run.lines.events("request.suspected")), 0)
+            self.assertEqual([], run.lines.events("request.blocked"))
+
+
 class CrashSoak(CrashCase):
     """Callers send the same request at random instants."""
 
