Release an answer that is never written from the account of memory

A complete answer is counted until it is written. Where the caller's connection is lost between the answer and its head, aiohttp never writes the body, so its bytes stayed in the account for good, and in time bodies would have been refused (503 memory_used) on a node that holds nothing. The response releases them when it is dropped as well.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/replies.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/replies.py
@@ -53,8 +53,15 @@
         try:
             await super().write_eof(data)
         finally:
-            if self.held is not None:
-                self.held.release()
+            self._release()
+
+    def __del__(self) -> None:
+        """Release the body of a response that was never written."""
+        self._release()
+
+    def _release(self) -> None:
+        if self.held is not None:
+            self.held.release()
 
 
 def complete_response(
--- a/tests/limpetwalk_node/gateway/test_memory.py
+++ b/tests/limpetwalk_node/gateway/test_memory.py
@@ -1,11 +1,18 @@
 """Tests of the memory that bodies of requests may take in a gateway."""
 
 import asyncio
+import gc
+import unittest
 from unittest import mock
 
 from aiohttp import web
+import multidict
 
+from limpetwalk.gateway import memory_account
 from limpetwalk_node.gateway import node
+from limpetwalk_node.gateway import outbound
+from limpetwalk_node.gateway import replies
+from limpetwalk_node.gateway import upstream
 
 from . import harness
 
@@ -14,6 +21,20 @@
 LIMIT = 600_000
 
 
+class Answers(unittest.TestCase):
+    """Complete answers, which are counted until they are written."""
+
+    def test_answer_that_is_never_written_leaves_the_account(self) -> None:
+        account = memory_account.MemoryAccount(lambda: LIMIT)
+        head = upstream.ResponseHead(200, multidict.CIMultiDict())
+        answer = outbound.CompleteAnswer(head, BODY, "p-1")
+        resp = replies.complete_response(answer, account)
+        self.assertEqual(len(BODY), account.total_bytes)
+        del resp
+        gc.collect()
+        self.assertEqual(0, account.total_bytes)
+
+
 class RequestBodies(harness.GatewayCase):
     """Bodies of allowed size, but more than the node can hold."""
 
