Read a null list of keys as an empty one

A configuration in which a workspace's keys, or the list of workspaces, are null (so some encoders write an empty list) was unreadable as a whole: the node kept the one before, and requests with the key that was taken away went on to run.

Lists and flags of the operator's rows take null for empty and false. A null list of workspaces asks for keys that nobody has, like an empty one. Anything else that can't be read still leaves the whole configuration out: it is applied as one.

--- a/tests/limpetwalk_platform/test_rows.py
+++ b/tests/limpetwalk_platform/test_rows.py
@@ -63,6 +63,29 @@
         self.assertEqual(site.WORKSPACE, config.keys[site.API_KEY].name)
         self.assertEqual(1, config.keys[site.API_KEY].priority)
 
+    def test_key_list_of_null_takes_the_keys_of_its_workspace_away(
+        self,
+    ) -> None:
+        other = {"name": "other", "api_keys": ["key-2"]}
+        for tenants, keys in (
+            ([{"name": site.WORKSPACE, "api_keys": None}], set()),
+            ([{"name": site.WORKSPACE, "api_keys": None}, other], {"key-2"}),
+            ([{"name": site.WORKSPACE}], set()),
+            (None, set()),
+        ):
+            with self.subTest(tenants=tenants):
+                config = self.decode(site.config_row(tenants=tenants))
+                assert isinstance(config, types.Config)
+                self.assertEqual(keys, set(config.keys))
+                self.assertTrue(config.keys_required)
+
+    def test_route_whose_flag_is_null_is_not_public(self) -> None:
+        value = site.config_row()
+        value["routes"][1]["public"] = None
+        config = self.decode(value)
+        assert isinstance(config, types.Config)
+        self.assertFalse(config.routes[1].public)
+
     def test_findings_name_the_invalid_field(self) -> None:
         value = site.config_row()
         value["routes"][1]["prefix"] = 5
