Check a request again if the configuration changed while its body came

A request was checked when its headers had been read; one whose body took up to 10 s more ran with a key, or on a route, that was gone by then. It is checked against the configuration in force once its body is there.

The test failed before (200, and the server ran it).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -279,6 +279,13 @@
             return self._refuse(slow_body, caller_attempt_id, arrived)
         if isinstance(body, Err):
             return self._refuse(body.err_value, caller_attempt_id, arrived)
+        if admitted.ok_value.catalog is not self._cluster_state.catalog:
+            # The key or the route may be gone since the headers were read.
+            admitted = self._admission.admit(req)
+            if isinstance(admitted, Err):
+                return self._refuse(
+                    admitted.err_value, caller_attempt_id, arrived
+                )
         call = self._admission.build_call(
             req, admitted.ok_value, body.ok_value, arrived
         )
--- a/tests/limpetwalk_node/gateway/test_frontend.py
+++ b/tests/limpetwalk_node/gateway/test_frontend.py
@@ -196,6 +196,31 @@
                         self.assertEqual(401, resp.status)
         self.assertEqual([], self.server("p-1").received)
 
+    async def test_request_does_not_run_if_its_key_goes_before_its_body_ends(
+        self,
+    ) -> None:
+        host, port = self.run_.gateway.addresses["callers"]
+        reader, writer = await asyncio.open_connection(host, port)
+        self.addCleanup(writer.close)
+        fields = {**site.request_headers("a-9", 2000), "Content-Length": "8"}
+        head = "".join(f"{name}: {text}\r\n" for name, text in fields.items())
+        writer.write(f"POST /once/x HTTP/1.1\r\n{head}\r\nhalf".encode())
+        frontend = self.run_.gateway.frontend
+        await self.run_.until(lambda: frontend.open_requests == 1)
+        await self.run_.site.store.put(
+            "op",
+            "config",
+            site.config_row(
+                5, tenants=[{"name": site.WORKSPACE, "api_keys": []}]
+            ),
+        )
+        state = self.run_.gateway.cluster_state
+        await self.run_.until(lambda: state.catalog.version == 5)
+        writer.write(b"rest")
+        answer = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 2)
+        self.assertEqual(b"401", answer.split()[1])
+        self.assertEqual([], self.server("p-1").received)
+
     async def test_site_without_tenants_asks_for_no_key(self) -> None:
         row = site.config_row(5)
         del row["tenants"]
