Send no prompts to a server that says it has loaded no model

An empty list of models in a server's entry meant any model, as a missing one does. None now stands for a missing list, and an empty one serves no request that names a model.

The builder of the tests gave an empty list where it meant that the entry doesn't say; it gives None.

--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -139,7 +139,11 @@
         entry = member.entry
         if need.versions is not None and entry.version not in need.versions:
             return False
-        if need.model and entry.models and need.model not in entry.models:
+        if (
+            need.model
+            and entry.models is not None
+            and need.model not in entry.models
+        ):
             return False
         return self._may_send(member)
 
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -162,7 +162,8 @@
     :param leaving: whether it accepts no new requests.
     :param cold_left: remaining time for which it is cold, as of the writing
         of the entry.
-    :param models: models that it has loaded.
+    :param models: models that it has loaded; None when its entry doesn't
+        say.
     """
 
     id: str
@@ -175,7 +176,7 @@
     leaving: bool
     cold_left: float
     boot_ms: int
-    models: tuple[str, ...]
+    models: tuple[str, ...] | None
     sequence: int = 0
 
     @property
--- a/tests/limpetwalk/gateway/builders.py
+++ b/tests/limpetwalk/gateway/builders.py
@@ -44,7 +44,7 @@
         "leaving": False,
         "cold_left": 0.0,
         "boot_ms": 1,
-        "models": (),
+        "models": None,
     }
     return types.Server(**{**fields, **changes})
 
--- a/tests/limpetwalk/gateway/test_placement.py
+++ b/tests/limpetwalk/gateway/test_placement.py
@@ -195,6 +195,14 @@
             )
         )
 
+    def test_server_that_has_loaded_no_model_gets_no_prompts(self) -> None:
+        self.node.fleet.put(builders.server("s9", version="v2", models=()), 50)
+        for model, chosen in (("m", False), ("", True)):
+            choice = self.node.placer.choose(
+                placement.Need("s", frozenset(("v2",)), model)
+            )
+            self.assertEqual(chosen, choice is not None, model)
+
 
 class LoadReports(unittest.TestCase):
     """Loads that nodes report to each other."""
--- a/tests/limpetwalk_platform/test_rows.py
+++ b/tests/limpetwalk_platform/test_rows.py
@@ -167,6 +167,22 @@
         )
         self.assertFalse(server.leaving)
 
+    def test_server_with_an_empty_list_of_models_serves_none(self) -> None:
+        row = site.server_row("s", 8080)
+        for models, names in (
+            ([], ()),
+            (None, ()),
+            ([{"name": "m", "version": 1}], ("m",)),
+        ):
+            entry = rows.server_entry(
+                "i-1", encode_json({**row, "models": models})
+            )
+            assert isinstance(entry, types.Server)
+            self.assertEqual(names, entry.models, models)
+        entry = rows.server_entry("i-1", encode_json(row))
+        assert isinstance(entry, types.Server)
+        self.assertIsNone(entry.models)
+
     def test_invalid_entries_are_unreadable(self) -> None:
         for change in (
             {"state": "asleep"},
