--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -388,7 +388,10 @@
                 version=config.version,
                 before=previous,
                 routes=len(config.routes),
+                keys_required=config.keys_required,
+                workspaces=config.workspaces,
                 keys=len(config.keys),
+                shared_keys=config.shared_keys,
                 whole_read=full_read,
             )
         )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -142,13 +142,18 @@
     """A configuration came into force.
 
     :param before: version that was in force until then.
+    :param keys_required: whether routes that aren't public need a key.
+    :param shared_keys: keys that several workspaces hold.
     """
 
     name: ClassVar[str] = "config.applied"
     version: int
     before: int
     routes: int
+    keys_required: bool
+    workspaces: int
     keys: int
+    shared_keys: int
     whole_read: bool
 
 
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -139,8 +139,11 @@
     """Configuration as the operator last wrote it.
 
     :param version: grows with each change, not always by one.
-    :param keys: workspaces by API key.
+    :param keys: workspaces by API key; a key that several of them hold
+        belongs to the last one.
     :param keys_required: whether routes that aren't public need a key.
+    :param workspaces: number of workspaces, with and without keys.
+    :param shared_keys: number of keys that several workspaces hold.
     """
 
     version: int
@@ -149,6 +152,8 @@
     keys: dict[str, Workspace]
     limits: Limits
     keys_required: bool = True
+    workspaces: int = 0
+    shared_keys: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/limpetwalk_node/gateway/test_frontend.py
+++ b/tests/limpetwalk_node/gateway/test_frontend.py
@@ -221,6 +221,29 @@
         self.assertEqual(b"401", answer.split()[1])
         self.assertEqual([], self.server("p-1").received)
 
+    async def test_log_tells_an_empty_list_of_workspaces_from_a_missing_one(
+        self,
+    ) -> None:
+        without = site.config_row(6)
+        del without["tenants"]
+        for version, row in (
+            (5, site.config_row(5, tenants=[])),
+            (6, without),
+            (7, site.config_row(7)),
+        ):
+            await self.run_.site.store.put("op", "config", row)
+            state = self.run_.gateway.cluster_state
+            await self.run_.until(
+                lambda version=version: state.catalog.version == version
+            )
+        self.assertEqual(
+            [(True, 1, 1), (True, 0, 0), (False, 0, 0), (True, 1, 1)],
+            [
+                (line["keys_required"], line["workspaces"], line["keys"])
+                for line in self.run_.lines.events("config.applied")
+            ],
+        )
+
     async def test_site_without_tenants_asks_for_no_key(self) -> None:
         row = site.config_row(5)
         del row["tenants"]
--- a/tests/limpetwalk_platform/test_rows.py
+++ b/tests/limpetwalk_platform/test_rows.py
@@ -86,6 +86,22 @@
         assert isinstance(config, types.Config)
         self.assertFalse(config.routes[1].public)
 
+    def test_key_of_two_workspaces_is_counted(self) -> None:
+        for keys, shared in (
+            (["key-1"], 1),
+            (["key-1", "key-1"], 1),
+            (["key-2"], 0),
+            (["key-2", "key-2"], 0),
+        ):
+            tenants = [
+                {"name": "one", "api_keys": ["key-1"]},
+                {"name": "two", "api_keys": keys},
+            ]
+            config = self.decode(site.config_row(tenants=tenants))
+            with self.subTest(keys=keys):
+                self.assertEqual(shared, config.shared_keys)
+                self.assertEqual("two", config.keys[keys[0]].name)
+
     def test_findings_name_the_invalid_field(self) -> None:
         value = site.config_row()
         value["routes"][1]["prefix"] = 5
