--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
@@ -88,6 +88,8 @@
     :param faults: faults that were injected.
     :param started: monotonic time at which the load began, in seconds.
     :param calm_from: monotonic time from which faults have no effects.
+    :param replacements: nodes whose program was replaced, and the monotonic
+        times at which they were told to stop.
     """
 
     outcomes: Sequence[callers.Outcome]
@@ -95,6 +97,7 @@
     faults: Sequence[fault_plan.Fault]
     started: float
     calm_from: float
+    replacements: Sequence[tuple[str, float]] = ()
 
 
 def find_violations(observed: Observations) -> list[Violation]:
@@ -200,6 +203,8 @@
     if (
         not executions
         or elapsed > callers.DEADLINE * CHECKED_DEADLINE_SHARE
+        or incomplete
+        and _ended_by_replacement(observed, outcome)
         or any(
             _affected_by_server_outage(observed, outcome, server_id)
             for server_id, _ in executions
@@ -285,6 +290,21 @@
     return False
 
 
+def _ended_by_replacement(
+    observed: Observations, outcome: callers.Outcome
+) -> bool:
+    """Return whether a node ended an answer in the last part of its grace.
+
+    One that lasts until the process is killed was taken too late.
+    """
+    return any(
+        outcome.node == node
+        and stopped_at + nodes.GRACE * GRACE_SHARE <= outcome.ended_at
+        and outcome.ended_at < stopped_at + nodes.GRACE
+        for node, stopped_at in observed.replacements
+    )
+
+
 def _affected_by_server_outage(
     observed: Observations, outcome: callers.Outcome, server_id: str
 ) -> bool:
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
@@ -85,6 +85,7 @@
         injector = await _build_environment(stack, folder, older_build)
         await _wait_until_ready(injector)
         outcomes: list[callers.Outcome] = []
+        replacements: list[tuple[str, float]] = []
         faults = fault_plan.draw_faults(
             seed, length, list(injector.nodes), list(injector.services)
         )
@@ -106,7 +107,9 @@
             disturbances = [_inject_all(injector, faults, started)]
             if older_build:
                 disturbances.append(
-                    _replace_builds(entry_nodes, length, older_build)
+                    _replace_builds(
+                        entry_nodes, length, older_build, replacements
+                    )
                 )
             await asyncio.gather(*disturbances)
             calm_from = time.monotonic() + SETTLE_TIME
@@ -114,7 +117,12 @@
             for task in caller_tasks:
                 task.cancel()
         observations = checks.Observations(
-            outcomes, injector.site.servers, faults, started, calm_from
+            outcomes,
+            injector.site.servers,
+            faults,
+            started,
+            calm_from,
+            replacements,
         )
         return Summary(
             seed=seed,
@@ -130,12 +138,18 @@
     entry_nodes: Sequence[nodes.Node],
     length: float,
     older_build: tuple[str, ...],
+    replacements: list[tuple[str, float]],
 ) -> None:
-    """Replace the program of all nodes in turn, and then the old one's."""
+    """Replace the program of all nodes in turn, and then the old one's.
+
+    :param replacements: gets each node, and the time at which it was told to
+        stop.
+    """
     for build in ((), older_build):
         for node in entry_nodes:
             await asyncio.sleep(length / (2 * len(entry_nodes) + 1))
             node.build = build
+            replacements.append((node.name, time.monotonic()))
             await node.terminate()
 
 
--- a/tests/limpetwalk_bench/soak/test_checks.py
+++ b/tests/limpetwalk_bench/soak/test_checks.py
@@ -53,6 +53,7 @@
         faults: tuple[fault_plan.Fault, ...] = (),
         calm_from: float = START + 50,
         more_outcomes: tuple[callers.Outcome, ...] = (),
+        replacements: tuple[tuple[str, float], ...] = (),
     ) -> set[str]:
         p1 = server.Server("p-1")
         p1.received.extend(requests)
@@ -73,6 +74,7 @@
             faults,
             START,
             calm_from,
+            replacements,
         )
         return {
             violation.promise
@@ -177,6 +179,24 @@
             violations = self.violated(cut, make_request(), faults=(fault,))
             self.assertEqual(expected, violations, kind)
 
+    def test_replaced_node_may_cut_in_the_last_sixth_of_its_grace(
+        self,
+    ) -> None:
+        cut = make_outcome(complete=False, error="reset")
+        for node, age, excused in (
+            ("node-1", 3.0, False),
+            ("node-1", 3.4, True),
+            ("node-1", 3.9, True),
+            ("node-1", 4.0, False),
+            ("node-2", 3.4, False),
+        ):
+            with self.subTest(node=node, age=age):
+                stops = ((node, cut.ended_at - age),)
+                violations = self.violated(
+                    cut, make_request(), replacements=stops
+                )
+                self.assertEqual(excused, "finished" not in violations)
+
     def test_hung_request(self) -> None:
         hung = make_outcome(
             status=0, seal="", body=b"", complete=False, hung=True
