Let tests of the gateway wait for states, not for a quiet machine

- test_endless.Memory, test_stop_under_load: all nodes of processes that run at once listened for metrics at 127.0.0.1:9464, so a second one never became ready.
Each process has an address of its own now (ports.own_host, which the soak had).
Where servers are slower than the grace period allows, streams were cut at 5/6 of it (trace: placed 2.1 to 2.5 s after SIGTERM, ended at 3.35 s, servers still at work).

--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/server.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+import math
 import time
 
 from aiohttp import web
@@ -18,6 +19,7 @@
     :param path: path and query as sent, not decoded.
     :param executed: whether the server began to execute it.
     :param received_at: monotonic time of its receipt, in seconds.
+    :param ended_at: monotonic time at which the server ended its work.
     """
 
     method: str
@@ -26,6 +28,7 @@
     body: bytes
     executed: bool = False
     received_at: float = field(default_factory=time.monotonic)
+    ended_at: float = math.inf
 
 
 @dataclass
@@ -128,16 +131,19 @@
         self, req: web.Request, received_request: ReceivedRequest
     ) -> web.StreamResponse:
         received_request.executed = True
-        if self.behaviour is not None:
-            resp = await self.behaviour(req)
-            if resp is not None:
-                return resp
-        if "Model" in req.headers:
-            return await self._stream(req)
-        return web.Response(
-            body=b"done " + received_request.body,
-            headers=self.answer_headers(req),
-        )
+        try:
+            if self.behaviour is not None:
+                resp = await self.behaviour(req)
+                if resp is not None:
+                    return resp
+            if "Model" in req.headers:
+                return await self._stream(req)
+            return web.Response(
+                body=b"done " + received_request.body,
+                headers=self.answer_headers(req),
+            )
+        finally:
+            received_request.ended_at = time.monotonic()
 
     def answer_headers(self, req: web.Request) -> dict[str, str]:
         """Return the headers that mark an answer as this server's."""
--- a/packages/limpetwalk-bench/limpetwalk_bench/site/ports.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/site/ports.py
@@ -1,11 +1,23 @@
 """Free TCP ports of the loopback interface."""
 
+import os
 import socket
 
 HOST = "127.0.0.1"
 MAX_ATTEMPTS = 100
 
 
+def own_host(number: int = 1) -> str:
+    """Return a loopback address that no other process uses.
+
+    The port of a node's metrics page is the same on all nodes.
+
+    :param number: distinguishes addresses of this process, 1 to 254.
+    """
+    pid = os.getpid()
+    return f"127.{pid // 250 % 250 + 1}.{pid % 250 + 1}.{number}"
+
+
 def free_ports(count: int, host: str = HOST) -> list[int]:
     """Return different ports that nothing listens on.
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
@@ -5,7 +5,6 @@
 import contextlib
 from dataclasses import dataclass
 import itertools
-import os
 import pathlib
 import random
 import time
@@ -14,6 +13,7 @@
 import aiohttp
 
 from ..hub import site
+from ..site import ports
 from . import callers
 from . import checks
 from . import fault_injector
@@ -183,14 +183,12 @@
         stand_ins.servers[server_id].event_interval = EVENT_INTERVAL
         link.target_port = stand_ins.ports[server_id]
         server_paths[server_id] = link
-    # The addresses depend on the process id and on the soaks before, so that
-    # soaks can run in parallel.
-    subnet = f"127.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}"
+    # Soaks of one process may run in parallel, too.
     first = next(_soak_numbers) * NODE_COUNT % MAX_HOSTS + 1
     entry_nodes, store_paths = {}, {}
     node_links: dict[str, dict[str, node_link.NodeLink]] = {}
     for number in range(1, NODE_COUNT + 1):
-        host = f"{subnet}.{first + number - 1}"
+        host = ports.own_host(first + number - 1)
         node = nodes.Node(f"node-{number}", host, folder)
         node.build = build
         store_paths[node.name] = await _start(
