--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -2,7 +2,8 @@
 
 The nodes use the product's own classes to choose servers and to report loads.
 A request that a full engine rejects is sent to another one. A brittle engine
-falls over when it rejects too many.
+falls over when it rejects too many. One that pauses turns all requests away
+and says for how long.
 """
 
 import collections
@@ -22,7 +23,9 @@
 from limpetwalk.gateway import placement
 from limpetwalk.gateway import prefill_time
 from limpetwalk.gateway import prefix_cache
+from limpetwalk.gateway import return_time
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import server_pauses
 from limpetwalk.gateway import types
 
 from . import engines
@@ -31,6 +34,10 @@
 # One-way delay of a report or request, in seconds.
 DELAY = 0.001
 MAX_ATTEMPTS = 3
+# Time for which a caller waits, returns included, in seconds.
+CALLER_PATIENCE = 10.0
+# Time after a statement from which requests at its server count, in seconds.
+PAUSE_HEARD_AFTER = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,13 +92,28 @@
     down_seconds: float = 4.0
 
 
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Time in which some engines want no requests.
+
+    :param at: its start, in seconds after that of the load.
+    :param servers: number of engines.
+    """
+
+    at: float
+    seconds: float
+    servers: int
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """Load of a cluster.
 
     :param models: share of requests and pace, by model.
     :param brittle: how engines fall over, None if they don't.
-    :param nodes_listen: whether the nodes heed what brittle engines say.
+    :param pause: when engines want no requests, None if they always do;
+        callers that are refused come back once.
+    :param nodes_listen: whether the nodes heed what engines say.
     """
 
     nodes: int
@@ -102,6 +124,7 @@
     seconds: float
     speed: engines.EngineSpeed = engines.EngineSpeed()
     brittle: Brittleness | None = None
+    pause: Pause | None = None
     nodes_listen: bool = True
 
 
@@ -110,12 +133,17 @@
     """What a caller got.
 
     :param first: seconds to the first event; None when it was refused.
+    :param arrived_at: when its caller first sent it, in seconds after the
+        start of the load.
+    :param refused_after: seconds from each arrival to a refusal.
     """
 
     kind: str
     target: float
     size: int
     first: float | None
+    arrived_at: float = 0.0
+    refused_after: list[float] = field(default_factory=list)
 
     @property
     def in_time(self) -> bool:
@@ -130,12 +158,20 @@
     :param rejected: attempts that full engines rejected.
     :param reports: reports that were sent.
     :param falls: number of times that an engine fell over.
+    :param unwanted: requests that reached an engine while it wanted none and
+        the node had heard so, by node and engine.
+    :param ended_pause: arrivals at engines that have paused, in seconds after
+        the end of the pause.
     """
 
     outcomes: list[Outcome] = field(default_factory=list)
     rejected: int = 0
     reports: int = 0
     falls: int = 0
+    unwanted: collections.Counter[tuple[int, str]] = field(
+        default_factory=collections.Counter
+    )
+    ended_pause: list[float] = field(default_factory=list)
 
     def served_share(self) -> float:
         """Return the share of requests that got a first event."""
@@ -147,6 +183,24 @@
         chosen = [o for o in self.outcomes if kind in ("", o.kind)]
         return sum(o.in_time for o in chosen) / max(1, len(chosen))
 
+    def paused(self, pause: Pause) -> list[Outcome]:
+        """Return the outcomes of requests that came during a pause."""
+        return [
+            outcome
+            for outcome in self.outcomes
+            if 0 <= outcome.arrived_at - pause.at < pause.seconds
+        ]
+
+    def first_after(self, pause: Pause) -> float:
+        """Return the seconds from the end of a pause to the next answer."""
+        end = pause.at + pause.seconds
+        return min(
+            outcome.arrived_at + outcome.first - end
+            for outcome in self.outcomes
+            if outcome.first is not None
+            and outcome.arrived_at + outcome.first >= end
+        )
+
     def first_quantile(self, share: float) -> float:
         """Return a quantile of the time to the first event, in seconds."""
         times = sorted(
@@ -167,6 +221,8 @@
         rng: random.Random,
     ) -> None:
         self.loads = server_load.ServerLoads(clock)
+        self.pauses = server_pauses.ServerPauses(clock, rng)
+        self.told_at: dict[str, float] = {}
         self.memory = prefix_cache.PrefixCacheTracker(clock, 9.3)
         self.times = prefill_time.PrefillTimes()
         self.brittle = brittle_servers.BrittleServers(
@@ -184,7 +240,10 @@
             self.loads,
             self.times,
             clock,
-            lambda member: not member.is_cold(clock.monotonic()),
+            lambda member: (
+                not member.is_cold(clock.monotonic())
+                and not self.pauses.is_paused(member.id)
+            ),
             self.brittle.with_room,
         )
 
@@ -196,6 +255,8 @@
     work: engines.Work
     prompt: types.Prompt
     arrived_at: float
+    sent_at: float
+    refused_after: list[float] = field(default_factory=list)
     tried: set[str] = field(default_factory=set)
     choice: placement.Choice | None = None
     started: bool = False
@@ -310,6 +371,7 @@
                 tuple(types.PromptPart(*part) for part in parts),
             ),
             self._clock.monotonic(),
+            self._clock.monotonic(),
         )
         self._place(req)
 
@@ -328,7 +390,7 @@
             )
         )
         if choice is None or len(req.tried) >= MAX_ATTEMPTS:
-            self._finish(req, None)
+            self._refuse(req)
             return
         req.choice = choice
         req.tried.add(choice.member.id)
@@ -342,6 +404,8 @@
         if site is None:
             self._end_at_server(req)
             self._place(req)
+        elif self._pause_left(server_id) > 0:
+            self._turn_away(req, server_id)
         elif not site.queued and site.engine.has_slot(req.work):
             self._begin(site, req)
         elif len(site.queued) < self._queue_size():
@@ -354,6 +418,47 @@
             self._reject(server_id, site)
             self._place(req)
 
+    def _pause_left(self, server_id: str) -> float:
+        """Return how long an engine wants no requests, in seconds."""
+        pause = self._load.pause
+        if pause is None or int(server_id[1:]) >= pause.servers:
+            return 0.0
+        left = self._started_at + pause.at + pause.seconds
+        left -= self._clock.monotonic()
+        if left <= 0:
+            self._result.ended_pause.append(-left)
+        return left if left <= pause.seconds else 0.0
+
+    def _turn_away(self, req: _Request, server_id: str) -> None:
+        """Turn a request away and say for how long none is wanted."""
+        node, now = req.node, self._clock.monotonic()
+        told_at = node.told_at.setdefault(server_id, now)
+        if now - told_at > PAUSE_HEARD_AFTER:
+            self._result.unwanted[id(node), server_id] += 1
+        if self._load.nodes_listen:
+            node.pauses.record(server_id, self._pause_left(server_id))
+        self._result.rejected += 1
+        self._end_at_server(req)
+        self._place(req)
+
+    def _refuse(self, req: _Request) -> None:
+        """Refuse a request; its caller comes back once after a pause."""
+        now = self._clock.monotonic()
+        req.refused_after.append(now - req.sent_at)
+        if self._load.pause is None or len(req.refused_after) > 1:
+            self._finish(req, None)
+            return
+        seconds = return_time.retry_after(
+            self._fleet.usable(SERVICE),
+            CALLER_PATIENCE - (now - req.arrived_at),
+            now,
+            self._rng,
+            lambda member: req.node.pauses.until(member.id),
+        )
+        req.tried.clear()
+        req.sent_at = now + seconds
+        self._after(seconds, lambda: self._place(req))
+
     def _queue_size(self) -> int:
         brittle = self._load.brittle
         now = self._clock.monotonic()
@@ -445,7 +550,12 @@
     def _finish(self, req: _Request, first: float | None) -> None:
         self._result.outcomes.append(
             Outcome(
-                req.kind.name, req.kind.target, req.prompt.input_tokens, first
+                req.kind.name,
+                req.kind.target,
+                req.prompt.input_tokens,
+                first,
+                req.arrived_at - self._started_at,
+                req.refused_after,
             )
         )
 
--- a/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
@@ -100,6 +100,22 @@
     )
 
 
+def pausing(
+    nodes: int, servers: int, rate: float, paused: int, seconds: float = 12.0
+) -> cluster.Load:
+    """Return the load of a plain service of which servers pause for 2 s.
+
+    :param rate: requests per second.
+    :param paused: number of servers that want no requests.
+    """
+    return dataclasses.replace(
+        overloaded_plain(nodes, servers, rate, cluster.Brittleness(10)),
+        brittle=None,
+        pause=cluster.Pause(4.0, 2.0, paused),
+        seconds=seconds,
+    )
+
+
 def reportings(nodes: int) -> dict[str, cluster.Reporting]:
     """Return ways to report loads, by name."""
     to_all = peer_groups.single_group_interval(nodes)
--- a/tests/limpetwalk_bench/model/test_cluster.py
+++ b/tests/limpetwalk_bench/model/test_cluster.py
@@ -118,3 +118,61 @@
         for result in self.run_all(load):
             self.assertGreaterEqual(result.in_time_share(), 0.99)
             self.assertEqual(0, result.falls)
+
+
+class PausingServers(unittest.TestCase):
+    """Servers of a plain service that want no requests for 2 s."""
+
+    seeds = (1, 2, 3)
+    servers = 6
+
+    def run_all(
+        self, paused: int, nodes_listen: bool = True
+    ) -> list[cluster.Result]:
+        """Run the load once for each seed.
+
+        :param paused: number of servers that pause.
+        :param nodes_listen: whether the nodes heed what servers say.
+        """
+        load = dataclasses.replace(
+            loads.pausing(9, self.servers, 200.0, paused),
+            nodes_listen=nodes_listen,
+        )
+        assert load.pause is not None
+        self.pause = load.pause
+        reporting = loads.reportings(load.nodes)["to all"]
+        return [
+            cluster.Cluster(load, reporting, seed).run() for seed in self.seeds
+        ]
+
+    def served(self, result: cluster.Result) -> float:
+        """Return the share that was served of requests sent meanwhile."""
+        sent = result.paused(self.pause)
+        return sum(o.first is not None for o in sent) / len(sent)
+
+    def test_paused_servers_are_left_alone(self) -> None:
+        for paused in (1, 3, 6):
+            for result in self.run_all(paused):
+                self.assertLessEqual(
+                    max(result.unwanted.values(), default=0), 2
+                )
+
+    def test_callers_get_the_other_servers(self) -> None:
+        for paused in (1, 3):
+            for result in self.run_all(paused):
+                self.assertEqual(1.0, self.served(result))
+
+    def test_callers_are_refused_at_once_if_all_servers_pause(self) -> None:
+        for result in self.run_all(self.servers):
+            for outcome in result.paused(self.pause):
+                self.assertTrue(outcome.refused_after)
+                self.assertLess(max(outcome.refused_after), 0.02)
+
+    def test_callers_that_come_back_are_served(self) -> None:
+        former = self.run_all(self.servers, nodes_listen=False)
+        for result, before in zip(
+            self.run_all(self.servers), former, strict=True
+        ):
+            self.assertGreater(self.served(result), self.served(before))
+            self.assertGreater(self.served(result), 0.95)
+            self.assertLess(result.first_after(self.pause), 0.1)
