--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 OUT ?= docs/measurements
 
 .PHONY: help setup test format lint unit demo bench soak fault-soak \
-    upgrade-soak clean
+    upgrade-soak record-formats clean
 
 help:
 	@echo "make test    set up .venv, then run formatter check, linter and tests"
@@ -24,6 +24,7 @@
 	@echo "make soak SEED=n   run the property tests longer, from another seed"
 	@echo "make fault-soak SEEDS=a-b  run entry nodes as processes under faults"
 	@echo "make upgrade-soak COMMIT=c SEEDS=a-b  the same, from an older build"
+	@echo "make record-formats COMMIT=c  record what nodes of a landing write"
 	@echo "make format  rewrite the sources in the project's format"
 
 setup: $(STAMP)
@@ -71,6 +72,11 @@
 	$(VENV)/bin/python -m limpetwalk_bench.soak --seeds=$(SEEDS) \
 	    --seconds=$(SECONDS) --from_commit=$(COMMIT)
 
+# What nodes of COMMIT, a landing, write for other nodes; a test decodes it.
+record-formats: $(STAMP)
+	$(VENV)/bin/python -m limpetwalk_bench.formats --commit=$(COMMIT) \
+	    --out=tests/limpetwalk_node/gateway/recorded/$(COMMIT).json
+
 # Entry nodes as separate processes under random faults: nodes are killed,
 # paused and stopped, and their connections and the store are disrupted.
 fault-soak: $(STAMP)
--- a/tests/limpetwalk_node/gateway/test_load_broadcast.py
+++ b/tests/limpetwalk_node/gateway/test_load_broadcast.py
@@ -29,6 +29,7 @@
     """Node that reports what it knows of servers."""
 
     def __init__(self, name: str, peers: dict[str, peer_groups.Peer]) -> None:
+        self.lines = harness.Lines()
         clock = clocks.SystemClock()
         names = frozenset(peers)
         self.loads = server_load.ServerLoads(clock)
@@ -59,7 +60,7 @@
             store_watch.PeerNews(clock),
             mock.Mock(cut_off=False),
             mock.Mock(),
-            harness.journal(harness.Lines()),
+            harness.journal(self.lines),
         )
         self.address = peers[name].address
 
