--- a/tests/limpetwalk_node/gateway/test_frontend.py
+++ b/tests/limpetwalk_node/gateway/test_frontend.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from aiohttp import web
+import multidict
 
 from limpetwalk_bench.hub import site
 from limpetwalk_bench.site import ports
@@ -196,6 +197,23 @@
                         self.assertEqual(401, resp.status)
         self.assertEqual([], self.server("p-1").received)
 
+    async def test_first_of_two_keys_decides_and_neither_is_passed_on(
+        self,
+    ) -> None:
+        held, strange = f"Token {site.API_KEY}", "Token strange"
+        for keys, status in (((held, strange), 200), ((strange, held), 401)):
+            headers = multidict.CIMultiDict(site.request_headers("a-1", 2000))
+            headers.popall("Authorization")
+            for key in keys:
+                headers.add("Authorization", key)
+            async with self.run_.client.post(
+                self.run_.url("/once/x"), headers=headers
+            ) as resp:
+                self.assertEqual(status, resp.status, keys)
+        (request,) = self.server("p-1").received
+        self.assertNotIn("Authorization", request.headers)
+        self.assertEqual(site.WORKSPACE, request.headers["Tenant"])
+
     async def test_request_does_not_run_if_its_key_goes_before_its_body_ends(
         self,
     ) -> None:
