Take the start of a node for no suspension

In the first quarter of a second of a node, a signal to stop was said to have waited since the start of its pause detector: a node that is stopped then would take new requests for up to 0.25 s less. The test failed before (0.001, not 0).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/pauses.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/pauses.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import time
 
 from . import events
@@ -29,8 +30,8 @@
         self._journal = journal
         self._on_pause = on_pause
         self._checked_at = _now()
-        self._paused_from = self._checked_at
-        self._paused_until = self._checked_at
+        self._paused_from = -math.inf
+        self._paused_until = -math.inf
 
     async def run(self) -> None:
         """Call the function after each suspension, until cancelled."""
--- a/tests/limpetwalk_node/gateway/test_pauses.py
+++ b/tests/limpetwalk_node/gateway/test_pauses.py
@@ -22,6 +22,10 @@
             harness.journal(self.lines), self.reread
         )
 
+    def test_start_is_no_suspension(self) -> None:
+        self.now += 0.001
+        self.assertEqual(0.0, self.detector.last_pause())
+
     def test_no_suspension(self) -> None:
         self.now += 0.9
         self.assertEqual(0.0, self.detector.last_pause())
