Count the time for which a signal to stop waits in the start

Trace: node.stopping 7 ms after node.started (took_ms 446), waited_s 0; SIGKILL came 0.7 s before the end that the node reckoned with.

A signal that waits when the signals are released may be as old as the program's first statement. The test failed before for SIGTERM and SIGINT (0 s).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/program.py
@@ -110,14 +110,17 @@
         max_buffered_bytes=_BUFFERED_KIB.value * buffers.KIB,
     )
 
+    waited = 0.0
+
     def stop() -> None:
         if not signalled.done():
-            signalled.set_result((loop.time(), gateway.last_pause()))
+            longest_wait = max(waited, gateway.last_pause())
+            signalled.set_result((loop.time(), longest_wait))
 
     for signal_number in signals.STOP:
         loop.add_signal_handler(signal_number, stop)
     loop.add_signal_handler(signals.RELOAD, gateway.reload)
-    signals.release()
+    waited = signals.release()
     entry = aiomisc.entrypoint(log_config=False, catch_signals=())
     async with entry as services:
         await services.start_services(gateway)
--- a/tests/limpetwalk_node/gateway/test_signals.py
+++ b/tests/limpetwalk_node/gateway/test_signals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import os
 import pathlib
 import signal
@@ -150,6 +151,25 @@
                 reloaded = b'"settings.reloaded"' in process.output
                 self.assertEqual(number is signal.SIGHUP, reloaded)
 
+    async def test_stop_counts_the_time_for_which_its_signal_waited(
+        self,
+    ) -> None:
+        # A signal at the first statement waits for the imports.
+        for number, at, waits in (
+            (signal.SIGTERM, 0.0, True),
+            (signal.SIGINT, 0.0, True),
+            (signal.SIGHUP, 0.0, False),
+        ):
+            process = await self.signal_start(number, at)
+            (line,) = (
+                json.loads(line)
+                for line in process.output.splitlines()
+                if b'"node.stopping"' in line
+            )
+            with self.subTest(number=number):
+                self.assertEqual(waits, line["waited_s"] > 0.1)
+                self.assertLess(line["waited_s"], 10.0)
+
     async def test_signal_during_the_stop_changes_nothing(self) -> None:
         await asyncio.gather(
             *(
