Let the fault soak's operator take keys away, change routes and evacuate zones

Drawn from the seed, apart from the other faults: one key of several, a workspace's last, the last of all, an empty list of workspaces, a null list, a key that moves, a route that is dropped or public, an evacuation, all nodes killed at once; one change, and an evacuation in half of the soaks, outlast the faults by 8 s. Callers also use a second workspace's keys, a key that nobody holds and none. A model without I/O says which configurations may decide about a request; a request that none of them allows must not run, one that all allow must not be denied, a server gets the workspace that holds the key, an evacuated zone gets nothing.

--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/callers.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/callers.py
@@ -10,6 +10,7 @@
 
 from ..hub import site
 from . import nodes
+from . import operators
 
 # Deadline of each request, and the additional time after which a request
 # without an answer counts as hung, in seconds.
@@ -22,6 +23,10 @@
 NODE_CHANGE_SHARE = 0.05
 # Names of the routes that requests use.
 ROUTES = ("once", "again", "stream")
+# Share of the requests of the second workspace, some to its own route; a part
+# of them with a key that nobody holds, and without a key.
+OTHERS_SHARE = 0.15
+OTHER_KEYS = (*operators.KEYS, *operators.KEYS, operators.STRANGE_KEY, "")
 
 
 @dataclass(slots=True)
@@ -31,6 +36,7 @@
     :param id: identifier of the caller's attempt.
     :param route: name of its route.
     :param node: name of the node that it was sent to.
+    :param key: key that it was sent with; empty for none.
     :param sent_at: monotonic time at which it was sent, in seconds.
     :param ended_at: monotonic time at which its answer or connection ended.
     :param status: HTTP status of the answer; 0 without one.
@@ -54,6 +60,7 @@
     complete: bool = False
     hung: bool = False
     error: str = ""
+    key: str = site.API_KEY
 
     @property
     def served(self) -> bool:
@@ -101,12 +108,16 @@
         self, http: aiohttp.ClientSession, node: nodes.Node
     ) -> Outcome:
         self._sent_count += 1
-        route = self._rng.choice(ROUTES)
+        route, key = self._rng.choice(ROUTES), site.API_KEY
+        if self._rng.random() < OTHERS_SHARE:
+            route = self._rng.choice((*ROUTES, operators.ROUTE))
+            key = self._rng.choice(OTHER_KEYS)
         outcome = Outcome(
             f"{self._name}-{self._sent_count}",
             route,
             node.name,
             time.monotonic(),
+            key=key,
         )
         try:
             async with asyncio.timeout(DEADLINE + HANG_SLACK):
@@ -121,12 +132,16 @@
     async def _exchange(
         self, http: aiohttp.ClientSession, node: nodes.Node, outcome: Outcome
     ) -> None:
+        headers = {
+            **site.request_headers(outcome.id, int(DEADLINE * 1000)),
+            **(site.STREAM_HEADERS if outcome.route == "stream" else {}),
+            "Authorization": f"Token {outcome.key}",
+        }
+        if not outcome.key:
+            del headers["Authorization"]
         async with http.post(
             f"http://{node.host}:{node.caller_port}/{outcome.route}/x",
-            headers={
-                **site.request_headers(outcome.id, int(DEADLINE * 1000)),
-                **(site.STREAM_HEADERS if outcome.route == "stream" else {}),
-            },
+            headers=headers,
             data=outcome.id.encode(),
         ) as resp:
             outcome.status = resp.status
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/checks.py
@@ -11,6 +11,8 @@
 from . import callers
 from . import fault_plan
 from . import nodes
+from . import operator_model
+from . import operators
 
 # Statuses that state that a request was not executed and never will be.
 NOT_EXECUTED = frozenset((408, 421, 429, 503))
@@ -18,7 +20,9 @@
 # allows every request that the callers send.
 REJECTED = frozenset((400, 401, 403, 404, 413, 431))
 # Maximum number of servers that may execute one request, by route.
-MAX_ATTEMPTS = {"once": 1, "again": 2, "stream": 3}
+MAX_ATTEMPTS = {"once": 1, "again": 2, "stream": 3, operators.ROUTE: 2}
+# Statuses that say that a configuration doesn't allow a request.
+DENIED = frozenset((401, 404))
 # Time around a fault in which it may have effects, in seconds: a time-out of
 # the nodes and their restart.
 EFFECT_TIME = 1.5
@@ -44,9 +48,8 @@
 TOLERATED_FAILURES = 10
 TOLERATED_FAILURE_SHARE = 1 / 50
 # Kinds that close or stall the connections of a node.
-NODE_OUTAGES = frozenset(
-    (fault_plan.FaultKind.KILL, fault_plan.FaultKind.PAUSE)
-)
+KILLS = frozenset((fault_plan.FaultKind.KILL, fault_plan.FaultKind.KILL_ALL))
+NODE_OUTAGES = KILLS | frozenset((fault_plan.FaultKind.PAUSE,))
 SERVER_OUTAGES = frozenset(
     (
         fault_plan.FaultKind.SERVER_LINK,
@@ -90,6 +93,8 @@
     :param calm_from: monotonic time from which faults have no effects.
     :param replacements: nodes whose program was replaced, and the monotonic
         times at which they were told to stop.
+    :param history: what the operator has written; None if all requests were
+        allowed throughout.
     """
 
     outcomes: Sequence[callers.Outcome]
@@ -98,6 +103,26 @@
     started: float
     calm_from: float
     replacements: Sequence[tuple[str, float]] = ()
+    history: operator_model.History | None = None
+
+    def rules(self, outcome: callers.Outcome) -> list[operator_model.Rules]:
+        """Return the rules that may have decided about a request."""
+        if self.history is None:
+            return []
+        return self.history.in_force(
+            outcome.sent_at,
+            outcome.ended_at,
+            not _node_had_outage(
+                self, outcome.node, outcome.sent_at, CONTACT_TIME
+            ),
+        )
+
+    def may_be_denied(self, outcome: callers.Outcome) -> bool:
+        """Return whether a configuration may not allow a request."""
+        return not all(
+            rules.allow(outcome.route, outcome.key)
+            for rules in self.rules(outcome)
+        )
 
 
 def find_violations(observed: Observations) -> list[Violation]:
@@ -114,8 +139,9 @@
     for outcome in observed.outcomes:
         own = executions.get(outcome.id, [])
         violations += _check_executions(outcome, own)
-        violations += _check_answer(outcome, own)
+        violations += _check_answer(observed, outcome, own)
         violations += _check_end(observed, outcome, own)
+        violations += _check_operator(observed, outcome, own)
     violations += _check_drain(observed)
     violations += _check_recovery(observed)
     violations += _check_cut_nodes(observed)
@@ -163,11 +189,46 @@
             yield Violation("deadline", outcome.id, f"handed {remaining} s")
 
 
+def _check_operator(
+    observed: Observations,
+    outcome: callers.Outcome,
+    executions: Sequence[tuple[str, server.ReceivedRequest]],
+) -> Iterable[Violation]:
+    """Check that a request ran only where the operator allowed it."""
+    if observed.history is None or not executions:
+        return
+    rules = observed.rules(outcome)
+    if not any(each.allow(outcome.route, outcome.key) for each in rules):
+        yield Violation(
+            "allowed",
+            outcome.id,
+            f"ran at {outcome.node} on {outcome.route} with the key"
+            f" {outcome.key!r}, {outcome.status}",
+        )
+    workspaces = {each.keys.get(outcome.key, "") for each in rules}
+    for server_id, request in executions:
+        named = request.headers.get("Tenant", "")
+        if named not in workspaces:
+            yield Violation("workspace", outcome.id, f"handed {named!r}")
+        if observed.history.was_evacuated(
+            server_id, request.received_at
+        ) and not any(
+            _node_had_outage(observed, node, request.received_at, CONTACT_TIME)
+            for node in _possible_senders(
+                observed, outcome.node, request.received_at
+            )
+        ):
+            yield Violation("evacuated", outcome.id, f"reached {server_id}")
+
+
 def _check_answer(
+    observed: Observations,
     outcome: callers.Outcome,
     executions: Sequence[tuple[str, server.ReceivedRequest]],
 ) -> Iterable[Violation]:
-    if outcome.status in REJECTED:
+    if outcome.status in REJECTED and not (
+        outcome.status in DENIED and observed.may_be_denied(outcome)
+    ):
         yield Violation("denied", outcome.id, str(outcome.status))
     if not outcome.served:
         return
@@ -349,27 +410,45 @@
             attempt_id = request.headers.get("Attempt-Id", "")
             if not drained_at < request.received_at < back_at:
                 continue
-            node = node_by_attempt.get(attempt_id, "")
-            senders = {node}
-            if _had_cut_links(
-                observed, node, request.received_at, request.received_at
-            ):
-                senders |= _node_names(observed)
+            senders = _possible_senders(
+                observed,
+                node_by_attempt.get(attempt_id, ""),
+                request.received_at,
+            )
             if not any(
-                _node_had_outage(observed, sender, request.received_at)
+                _node_had_outage(
+                    observed,
+                    sender,
+                    request.received_at,
+                    DRAIN_TIME + CONTACT_TIME,
+                )
                 for sender in senders
             ):
                 yield Violation("drain", attempt_id, f"reached {fault.target}")
 
 
-def _node_had_outage(observed: Observations, node: str, at: float) -> bool:
+def _possible_senders(
+    observed: Observations, node: str, at: float
+) -> set[str]:
+    """Return the nodes by which a node may have sent a request."""
+    if _had_cut_links(observed, node, at, at):
+        return {node} | _node_names(observed)
+    return {node}
+
+
+def _node_had_outage(
+    observed: Observations, node: str, at: float, contact_time: float
+) -> bool:
+    """Return whether a node was out of touch before an instant.
+
+    :param contact_time: time without an outage after which it is in touch.
+    """
     return any(
         fault.target in ("", node)
         and fault.kind
         in STORE_OUTAGES | NODE_OUTAGES | {fault_plan.FaultKind.TERM}
         and observed.started + fault.at < at
-        and observed.started + fault.ends_at
-        > at - DRAIN_TIME - CONTACT_TIME - EFFECT_TIME
+        and observed.started + fault.ends_at > at - contact_time - EFFECT_TIME
         for fault in observed.faults
     )
 
@@ -383,7 +462,9 @@
     if not calm_outcomes:
         yield Violation("recovery", "", "no request after the last fault")
     for outcome in calm_outcomes:
-        if not outcome.served:
+        if not outcome.served and not (
+            outcome.status in DENIED and observed.may_be_denied(outcome)
+        ):
             yield Violation(
                 "recovery",
                 outcome.id,
@@ -397,8 +478,10 @@
         at_cut: list[callers.Outcome] = []
         at_others: list[callers.Outcome] = []
         for outcome in observed.outcomes:
-            if not begin <= outcome.sent_at < end or not _was_in_touch(
-                observed, outcome
+            if (
+                not begin <= outcome.sent_at < end
+                or not _was_in_touch(observed, outcome)
+                or observed.may_be_denied(outcome)
             ):
                 continue
             if _lacks_links(observed, outcome.node, outcome.sent_at):
@@ -487,7 +570,7 @@
         end = observed.started + fault.ends_at + EFFECT_TIME
         if fault.kind is fault_plan.FaultKind.TERM:
             end = observed.started + fault.at + nodes.GRACE + RESTART_TIME
-        elif fault.kind is fault_plan.FaultKind.KILL:
+        elif fault.kind in KILLS:
             end = observed.started + fault.at + RESTART_TIME
         elif fault.kind not in NODE_OUTAGES | STORE_OUTAGES:
             continue
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
@@ -13,6 +13,7 @@
 from . import fault_plan
 from . import node_link
 from . import nodes
+from . import operators
 from . import proxy
 
 # Status with which the store rejects requests.
@@ -31,6 +32,7 @@
     :param node_links: paths of each node, by its name, to the proxies before
         the servers, by their identifiers.
     :param services: name of the backend, by server identifier.
+    :param zones: zone, by server identifier.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         server_paths: dict[str, proxy.Proxy],
         node_links: dict[str, dict[str, node_link.NodeLink]],
         services: dict[str, str],
+        zones: dict[str, str],
     ) -> None:
         self.site = stand_ins
         self.nodes = entry_nodes
@@ -48,7 +51,8 @@
         self.server_paths = server_paths
         self.node_links = node_links
         self.services = services
-        self._config_version = 1
+        self.zones = zones
+        self.operator = operators.Operator(stand_ins)
         self._last_born = 1
         self._active_counts: collections.Counter[
             tuple[fault_plan.FaultKind, str]
@@ -71,6 +75,11 @@
         if fault.kind is fault_plan.FaultKind.SERVER_SILENT:
             await self._inject_silence(fault)
             return
+        if fault.kind is fault_plan.FaultKind.OPERATOR_CHANGE:
+            await self.begin_change(fault)
+            await asyncio.sleep(fault.duration)
+            await self.end_change(fault)
+            return
         begin, end = _LASTING_FAULTS[fault.kind]
         key = (fault.kind, fault.target)
         self._active_counts[key] += 1
@@ -136,14 +145,32 @@
         await self.site.store.discard_history()
 
     async def change_config(self, fault: fault_plan.Fault) -> None:
-        """Write a configuration with an additional route."""
-        self._config_version += 3
-        config = site.config_row(self._config_version)
-        new_route = site.route(
-            f"more-{self._config_version}", "idempotent", site.PLAIN
+        """Write a configuration of the same contents."""
+        await self.operator.write()
+
+    async def begin_change(self, fault: fault_plan.Fault) -> None:
+        """Write another configuration."""
+        assert fault.change is not None
+        await self.operator.begin(fault.change)
+
+    async def end_change(self, fault: fault_plan.Fault) -> None:
+        """Write a configuration without the change."""
+        assert fault.change is not None
+        await self.operator.end(fault.change)
+
+    async def evacuate(self, fault: fault_plan.Fault) -> None:
+        """Evacuate a zone."""
+        await self.operator.evacuate(
+            frozenset(
+                server
+                for server, zone in self.zones.items()
+                if zone == operators.ZONE
+            )
         )
-        config["routes"].append(new_route)
-        await self.site.store.put("op", "config", config)
+
+    async def end_evacuation(self, fault: fault_plan.Fault) -> None:
+        """Take the evacuation back."""
+        await self.operator.end_evacuation()
 
     async def pause(self, fault: fault_plan.Fault) -> None:
         """Suspend a node."""
@@ -237,6 +264,7 @@
             self.services[server_id],
             path.port,
             state=state,
+            zone=self.zones[server_id],
             born=self._last_born,
         )
         await self.site.store.put("servers", server_id, row)
@@ -245,6 +273,7 @@
 Action = Callable[[FaultInjector, fault_plan.Fault], Awaitable[None]]
 _INSTANT_FAULTS: dict[fault_plan.FaultKind, Action] = {
     fault_plan.FaultKind.KILL: FaultInjector.kill,
+    fault_plan.FaultKind.KILL_ALL: FaultInjector.kill,
     fault_plan.FaultKind.TERM: FaultInjector.term,
     fault_plan.FaultKind.RELOAD: FaultInjector.reload,
     fault_plan.FaultKind.STORE_DROPS_HISTORY: FaultInjector.drop_history,
@@ -265,6 +294,10 @@
         FaultInjector.leave,
         FaultInjector.come_back,
     ),
+    fault_plan.FaultKind.EVACUATION: (
+        FaultInjector.evacuate,
+        FaultInjector.end_evacuation,
+    ),
     fault_plan.FaultKind.STORE_DOWN: (
         FaultInjector.store_down,
         FaultInjector.store_up,
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_plan.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_plan.py
@@ -5,6 +5,8 @@
 import enum
 import random
 
+from . import operators
+
 # Mean number of concurrent faults: enough that they overlap, few enough that
 # some node can serve most of the time.
 MEAN_FAULTS = 1.5
@@ -38,6 +40,24 @@
 ALL_SILENT_SHARE = 0.5
 
 
+# Mean number of changes of the configuration that last for a while, and of
+# evacuations, in a soak, and the shortest and longest duration of either, in
+# seconds: longer than the time in which nodes must follow.
+MEAN_CHANGES = 3.0
+MEAN_EVACUATIONS = 0.4
+MIN_CHANGE = 0.5
+MAX_CHANGE = 6.0
+MIN_EVACUATION = 7.0
+MAX_EVACUATION = 9.0
+# Time for which the operator's last changes go on once all faults have ended,
+# in seconds: nodes are in touch again and must follow them. Share of the soaks
+# in which they include an evacuation.
+AFTERMATH = 8.0
+AFTERMATH_EVACUATIONS = 0.5
+# Mean number of times in a soak that all nodes are killed at once.
+MEAN_KILLS_OF_ALL = 0.2
+
+
 class FaultKind(enum.Enum):
     """Kind of a fault.
 
@@ -60,6 +80,9 @@
     :cvar SERVER_SILENT: a server stops in the middle of its answers, loses
         nothing and goes on.
     :cvar NODE_LINKS: the paths of a node to servers are cut.
+    :cvar OPERATOR_CHANGE: the configuration is another one for a while.
+    :cvar EVACUATION: a zone is evacuated.
+    :cvar KILL_ALL: a node gets SIGKILL, like all others at the same time.
     """
 
     KILL = "kill"
@@ -79,6 +102,9 @@
     SERVER_LEAVES = "leave"
     SERVER_SILENT = "server_silent"
     NODE_LINKS = "node_links"
+    OPERATOR_CHANGE = "operator_change"
+    EVACUATION = "evacuation"
+    KILL_ALL = "kill_all"
 
 
 class LinkFault(enum.Enum):
@@ -120,6 +146,7 @@
         FaultKind.RELOAD,
         FaultKind.STORE_LINK,
         FaultKind.NODE_LINKS,
+        FaultKind.KILL_ALL,
     )
 )
 # Kinds that are drawn apart, so that the other faults of a seed don't change.
@@ -128,6 +155,9 @@
         FaultKind.STORE_RESTORED,
         FaultKind.SERVER_SILENT,
         FaultKind.NODE_LINKS,
+        FaultKind.OPERATOR_CHANGE,
+        FaultKind.EVACUATION,
+        FaultKind.KILL_ALL,
     )
 )
 SERVER_KINDS = frozenset(
@@ -153,6 +183,7 @@
         a link.
     :param link_cut: how the links of a node are cut; None for other kinds.
     :param servers: servers to which the links of a node are cut.
+    :param change: how the configuration changes; None for other kinds.
     """
 
     at: float
@@ -162,6 +193,7 @@
     link_fault: LinkFault | None = None
     link_cut: LinkCut | None = None
     servers: tuple[str, ...] = ()
+    change: operators.Change | None = None
 
     @property
     def ends_at(self) -> float:
@@ -193,9 +225,27 @@
     faults += _draw_restorations(seed, length)
     faults += _draw_link_cuts(seed, length, nodes, servers)
     faults += _draw_silences(seed, length, servers)
+    faults += _draw_changes(seed, length)
+    faults += _draw_evacuations(seed, length)
+    faults += _draw_kills_of_all(seed, length, nodes)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
+def draw_aftermath(seed: int, length: float) -> tuple[Fault, ...]:
+    """Return changes of the operator that outlast the faults of a soak.
+
+    :param length: seconds in which all faults start and end.
+    """
+    rng = random.Random(f"aftermath {seed}")
+    at = max(0.0, length - rng.uniform(0.0, 1.0))
+    duration = length + AFTERMATH - at
+    change = rng.choice(list(operators.Change))
+    faults = [Fault(at, duration, FaultKind.OPERATOR_CHANGE, change=change)]
+    if rng.random() < AFTERMATH_EVACUATIONS:
+        faults.append(Fault(at, duration, FaultKind.EVACUATION))
+    return tuple(faults)
+
+
 def _draw_restorations(seed: int, length: float) -> list[Fault]:
     rng = random.Random(f"restorations {seed}")
     faults = []
@@ -259,6 +309,38 @@
     return faults
 
 
+def _draw_changes(seed: int, length: float) -> list[Fault]:
+    rng = random.Random(f"changes {seed}")
+    faults = []
+    at = 0.0
+    while (at := at + rng.expovariate(MEAN_CHANGES / length)) < length:
+        change = rng.choice(list(operators.Change))
+        duration = min(rng.uniform(MIN_CHANGE, MAX_CHANGE), length - at)
+        faults.append(
+            Fault(at, duration, FaultKind.OPERATOR_CHANGE, change=change)
+        )
+    return faults
+
+
+def _draw_evacuations(seed: int, length: float) -> list[Fault]:
+    rng = random.Random(f"evacuations {seed}")
+    if rng.random() >= MEAN_EVACUATIONS:
+        return []
+    duration = min(rng.uniform(MIN_EVACUATION, MAX_EVACUATION), length)
+    at = rng.uniform(0.0, length - duration)
+    return [Fault(at, duration, FaultKind.EVACUATION)]
+
+
+def _draw_kills_of_all(
+    seed: int, length: float, nodes: Sequence[str]
+) -> list[Fault]:
+    rng = random.Random(f"kills of all {seed}")
+    if rng.random() >= MEAN_KILLS_OF_ALL:
+        return []
+    at = rng.uniform(0.0, length)
+    return [Fault(at, 0.0, FaultKind.KILL_ALL, node) for node in nodes]
+
+
 def _draw_fault(
     rng: random.Random,
     at: float,
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
@@ -129,7 +129,10 @@
             node_process.PATHS_VARIABLE: json.dumps(self._server_paths),
         }
         while True:
-            env["PYTHONPATH"] = os.pathsep.join(self.build)
+            # Those of the soak itself, if any, are for a scratch copy.
+            env["PYTHONPATH"] = os.pathsep.join(self.build) or os.environ.get(
+                "PYTHONPATH", ""
+            )
             with self._log_path.open("ab") as log:
                 self._process = await asyncio.create_subprocess_exec(
                     sys.executable,
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/runner.py
@@ -1,6 +1,7 @@
 """One soak: nodes, stand-ins, callers and faults, and its summary."""
 
 import asyncio
+import collections
 from collections.abc import Sequence
 import contextlib
 from dataclasses import dataclass
@@ -20,6 +21,7 @@
 from . import fault_plan
 from . import node_link
 from . import nodes
+from . import operators
 from . import proxy
 
 NODE_COUNT = 3
@@ -32,6 +34,8 @@
     "p-1": site.PLAIN,
     "p-2": site.PLAIN,
 }
+# Zone by identifier of its server; zone-a for others.
+ZONE_BY_SERVER = {"e-3": operators.ZONE, "p-2": operators.ZONE}
 # Pause of a server between two events of a stream, in seconds.
 EVENT_INTERVAL = 0.03
 # Time for all nodes to become ready, in seconds.
@@ -57,6 +61,7 @@
     :param served: number of requests with a complete answer of a server.
     :param starts: number of node processes that were started.
     :param broken: guarantees that were violated.
+    :param kinds: number of faults and operator's changes, by kind.
     """
 
     seed: int
@@ -65,6 +70,7 @@
     served: int
     starts: int
     broken: list[checks.Violation]
+    kinds: dict[str, int]
 
 
 async def run_soak(
@@ -89,6 +95,7 @@
         faults = fault_plan.draw_faults(
             seed, length, list(injector.nodes), list(injector.services)
         )
+        faults += fault_plan.draw_aftermath(seed, length)
         started = time.monotonic()
         async with asyncio.TaskGroup() as group:
             rng = random.Random(seed)
@@ -123,6 +130,7 @@
             started,
             calm_from,
             replacements,
+            injector.operator.history,
         )
         return Summary(
             seed=seed,
@@ -131,6 +139,11 @@
             served=sum(outcome.served for outcome in outcomes),
             starts=sum(node.start_count for node in entry_nodes),
             broken=checks.find_violations(observations),
+            kinds=dict(
+                collections.Counter(
+                    (fault.change or fault.kind).value for fault in faults
+                )
+            ),
         )
 
 
@@ -175,10 +188,17 @@
     stack.push_async_callback(stand_ins.stop)
     await stand_ins.start({})
     server_paths = {}
+    zones = {
+        server_id: ZONE_BY_SERVER.get(server_id, "zone-a")
+        for server_id in BACKEND_BY_SERVER
+    }
     for server_id, service in BACKEND_BY_SERVER.items():
         link = await _start(stack, proxy.Proxy(0))
         await stand_ins.add_server(
-            server_id, service, address=f"127.0.0.1:{link.port}"
+            server_id,
+            service,
+            address=f"127.0.0.1:{link.port}",
+            zone=zones[server_id],
         )
         stand_ins.servers[server_id].event_interval = EVENT_INTERVAL
         link.target_port = stand_ins.ports[server_id]
@@ -211,14 +231,17 @@
         )
         stack.push_async_callback(node.stop)
         entry_nodes[node.name] = node
-    return fault_injector.FaultInjector(
+    injector = fault_injector.FaultInjector(
         stand_ins,
         entry_nodes,
         store_paths,
         server_paths,
         node_links,
         BACKEND_BY_SERVER,
+        zones,
     )
+    await injector.operator.write()
+    return injector
 
 
 async def _start(stack: contextlib.AsyncExitStack, path: _Path) -> _Path:
--- a/tests/limpetwalk_bench/soak/test_checks.py
+++ b/tests/limpetwalk_bench/soak/test_checks.py
@@ -6,11 +6,16 @@
 import multidict
 
 from limpetwalk_bench.hub import server
+from limpetwalk_bench.hub import site
 from limpetwalk_bench.soak import callers
 from limpetwalk_bench.soak import checks
 from limpetwalk_bench.soak import fault_plan
+from limpetwalk_bench.soak import operator_model
 
 START = 100.0
+RULES = operator_model.Rules(
+    {site.API_KEY: site.WORKSPACE}, {"once": False, "again": False}
+)
 
 
 def make_outcome(route: str = "once", **changes: object) -> callers.Outcome:
@@ -35,7 +40,11 @@
 ) -> server.ReceivedRequest:
     """Return a request that a server executed."""
     headers = multidict.CIMultiDict(
-        {"Attempt-Id": attempt_id, "Deadline-Ms": "2400"}
+        {
+            "Attempt-Id": attempt_id,
+            "Deadline-Ms": "2400",
+            "Tenant": site.WORKSPACE,
+        }
     )
     base = server.ReceivedRequest(
         "POST", "/once/x", headers, attempt_id.encode(), True, START + 1.05
@@ -54,6 +63,7 @@
         calm_from: float = START + 50,
         more_outcomes: tuple[callers.Outcome, ...] = (),
         replacements: tuple[tuple[str, float], ...] = (),
+        history: operator_model.History | None = None,
     ) -> set[str]:
         p1 = server.Server("p-1")
         p1.received.extend(requests)
@@ -75,6 +85,7 @@
             START,
             calm_from,
             replacements,
+            history,
         )
         return {
             violation.promise
@@ -197,6 +208,62 @@
                 )
                 self.assertEqual(excused, "finished" not in violations)
 
+    def test_request_with_a_key_that_was_taken_away(self) -> None:
+        for age, status, key, broken in (
+            (2.0, 200, site.API_KEY, set()),
+            (4.0, 200, site.API_KEY, {"allowed", "workspace"}),
+            (4.0, 401, site.API_KEY, set()),
+            (4.0, 404, site.API_KEY, set()),
+            (4.0, 413, site.API_KEY, {"denied"}),
+            (2.0, 200, "key-of-nobody", {"allowed", "workspace"}),
+        ):
+            with self.subTest(age=age, status=status, key=key):
+                outcome = make_outcome(status=status, key=key)
+                request = make_request()
+                self.assertEqual(
+                    broken,
+                    self.violated(
+                        outcome,
+                        *([request] if status == 200 else []),
+                        history=self.history_with_a_key_taken(age),
+                    ),
+                )
+
+    def test_request_that_all_configurations_allow_is_denied(self) -> None:
+        history = operator_model.History(RULES)
+        violations = self.violated(make_outcome(status=401), history=history)
+        self.assertIn("denied", violations)
+
+    def test_request_of_another_workspace(self) -> None:
+        request = make_request()
+        request.headers["Tenant"] = "workspace-2"
+        violations = self.violated(
+            make_outcome(), request, history=operator_model.History(RULES)
+        )
+        self.assertIn("workspace", violations)
+
+    def test_request_at_a_server_of_an_evacuated_zone(self) -> None:
+        for age, broken in ((5.0, False), (7.0, True)):
+            request = make_request()
+            history = operator_model.History(RULES)
+            history.evacuations.append(
+                operator_model.Evacuation(
+                    frozenset(("p-1",)), request.received_at - age, START + 40
+                )
+            )
+            violations = self.violated(
+                make_outcome(), request, history=history
+            )
+            self.assertEqual(broken, "evacuated" in violations, age)
+
+    def history_with_a_key_taken(self, age: float) -> operator_model.History:
+        """Return a history of a key that was taken away before a request."""
+        history = operator_model.History(RULES)
+        at = make_outcome().sent_at - age
+        history.write(operator_model.Rules({}, RULES.routes), at, at)
+        history.write(RULES, START + 50, START + 50)
+        return history
+
     def test_hung_request(self) -> None:
         hung = make_outcome(
             status=0, seal="", body=b"", complete=False, hung=True
--- a/tests/limpetwalk_bench/soak/test_fault_plan.py
+++ b/tests/limpetwalk_bench/soak/test_fault_plan.py
@@ -4,6 +4,7 @@
 import unittest
 
 from limpetwalk_bench.soak import fault_plan
+from limpetwalk_bench.soak import operators
 
 NODES = ("node-1", "node-2")
 SERVERS = ("e-1", "p-1")
@@ -45,6 +46,21 @@
                 self.assertLessEqual(fault.ends_at, 10.0 + 1e-9)
                 self.assertGreaterEqual(fault.duration, 0.0)
 
+    def test_last_changes_outlast_the_faults(self) -> None:
+        kinds = collections.Counter()
+        for seed in range(50):
+            first, *more = fault_plan.draw_aftermath(seed, 10.0)
+            for fault in (first, *more):
+                self.assertLessEqual(fault.at, 10.0)
+                self.assertAlmostEqual(
+                    10.0 + fault_plan.AFTERMATH, fault.ends_at
+                )
+            kinds[first.change] += 1
+            kinds.update(fault.kind for fault in more)
+        self.assertEqual(
+            {*operators.Change, fault_plan.FaultKind.EVACUATION}, set(kinds)
+        )
+
     def test_all_kinds_and_link_faults_occur(self) -> None:
         faults = [
             fault
--- a/tests/limpetwalk_bench/soak/test_runner.py
+++ b/tests/limpetwalk_bench/soak/test_runner.py
@@ -16,6 +16,8 @@
     7,
     # Nodes without links to servers refused requests.
     23,
+    # The list of workspaces is empty for 4.7 s: nobody holds a key.
+    98,
 )
 # Seed of a soak in which all nodes are replaced by another build and back.
 UPGRADE_SEED = 5
@@ -63,5 +65,8 @@
     def test_guarantees_hold(self) -> None:
         self.assert_guarantees_hold(7)
 
+    def test_guarantees_hold_while_nobody_holds_a_key(self) -> None:
+        self.assert_guarantees_hold(98)
+
     def test_guarantees_hold_while_nodes_lack_links(self) -> None:
         self.assert_guarantees_hold(23)
