List a roll-out that exposes too much when traffic rises at its end

Trace: the version shows nothing without load. At 22.8 s (order at 4.1, end at 24.9) all requests went to it, planned for the mean rate of the roll-out, 24 a second, and at most 0.9 of the bound. 41 a second came until the end. The nodes' estimate was 25.6 then, its highest since the order 33.9, so neither would have told.

The test, a simulation with 1.75 times the rate in the last 2.5 s, fails (71 of 68 at ten a second).

--- a/tests/limpetwalk/gateway/test_rollouts.py
+++ b/tests/limpetwalk/gateway/test_rollouts.py
@@ -16,6 +16,8 @@
 BOUNDS = types.Bounds()
 # Seconds from a request until the leader knows its outcome.
 EVIDENCE_LAG = 1.5
+# Last part of a roll-out in which traffic may be another, seconds.
+LAST_SECONDS = 2.5
 BOTH = ("v1", "v2")
 
 
@@ -309,6 +311,16 @@
                         exposed, allowed, (rate, fault_from, seed)
                     )
 
+    def test_exposure_stays_bounded_if_traffic_rises_at_the_end(self) -> None:
+        for rate in (10, 24, 40):
+            for seed in range(40):
+                exposed, total, _ = self.simulate(
+                    random.Random(seed), rate, 99.0, 0.0, last_factor=1.75
+                )
+                allowed = BOUNDS.exposure_share * total
+                allowed += BOUNDS.exposure_extra
+                self.assertLessEqual(exposed, allowed, (rate, seed))
+
     def test_bad_versions_are_not_reported_complete(self) -> None:
         """Simulate 480 roll-outs of versions that fail from their start.
 
@@ -369,7 +381,12 @@
                 )
 
     def simulate(
-        self, rng: random.Random, rate: int, fault_from: float, failing: float
+        self,
+        rng: random.Random,
+        rate: int,
+        fault_from: float,
+        failing: float,
+        last_factor: float = 1.0,
     ) -> tuple[int, int, rollout.Stage | None]:
         """Simulate a roll-out.
 
@@ -377,6 +394,7 @@
         within 0.6 s once the new version gets all requests, the leader checks
         every 0.5 s, and a response takes some tenths of a second.
 
+        :param last_factor: factor on the rate in the last seconds.
         :returns: the requests at the new version, all requests, and the last
             stage.
         """
@@ -387,9 +405,9 @@
         for tick in range(int(ORDER.period * 10)):
             now = tick / 10
             share = current.share if current else 0.0
-            for _ in range(
-                int(rate * (tick + 1) / 10) - int(rate * tick / 10)
-            ):
+            is_last = now >= ORDER.period - LAST_SECONDS
+            per_tick = rate * (last_factor if is_last else 1.0) / 10
+            for _ in range(int(per_tick * (tick + 1)) - int(per_tick * tick)):
                 total += 1
                 if rng.random() < share:
                     exposed += 1
