--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/__main__.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/__main__.py
@@ -9,6 +9,7 @@
 import json
 import logging
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -46,14 +47,16 @@
         ) from None
 
 
-def _run_soak(
+async def _run_soak(
     seed: int, logs: pathlib.Path, older_build: tuple[str, ...]
 ) -> runner.Summary:
+    """Run one soak; SIGTERM ends it and its processes."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     folder = logs / str(seed)
     folder.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(
-        runner.run_soak(seed, _SECONDS.value, folder, older_build)
-    )
+    return await runner.run_soak(seed, _SECONDS.value, folder, older_build)
 
 
 def _main(argv: list[str]) -> int:
@@ -70,7 +73,7 @@
             )
         for seed in _parse_seeds(_SEEDS.value):
             logs = pathlib.Path(_LOGS.value or scratch)
-            summary = _run_soak(seed, logs, older_build)
+            summary = asyncio.run(_run_soak(seed, logs, older_build))
             print(json.dumps(dataclasses.asdict(summary)), flush=True)
             any_violated = any_violated or bool(summary.broken)
     return int(any_violated)
