--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
@@ -145,7 +145,7 @@
         await self.site.store.discard_history()
 
     async def change_config(self, fault: fault_plan.Fault) -> None:
-        """Write a configuration of the same contents."""
+        """Write a configuration with another route that nobody uses."""
         await self.operator.write()
 
     async def begin_change(self, fault: fault_plan.Fault) -> None:
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/operators.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/operators.py
@@ -69,6 +69,10 @@
                     public=self._has(Change.OPEN_ROUTE),
                 )
             )
+        # A route that nobody uses makes each configuration another one.
+        row["routes"].append(
+            site.route(f"more-{self._version}", "idempotent", site.PLAIN)
+        )
         rules, sent_at = self._rules(), time.monotonic()
         await self._site.store.put("op", "config", row)
         self.history.write(rules, sent_at, time.monotonic())
