Let the store's stand-in keep what was written since a restoration

Trace: three restorations overlapped; the operator gave the keys back in version 22, and then the stand-in wrote version 19, which a copy had lost, over it, since its row number was higher than those given out again. No node was wrong.

What was written since the first of the restorations is remembered by key, not told by row numbers.

--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/store.py
@@ -79,7 +79,10 @@
         """Create the condition that wakes waiting feed requests."""
         self._changed = asyncio.Condition()
         self._log: list[Row] = []
+        # Rows that copies lacked and that nobody has written again, and the
+        # keys that were written since the first of these restorations.
         self._lost: list[Row] = []
+        self._written_since: set[tuple[str, str]] = set()
 
     def app(self) -> web.Application:
         """Return the web application of the store's API."""
@@ -135,7 +138,11 @@
         :param ver: version of the copy that the store is restored from.
         """
         async with self._changed:
-            self._lost += [row for row in self._log if row.ver > ver]
+            if not self._lost:
+                self._written_since.clear()
+            lost = [row for row in self._log if row.ver > ver]
+            self._written_since -= {(row.table, row.key) for row in lost}
+            self._lost += lost
             self._log = [row for row in self._log if row.ver <= ver]
             self.rows = {(row.table, row.key): row for row in self._log}
             self.ver = ver
@@ -154,8 +161,7 @@
         }
         self._lost = []
         for (table, key), row in lost.items():
-            current = self.rows.get((table, key))
-            if current is None or current.ver <= row.ver:
+            if (table, key) not in self._written_since:
                 await self._write([(table, key, row.value)])
 
     async def _write(
@@ -166,6 +172,7 @@
             for table, key, value in entries:
                 row = Row(table, key, value, self.ver)
                 self.rows[(table, key)] = row
+                self._written_since.add((table, key))
                 self._log.append(row)
             self._changed.notify_all()
             return self.ver
