Inject changes of the configuration like the other lasting faults of the soak

On reading the whole change again: a change has a method of its own, as links and silences have, which also ends it when the soak is cancelled, in place of a pair of methods that only it used. The page of node.stopping names the start, too.

--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/fault_injector.py
@@ -76,9 +76,7 @@
             await self._inject_silence(fault)
             return
         if fault.kind is fault_plan.FaultKind.OPERATOR_CHANGE:
-            await self.begin_change(fault)
-            await asyncio.sleep(fault.duration)
-            await self.end_change(fault)
+            await self._inject_change(fault)
             return
         begin, end = _LASTING_FAULTS[fault.kind]
         key = (fault.kind, fault.target)
@@ -120,6 +118,14 @@
             for link in links:
                 link.restore(link_cut)
 
+    async def _inject_change(self, fault: fault_plan.Fault) -> None:
+        assert fault.change is not None
+        await self.operator.begin(fault.change)
+        try:
+            await asyncio.sleep(fault.duration)
+        finally:
+            await self.operator.end(fault.change)
+
     async def _inject_silence(self, fault: fault_plan.Fault) -> None:
         path = self.server_paths[fault.target]
         path.hold()
@@ -148,16 +154,6 @@
         """Write a configuration with another route that nobody uses."""
         await self.operator.write()
 
-    async def begin_change(self, fault: fault_plan.Fault) -> None:
-        """Write another configuration."""
-        assert fault.change is not None
-        await self.operator.begin(fault.change)
-
-    async def end_change(self, fault: fault_plan.Fault) -> None:
-        """Write a configuration without the change."""
-        assert fault.change is not None
-        await self.operator.end(fault.change)
-
     async def evacuate(self, fault: fault_plan.Fault) -> None:
         """Evacuate a zone."""
         await self.operator.evacuate(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -45,7 +45,7 @@
     """The process received a signal to stop.
 
     :param waited_s: time for which the signal may have waited, because the
-        process was suspended.
+        process was suspended or was starting.
     """
 
     name: ClassVar[str] = "node.stopping"
