--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -316,6 +316,8 @@
     :param readiness: ``(host, port)`` of the readiness check.
     :param metrics: ``(host, port)`` of the metrics page.
     :param memory_bytes: memory above which the process is killed.
+    :param ordered_under_load: whether requests of a service that is short of
+        room proceed in the order of their priority.
     """
 
     name: str
@@ -325,4 +327,5 @@
     metrics: tuple[str, int]
     peers: tuple[str, int]
     memory_bytes: float = DEFAULT_MEMORY_BYTES
+    ordered_under_load: bool = False
     bounds: Bounds = field(default_factory=Bounds)
