Let the estimate of prefill times follow the fast responses

The nodes expected 142 ms (p50) to read a prompt with the smallest model, where an idle engine needs about 10 ms: samples of queued and uncached prompts raised the estimate by their whole length, and the other part of the time to the first byte was a constant. So what a cached part saves outweighed the load of the server.

--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -61,17 +61,19 @@
 
     :param queue_seconds: prefill time of the requests that wait there.
     :param prefill_seconds: prefill time of the request itself.
+    :param overhead_seconds: time to the first byte besides these.
     """
 
     member: fleet.Member
     queue_seconds: float
     prefill_seconds: float
+    overhead_seconds: float = prefill_time.OVERHEAD
 
     @property
     def first_byte_seconds(self) -> float:
         """Expected time to the first byte, in seconds."""
         return (
-            self.queue_seconds + self.prefill_seconds + prefill_time.OVERHEAD
+            self.queue_seconds + self.prefill_seconds + self.overhead_seconds
         )
 
 
@@ -172,7 +174,9 @@
         prefill = self._prefill_times.prefill_seconds(
             need.model, unread_tokens
         )
-        choice = Choice(member, load.pending_prefill, prefill)
+        choice = Choice(
+            member, load.pending_prefill, prefill, self._prefill_times.overhead
+        )
         request_cost = (
             ENGINE_REQUEST_COST if need.model else PLAIN_REQUEST_COST
         )
