Compare few servers where nodes know little of each other's requests

Cause: 90 nodes know of each other's requests 0.1 to 0.4 s late, and all choose the server that looks idle; the wait that they expected there was 0 (p50). Now a node estimates how many requests of others it doesn't know, from the rate and the age of the reports, and where these are more than 1.5 a server, compares only a part of the servers, chosen by chance, and the one that probably has the prompt cached. Few nodes, or a low rate, compare all, as before.

Two model tests compared with a former policy, to which this one would have been added: they compare with nodes that don't sample, as they were. The new tests fail without the change.

--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -114,6 +114,8 @@
     :param pause: when engines want no requests, None if they always do;
         callers that are refused come back once.
     :param nodes_listen: whether the nodes heed what engines say.
+    :param nodes_sample: whether the nodes compare only some engines when they
+        know little of each other's requests.
     """
 
     nodes: int
@@ -126,6 +128,7 @@
     brittle: Brittleness | None = None
     pause: Pause | None = None
     nodes_listen: bool = True
+    nodes_sample: bool = True
 
 
 @dataclass(slots=True)
@@ -219,6 +222,7 @@
         names: frozenset[str],
         demand: float,
         rng: random.Random,
+        samples: bool = True,
     ) -> None:
         self.loads = server_load.ServerLoads(clock)
         self.pauses = server_pauses.ServerPauses(clock, rng)
@@ -245,6 +249,10 @@
                 and not self.pauses.is_paused(member.id)
             ),
             self.brittle.with_room,
+            lambda service: (
+                demand * self.loads.mean_report_age if samples else 0.0
+            ),
+            rng,
         )
 
 
@@ -307,6 +315,7 @@
                 frozenset(names),
                 sum(kind.rate for kind in load.kinds),
                 random.Random(f"{seed} {name}"),
+                load.nodes_sample,
             )
             for number, name in enumerate(names)
         }
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -119,6 +119,7 @@
             clock,
             self._may_send,
             self._with_room,
+            self._unseen_requests,
         )
         self.version_tallies = version_tallies.VersionTallies(
             state.fleet.members
@@ -682,6 +683,13 @@
             self._held_back.inc()
         return with_room
 
+    def _unseen_requests(self, service: str) -> float:
+        """Return the requests to a service since the reports of other nodes.
+
+        Without other nodes there are none.
+        """
+        return self.rate(service) * self.server_loads.mean_report_age
+
     def _demand(self, server_id: str) -> float:
         """Return the requests per second to the service of a server."""
         member = self.cluster_state.fleet.get(server_id)
--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -10,6 +10,8 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from dataclasses import dataclass
+import math
+import random
 
 import xxhash
 
@@ -35,6 +37,11 @@
 # Fraction of the shared tokens that the server chosen by rendezvous hashing
 # probably caches, because other nodes send it the same parts.
 PREFERRED_CACHED_SHARE = 0.7
+# Requests that a server may get from nodes that don't know of each other's,
+# before fewer servers are compared.
+UNSEEN_PER_SERVER = 1.5
+# Least number of servers that are compared.
+MIN_COMPARED = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +92,9 @@
         now; cold servers and those with a limit take few.
     :param with_room: returns those of some servers that have room for a
         request, as brittle servers must not be asked without.
+    :param unseen: returns the number of requests to a service that other
+        nodes have probably sent since the reports that this node knows.
+    :param rng: chooses the servers that are compared.
     """
 
     def __init__(
@@ -99,6 +109,8 @@
         with_room: Callable[
             [list[fleet.Member]], list[fleet.Member]
         ] = lambda members: members,
+        unseen: Callable[[str], float] = lambda service: 0.0,
+        rng: random.Random | None = None,
     ) -> None:
         self._zone = zone
         self._fleet = servers
@@ -108,6 +120,8 @@
         self._clock = clock
         self._may_send = may_send
         self._with_room = with_room
+        self._unseen = unseen
+        self._rng = rng or random.Random()
 
     def choose(self, need: Need) -> Choice | None:
         """Return the server of the lowest cost, or None without a candidate.
@@ -130,6 +144,7 @@
         if not candidates:
             return None
         preferred = self._preferred_server(need, candidates)
+        candidates = self._compared(need.service, candidates, preferred)
         loads = self._loads.total_loads([member.id for member in candidates])
         ratings = [
             self._rate(member, need, preferred, loads[member.id], now)
@@ -149,6 +164,27 @@
             return False
         return self._may_send(member)
 
+    def _compared(
+        self, service: str, candidates: list[fleet.Member], preferred: str
+    ) -> list[fleet.Member]:
+        """Return the servers to compare: all, or some that chance chooses.
+
+        Nodes that know the same loads would all choose the server of the
+        lowest cost, before they hear of each other's requests. With chance
+        it gets only the share of them for which it is compared.
+        """
+        unseen = self._unseen(service)
+        if unseen <= UNSEEN_PER_SERVER:
+            return candidates
+        share = UNSEEN_PER_SERVER / unseen
+        count = max(MIN_COMPARED, math.ceil(share * len(candidates)))
+        if count >= len(candidates):
+            return candidates
+        compared = self._rng.sample(candidates, count)
+        if all(member.id != preferred for member in compared):
+            compared += [m for m in candidates if m.id == preferred]
+        return compared
+
     def _preferred_server(
         self, need: Need, candidates: Iterable[fleet.Member]
     ) -> str:
--- a/packages/limpetwalk/limpetwalk/gateway/prefill_time.py
+++ b/packages/limpetwalk/limpetwalk/gateway/prefill_time.py
@@ -52,9 +52,7 @@
         self.overhead = min(latency, self.overhead * OVERHEAD_GROWTH)
         if tokens < MIN_SAMPLE_TOKENS:
             return
-        sample = max(
-            MIN_SECONDS_PER_TOKEN, (latency - self.overhead) / tokens
-        )
+        sample = max(MIN_SECONDS_PER_TOKEN, (latency - self.overhead) / tokens)
         estimate = self._per_token.get(model)
         if estimate is None:
             self._per_token[model] = sample
--- a/packages/limpetwalk/limpetwalk/gateway/server_load.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_load.py
@@ -77,6 +77,8 @@
     :param clock: source of monotonic time.
     :ivar oldest_report: age of the oldest report in the current sums, in
         seconds.
+    :ivar mean_report_age: mean age of the reports in them that name a load,
+        in seconds.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -89,6 +91,7 @@
         self._others: dict[str, Load] = {}
         self._summed_at = -math.inf
         self.oldest_report = 0.0
+        self.mean_report_age = 0.0
 
     def start_request(self, server_id: str, prefill: float) -> None:
         """Record a request that is sent to a server.
@@ -241,6 +244,12 @@
             (now - report.received_at for report in self._reports.values()),
             default=0.0,
         )
+        ages = [
+            now - report.received_at
+            for report in self._reports.values()
+            if report.loads
+        ]
+        self.mean_report_age = sum(ages) / len(ages) if ages else 0.0
 
     def _sum_reports(self, sources: Iterable[Source]) -> dict[str, Load]:
         oldest = self._clock.monotonic() - REPORT_LIFETIME
--- a/tests/limpetwalk/gateway/test_placement.py
+++ b/tests/limpetwalk/gateway/test_placement.py
@@ -1,6 +1,7 @@
 """Choice of a server, and the estimates that it uses."""
 
 import collections
+import random
 import unittest
 
 from limpetwalk import clock as clocks
@@ -183,6 +184,32 @@
         mean = sum(prefill.values()) / 5
         self.assertLess(max(prefill.values()), 1.5 * mean)
 
+    def test_few_servers_are_compared_when_many_requests_are_unseen(
+        self,
+    ) -> None:
+        unseen = 0.0
+        placer = placement.Placer(
+            "z1",
+            self.node.fleet,
+            self.node.memory,
+            self.node.loads,
+            self.node.prefill_times,
+            self.clock,
+            lambda member: True,
+            unseen=lambda service: unseen,
+            rng=random.Random(5),
+        )
+        need = placement.Need("s", model="m")
+        for server_id in ("s0", "s1", "s2"):
+            self.node.loads.start_request(server_id, 5.0)
+        for unseen, fewest, most in ((1.0, 200, 200), (40.0, 90, 180)):
+            chosen = collections.Counter(
+                placer.choose(need).member.id  # type: ignore
+                for _ in range(200)
+            )
+            self.assertLessEqual(fewest, chosen["s3"])
+            self.assertLessEqual(chosen["s3"], most)
+
     def test_only_matching_versions_and_models_are_chosen(self) -> None:
         self.node.fleet.put(
             builders.server("s9", version="v2", models=("m",)), 50
--- a/tests/limpetwalk_bench/model/test_cluster.py
+++ b/tests/limpetwalk_bench/model/test_cluster.py
@@ -14,9 +14,13 @@
     seconds = 6.0
     seeds = (1, 2)
 
-    def run_all(self, way: str) -> list[cluster.Result]:
+    def run_all(
+        self, way: str, nodes_sample: bool = True
+    ) -> list[cluster.Result]:
         """Run the load once for each seed with one way to report loads."""
-        load = loads.cluster_of(195, self.seconds)
+        load = dataclasses.replace(
+            loads.cluster_of(195, self.seconds), nodes_sample=nodes_sample
+        )
         reporting = loads.reportings(load.nodes)[way]
         return [
             cluster.Cluster(load, reporting, seed).run() for seed in self.seeds
@@ -24,13 +28,22 @@
 
     def test_reports_to_groups_serve_callers_in_time(self) -> None:
         grouped = self.run_all("to groups")
-        to_all = self.run_all("to all")
+        to_all = self.run_all("to all", nodes_sample=False)
         for result, former in zip(grouped, to_all, strict=True):
             self.assertGreaterEqual(result.in_time_share(), 0.99)
             late = 1 - result.in_time_share()
             self.assertLess(late, 0.7 * (1 - former.in_time_share()))
             self.assertLessEqual(result.reports, former.reports * 1.1)
 
+    def test_nodes_do_not_all_choose_the_engine_that_looks_idle(self) -> None:
+        """Nodes know of each other's requests some tenths of a second late."""
+        sampled = self.run_all("to groups")
+        former = self.run_all("to groups", nodes_sample=False)
+        for result, before in zip(sampled, former, strict=True):
+            self.assertLess(
+                result.first_quantile(0.5), 0.9 * before.first_quantile(0.5)
+            )
+
     def test_large_requests_are_served_like_the_others(self) -> None:
         for result in self.run_all("to groups"):
             sizes = sorted(outcome.size for outcome in result.outcomes)
@@ -69,7 +82,9 @@
 
     def assert_served_better(self, load: cluster.Load) -> None:
         """Check that more callers are served than by nodes that don't heed."""
-        former = self.run_all(load, nodes_listen=False)
+        former = self.run_all(
+            dataclasses.replace(load, nodes_sample=False), nodes_listen=False
+        )
         for result, before in zip(self.run_all(load), former, strict=True):
             self.assertGreater(result.served_share(), before.served_share())
             self.assertGreater(result.in_time_share(), before.in_time_share())
