--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -35,6 +35,25 @@
 # to the new version. The nodes' counts arrive late, and requests in flight are
 # not in them.
 PLANNED_FRACTION = 0.9
+# Factor by which the request rate may rise in the last seconds of the period.
+# What was sent to the new version then can't be taken back.
+RATE_RISE = 1.75
+# Time before the end of the period, in seconds, from which no rise is planned
+# for: a version that doesn't get all requests by then can't complete.
+LAST_CHANCE = 1.6
+# Largest share of a canary that gets fewer requests than planned, as a
+# multiple of the allowed exposure share, and the smallest factor by which its
+# share is raised.
+MAX_RAISED_FRACTION = 2.0
+MIN_RAISE = 1.25
+# Requests that are wanted in proportion to the sufficient successes: some come
+# too late to be counted. The second limit holds if they go on until the end.
+RAISE_MARGIN = 1.5
+MAX_CANARY_REQUESTS = 28
+# Seconds from a request until its outcome is in the evidence, and the shortest
+# time between two shares of a canary.
+EVIDENCE_LAG = 1.5
+MIN_RAISE_INTERVAL = 2.0
 # Fraction of the period in which sessions keep the old version, and the margin
 # in seconds for nodes that received the order late.
 FIRST_HALF = 0.5
@@ -208,7 +227,8 @@
         return None
     may_wait = elapsed < order.period - END_MARGIN - PROOF_TIME
     if may_wait and not _is_proven(observed):
-        return None
+        time_left = order.period - END_MARGIN - PROOF_TIME - elapsed
+        return _raise_share(stage, observed, bounds, time_left, now)
     if _fails_beyond_chance(observed.base, observed.candidate):
         return None
     if _fails_beyond_chance(observed.base_paces, observed.candidate_paces):
@@ -220,6 +240,41 @@
     )
 
 
+def _raise_share(
+    stage: rollout.Stage,
+    observed: Evidence,
+    bounds: types.Bounds,
+    time_left: float,
+    now: float,
+) -> rollout.Stage | None:
+    """Return the canary with the share that proves it in time, if larger.
+
+    Where few sessions chose the new version, the successes that it needs would
+    come only when all requests go to it, and too late for a decision.
+
+    :param time_left: seconds of the canary until the proof must be there.
+    """
+    if not stage.share or now - stage.since < MIN_RAISE_INTERVAL:
+        return None
+    if _is_doubtful(observed.base, observed.candidate):
+        return None
+    rate = max(observed.rate, 1.0)
+    on_their_way = stage.share * rate * EVIDENCE_LAG
+    exposed = observed.candidate.requests + on_their_way
+    wanted = min(CANARY_REQUESTS, RAISE_MARGIN * _enough(observed))
+    time_left = max(time_left, MIN_ELAPSED)
+    share = min(
+        (wanted - exposed) / (rate * time_left),
+        (MAX_CANARY_REQUESTS - exposed) / (rate * (time_left + PROOF_TIME)),
+        MAX_RAISED_FRACTION * bounds.exposure_share,
+    )
+    if share < MIN_RAISE * stage.share:
+        return None
+    return _advance(
+        stage, rollout.Phase.CANARY, share, observed, now, "few requests"
+    )
+
+
 def _without_base(
     stage: rollout.Stage, observed: Evidence, now: float
 ) -> rollout.Stage | None:
@@ -248,11 +303,17 @@
     bounds: types.Bounds,
     elapsed: float,
 ) -> bool:
-    """Return whether sending all requests until the end is within bounds."""
-    exposed = observed.candidate.requests
+    """Return whether sending all requests until the end is within bounds.
+
+    The rate is the larger of the mean and what the nodes report now.
+    """
+    exposed: float = observed.candidate.requests
     total = observed.base.requests - stage.base_requests + exposed
-    rate = total / max(elapsed, MIN_ELAPSED)
+    rate = max(observed.rate, total / max(elapsed, MIN_ELAPSED))
     time_left = max(0.0, order.period - elapsed)
+    if time_left > LAST_CHANCE:
+        exposed += stage.share * rate * EVIDENCE_LAG
+        rate *= RATE_RISE
     allowed = bounds.exposure_share * (total + rate * time_left)
     allowed += bounds.exposure_extra
     return exposed + rate * time_left <= PLANNED_FRACTION * allowed
@@ -260,12 +321,15 @@
 
 def _is_proven(observed: Evidence) -> bool:
     """Return whether there are sufficient successes and few failures."""
-    enough = min(
+    enough = observed.candidate.successes >= _enough(observed)
+    return enough and not _is_doubtful(observed.base, observed.candidate)
+
+
+def _enough(observed: Evidence) -> float:
+    """Return the number of successes that is sufficient."""
+    return min(
         SUFFICIENT_SUCCESSES, SUFFICIENT_FRACTION * observed.base.requests
     )
-    return observed.candidate.successes >= enough and not _is_doubtful(
-        observed.base, observed.candidate
-    )
 
 
 def _is_doubtful(base: evidence.Tally, candidate: evidence.Tally) -> bool:
