Say that a request wasn't run until its record does, and tell why a test waits

Cause: a dispatch whose answer is lost is undone, and if the store refuses that write too, it is repeated in the background while the caller has been told "not run". The caller's next attempt then found the record dispatched by this node, without a run, and closed it as unknown: 502 for good, for a request that was never sent. The node now takes it for under way (409) until the note is written. A retry that waits for another node's run, and sees it end unsent, got the same 502; it gets 409, not run, now.

The test now ends at once, with all answers and the log of the node, if the request ends before its run, and says them when its time is up.

--- a/packages/limpetwalk-node/limpetwalk_node/records/non_idempotent_runner.py
+++ b/packages/limpetwalk-node/limpetwalk_node/records/non_idempotent_runner.py
@@ -228,11 +228,13 @@
         raise record_refusals.in_progress()
 
     def _is_active(self, record: records.Record) -> bool:
-        """Return whether the run of a record may still finish it."""
-        if record.state not in _ACTIVE_STATES or record.holder == self._holder:
-            # An active run of this process would be in ``_runs``, and the
-            # request would have joined it.
+        """Return whether this or another node may still finish a record."""
+        if record.state not in _ACTIVE_STATES:
             return False
+        if record.holder == self._holder:
+            # An active run of this process would be in ``_runs``, and the
+            # request would have joined it. Only its end may be unwritten.
+            return self._outcome_writer.is_unsent(record)
         return self._is_live(record.holder)
 
     async def _resolve_inactive(self, record: records.Record) -> Outcome:
@@ -240,6 +242,8 @@
         if record.state is records.RecordState.CLAIMED:
             await self._close_claim(record)
             raise record_refusals.abandoned()
+        if record.state is records.RecordState.NOT_RUN:
+            raise record_refusals.abandoned()
         resolved = await self._resolver.resolve(record)
         if resolved.answer is None:
             raise record_refusals.outcome_unknown(record.ident)
--- a/packages/limpetwalk-node/limpetwalk_node/records/record_refusals.py
+++ b/packages/limpetwalk-node/limpetwalk_node/records/record_refusals.py
@@ -82,12 +82,12 @@
 
 
 def abandoned() -> refusals.Refused:
-    """Return the refusal after a claim that was never dispatched."""
+    """Return the refusal after a run that sent nothing."""
     return _refused(
         refusals.Reason.REQUEST_IN_PROGRESS,
         refusals.RunState.NOT_RUN,
         409,
-        "The node that held this Idempotency-Key is gone and sent nothing."
+        "The run that held this Idempotency-Key has ended and sent nothing."
         " Send the request again with the same key.",
         RETRY_AFTER,
     )
--- a/packages/limpetwalk-node/limpetwalk_node/records/record_writer.py
+++ b/packages/limpetwalk-node/limpetwalk_node/records/record_writer.py
@@ -25,6 +25,7 @@
 class _Change:
     apply: Callable[[records.Record], Awaitable[ChangeResult]]
     allowed_states: tuple[records.RecordState, ...]
+    state: records.RecordState
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +64,8 @@
         self._lifecycle = node_lifecycle
         self._retries = retries
         self._tasks: set[asyncio.Task[None]] = set()
+        # Requests that did not run, while their records don't say so.
+        self._unsent: set[str] = set()
         self._writes = metrics.counter(
             "limpetwalk_record_notes",
             "Ends of records by whether they could be noted.",
@@ -74,7 +77,9 @@
     ) -> None:
         """Write the answer of a run."""
         change = _Change(
-            lambda current: self._store.answer(current, answer), _ANSWERABLE
+            lambda current: self._store.answer(current, answer),
+            _ANSWERABLE,
+            records.RecordState.ANSWERED,
         )
         await self._write(record, change)
 
@@ -83,14 +88,25 @@
     ) -> None:
         """Write that a run ended without an answer, as a final state."""
         change = _Change(
-            lambda current: self._store.finish(current, state), _FINISHABLE
+            lambda current: self._store.finish(current, state),
+            _FINISHABLE,
+            state,
         )
         await self._write(record, change)
 
+    def is_unsent(self, record: records.Record) -> bool:
+        """Return whether it is still to be written that a request didn't run.
+
+        The record may say that it was dispatched.
+        """
+        return record.request_id in self._unsent
+
     async def _write(self, record: records.Record, change: _Change) -> None:
         if await self._write_once(record, change):
             return
         self._writes.labels("delayed").inc()
+        if change.state is records.RecordState.NOT_RUN:
+            self._unsent.add(record.request_id)
         task = asyncio.create_task(self._retry(record, change))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -104,6 +120,7 @@
                     return
             self._writes.labels("given_up").inc()
         finally:
+            self._unsent.discard(record.request_id)
             self._lifecycle.end_work()
 
     async def _write_once(
--- a/tests/limpetwalk_node/test_main.py
+++ b/tests/limpetwalk_node/test_main.py
@@ -207,36 +207,46 @@
             log = await resp.json()
         return [run for run in log["runs"] if run["key"] == "paused-1"]
 
-    async def send(self, node):
-        """Retry the request until it is answered or its outcome is unknown."""
+    async def send(self, node, answers):
+        """Retry the request until it is answered or its outcome is unknown.
+
+        :param answers: list to which each status and body is added.
+        """
         while True:
             async with self.http.post(
                 node.url + self.PATH, json=self.BODY, headers=self.KEY
             ) as resp:
+                answers.append((resp.status, await resp.text()))
                 if resp.status not in (409, 503):
                     return resp.status
             await asyncio.sleep(0.05)
 
     async def test_request_is_not_run_again(self):
+        answers = []
         paused = await asyncio.to_thread(SITE.start_node, "node-paused")
         try:
             async with asyncio.timeout(processes.TIMEOUT):
-                first = asyncio.create_task(self.send(paused))
+                first = asyncio.create_task(self.send(paused, answers))
                 while not await self.runs():
+                    if first.done() and not await self.runs():
+                        self.fail("the request ended before it was run")
                     await asyncio.sleep(0.02)
                 paused.popen.send_signal(signal.SIGSTOP)
                 # By the time the other node responds to the retries, the
                 # service has sent its answer to the paused node, which
                 # hasn't read it.
-                second = await self.send(self.node)
+                second = await self.send(self.node, answers)
                 self.assertIn(second, (200, 502))
                 paused.popen.send_signal(signal.SIGCONT)
                 self.assertIn(await first, (200, 502))
                 while (await self.outcome())["state"] != "answered":
                     await asyncio.sleep(0.1)
+        except (AssertionError, TimeoutError) as exc:
+            log = await asyncio.to_thread(paused.log)
+            raise AssertionError(f"answers: {answers}; log: {log}") from exc
         finally:
             await asyncio.to_thread(paused.stop)
-        self.assertEqual(200, await self.send(self.node))
+        self.assertEqual(200, await self.send(self.node, answers))
         self.assertEqual(1, len(await self.runs()))
         entries = await asyncio.to_thread(SITE.bill_entries)
         billed = [
--- a/tests/limpetwalk_node/test_services.py
+++ b/tests/limpetwalk_node/test_services.py
@@ -317,6 +317,55 @@
         self.assertEqual(201, resp.status)
 
 
+    async def test_request_that_never_ran_isnt_unknown_until_noted(self):
+        """Guard against an unknown outcome of a request that wasn't sent.
+
+        The next attempt once came before the store had taken the note that
+        the first one had not run, and was refused for good.
+        """
+        dispatch, finish = self.records.dispatch, self.records.finish
+
+        async def write_unseen(record, attempt_id, server):
+            await dispatch(record, attempt_id, server)
+            raise exceptions.StoreUnavailable("lost")
+
+        async def refuse(record, state):
+            raise exceptions.StoreUnavailable("refused")
+
+        self.records.dispatch, self.records.finish = write_unseen, refuse
+        _, body = await self.pay()
+        self.assertEqual("not_run", body["error"]["run"])
+        self.records.dispatch = dispatch
+        resp, body = await self.pay()
+        self.assertEqual(409, resp.status)
+        self.assertEqual("request_in_progress", body["error"]["reason"])
+        self.records.finish = finish
+        async with asyncio.timeout(5):
+            while resp.status == 409:
+                resp, body = await self.pay()
+        self.assertEqual(201, resp.status)
+        self.assertEqual(1, len(self.node.services.runs))
+
+    async def test_request_that_ends_unsent_meanwhile_may_be_sent_again(self):
+        other = self.open_records("node-2/1")
+        ident = records.RecordIdent(
+            "bercvar",
+            "k-1",
+            services.request_digest(
+                "POST", "registry", "/payments", b'{"amount": 5}'
+            ),
+        )
+        claim = await other.claim(ident, "r-1")
+        waiting = asyncio.create_task(self.pay())
+        await asyncio.sleep(0.05)
+        await other.finish(claim.record, records.RecordState.NOT_RUN)
+        resp, body = await waiting
+        self.assertEqual(409, resp.status)
+        self.assertEqual("not_run", body["error"]["run"])
+        resp, _ = await self.pay()
+        self.assertEqual(201, resp.status)
+
+
 class OutcomeOfKey(Base):
     async def test_answer_is_returned(self):
         await self.pay()
