--- a/tests/limpetwalk_node/test_services.py
+++ b/tests/limpetwalk_node/test_services.py
@@ -316,7 +316,6 @@
         resp, _ = await self.pay()
         self.assertEqual(201, resp.status)
 
-
     async def test_request_that_never_ran_isnt_unknown_until_noted(self):
         """Guard against an unknown outcome of a request that wasn't sent.
 
