--- a/packages/limpetwalk-bench/limpetwalk_bench/hub/site.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/hub/site.py
@@ -46,6 +46,7 @@
     callers: int = 0,
     readiness: int = 0,
     peers: int = 0,
+    limits: Mapping[str, float] | None = None,
 ) -> str:
     """Return the contents of an entry node's settings file (TOML).
 
@@ -55,7 +56,9 @@
     :param callers: port for callers; 0 for any free port.
     :param readiness: port of the readiness check; 0 for any free port.
     :param peers: port for other nodes; 0 for any free port.
+    :param limits: limits of the process, by the names of the settings.
     """
+    lines = [f"{name} = {limit}" for name, limit in (limits or {}).items()]
     return SETTINGS_TEMPLATE.format(
         name=name,
         store=store,
@@ -64,7 +67,7 @@
         callers=callers,
         readiness=readiness,
         peers=peers,
-    )
+    ) + "\n".join(["[limits]", *lines, ""])
 
 
 def request_headers(attempt: str, deadline_ms: int) -> dict[str, str]:
--- a/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/soak/nodes.py
@@ -26,6 +26,7 @@
 GRACE = 4.0
 # Delay before a process that has ended is started again, in seconds.
 RESTART_DELAY = 0.3
+BYTES_PER_KIB = 1024
 
 
 class Node:
@@ -56,6 +57,7 @@
         self,
         store: proxy.Proxy,
         server_paths: Mapping[str, str] | None = None,
+        limits: Mapping[str, float] | None = None,
     ) -> None:
         """Write the settings, start the process and keep restarting it.
 
@@ -63,6 +65,7 @@
         :param server_paths: address on the path from the node to a server, by
             the address that the server announces; others are used as they
             are.
+        :param limits: limits of the process, by the names of the settings.
         """
         self._server_paths = dict(server_paths or {})
         self._settings_path.write_text(
@@ -74,6 +77,7 @@
                 self.caller_port,
                 self.readiness_port,
                 self._peer_port,
+                limits,
             )
         )
         self._task = asyncio.create_task(self._run())
@@ -95,6 +99,31 @@
         statm = pathlib.Path(f"/proc/{self._process.pid}/statm")
         return int(statm.read_text().split()[1]) * resource.getpagesize()
 
+    @property
+    def peak_bytes(self) -> int:
+        """Largest memory that the process has occupied, in bytes.
+
+        :raises OSError: when the process has ended.
+        """
+        text = (self._proc / "status").read_text()
+        (line,) = [
+            line for line in text.splitlines() if line.startswith("VmHWM:")
+        ]
+        return int(line.split()[1]) * BYTES_PER_KIB
+
+    @property
+    def open_descriptors(self) -> int:
+        """Number of open descriptors of the process.
+
+        :raises OSError: when the process has ended.
+        """
+        return len(list((self._proc / "fd").iterdir()))
+
+    @property
+    def _proc(self) -> pathlib.Path:
+        assert self._process is not None
+        return pathlib.Path(f"/proc/{self._process.pid}")
+
     async def is_ready(self, http: aiohttp.ClientSession) -> bool:
         """Return whether the node's readiness check succeeds."""
         url = f"http://{self.host}:{self.readiness_port}/v1/readyz"
