Bound the connections of callers and what is read ahead on each

Cause: aiohttp reads up to 512 KiB of a body, 16,384 chunks and 32 requests ahead on each connection, whether the request before has been answered or not, and the number of connections was not bounded. None of that was in the account of the node's memory. A few hundred connections that send a body behind a request, tiny chunks or many heads exceed 300 MB.

Now 8 KiB (512 chunks) are read ahead; 16 KiB behind a request, then the connection isn't read until it is answered. The kernel's buffer of a connection is 64 KiB, 4 KiB while it isn't read. A new one takes the place of one that has too much behind a request, or of that which has been idle for longest.

Ruled out: closing the newest (a crowd would lock out the others); closing one that waits for an answer; a limit on the size of chunks (callers may choose it).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -563,6 +563,18 @@
     parts: dict[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class CallerLimitReached(Event):
+    """A caller's connection was closed, or isn't read on, for a limit.
+
+    :param limit: as in ``limpetwalk_caller_limits_total``.
+    """
+
+    name: ClassVar[str] = "caller.limit"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    limit: str
+
+
 @dataclass(frozen=True, slots=True)
 class UnexpectedError(Event):
     """An unexpected error.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -12,6 +12,7 @@
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import call as calls
+from limpetwalk.gateway import connection_room
 from limpetwalk.gateway import memory_account
 from limpetwalk.gateway import refusal
 from limpetwalk.gateway import types
@@ -69,6 +70,7 @@
 
     :param state: configuration, servers and nodes known to this node.
     :param memory: account of the bytes that the node holds.
+    :param room: room for connections of callers.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         admission_checks: admission.Admission,
         dispatcher: dispatch.Dispatcher,
         memory: memory_account.MemoryAccount,
+        room: connection_room.ConnectionRoom,
         clock: clocks.Clock,
         journal: logs.Journal,
         metrics: metrics_.Metrics,
@@ -86,6 +89,7 @@
         self._admission = admission_checks
         self._dispatcher = dispatcher
         self._memory = memory
+        self._room = room
         self._clock = clock
         self._journal = journal
         self._plain = plain.PlainForwarder(dispatcher)
@@ -110,7 +114,7 @@
         )
         self._limits = metrics.counter(
             "limpetwalk_caller_limits",
-            "Connections of callers closed at a limit of a head, by limit.",
+            "Limits that callers' connections have reached, by limit.",
             ("limit",),
         )
         self._latency = metrics.latency(
@@ -134,7 +138,8 @@
             limits=caller_connection.HeadLimits(
                 limits.header_bytes + REQUEST_LINE_BYTES, limits.header_timeout
             ),
-            on_limit=lambda limit: self._limits.labels(limit).inc(),
+            on_limit=self._record_limit,
+            room=self._room,
             loop=asyncio.get_running_loop(),
             access_log=_NO_ACCESS_LOG,
             keepalive_timeout=limits.idle_timeout + IDLE_MARGIN,
@@ -144,6 +149,10 @@
             auto_decompress=False,
         )
 
+    def _record_limit(self, limit: str) -> None:
+        self._limits.labels(limit).inc()
+        self._journal.emit(events.CallerLimitReached(limit))
+
     @property
     def open_requests(self) -> int:
         """Number of requests that are being answered."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -18,6 +18,7 @@
 from limpetwalk import exceptions
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import buffers
+from limpetwalk.gateway import connection_room
 from limpetwalk.gateway import memory_account
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import server_links
@@ -168,6 +169,7 @@
             ),
             self.dispatcher,
             self.memory,
+            self._connection_room(),
             clock,
             self.journal,
             self.metrics,
@@ -241,6 +243,16 @@
             for name, (server, address) in listeners.items()
         }
 
+    def _connection_room(self) -> connection_room.ConnectionRoom:
+        platform = self.platform
+        return connection_room.ConnectionRoom(
+            lambda: connection_room.max_connections(
+                platform.settings.max_descriptors,
+                platform.settings.memory_bytes,
+            ),
+            lambda: False,
+        )
+
     def _memory_account(self) -> memory_account.MemoryAccount:
         account = memory_account.MemoryAccount(
             lambda: MEMORY_SHARE * self.platform.settings.memory_bytes,
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import enum
+import math
 
 # Bounds of the prompt parts by which requests are compared: number, and
 # length of an id in characters.
@@ -316,6 +317,7 @@
     :param readiness: ``(host, port)`` of the readiness check.
     :param metrics: ``(host, port)`` of the metrics page.
     :param memory_bytes: memory above which the process is killed.
+    :param max_descriptors: largest number of open descriptors.
     :param ordered_under_load: whether requests of a service that is short of
         room proceed in the order of their priority.
     """
@@ -327,5 +329,6 @@
     metrics: tuple[str, int]
     peers: tuple[str, int]
     memory_bytes: float = DEFAULT_MEMORY_BYTES
+    max_descriptors: float = math.inf
     ordered_under_load: bool = False
     bounds: Bounds = field(default_factory=Bounds)
