Let bodies and answers without progress give way when room is short

Cause: a body that stops half-way kept its room for 10 s, and an answer that its caller doesn't read kept it for good, without a bound. Then no body at all was let in any more.

Now the account ends what has made no progress for a second when there is no room for a new body or connection: a body is refused (503, not run, Retry-After), an answer is broken off. Answers beyond a quarter of the account's memory give way at once while it is full, the one held for longest first. With room, nothing changes. Heads of answers are written alone, and the fingerprint of a request no longer copies its body.

Ruled out: refusing new bodies instead (a small crowd would lock the others out); a shorter timeout of bodies (a slow caller is served in calm).

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/admission.py
@@ -1,5 +1,6 @@
 """Admits requests and builds the calls that they make."""
 
+import asyncio
 import random
 
 from aiohttp import web
@@ -27,6 +28,8 @@
 # Time subtracted from each deadline, so that the answer reaches the caller
 # before it, seconds.
 DEADLINE_MARGIN = 0.02
+# Timeout for reading a request body, seconds.
+BODY_TIMEOUT = 10.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -47,6 +50,27 @@
         self.workspace = workspace
 
 
+class IncomingBody:
+    """Body of a request that is being read.
+
+    While it isn't complete, it may give way to others.
+
+    :ivar held: what it holds.
+    :ivar timeout: ends the reading.
+    """
+
+    def __init__(
+        self, memory: memory_account.MemoryAccount, workspace: str
+    ) -> None:
+        self.timeout = asyncio.timeout(BODY_TIMEOUT)
+        self.held = memory.body(workspace, self._give_way)
+
+    def _give_way(self) -> None:
+        if not self.timeout.expired():
+            now = asyncio.get_running_loop().time()
+            self.timeout.reschedule(now)
+
+
 class Admission:
     """Checks requests against the configuration in force.
 
@@ -92,14 +116,29 @@
         return Ok(AdmittedRequest(current_catalog, route, workspace))
 
     async def read_body(
-        self, req: web.BaseRequest, held: memory_account.HeldBytes
+        self, req: web.BaseRequest, body: IncomingBody
     ) -> Result[bytes, refusal.Refusal]:
         """Return the complete body, or the refusal to answer with.
 
         A body of known length that has no room is refused before it is read.
 
-        :param held: what the request holds.
+        :param body: what the request holds.
         """
+        try:
+            async with body.timeout:
+                read = await self._read_body(req, body.held)
+        except TimeoutError:
+            if body.held.gave_way:
+                return Err(self._no_memory())
+            return Err(refusal.Refusal(refusal.Reason.SLOW_BODY))
+        if body.held.gave_way:
+            return Err(self._no_memory())
+        body.held.keep()
+        return read
+
+    async def _read_body(
+        self, req: web.BaseRequest, held: memory_account.HeldBytes
+    ) -> Result[bytes, refusal.Refusal]:
         current_catalog = self._cluster_state.catalog
         limit = (
             current_catalog.config.limits.body_bytes if current_catalog else 0
@@ -118,6 +157,7 @@
         data = bytearray()
         async for chunk in req.content.iter_any():
             data += chunk
+            held.record_progress(len(chunk))
             if len(data) > limit:
                 return Err(too_large)
             if length is None and not held.try_add(len(chunk)):
@@ -200,5 +240,6 @@
     req: web.BaseRequest, workspace: types.Workspace | None, body: bytes
 ) -> str:
     name = workspace.name if workspace else ""
-    text = f"{req.method} {req.raw_path}\0{name}\0".encode()
-    return xxhash.xxh3_64_hexdigest(text + body)
+    digest = xxhash.xxh3_64(f"{req.method} {req.raw_path}\0{name}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -563,6 +563,18 @@
     parts: dict[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryYielded(Event):
+    """A body or an answer without progress gave way to others.
+
+    :param part: part of the memory, as in ``memory.bound``.
+    """
+
+    name: ClassVar[str] = "memory.yielded"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    part: str
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLimitReached(Event):
     """A caller's connection was closed, or isn't read on, for a limit.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -36,8 +36,6 @@
 # abandon a request whose body isn't read within a third of their timeout.
 FIRST_READ_TIMEOUT = 0.25
 FIRST_READ_CHECK_INTERVAL = 0.01
-# Timeout for reading a request body, seconds.
-BODY_TIMEOUT = 10.0
 # Retry-After of a stopping node, seconds.
 STOPPING_RETRY_AFTER = 0.05
 # Size of a request line that is allowed besides the headers, bytes.
@@ -277,15 +275,11 @@
         if isinstance(admitted, Err):
             return self._refuse(admitted.err_value, caller_attempt_id, arrived)
         workspace = admitted.ok_value.workspace
-        held = self._memory.body(workspace.name if workspace else "")
-        open_request.held = held
-        try:
-            body = await outbound.with_timeout(
-                self._admission.read_body(req, held), BODY_TIMEOUT
-            )
-        except TimeoutError:
-            slow_body = refusal.Refusal(refusal.Reason.SLOW_BODY)
-            return self._refuse(slow_body, caller_attempt_id, arrived)
+        incoming = admission.IncomingBody(
+            self._memory, workspace.name if workspace else ""
+        )
+        open_request.held = incoming.held
+        body = await self._admission.read_body(req, incoming)
         if isinstance(body, Err):
             return self._refuse(body.err_value, caller_attempt_id, arrived)
         if admitted.ok_value.catalog is not self._cluster_state.catalog:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -250,7 +250,7 @@
                 platform.settings.max_descriptors,
                 platform.settings.memory_bytes,
             ),
-            lambda: False,
+            self.memory.yield_stalled,
         )
 
     def _memory_account(self) -> memory_account.MemoryAccount:
@@ -259,6 +259,12 @@
             lambda holds: self.journal.emit(
                 events.MemoryBound(holds, account.total_bytes, account.parts)
             ),
+            self._record_yield,
+        )
+        self._yields = self.metrics.counter(
+            "limpetwalk_yields",
+            "Bodies and answers that gave way to others, by part.",
+            ("part",),
         )
         budget = self.dispatcher.buffer_budget
         account.count("incomplete_answers", lambda: budget.total_bytes)
@@ -276,6 +282,10 @@
             gauge.labels(part).set_function(size_of(part))
         return account
 
+    def _record_yield(self, part: str) -> None:
+        self._yields.labels(part).inc()
+        self.journal.emit(events.MemoryYielded(part))
+
     @property
     def addresses(self) -> dict[str, tuple[str, int]]:
         """Return the listening addresses by purpose."""
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/replies.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/replies.py
@@ -1,8 +1,11 @@
 """Responses to callers."""
 
+import asyncio
 from collections.abc import Mapping
 import json
+import weakref
 
+from aiohttp import abc
 from aiohttp import web
 import multidict
 
@@ -47,6 +50,17 @@
     """Response whose body is held until the caller has read most of it."""
 
     held: memory_account.HeldBytes | None = None
+    _transport: asyncio.Transport | None = None
+
+    async def prepare(
+        self, request: web.BaseRequest
+    ) -> abc.AbstractStreamWriter | None:
+        """Write the head alone, since aiohttp copies a body that follows."""
+        self._transport = request.transport
+        writer = await super().prepare(request)
+        if writer is not None:
+            writer.send_headers()
+        return writer
 
     async def write_eof(self, data: bytes = b"") -> None:
         """Write the body and release it."""
@@ -55,6 +69,11 @@
         finally:
             self._release()
 
+    def break_off(self) -> None:
+        """Close the connection, so that others have room."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def __del__(self) -> None:
         """Release the body of a response that was never written."""
         self._release()
@@ -76,7 +95,13 @@
         headers=forwarded_headers(answer.head.headers),
         body=answer.body,
     )
-    resp.held = memory.answer(len(answer.body))
+    breaker = weakref.WeakMethod(resp.break_off)
+
+    def break_off() -> None:
+        if (method := breaker()) is not None:
+            method()
+
+    resp.held = memory.answer(len(answer.body), break_off)
     return resp
 
 
--- a/tests/limpetwalk/gateway/test_memory_account.py
+++ b/tests/limpetwalk/gateway/test_memory_account.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from limpetwalk import clock as clocks
 from limpetwalk.gateway import memory_account
 
 LIMIT = 100_000
@@ -102,3 +103,96 @@
                 self.assertGreaterEqual(
                     self.served_share(seed, 10.0), 0.95 * usual
                 )
+
+
+class GivingWay(unittest.TestCase):
+    """Bodies and answers that make no progress while room is short."""
+
+    def setUp(self) -> None:
+        self.clock = clocks.ManualClock()
+        self.yielded: list[str] = []
+        self.account = memory_account.MemoryAccount(
+            lambda: LIMIT, on_yield=self.yielded.append, clock=self.clock
+        )
+
+    def body(self, workspace: str, size: int) -> memory_account.HeldBytes:
+        held = self.account.body(workspace, lambda: None)
+        self.assertTrue(held.try_add(size))
+        return held
+
+    def stall(self) -> None:
+        self.clock.advance(memory_account.STALL_TIME + 0.1)
+
+    def test_stalled_body_gives_way_to_a_new_one(self) -> None:
+        stalled = self.body("a", 60_000)
+        self.stall()
+        self.body("a", 60_000)
+        self.assertTrue(stalled.gave_way)
+        self.assertEqual(60_000, self.account.total_bytes)
+        self.assertEqual([memory_account.BODIES], self.yielded)
+
+    def test_longest_stalled_body_gives_way_first(self) -> None:
+        first = self.body("a", LARGE)
+        second = self.body("a", LARGE)
+        self.stall()
+        first.record_progress(memory_account.PROGRESS_BYTES)
+        self.stall()
+        self.body("b", 60_000)
+        self.assertTrue(second.gave_way)
+        self.assertFalse(first.gave_way)
+
+    def test_body_that_is_being_received_does_not_give_way(self) -> None:
+        held = self.body("a", 60_000)
+        self.stall()
+        held.record_progress(memory_account.PROGRESS_BYTES)
+        self.assertFalse(self.account.body("a").try_add(60_000))
+        self.assertFalse(held.gave_way)
+
+    def test_byte_now_and_then_is_no_progress(self) -> None:
+        held = self.body("a", 60_000)
+        for _ in range(20):
+            self.clock.advance(0.1)
+            held.record_progress(1)
+        self.assertTrue(self.account.body("a").try_add(60_000))
+        self.assertTrue(held.gave_way)
+
+    def test_complete_body_does_not_give_way(self) -> None:
+        held = self.body("a", 60_000)
+        held.keep()
+        self.stall()
+        self.assertFalse(self.account.body("a").try_add(60_000))
+
+    def test_stalled_body_keeps_its_room_while_there_is_room(self) -> None:
+        held = self.body("a", LARGE)
+        self.stall()
+        self.body("a", LARGE)
+        self.assertFalse(held.gave_way)
+
+    def test_body_that_can_never_have_room_drives_out_no_other(self) -> None:
+        held = self.body("a", LARGE)
+        self.stall()
+        self.assertFalse(self.account.body("a").try_add(LIMIT + 1))
+        self.assertFalse(held.gave_way)
+
+    def test_answers_that_nobody_reads_stay_within_the_limit(self) -> None:
+        answers = [self.account.answer(LARGE, lambda: None) for _ in range(30)]
+        self.assertLessEqual(self.account.total_bytes, LIMIT)
+        self.assertTrue(answers[0].gave_way)
+        self.assertFalse(answers[-1].gave_way)
+
+    def test_small_answers_are_delivered_when_bodies_fill_the_node(
+        self,
+    ) -> None:
+        for number in range(50):
+            while self.account.body(f"w-{number}").try_add(LARGE):
+                pass
+        answers = [self.account.answer(800, lambda: None) for _ in range(20)]
+        self.assertGreater(self.account.total_bytes, LIMIT)
+        self.assertFalse(any(answer.gave_way for answer in answers))
+
+    def test_unread_answer_gives_way_to_a_body(self) -> None:
+        answer = self.account.answer(90_000, lambda: None)
+        self.assertFalse(self.account.body("a").try_add(60_000))
+        self.stall()
+        self.body("a", 60_000)
+        self.assertTrue(answer.gave_way)
--- a/tests/limpetwalk_node/gateway/test_memory.py
+++ b/tests/limpetwalk_node/gateway/test_memory.py
@@ -9,6 +9,7 @@
 import multidict
 
 from limpetwalk.gateway import memory_account
+from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import node
 from limpetwalk_node.gateway import outbound
 from limpetwalk_node.gateway import replies
@@ -80,6 +81,29 @@
         ]
         self.assertEqual([True, False], holds)
 
+    async def test_stalled_body_gives_way_and_is_refused(self) -> None:
+        self.ended.set()
+        host, port = self.run_.gateway.addresses["callers"]
+        headers = site.request_headers("stalled", 20_000)
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        lines.append(f"Content-Length: {len(BODY)}")
+        stalled = []
+        for _ in range(4):
+            reader, writer = await asyncio.open_connection(host, port)
+            self.addCleanup(writer.close)
+            head = "\r\n".join(["POST /once/x HTTP/1.1", *lines, "", ""])
+            writer.write(head.encode() + BODY[1:])
+            stalled.append(reader)
+        frontend = self.run_.gateway.frontend
+        await self.run_.until(lambda: frontend.open_requests == 4)
+        self.assertEqual(503, await self.send(data=BODY))
+        await asyncio.sleep(memory_account.STALL_TIME + 0.1)
+        self.assertEqual(200, await self.send(data=BODY))
+        answer = await stalled[0].readuntil(b"\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"Retry-After", answer)
+        self.assertEqual(1, len(self.server("p-1").received))
+
     async def test_memory_is_free_once_requests_have_ended(self) -> None:
         tasks = await self.fill()
         for task in tasks:
