--- a/tests/limpetwalk_node/gateway/test_crowds.py
+++ b/tests/limpetwalk_node/gateway/test_crowds.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from limpetwalk.gateway import buffers
+from limpetwalk_bench.hub import raw_server
 from limpetwalk_bench.hub import site
 from limpetwalk_bench.site import ports
 from limpetwalk_bench.soak import nodes
@@ -377,6 +378,31 @@
         await self.send_crowd(60, send)
         await self.check_node()
 
+    async def test_callers_that_read_no_stream(self) -> None:
+        event = b"id: %d\ndata: " + PIECE[:60_000] + b"\n\n"
+
+        async def script(conn: raw_server.Connection) -> None:
+            await conn.send(
+                conn.head(
+                    "Content-Type: text/event-stream",
+                    "Confidence: 100",
+                    "Connection: close",
+                )
+            )
+            for number in range(1, 200):
+                await conn.send(event % number)
+
+        await self.site.add_raw_server("raw-1", site.ENGINE, script)
+        await asyncio.sleep(1)
+        stream = [f"{name}: {v}" for name, v in site.STREAM_HEADERS.items()]
+
+        async def send(caller: Caller) -> AsyncIterator[bytes]:
+            yield caller.head("/stream/x", *stream, "Content-Length: 0")
+            await asyncio.sleep(2)
+
+        await self.send_crowd(60, send)
+        await self.check_node()
+
     async def test_backend_servers_that_read_no_body(self) -> None:
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/limpetwalk_node/gateway/test_endless.py
+++ b/tests/limpetwalk_node/gateway/test_endless.py
@@ -269,6 +269,40 @@
         self.assertTrue(response.startswith(b"HTTP/1.1 200"))
         writer.transport.abort()
 
+    async def test_large_requests_behind_one_another_are_all_served(
+        self,
+    ) -> None:
+        first = asyncio.Event()
+
+        async def wait(req: web.Request) -> None:
+            await first.wait()
+
+        self.server("p-1").behaviour = wait
+        headers = site.request_headers("a-1", 20_000)
+        lines = [f"{name}: {value}" for name, value in headers.items()]
+        body = b"x" * 60_000
+        framings = {
+            f"Content-Length: {len(body)}": body,
+            "Transfer-Encoding: chunked": b"".join(
+                (b"ea60\r\n", body, b"\r\n0\r\n\r\n")
+            ),
+        }
+        reader, writer = await self._connect()
+        for framing, framed in (*framings.items(), *framings.items()):
+            head = "\r\n".join(
+                ["POST /once/x HTTP/1.1", *lines, framing, "", ""]
+            )
+            writer.write(head.encode() + framed)
+        await self.run_.until(lambda: self.server("p-1").received)
+        await asyncio.sleep(0.1)
+        first.set()
+        async with asyncio.timeout(harness.WAIT_TIMEOUT):
+            for _ in range(4):
+                response = await reader.readuntil(b"done ")
+                self.assertTrue(response.startswith(b"HTTP/1.1 200"))
+                self.assertEqual(body, await reader.readexactly(len(body)))
+        writer.close()
+
     async def _connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
