Bound the bodies that a node of the own interface holds together

Cause: the product's own interface bounded each body (tuning.body_limit_bytes), not all of them: as many as callers sent were held, for 15 s after their last byte.

They share tuning.bodies_limit_bytes now (256 MiB by default), with the account of the gateway: one workspace gets two thirds at most, a body without progress for a second gives way when room is short. Refused: 503 memory_used, not run, Retry-After. Bodies are collected in one array, since pieces of two bytes take twenty times their size; 8 KiB are read ahead on a connection instead of 256 KiB.

Not bounded yet: the number of connections there.

test_caller_api.BodiesTogether failed first, both framings: no body was refused in 10 s. Now test_caller_api passes, one run (19 tests).

--- a/packages/limpetwalk-node/limpetwalk_node/api/caller_api.py
+++ b/packages/limpetwalk-node/limpetwalk_node/api/caller_api.py
@@ -12,11 +12,13 @@
 from limpetwalk import metrics as measures
 from limpetwalk import refusals
 from limpetwalk.conf import snapshot
+from limpetwalk.gateway import memory_account
 
 from .. import caller_writes
 from .. import lifecycle
 from .. import protocols
 from . import authentication
+from . import bodies
 from . import calls
 from . import errors
 from . import keyed_refusals
@@ -58,6 +60,15 @@
         self._keys = authentication.KeyDirectory()
         self._limiter = workspace_limits.WorkspaceLimiter(clock)
         self._refusals = errors.RefusalCounter(metrics)
+        yields = metrics.counter(
+            "limpetwalk_yields",
+            "Bodies and answers that gave way to others, by part.",
+            ("part",),
+        )
+        self._memory = memory_account.MemoryAccount(
+            self._bodies_limit,
+            on_yield=lambda part: yields.labels(part).inc(),
+        )
         self._exact: dict[tuple[str, str], Endpoint] = {}
         self._prefixed: list[tuple[str, Endpoint]] = []
         self._latency = metrics.latency(
@@ -131,8 +142,18 @@
         workspace = self._keys.authenticate(applied, header)
         endpoint = self._find_endpoint(req)
         with self._limiter.admit(workspace):
-            call = calls.Call(req, request_id, applied, workspace)
-            return await endpoint(call)
+            body = bodies.IncomingBody(self._memory, workspace.name)
+            try:
+                return await endpoint(
+                    calls.Call(req, request_id, applied, workspace, body)
+                )
+            finally:
+                body.held.release()
+
+    def _bodies_limit(self) -> float:
+        applied = self._config.current()
+        tuning = applied.snapshot.tuning if applied else snapshot.Tuning()
+        return tuning.bodies_limit_bytes
 
     def _accept_request(
         self, req: web.BaseRequest
--- a/packages/limpetwalk-node/limpetwalk_node/api/calls.py
+++ b/packages/limpetwalk-node/limpetwalk_node/api/calls.py
@@ -25,20 +25,22 @@
     :param request_id: identifier assigned by this node.
     :param applied: configuration in force when the request arrived.
     :param workspace: workspace of the caller.
+    :param incoming: its body.
     """
 
     req: web.BaseRequest
     request_id: str
     applied: snapshot.AppliedSnapshot
     workspace: snapshot.Workspace
+    incoming: bodies.IncomingBody
 
     async def body(self) -> bytes:
         """Return the complete body.
 
-        :raises Refused: when it is too large or incomplete.
+        :raises Refused: when it is too large, incomplete or has no room.
         """
         limit_bytes = self.applied.snapshot.tuning.body_limit_bytes
-        return await bodies.read_body(self.req, limit_bytes)
+        return await self.incoming.read(self.req, limit_bytes)
 
     def session(self) -> session_tokens.Session | None:
         """Return the session that the request belongs to, if any.
--- a/packages/limpetwalk-node/limpetwalk_node/api/server.py
+++ b/packages/limpetwalk-node/limpetwalk_node/api/server.py
@@ -15,6 +15,8 @@
 
 HEADER_LIMIT_BYTES = 8190
 HEADERS_LIMIT = 100
+# Bytes of a body that are read ahead; reading stops at twice as many.
+READ_AHEAD_BYTES = 8 * 1024
 # Seconds for which an idle connection is kept open.
 KEEPALIVE_TIMEOUT = 75.0
 
@@ -62,6 +64,7 @@
             loop=asyncio.get_running_loop(),
             access_log=_NO_ACCESS_LOG,
             keepalive_timeout=KEEPALIVE_TIMEOUT,
+            read_bufsize=READ_AHEAD_BYTES,
             max_line_size=HEADER_LIMIT_BYTES,
             max_field_size=HEADER_LIMIT_BYTES,
             max_headers=HEADERS_LIMIT,
--- a/packages/limpetwalk/limpetwalk/conf/document.py
+++ b/packages/limpetwalk/limpetwalk/conf/document.py
@@ -177,6 +177,7 @@
     connect_timeout: Seconds = _TUNING.connect_timeout
     request_timeout: Seconds = _TUNING.request_timeout
     body_limit_bytes: Positive = _TUNING.body_limit_bytes
+    bodies_limit_bytes: Positive = _TUNING.bodies_limit_bytes
     retry_share: Share = _TUNING.retry_share
     queue_length: Count = _TUNING.queue_length
     stale_after: Seconds = _TUNING.stale_after
--- a/packages/limpetwalk/limpetwalk/conf/snapshot.py
+++ b/packages/limpetwalk/limpetwalk/conf/snapshot.py
@@ -237,6 +237,7 @@
     :param connect_timeout: maximum wait for a connection.
     :param request_timeout: time limit of a request that sets no deadline.
     :param body_limit_bytes: maximum size of a caller's request body.
+    :param bodies_limit_bytes: maximum size of all bodies that a node holds.
     :param retry_share: retries as a share of first attempts.
     :param queue_length: maximum number of requests that wait at a node.
     :param stale_after: age of an unconfirmed configuration at which a node
@@ -253,6 +254,7 @@
     connect_timeout: float = 0.5
     request_timeout: float = 60.0
     body_limit_bytes: int = 4 * 1024 * 1024
+    bodies_limit_bytes: int = 256 * 1024 * 1024
     retry_share: float = 0.1
     queue_length: int = 256
     stale_after: float = 60.0
--- a/packages/limpetwalk/limpetwalk/refusals.py
+++ b/packages/limpetwalk/limpetwalk/refusals.py
@@ -18,6 +18,7 @@
     MALFORMED_BODY = "malformed_body"
     BODY_TOO_LARGE = "body_too_large"
     BODY_INCOMPLETE = "body_incomplete"
+    MEMORY_USED = "memory_used"
     HEADERS_TOO_LARGE = "headers_too_large"
     MISSING_KEY = "missing_key"
     WRONG_KEY = "wrong_key"
--- a/tests/limpetwalk_node/test_caller_api.py
+++ b/tests/limpetwalk_node/test_caller_api.py
@@ -1,6 +1,7 @@
 """Tests of the callers' API: invalid input, limits and connections."""
 
 import asyncio
+import dataclasses
 import json
 import unittest
 from unittest import mock
@@ -11,6 +12,7 @@
 
 from limpetwalk import refusals
 from limpetwalk.conf import snapshot
+from limpetwalk.gateway import memory_account
 from limpetwalk_node import lifecycle
 from limpetwalk_node.api import bodies
 from limpetwalk_node.api import server
@@ -383,3 +385,69 @@
             self.assertIn(body["error"]["reason"], REASONS)
             self.assertNotEqual("internal_error", body["error"]["reason"])
         self.assertTrue(self.node.lifecycle.is_ready(self.node.config))
+
+
+class BodiesTogether(CallerApiTestCase):
+    """More bodies of legal size than the node may hold."""
+
+    size = 90_000
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        applied = self.node.config.applied
+        cfg = dataclasses.replace(
+            applied.snapshot,
+            tuning=snapshot.Tuning(
+                body_limit_bytes=100_000, bodies_limit_bytes=400_000
+            ),
+        )
+        self.node.config.applied = dataclasses.replace(applied, snapshot=cfg)
+
+    async def stall(self, number, extra, *chunks):
+        """Send bodies that stop short of their end."""
+        length = None if extra else self.size
+        readers = []
+        for _ in range(number):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", self.node.port
+            )
+            self.addCleanup(writer.close)
+            writer.write(head(length=length, extra=extra))
+            writer.writelines(chunks)
+            readers.append(reader)
+        return readers
+
+    async def test_bodies_without_room_are_refused(self):
+        for extra, chunks in (
+            (b"", (b"x" * (self.size - 1),)),
+            (
+                b"Transfer-Encoding: chunked\r\n",
+                (b"15f8f\r\n", b"x" * (self.size - 1)),
+            ),
+        ):
+            with self.subTest(extra=extra):
+                await self._check_refused(extra, chunks)
+
+    async def _check_refused(self, extra, chunks):
+        readers = await self.stall(4, extra, *chunks)
+        async with asyncio.timeout(10):
+            answers = [asyncio.create_task(read_response(r)) for r in readers]
+            done, _ = await asyncio.wait(
+                answers, return_when=asyncio.FIRST_COMPLETED
+            )
+        for answer in done:
+            status, body = answer.result()
+            self.assertEqual(503, status)
+            self.assertEqual("memory_used", body["error"]["reason"])
+            self.assertEqual("not_run", body["error"]["run"])
+        self.assertLess(len(done), 4)
+        await asyncio.sleep(memory_account.STALL_TIME + 0.1)
+        status, _ = await self.send(VALID_BODY + b" " * self.size)
+        self.assertEqual(200, status)
+        for answer in answers:
+            answer.cancel()
+
+    async def test_room_is_free_once_requests_have_ended(self):
+        for _ in range(10):
+            status, _ = await self.send(VALID_BODY + b" " * self.size)
+            self.assertEqual(200, status)
