--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -18,6 +18,7 @@
 from limpetwalk import exceptions
 from limpetwalk import metrics as metrics_
 from limpetwalk.gateway import buffers
+from limpetwalk.gateway import connection_room
 from limpetwalk.gateway import memory_account
 from limpetwalk.gateway import ports
 from limpetwalk.gateway import server_links
@@ -168,6 +169,7 @@
             ),
             self.dispatcher,
             self.memory,
+            self._connection_room(),
             clock,
             self.journal,
             self.metrics,
@@ -241,12 +243,28 @@
             for name, (server, address) in listeners.items()
         }
 
+    def _connection_room(self) -> connection_room.ConnectionRoom:
+        platform = self.platform
+        return connection_room.ConnectionRoom(
+            lambda: connection_room.max_connections(
+                platform.settings.max_descriptors,
+                platform.settings.memory_bytes,
+            ),
+            self.memory.yield_stalled,
+        )
+
     def _memory_account(self) -> memory_account.MemoryAccount:
         account = memory_account.MemoryAccount(
             lambda: MEMORY_SHARE * self.platform.settings.memory_bytes,
             lambda holds: self.journal.emit(
                 events.MemoryBound(holds, account.total_bytes, account.parts)
             ),
+            self._record_yield,
+        )
+        self._yields = self.metrics.counter(
+            "limpetwalk_yields",
+            "Bodies and answers that gave way to others, by part.",
+            ("part",),
         )
         budget = self.dispatcher.buffer_budget
         account.count("incomplete_answers", lambda: budget.total_bytes)
@@ -264,6 +282,10 @@
             gauge.labels(part).set_function(size_of(part))
         return account
 
+    def _record_yield(self, part: str) -> None:
+        self._yields.labels(part).inc()
+        self.journal.emit(events.MemoryYielded(part))
+
     @property
     def addresses(self) -> dict[str, tuple[str, int]]:
         """Return the listening addresses by purpose."""
