--- a/tests/limpetwalk_node/gateway/test_crowds.py
+++ b/tests/limpetwalk_node/gateway/test_crowds.py
@@ -176,6 +176,20 @@
 class Bodies(CrowdCase):
     """Many bodies at once, which stop just short of their end."""
 
+    async def test_single_bodies_of_the_largest_size_are_served(self) -> None:
+        url = f"http://{self.node.host}:{self.node.caller_port}/again/x"
+        for number in range(3):
+            headers = site.request_headers(
+                f"a-{number}", harness.LONG_TIMEOUT_MS
+            )
+            # The answer is a little larger than the body.
+            async with self.http.post(
+                url, headers=headers, data=bytes(BODY_BYTES - 10)
+            ) as resp:
+                self.assertEqual(200, resp.status)
+                self.assertEqual(BODY_BYTES - 5, len(await resp.read()))
+        await self.check_node()
+
     async def test_announced_bodies_at_once(self) -> None:
         async def send(caller: Caller) -> AsyncIterator[bytes]:
             length = f"Content-Length: {BODY_BYTES}"
--- a/tests/limpetwalk_node/gateway/test_memory.py
+++ b/tests/limpetwalk_node/gateway/test_memory.py
@@ -104,6 +104,17 @@
         self.assertIn(b"Retry-After", answer)
         self.assertEqual(1, len(self.server("p-1").received))
 
+    async def test_slow_body_is_served_while_there_is_room(self) -> None:
+        self.ended.set()
+        await self.run_.extend_timeouts()
+
+        async def pieces():  # type: ignore[no-untyped-def]
+            for _ in range(2):
+                yield BODY[:1000]
+                await asyncio.sleep(memory_account.STALL_TIME + 0.1)
+
+        self.assertEqual(200, await self.send(data=pieces()))
+
     async def test_memory_is_free_once_requests_have_ended(self) -> None:
         tasks = await self.fill()
         for task in tasks:
