Learn how fast each server is, and choose engines by it

All servers of a service counted as equally fast, so slow ones got as much work as fast ones. Nodes now report decaying sums of how their answers' times compare with the usual ones; the choice multiplies a server's expected time by the factor.

--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -26,6 +26,7 @@
 from limpetwalk.gateway import return_time
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import server_pauses
+from limpetwalk.gateway import server_speed
 from limpetwalk.gateway import types
 
 from . import engines
@@ -114,6 +115,10 @@
     :param pause: when engines want no requests, None if they always do;
         callers that are refused come back once.
     :param nodes_listen: whether the nodes heed what engines say.
+    :param time_factors: factors of the engines' times, for one engine after
+        another, in turn.
+    :param learns_speeds: whether the nodes heed the engines' speeds, and
+        choose by chance among similar ones.
     """
 
     nodes: int
@@ -126,6 +131,8 @@
     brittle: Brittleness | None = None
     pause: Pause | None = None
     nodes_listen: bool = True
+    time_factors: tuple[float, ...] = (1.0,)
+    learns_speeds: bool = True
 
 
 @dataclass(slots=True)
@@ -219,8 +226,10 @@
         names: frozenset[str],
         demand: float,
         rng: random.Random,
+        learns_speeds: bool,
     ) -> None:
         self.loads = server_load.ServerLoads(clock)
+        self.speeds = server_speed.LearntSpeeds(clock)
         self.pauses = server_pauses.ServerPauses(clock, rng)
         self.told_at: dict[str, float] = {}
         self.memory = prefix_cache.PrefixCacheTracker(clock, 9.3)
@@ -245,6 +254,8 @@
                 and not self.pauses.is_paused(member.id)
             ),
             self.brittle.with_room,
+            self.speeds,
+            rng if learns_speeds else None,
         )
 
 
@@ -260,6 +271,7 @@
     tried: set[str] = field(default_factory=set)
     choice: placement.Choice | None = None
     started: bool = False
+    first_at: float = 0.0
     probe: brittle_servers.Probe | None = None
 
 
@@ -307,6 +319,7 @@
                 frozenset(names),
                 sum(kind.rate for kind in load.kinds),
                 random.Random(f"{seed} {name}"),
+                load.learns_speeds,
             )
             for number, name in enumerate(names)
         }
@@ -492,7 +505,9 @@
 
     def _add_server(self, number: int) -> None:
         name = f"s{number}"
-        self._sites[name] = _Site(engines.Engine(self._load.speed))
+        factors = self._load.time_factors
+        speed = self._load.speed.scaled(factors[number % len(factors)])
+        self._sites[name] = _Site(engines.Engine(speed))
         self._fleet.put(
             _server(name, number, self._load), types.Version(1, number + 1)
         )
@@ -508,8 +523,15 @@
         if _server_id(req) not in self._sites:
             return
         now = self._clock.monotonic()
-        req.started = True
+        req.started, req.first_at = True, now
         self._hear(req)
+        if self._load.learns_speeds:
+            req.node.speeds.record(
+                _server_id(req),
+                ("first event", req.work.model),
+                now - req.arrived_at,
+                req.choice.queue_seconds + req.choice.prefill_seconds + DELAY,
+            )
         req.node.brittle.end_probe(req.probe, accepted=True)
         req.node.loads.finish_prefill(
             _server_id(req), req.choice.prefill_seconds
@@ -537,6 +559,13 @@
         site.engine.end(req.work)
         site.running.remove(req)
         req.node.loads.end_request(_server_id(req))
+        if self._load.learns_speeds:
+            req.node.speeds.record(
+                _server_id(req),
+                ("event", req.work.model),
+                self._clock.monotonic() - req.first_at,
+                float(req.work.output_tokens),
+            )
         while site.queued and site.engine.has_slot(site.queued[0].work):
             self._begin(site, site.queued.pop(0))
 
@@ -588,6 +617,8 @@
         receivers: frozenset[str],
     ) -> None:
         sequence = next(self._sequence)
+        speeds = self._nodes[sender].speeds
+        sums = speeds.group_sums() if source.is_group else speeds.own_sums()
         stated = self._nodes[sender].brittle.observed(
             max_hops=1 if source.is_group else 0
         )
@@ -598,6 +629,10 @@
                 self._nodes[name].loads.apply_report(
                     source, sender, sequence, loads
                 )
+                if self._load.learns_speeds:
+                    self._nodes[name].speeds.apply_report(
+                        source, sender, sequence, sums
+                    )
                 self._nodes[name].brittle.merge(
                     stated, hops=2 if source.is_group else 1
                 )
--- a/packages/limpetwalk-bench/limpetwalk_bench/model/engines.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/engines.py
@@ -1,5 +1,6 @@
 """Model engines: slots, prefill one prompt after another, prefix cache."""
 
+import dataclasses
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -27,6 +28,14 @@
     cache_seconds: float = 9.3
     memory: int = 0
 
+    def scaled(self, factor: float) -> "EngineSpeed":
+        """Return the speed of an engine that needs a multiple of the time."""
+        return dataclasses.replace(
+            self,
+            prefill_seconds=self.prefill_seconds * factor,
+            step_seconds=self.step_seconds * factor,
+        )
+
 
 @dataclass(slots=True)
 class Work:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -25,6 +25,7 @@
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import server_pauses
+from limpetwalk.gateway import server_speed
 from limpetwalk.gateway import types
 from limpetwalk.gateway import version_tallies
 
@@ -110,6 +111,7 @@
         )
         self._pauses = server_pauses.ServerPauses(clock, random.Random())
         self.prefill_times = prefill_time.PrefillTimes()
+        self.server_speeds = server_speed.LearntSpeeds(clock)
         self._placer = placement.Placer(
             settings().zone,
             state.fleet,
@@ -119,6 +121,8 @@
             clock,
             self._may_send,
             self._with_room,
+            self.server_speeds,
+            random.Random(),
         )
         self.version_tallies = version_tallies.VersionTallies(
             state.fleet.members
@@ -159,6 +163,18 @@
         self.first_byte_latency = metrics.latency(
             "limpetwalk_first_byte", "Time to the head of an answer."
         )
+        self._expected_first_byte = metrics.latency(
+            "limpetwalk_expected_first_byte",
+            "Expected time to the head of a generation.",
+        )
+        self._first_byte_error = metrics.latency(
+            "limpetwalk_first_byte_error",
+            "Difference of the actual and the expected time to the head.",
+        )
+        metrics.gauge(
+            "limpetwalk_uneven_servers",
+            "Servers that answer faster or slower than the others.",
+        ).set_function(self._uneven_servers)
 
     @property
     def bounds(self) -> types.Bounds:
@@ -388,6 +404,9 @@
         """Record the pace of an answer as evidence of its version."""
         if member.is_cold(self.clock.monotonic()):
             return
+        self.server_speeds.record(
+            member.id, ("event", call.service, model), seconds_per_event
+        )
         version = member.entry.version
         self.version_tallies.record_pace(
             call.service,
@@ -720,6 +739,7 @@
                 in_flight=member.health.in_flight,
                 waiting_ms=int(choice.queue_seconds * 1000),
                 reading_ms=int(choice.prefill_seconds * 1000),
+                time_factor=round(choice.time_factor, 2),
                 row_version=str(member.row_version),
                 config=call.config_version,
             )
@@ -737,8 +757,39 @@
         started.slow = self.version_tallies.is_slow(
             call.service, model, seconds_to_head
         )
+        self._record_speed(call, choice, started, seconds_to_head)
         if model:
             self.prefill_times.record(
                 model, call.prompt.own_tokens, seconds_to_head
             )
             self._prefix_cache.record_read(member.id, model, call.prompt)
+
+    def _record_speed(
+        self,
+        call: calls.Call,
+        choice: placement.Choice,
+        started: outbound.StartedAnswer,
+        seconds_to_head: float,
+    ) -> None:
+        """Record the time to a head for the speed of its server."""
+        member, model = started.member, started.model
+        if not started.head.is_success or member.is_cold(
+            self.clock.monotonic()
+        ):
+            return
+        kind = ("head", call.service, model or call.route.name)
+        if not model:
+            self.server_speeds.record(member.id, kind, seconds_to_head)
+            return
+        expected = choice.first_byte_seconds
+        self._expected_first_byte.record(expected)
+        self._first_byte_error.record(abs(seconds_to_head - expected))
+        self.server_speeds.record(
+            member.id, kind, seconds_to_head, expected / choice.time_factor
+        )
+
+    def _uneven_servers(self) -> int:
+        return sum(
+            self.server_speeds.time_factor(member.id) != 1.0
+            for member in self.cluster_state.fleet
+        )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -320,6 +320,7 @@
     :param in_flight: requests of this node at the server.
     :param waiting_ms: prefill time queued there by all nodes.
     :param reading_ms: prefill time of the request itself.
+    :param time_factor: time that the server needs, against the others.
     :param row_version: version of the server's entry.
     """
 
@@ -333,6 +334,7 @@
     in_flight: int
     waiting_ms: int
     reading_ms: int
+    time_factor: float
     row_version: str
     config: int
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -10,7 +10,9 @@
 from collections.abc import Collection
 from collections.abc import Mapping
 import contextlib
+import heapq
 import importlib
+import math
 import pathlib
 import time
 from typing import Any
@@ -18,6 +20,7 @@
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import server_links
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import server_speed
 from limpetwalk.gateway import stated_values
 from limpetwalk.gateway import store_watch
 from limpetwalk.gateway import types
@@ -32,6 +35,10 @@
 REPORTS_PER_SUM = 2
 # Longest interval between two reports of an idle node, in seconds.
 IDLE_INTERVAL = 1.0
+# Shortest interval between two reports with the speeds of servers, in seconds,
+# and the largest number of servers in one.
+SPEEDS_INTERVAL = 0.7
+MAX_SPEEDS = 200
 # Largest datagram that is sent, bytes.
 MAX_DATAGRAM_BYTES = 60_000
 # Largest number that a field of a report holds.
@@ -52,6 +59,7 @@
     :param news: receives what other nodes know of them.
     :param links: links of this node to servers.
     :param peer_choice: receives whether other nodes are cut off.
+    :param speeds: how fast servers answered.
     :ivar on_evidence: called with the sender, the order and the report of each
         piece of evidence that this node receives as a collector.
     """
@@ -68,6 +76,7 @@
         links: server_links.ServerLinks,
         peer_choice: server_links.PeerChoice,
         journal: logs.Journal,
+        speeds: server_speed.LearntSpeeds,
     ) -> None:
         self._node = node
         self._peers = peers
@@ -79,6 +88,8 @@
         self._links = links
         self._peer_choice = peer_choice
         self._journal = journal
+        self._speeds = speeds
+        self._speeds_sent_at = {"own": -math.inf, "group": -math.inf}
         self.on_evidence: Callable[[str, str, str], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._schema: Any = None
@@ -173,6 +184,13 @@
                 for entry in report.loads
             },
         )
+        if len(report.speeds):
+            self._speeds.apply_report(
+                server_load.Source(report.group or sender, bool(report.group)),
+                sender,
+                report.sequence,
+                _read_speeds(report.speeds),
+            )
         hops = 2 if report.group else 1
         self._limits.merge(_read_stated(report.limits), hops)
         self._brittle.merge(_read_stated(report.brittle), hops)
@@ -249,6 +267,13 @@
             entry.era = state.version.era
             entry.version = state.version.counter
             entry.unavailable = state.unavailable
+        sums = self._due_speeds(bool(group))
+        for entry, (server_id, total) in zip(
+            report.init("speeds", len(sums)), sums, strict=True
+        ):
+            entry.server = server_id
+            entry.logRatio = total.log_ratio
+            entry.weight = total.weight
         max_hops = 1 if group else 0
         for field, stated in (
             ("limits", self._limits),
@@ -263,6 +288,22 @@
         for name in receivers:
             self._send(data, peers[name])
 
+    def _due_speeds(
+        self, is_group: bool
+    ) -> list[tuple[str, server_speed.SpeedSum]]:
+        """Return the speeds to report now, those of most samples."""
+        now = asyncio.get_running_loop().time()
+        source = "group" if is_group else "own"
+        if now - self._speeds_sent_at[source] < SPEEDS_INTERVAL:
+            return []
+        self._speeds_sent_at[source] = now
+        sums = (
+            self._speeds.group_sums() if is_group else self._speeds.own_sums()
+        )
+        return heapq.nlargest(
+            MAX_SPEEDS, sums.items(), key=lambda item: item[1].weight
+        )
+
     def _send(self, data: bytes, peer: peer_groups.Peer) -> None:
         """Send a datagram, unless the node's row names no usable address."""
         if self._transport is not None:
@@ -274,6 +315,14 @@
     return min(MAX_FIELD, max(0, int(value)))
 
 
+def _read_speeds(entries: Any) -> dict[str, server_speed.SpeedSum]:
+    return {
+        entry.server: server_speed.SpeedSum(entry.logRatio, entry.weight)
+        for entry in entries
+        if math.isfinite(entry.logRatio) and 0 < entry.weight < math.inf
+    }
+
+
 def _read_stated(entries: Any) -> list[stated_values.Observed]:
     return [
         stated_values.Observed(
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
@@ -12,6 +12,7 @@
   limits @6 :List(Limit);
   cutOff @7 :Bool;        # whether the sender has lost its links to servers
   brittle @8 :List(Limit);  # rejections per second from which servers fall over
+  speeds @9 :List(Speed);   # how fast servers answered; empty in most reports
 }
 
 struct Limit {
@@ -28,6 +29,12 @@
   rejected @4 :UInt32;    # requests that it rejected in the last second, if it is brittle
 }
 
+struct Speed {
+  server @0 :Text;
+  logRatio @1 :Float32;   # sum of the weighted logarithms of the times by the usual ones
+  weight @2 :Float32;     # sum of the weights, which halve in some seconds
+}
+
 struct Table {
   name @0 :Text;
   version @1 :UInt64;     # version of the latest change that the sender knows
--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -9,12 +9,16 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
+import math
+import random
 
 import xxhash
 
 from .. import clock as clocks
 from . import fleet
+from . import load_decisions
 from . import prefill_time
 from . import prefix_cache
 from . import server_load
@@ -32,6 +36,11 @@
 FAILURE_COST = 1.5
 # Cost in seconds of a cold server, because it is slow.
 COLD_COST = 0.5
+# Spread by chance of the costs of engines, in seconds and as a share of the
+# cost: nodes that know the same loads must not all choose the same engine
+# before they hear of each other's requests.
+CHANCE_SECONDS = 0.02
+CHANCE_SHARE = 0.1
 # Fraction of the shared tokens that the server chosen by rendezvous hashing
 # probably caches, because other nodes send it the same parts.
 PREFERRED_CACHED_SHARE = 0.7
@@ -59,22 +68,34 @@
 class Choice:
     """Server that was chosen, with its expected times.
 
-    :param queue_seconds: prefill time of the requests that wait there.
+    :param queue_seconds: prefill time of the requests that wait there, and
+        time until a slot is free.
     :param prefill_seconds: prefill time of the request itself.
+    :param time_factor: time that the server needs, against the mean of its
+        service, for which both times are.
     """
 
     member: fleet.Member
     queue_seconds: float
     prefill_seconds: float
+    time_factor: float = 1.0
 
     @property
     def first_byte_seconds(self) -> float:
         """Expected time to the first byte, in seconds."""
-        return (
+        return self.time_factor * (
             self.queue_seconds + self.prefill_seconds + prefill_time.OVERHEAD
         )
 
 
+class EvenSpeeds:
+    """Speeds of servers of which none is known."""
+
+    def time_factor(self, server_id: str) -> float:
+        """Return 1, as for a server as fast as the mean."""
+        return 1.0
+
+
 class Placer:
     """Chooses the server with the lowest cost.
 
@@ -83,6 +104,9 @@
         now; cold servers and those with a limit take few.
     :param with_room: returns those of some servers that have room for a
         request, as brittle servers must not be asked without.
+    :param speeds: how fast each server is.
+    :param rng: chooses among servers of similar cost, None to choose the one
+        of lowest cost.
     """
 
     def __init__(
@@ -97,6 +121,8 @@
         with_room: Callable[
             [list[fleet.Member]], list[fleet.Member]
         ] = lambda members: members,
+        speeds: load_decisions.ServerSpeeds = EvenSpeeds(),
+        rng: random.Random | None = None,
     ) -> None:
         self._zone = zone
         self._fleet = servers
@@ -106,6 +132,8 @@
         self._clock = clock
         self._may_send = may_send
         self._with_room = with_room
+        self._speeds = speeds
+        self._rng = rng
 
     def choose(self, need: Need) -> Choice | None:
         """Return the server of the lowest cost, or None without a candidate.
@@ -129,8 +157,21 @@
             return None
         preferred = self._preferred_server(need, candidates)
         loads = self._loads.total_loads([member.id for member in candidates])
+        factors = {
+            member.id: self._speeds.time_factor(member.id)
+            for member in candidates
+        }
+        duration = self._duration(candidates, loads, factors)
         ratings = [
-            self._rate(member, need, preferred, loads[member.id], now)
+            self._rate(
+                member,
+                need,
+                preferred,
+                loads[member.id],
+                factors[member.id],
+                duration,
+                now,
+            )
             for member in candidates
         ]
         return min(ratings, key=lambda rating: rating[:2])[2]
@@ -166,17 +207,26 @@
         need: Need,
         preferred: str,
         load: server_load.Load,
+        factor: float,
+        duration: float,
         now: float,
     ) -> tuple[float, int, Choice]:
         unread_tokens = self._unread_tokens(member, need, preferred)
         prefill = self._prefill_times.prefill_seconds(
             need.model, unread_tokens
         )
-        choice = Choice(member, load.pending_prefill, prefill)
+        waiting = load.pending_prefill + _slot_seconds(member, load, duration)
+        choice = Choice(member, waiting, prefill, factor)
         request_cost = (
             ENGINE_REQUEST_COST if need.model else PLAIN_REQUEST_COST
         )
-        cost = load.pending_prefill + prefill + request_cost * load.active
+        cost = waiting + prefill + request_cost * load.active
+        if not need.model:
+            cost += duration
+        cost *= factor
+        if need.model and self._rng is not None:
+            spread = CHANCE_SECONDS + CHANCE_SHARE * cost
+            cost -= spread * _gumbel(self._rng)
         if member.entry.zone != self._zone:
             cost += OTHER_ZONE_COST
         cost += FAILURE_COST * member.health.failure_share(now)
@@ -185,6 +235,25 @@
         tie_breaker = xxhash.xxh32_intdigest(f"{member.id}{now}".encode())
         return cost, tie_breaker, choice
 
+    def _duration(
+        self,
+        candidates: Iterable[fleet.Member],
+        loads: Mapping[str, server_load.Load],
+        factors: Mapping[str, float],
+    ) -> float:
+        """Return the mean duration of requests, in seconds.
+
+        :returns: 0 when all servers have a slot and are equally fast, as the
+            duration changes no choice then.
+        """
+        if all(
+            factors[member.id] == 1.0
+            and not _is_full(member, loads[member.id])
+            for member in candidates
+        ):
+            return 0.0
+        return self._loads.mean_duration(member.id for member in candidates)
+
     def _unread_tokens(
         self, member: fleet.Member, need: Need, preferred: str
     ) -> float:
@@ -195,3 +264,26 @@
             shared = total - need.prompt.parts[-1].tokens
             cached = max(cached, int(PREFERRED_CACHED_SHARE * shared))
         return float(total - cached)
+
+
+def _is_full(member: fleet.Member, load: server_load.Load) -> bool:
+    return 0 < member.entry.slots <= load.active
+
+
+def _slot_seconds(
+    member: fleet.Member, load: server_load.Load, duration: float
+) -> float:
+    """Return the time until a slot is free for a request, in seconds."""
+    if not _is_full(member, load):
+        return 0.0
+    ahead = load.active - member.entry.slots + 1
+    return duration * ahead / member.entry.slots
+
+
+def _gumbel(rng: random.Random) -> float:
+    """Return a sample of the standard Gumbel distribution.
+
+    The lowest of several costs, each less such a sample times a spread, is
+    chosen with a probability that falls exponentially with its cost.
+    """
+    return -math.log(rng.expovariate(1.0))
--- a/tests/limpetwalk_node/gateway/test_load_broadcast.py
+++ b/tests/limpetwalk_node/gateway/test_load_broadcast.py
@@ -11,6 +11,7 @@
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import server_speed
 from limpetwalk.gateway import store_watch
 from limpetwalk_node.gateway import load_broadcast
 
@@ -50,6 +51,7 @@
             random.Random(1),
             lambda server, rejections: None,
         )
+        self.speeds = server_speed.LearntSpeeds(clock)
         self.broadcast = load_broadcast.LoadBroadcast(
             name,
             lambda: peers,
@@ -61,6 +63,7 @@
             mock.Mock(cut_off=False),
             mock.Mock(),
             harness.journal(self.lines),
+            self.speeds,
         )
         self.address = peers[name].address
 
--- a/tests/limpetwalk_node/gateway/test_supervision.py
+++ b/tests/limpetwalk_node/gateway/test_supervision.py
@@ -14,6 +14,7 @@
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import server_speed
 from limpetwalk.gateway import store_watch
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import cluster_state
@@ -177,6 +178,7 @@
             mock.Mock(cut_off=False),
             mock.Mock(),
             harness.journal(harness.Lines()),
+            server_speed.LearntSpeeds(mock.Mock(monotonic=lambda: 0.0)),
         )
         running = asyncio.create_task(broadcast.run(address))
         async with asyncio.timeout(5):
@@ -214,6 +216,7 @@
             mock.Mock(cut_off=False),
             mock.Mock(),
             journal,
+            server_speed.LearntSpeeds(clock),
         )
         failing = FailingOnce(broadcast._interval, failures=2)
         supervisor = supervision.Supervisor(journal, metrics_.Metrics())
