--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -39,7 +39,7 @@
 # Spread by chance of the costs of engines, in seconds and as a share of the
 # cost: nodes that know the same loads must not all choose the same engine
 # before they hear of each other's requests.
-CHANCE_SECONDS = 0.02
+CHANCE_SECONDS = 0.005
 CHANCE_SHARE = 0.1
 # Fraction of the shared tokens that the server chosen by rendezvous hashing
 # probably caches, because other nodes send it the same parts.
--- a/tests/limpetwalk/gateway/test_placement.py
+++ b/tests/limpetwalk/gateway/test_placement.py
@@ -1,6 +1,7 @@
 """Choice of a server, and the estimates that it uses."""
 
 import collections
+import random
 import unittest
 
 from limpetwalk import clock as clocks
@@ -14,10 +15,26 @@
 from . import builders
 
 
+class Speeds:
+    """Speeds of servers that are known."""
+
+    def __init__(self, factors: dict[str, float]) -> None:
+        self.factors = factors
+
+    def time_factor(self, server_id: str) -> float:
+        return self.factors.get(server_id, 1.0)
+
+
 class Node:
     """Placer of one node, with the state that its choice depends on."""
 
-    def __init__(self, clock: clocks.ManualClock, zone: str = "z1") -> None:
+    def __init__(
+        self,
+        clock: clocks.ManualClock,
+        zone: str = "z1",
+        rng: random.Random | None = None,
+    ) -> None:
+        self.speeds = Speeds({})
         self.fleet = fleet.Fleet(clock)
         self.memory = prefix_cache.PrefixCacheTracker(clock, 9.0)
         self.loads = server_load.ServerLoads(clock)
@@ -30,6 +47,8 @@
             self.prefill_times,
             clock,
             lambda member: not member.is_cold(clock.monotonic()),
+            speeds=self.speeds,
+            rng=rng,
         )
 
     def choose(self, **options: object) -> placement.Choice:
@@ -204,6 +223,90 @@
             self.assertEqual(chosen, choice is not None, model)
 
 
+class UnevenServers(PlacementCase):
+    """Servers of which some are slower than others."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node.prefill_times.record("m", 1000, 0.18)
+
+    def choose_after(self, server_id: str, seconds: float) -> str:
+        """Return the choice of a prompt when one server has a queue."""
+        self.node.loads.start_request(server_id, seconds)
+        prompt = builders.prompt(("own", 1000))
+        return self.node.choose(model="m", prompt=prompt).member.id
+
+    def test_prompts_go_to_the_faster_servers(self) -> None:
+        self.node.speeds.factors.update(s0=3.0, s1=3.0, s2=3.0)
+        self.assertEqual("s3", self.choose_after("s3", 0.1))
+        self.assertNotEqual("s3", self.choose_after("s3", 0.3))
+
+    def test_expected_first_byte_counts_the_speed(self) -> None:
+        prompt = builders.prompt(("own", 1000))
+        usual = self.node.choose(model="m", prompt=prompt)
+        self.node.speeds.factors.update(s0=2.0, s1=2.0, s2=2.0, s3=2.0)
+        slow = self.node.choose(model="m", prompt=prompt)
+        self.assertAlmostEqual(
+            2 * usual.first_byte_seconds, slow.first_byte_seconds
+        )
+        # Loads are told to nodes that may know other speeds.
+        self.assertEqual(usual.prefill_seconds, slow.prefill_seconds)
+
+    def test_calls_go_to_the_faster_servers(self) -> None:
+        for server_id in ("s0", "s1", "s2", "s3"):
+            self.node.loads.start_request(server_id, 0.0)
+        self.clock.advance(0.05)
+        self.node.speeds.factors.update(s0=2.0, s2=2.0)
+        counts = collections.Counter()
+        for _ in range(12):
+            member = self.node.choose().member
+            self.node.loads.start_request(member.id, 0.0)
+            counts[member.id] += 1
+        self.assertGreater(
+            counts["s1"] + counts["s3"], 2 * (counts["s0"] + counts["s2"])
+        )
+
+    def test_wait_for_a_slot_counts(self) -> None:
+        self.node.fleet.put(builders.server("s0", slots=1), 10)
+        for server_id in ("s0", "s2"):
+            for _ in range(3):
+                self.node.loads.start_request(server_id, 0.0)
+        for server_id in ("s1", "s3"):
+            for _ in range(5):
+                self.node.loads.start_request(server_id, 0.0)
+        self.clock.advance(1.0)
+        for _ in range(9):
+            self.assertEqual("s2", self.node.choose().member.id)
+            self.clock.advance(0.01)
+
+    def test_nodes_do_not_all_choose_the_same_idle_engine(self) -> None:
+        self.node.speeds.factors.update(s1=1.1, s2=1.1, s3=1.1)
+        chosen = collections.Counter()
+        for number in range(90):
+            node = Node(self.clock, rng=random.Random(number))
+            node.speeds.factors.update(self.node.speeds.factors)
+            for server in range(4):
+                node.fleet.put(builders.server(f"s{server}"), 1)
+            choice = node.choose(
+                model="m", prompt=builders.prompt(("own", 1000))
+            )
+            chosen[choice.member.id] += 1
+        self.assertEqual(4, len(chosen))
+        self.assertLess(max(chosen.values()), 60)
+
+    def test_much_better_engine_is_chosen_in_spite_of_chance(self) -> None:
+        for number in range(90):
+            node = Node(self.clock, rng=random.Random(number))
+            for server in range(4):
+                node.fleet.put(builders.server(f"s{server}"), 1)
+            for server in range(1, 4):
+                node.loads.start_request(f"s{server}", 1.0)
+            choice = node.choose(
+                model="m", prompt=builders.prompt(("own", 1000))
+            )
+            self.assertEqual("s0", choice.member.id)
+
+
 class LoadReports(unittest.TestCase):
     """Loads that nodes report to each other."""
 
--- a/tests/limpetwalk_bench/model/test_cluster.py
+++ b/tests/limpetwalk_bench/model/test_cluster.py
@@ -176,3 +176,63 @@
             self.assertGreater(self.served(result), self.served(before))
             self.assertGreater(self.served(result), 0.95)
             self.assertLess(result.first_after(self.pause), 0.1)
+
+
+class UnevenServers(unittest.TestCase):
+    """85 nodes before engines of which some are slower than others."""
+
+    seeds = (1, 2, 3)
+
+    def late(
+        self, factors: tuple[float, ...], excess: float, learns: bool
+    ) -> dict[str, float]:
+        """Return the share of late requests by kind.
+
+        :param factors: factors of the engines' times, in turn.
+        :param excess: load as a multiple of the usual one.
+        :param learns: whether the nodes heed the engines' speeds.
+        """
+        load = loads.cluster_of(85, 14.0)
+        load = dataclasses.replace(
+            load,
+            time_factors=factors,
+            learns_speeds=learns,
+            kinds=tuple(
+                dataclasses.replace(kind, rate=kind.rate * excess)
+                for kind in load.kinds
+            ),
+        )
+        reporting = loads.reportings(load.nodes)["to groups"]
+        results = [
+            cluster.Cluster(load, reporting, seed).run() for seed in self.seeds
+        ]
+        return {
+            kind.name: 1
+            - sum(result.in_time_share(kind.name) for result in results)
+            / len(results)
+            for kind in load.kinds
+        }
+
+    def assert_fewer_late(
+        self, factors: tuple[float, ...], excess: float
+    ) -> None:
+        """Check that fewer callers wait too long than by the former choice."""
+        late = self.late(factors, excess, learns=True)
+        former = self.late(factors, excess, learns=False)
+        for kind, share in late.items():
+            self.assertLessEqual(share, former[kind] + 0.01, kind)
+        self.assertLess(sum(late.values()), 0.8 * sum(former.values()))
+
+    def test_engines_of_several_speeds_serve_more_callers_in_time(
+        self,
+    ) -> None:
+        self.assert_fewer_late((0.6, 1.0, 1.6), 1.8)
+
+    def test_callers_do_not_wait_for_slow_engines(self) -> None:
+        self.assert_fewer_late((1.0, 1.0, 1.0, 3.0), 1.3)
+
+    def test_even_engines_serve_no_fewer_callers(self) -> None:
+        late = self.late((1.0,), 1.5, learns=True)
+        former = self.late((1.0,), 1.5, learns=False)
+        for kind, share in late.items():
+            self.assertLessEqual(share, former[kind] + 0.005, kind)
