--- a/tests/limpetwalk_node/gateway/test_load_broadcast.py
+++ b/tests/limpetwalk_node/gateway/test_load_broadcast.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 import capnp
+
 from limpetwalk import clock as clocks
 from limpetwalk.gateway import brittle_servers
 from limpetwalk.gateway import peer_groups
