--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -318,7 +318,8 @@
 
     :param left_ms: time left until the answer must be sent.
     :param in_flight: requests of this node at the server.
-    :param waiting_ms: prefill time queued there by all nodes.
+    :param waiting_ms: prefill time queued there by all nodes, and time until
+        a slot is free.
     :param reading_ms: prefill time of the request itself.
     :param time_factor: time that the server needs, against the others.
     :param row_version: version of the server's entry.
--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -41,6 +41,9 @@
 # before they hear of each other's requests.
 CHANCE_SECONDS = 0.005
 CHANCE_SHARE = 0.1
+# Cost of an engine in another zone besides, in spreads: chance alone must not
+# draw requests to the many engines there.
+OTHER_ZONE_SPREADS = 2.0
 # Fraction of the shared tokens that the server chosen by rendezvous hashing
 # probably caches, because other nodes send it the same parts.
 PREFERRED_CACHED_SHARE = 0.7
@@ -224,11 +227,12 @@
         if not need.model:
             cost += duration
         cost *= factor
+        spread = 0.0
         if need.model and self._rng is not None:
             spread = CHANCE_SECONDS + CHANCE_SHARE * cost
             cost -= spread * _gumbel(self._rng)
         if member.entry.zone != self._zone:
-            cost += OTHER_ZONE_COST
+            cost += OTHER_ZONE_COST + OTHER_ZONE_SPREADS * spread
         cost += FAILURE_COST * member.health.failure_share(now)
         if member.is_cold(now):
             cost += COLD_COST
--- a/packages/limpetwalk/limpetwalk/gateway/server_speed.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_speed.py
@@ -38,12 +38,15 @@
 # in samples.
 ASSUMED_VARIANCE = 1.0
 VARIANCE_PRIOR = 2
+# Kinds of times that are remembered.
+MAX_KINDS = 5000
 # Weight below which a server's sum is forgotten.
 MIN_WEIGHT = 0.05
 # Seconds after which a report no longer counts: several reporting intervals.
 REPORT_LIFETIME = 3.0
-# Time for which the sums over the other nodes are cached, in seconds.
-SUMS_LIFETIME = 0.1
+# Time for which the sums over the other nodes are cached, in seconds: less
+# than the interval between two reports of a node.
+SUMS_LIFETIME = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +63,7 @@
 
     def aged(self, seconds: float) -> "SpeedSum":
         """Return the sum after some time without samples."""
-        share = 0.5 ** (seconds / HALF_LIFE)
+        share = _remaining_share(seconds)
         return SpeedSum(self.log_ratio * share, self.weight * share)
 
     def plus(self, other: "SpeedSum") -> "SpeedSum":
@@ -74,7 +77,9 @@
 
         :returns: 1 within ``EVEN_FACTOR``, or with few samples.
         """
+        limit = math.log(MAX_RATIO)
         mean = self.log_ratio / (self.weight + PRIOR_WEIGHT)
+        mean = min(limit, max(-limit, mean))
         even, uneven = math.log(EVEN_FACTOR), math.log(UNEVEN_FACTOR)
         share = (abs(mean) - even) / (uneven - even)
         return math.exp(mean * min(1.0, max(0.0, share)))
@@ -160,6 +165,8 @@
         if seconds <= 0 or expected <= 0:
             return
         usual = self._usual.setdefault(kind, _Usual())
+        if len(self._usual) > MAX_KINDS:
+            del self._usual[next(iter(self._usual))]
         sample = usual.compare(math.log(seconds / expected))
         now = self._clock.monotonic()
         own = self._own.get(server_id, _Aging(now))
@@ -219,7 +226,7 @@
         own = self._own.get(server_id)
         if own is not None:
             total = total.plus(own.now(now))
-        return total.time_factor()
+        return total.time_factor() if total.weight else 1.0
 
     def _drop_expired(self, now: float) -> None:
         self._reports = {
@@ -232,13 +239,27 @@
         self, sources: Iterable[server_load.Source]
     ) -> dict[str, SpeedSum]:
         now = self._clock.monotonic()
-        total: dict[str, SpeedSum] = {}
+        ratios: dict[str, float] = {}
+        weights: dict[str, float] = {}
         for source in sources:
             report = self._reports[source]
             age = now - report.received_at
             if age > REPORT_LIFETIME:
                 continue
+            share = _remaining_share(age)
             for server_id, value in report.sums.items():
-                known = total.get(server_id, NO_SAMPLES)
-                total[server_id] = known.plus(value.aged(age))
-        return total
+                ratios[server_id] = (
+                    ratios.get(server_id, 0.0) + share * value.log_ratio
+                )
+                weights[server_id] = (
+                    weights.get(server_id, 0.0) + share * value.weight
+                )
+        return {
+            server_id: SpeedSum(ratio, weights[server_id])
+            for server_id, ratio in ratios.items()
+        }
+
+
+def _remaining_share(seconds: float) -> float:
+    """Return the share of a sample's weight that remains after some time."""
+    return float(0.5 ** (seconds / HALF_LIFE))
--- a/tests/limpetwalk/gateway/test_placement.py
+++ b/tests/limpetwalk/gateway/test_placement.py
@@ -294,6 +294,21 @@
         self.assertEqual(4, len(chosen))
         self.assertLess(max(chosen.values()), 60)
 
+    def test_chance_draws_few_prompts_to_other_zones(self) -> None:
+        chosen = collections.Counter()
+        for number in range(90):
+            node = Node(self.clock, rng=random.Random(number))
+            for server in range(12):
+                node.fleet.put(
+                    builders.server(f"s{server}", zone=f"z{server % 3 + 1}"),
+                    1,
+                )
+            choice = node.choose(
+                model="m", prompt=builders.prompt(("own", 1000))
+            )
+            chosen[choice.member.entry.zone] += 1
+        self.assertGreater(chosen["z1"], 60)
+
     def test_much_better_engine_is_chosen_in_spite_of_chance(self) -> None:
         for number in range(90):
             node = Node(self.clock, rng=random.Random(number))
--- a/tests/limpetwalk/gateway/test_server_speed.py
+++ b/tests/limpetwalk/gateway/test_server_speed.py
@@ -168,6 +168,22 @@
         self.clock.advance(server_speed.REPORT_LIFETIME + 0.1)
         self.assertEqual(1.0, self.node.time_factor("s0"))
 
+    def test_odd_report_breaks_no_choice(self) -> None:
+        odd = {
+            "s0": server_speed.SpeedSum(1e30, 1e-30),
+            "s1": server_speed.SpeedSum(-1e30, 1e-30),
+        }
+        self.node.apply_report(server_load.Source("n1"), "n1", 1, odd)
+        self.assertAlmostEqual(
+            server_speed.MAX_RATIO, self.node.time_factor("s0")
+        )
+        self.assertGreater(self.node.time_factor("s1"), 0.3)
+
+    def test_kinds_are_bounded(self) -> None:
+        for number in range(server_speed.MAX_KINDS + 10):
+            self.node.record("s0", ("head", "s", str(number)), 0.1)
+        self.assertEqual(server_speed.MAX_KINDS, len(self.node._usual))
+
     def test_sum_of_a_group_leaves_other_groups_out(self) -> None:
         group = server_load.Source("n9", is_group=True)
         self.node.apply_report(group, "n9", 1, {"far": self.slow["s0"]})
