--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -26,6 +26,7 @@
 from limpetwalk.gateway import return_time
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import server_pauses
+from limpetwalk.gateway import server_speed
 from limpetwalk.gateway import types
 
 from . import engines
@@ -116,6 +117,9 @@
     :param nodes_listen: whether the nodes heed what engines say.
     :param nodes_sample: whether the nodes compare only some engines when they
         know little of each other's requests.
+    :param time_factors: factors of the engines' times, for one engine after
+        another, in turn.
+    :param learns_speeds: whether the nodes heed the engines' speeds.
     """
 
     nodes: int
@@ -129,6 +133,8 @@
     pause: Pause | None = None
     nodes_listen: bool = True
     nodes_sample: bool = True
+    time_factors: tuple[float, ...] = (1.0,)
+    learns_speeds: bool = True
 
 
 @dataclass(slots=True)
@@ -222,9 +228,11 @@
         names: frozenset[str],
         demand: float,
         rng: random.Random,
-        samples: bool = True,
+        samples: bool,
+        learns_speeds: bool,
     ) -> None:
         self.loads = server_load.ServerLoads(clock)
+        self.speeds = server_speed.LearntSpeeds(clock)
         self.pauses = server_pauses.ServerPauses(clock, rng)
         self.told_at: dict[str, float] = {}
         self.memory = prefix_cache.PrefixCacheTracker(clock, 9.3)
@@ -253,6 +261,7 @@
                 demand * self.loads.mean_report_age if samples else 0.0
             ),
             rng,
+            self.speeds if learns_speeds else placement.EvenSpeeds(),
         )
 
 
@@ -268,6 +277,7 @@
     tried: set[str] = field(default_factory=set)
     choice: placement.Choice | None = None
     started: bool = False
+    first_at: float = 0.0
     probe: brittle_servers.Probe | None = None
 
 
@@ -316,6 +326,7 @@
                 sum(kind.rate for kind in load.kinds),
                 random.Random(f"{seed} {name}"),
                 load.nodes_sample,
+                load.learns_speeds,
             )
             for number, name in enumerate(names)
         }
@@ -501,7 +512,9 @@
 
     def _add_server(self, number: int) -> None:
         name = f"s{number}"
-        self._sites[name] = _Site(engines.Engine(self._load.speed))
+        factors = self._load.time_factors
+        speed = self._load.speed.scaled(factors[number % len(factors)])
+        self._sites[name] = _Site(engines.Engine(speed))
         self._fleet.put(
             _server(name, number, self._load), types.Version(1, number + 1)
         )
@@ -517,8 +530,15 @@
         if _server_id(req) not in self._sites:
             return
         now = self._clock.monotonic()
-        req.started = True
+        req.started, req.first_at = True, now
         self._hear(req)
+        if self._load.learns_speeds:
+            req.node.speeds.record(
+                _server_id(req),
+                ("first event", req.work.model),
+                now - req.arrived_at,
+                req.choice.queue_seconds + req.choice.prefill_seconds + DELAY,
+            )
         req.node.brittle.end_probe(req.probe, accepted=True)
         req.node.loads.finish_prefill(
             _server_id(req), req.choice.prefill_seconds
@@ -546,6 +566,13 @@
         site.engine.end(req.work)
         site.running.remove(req)
         req.node.loads.end_request(_server_id(req))
+        if self._load.learns_speeds:
+            req.node.speeds.record(
+                _server_id(req),
+                ("event", req.work.model),
+                self._clock.monotonic() - req.first_at,
+                float(req.work.output_tokens),
+            )
         while site.queued and site.engine.has_slot(site.queued[0].work):
             self._begin(site, site.queued.pop(0))
 
@@ -597,6 +624,8 @@
         receivers: frozenset[str],
     ) -> None:
         sequence = next(self._sequence)
+        speeds = self._nodes[sender].speeds
+        sums = speeds.group_sums() if source.is_group else speeds.own_sums()
         stated = self._nodes[sender].brittle.observed(
             max_hops=1 if source.is_group else 0
         )
@@ -607,6 +636,10 @@
                 self._nodes[name].loads.apply_report(
                     source, sender, sequence, loads
                 )
+                if self._load.learns_speeds:
+                    self._nodes[name].speeds.apply_report(
+                        source, sender, sequence, sums
+                    )
                 self._nodes[name].brittle.merge(
                     stated, hops=2 if source.is_group else 1
                 )
--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 import math
 import random
@@ -17,6 +18,7 @@
 
 from .. import clock as clocks
 from . import fleet
+from . import load_decisions
 from . import prefill_time
 from . import prefix_cache
 from . import server_load
@@ -66,24 +68,36 @@
 class Choice:
     """Server that was chosen, with its expected times.
 
-    :param queue_seconds: prefill time of the requests that wait there.
+    :param queue_seconds: prefill time of the requests that wait there, and
+        time until a slot is free.
     :param prefill_seconds: prefill time of the request itself.
     :param overhead_seconds: time to the first byte besides these.
+    :param time_factor: time that the server needs, against the mean of its
+        service, for which both times are.
     """
 
     member: fleet.Member
     queue_seconds: float
     prefill_seconds: float
     overhead_seconds: float = prefill_time.OVERHEAD
+    time_factor: float = 1.0
 
     @property
     def first_byte_seconds(self) -> float:
         """Expected time to the first byte, in seconds."""
-        return (
+        return self.time_factor * (
             self.queue_seconds + self.prefill_seconds + self.overhead_seconds
         )
 
 
+class EvenSpeeds:
+    """Speeds of servers of which none is known."""
+
+    def time_factor(self, server_id: str) -> float:
+        """Return 1, as for a server as fast as the mean."""
+        return 1.0
+
+
 class Placer:
     """Chooses the server with the lowest cost.
 
@@ -95,6 +109,7 @@
     :param unseen: returns the number of requests to a service that other
         nodes have probably sent since the reports that this node knows.
     :param rng: chooses the servers that are compared.
+    :param speeds: how fast each server is.
     """
 
     def __init__(
@@ -111,6 +126,7 @@
         ] = lambda members: members,
         unseen: Callable[[str], float] = lambda service: 0.0,
         rng: random.Random | None = None,
+        speeds: load_decisions.ServerSpeeds = EvenSpeeds(),
     ) -> None:
         self._zone = zone
         self._fleet = servers
@@ -122,6 +138,7 @@
         self._with_room = with_room
         self._unseen = unseen
         self._rng = rng or random.Random()
+        self._speeds = speeds
 
     def choose(self, need: Need) -> Choice | None:
         """Return the server of the lowest cost, or None without a candidate.
@@ -146,8 +163,21 @@
         preferred = self._preferred_server(need, candidates)
         candidates = self._compared(need.service, candidates, preferred)
         loads = self._loads.total_loads([member.id for member in candidates])
+        factors = {
+            member.id: self._speeds.time_factor(member.id)
+            for member in candidates
+        }
+        duration = self._duration(candidates, loads, factors)
         ratings = [
-            self._rate(member, need, preferred, loads[member.id], now)
+            self._rate(
+                member,
+                need,
+                preferred,
+                loads[member.id],
+                factors[member.id],
+                duration,
+                now,
+            )
             for member in candidates
         ]
         return min(ratings, key=lambda rating: rating[:2])[2]
@@ -178,9 +208,15 @@
             return candidates
         share = UNSEEN_PER_SERVER / unseen
         count = max(MIN_COMPARED, math.ceil(share * len(candidates)))
-        if count >= len(candidates):
-            return candidates
-        compared = self._rng.sample(candidates, count)
+        near: list[fleet.Member] = []
+        far: list[fleet.Member] = []
+        for member in candidates:
+            (near if member.entry.zone == self._zone else far).append(member)
+        compared = [
+            member
+            for part in (near, far)
+            for member in self._rng.sample(part, min(count, len(part)))
+        ]
         if all(member.id != preferred for member in compared):
             compared += [m for m in candidates if m.id == preferred]
         return compared
@@ -204,19 +240,25 @@
         need: Need,
         preferred: str,
         load: server_load.Load,
+        factor: float,
+        duration: float,
         now: float,
     ) -> tuple[float, int, Choice]:
         unread_tokens = self._unread_tokens(member, need, preferred)
         prefill = self._prefill_times.prefill_seconds(
             need.model, unread_tokens
         )
+        waiting = load.pending_prefill + _slot_seconds(member, load, duration)
         choice = Choice(
-            member, load.pending_prefill, prefill, self._prefill_times.overhead
+            member, waiting, prefill, self._prefill_times.overhead, factor
         )
         request_cost = (
             ENGINE_REQUEST_COST if need.model else PLAIN_REQUEST_COST
         )
-        cost = load.pending_prefill + prefill + request_cost * load.active
+        cost = waiting + prefill + request_cost * load.active
+        if not need.model:
+            cost += duration
+        cost *= factor
         if member.entry.zone != self._zone:
             cost += OTHER_ZONE_COST
         cost += FAILURE_COST * member.health.failure_share(now)
@@ -225,6 +267,25 @@
         tie_breaker = xxhash.xxh32_intdigest(f"{member.id}{now}".encode())
         return cost, tie_breaker, choice
 
+    def _duration(
+        self,
+        candidates: Iterable[fleet.Member],
+        loads: Mapping[str, server_load.Load],
+        factors: Mapping[str, float],
+    ) -> float:
+        """Return the mean duration of requests, in seconds.
+
+        :returns: 0 when all servers have a slot and are equally fast, as the
+            duration changes no choice then.
+        """
+        if all(
+            factors[member.id] == 1.0
+            and not _is_full(member, loads[member.id])
+            for member in candidates
+        ):
+            return 0.0
+        return self._loads.mean_duration(member.id for member in candidates)
+
     def _unread_tokens(
         self, member: fleet.Member, need: Need, preferred: str
     ) -> float:
@@ -235,3 +296,17 @@
             shared = total - need.prompt.parts[-1].tokens
             cached = max(cached, int(PREFERRED_CACHED_SHARE * shared))
         return float(total - cached)
+
+
+def _is_full(member: fleet.Member, load: server_load.Load) -> bool:
+    return 0 < member.entry.slots <= load.active
+
+
+def _slot_seconds(
+    member: fleet.Member, load: server_load.Load, duration: float
+) -> float:
+    """Return the time until a slot is free for a request, in seconds."""
+    if not _is_full(member, load):
+        return 0.0
+    ahead = load.active - member.entry.slots + 1
+    return duration * ahead / member.entry.slots
