--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -11,7 +11,6 @@
 from limpetwalk.gateway import brittle_servers
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import call as calls
-from limpetwalk.gateway import cold_pacing
 from limpetwalk.gateway import fleet
 from limpetwalk.gateway import placement
 from limpetwalk.gateway import ports
@@ -24,6 +23,7 @@
 from limpetwalk.gateway import return_time
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
+from limpetwalk.gateway import server_pace
 from limpetwalk.gateway import server_pauses
 from limpetwalk.gateway import types
 from limpetwalk.gateway import version_tallies
@@ -84,12 +84,6 @@
         self._prefix_cache = prefix_cache.PrefixCacheTracker(
             clock, settings().bounds.reuse_window
         )
-        self._cold_pacer = cold_pacing.ColdServerPacer(
-            settings().name,
-            lambda: state.nodes,
-            lambda: settings().bounds,
-            clock,
-        )
         self.server_loads = server_load.ServerLoads(clock)
         self.server_limits = server_limits.ServerLimits(
             settings().name,
@@ -108,6 +102,19 @@
             random.Random(),
             self._log_brittle,
         )
+        self._pace = server_pace.PacedServers(
+            settings().name,
+            lambda: state.nodes,
+            lambda: settings().bounds,
+            self._service,
+            state.fleet.members,
+            self.server_loads,
+            self._demand,
+            self.brittle_servers.is_known,
+            clock,
+            random.Random(),
+            self._log_pace,
+        )
         self._pauses = server_pauses.ServerPauses(clock, random.Random())
         self.prefill_times = prefill_time.PrefillTimes()
         self._placer = placement.Placer(
@@ -138,6 +145,10 @@
             "limpetwalk_buffered_bytes",
             "Size of incomplete bodies and events.",
         ).set_function(lambda: buffer_budget.total_bytes)
+        metrics.gauge(
+            "limpetwalk_paced_servers",
+            "Servers that get few requests, since they started or recovered.",
+        ).set_function(lambda: self._pace.count)
         self._retries_denied = metrics.counter(
             "limpetwalk_repeats_denied",
             "Requests that were not sent again, by reason.",
@@ -332,6 +343,8 @@
         unreached = outcome is retries.Outcome.UNREACHED
         if not link_lost:
             member.health.record(failed, now, unreached)
+            if failure is not None:
+                self._pace.record_failure(member)
         if member.health.backoff_until > now and failed and not link_lost:
             self.journal.emit(
                 events.ServerBackingOff(
@@ -545,8 +558,7 @@
         last_event: str,
         timeout: float,
     ) -> outbound.StartedAnswer | outbound.FailedAttempt:
-        if member.is_cold(self.clock.monotonic()):
-            self._cold_pacer.record_sent(member.id)
+        self._pace.record_sent(member)
         self.server_limits.record_sent(member.id)
         try:
             exchange = await self._connector.connect(
@@ -669,18 +681,17 @@
 
     def _may_send(self, member: fleet.Member) -> bool:
         if self._pauses.is_paused(member.entry.start):
+            member.was_away = True
             return False
         if not self.server_limits.may_send(member.id):
             return False
-        if not member.is_cold(self.clock.monotonic()):
-            return True
-        return self._cold_pacer.may_send(member.id, self._cold_rate(member))
+        return self._pace.may_send(member)
 
     def _with_room(self, members: list[fleet.Member]) -> list[fleet.Member]:
         with_room = self.brittle_servers.with_room(members)
         if members and not with_room:
             self._held_back.inc()
-        return with_room
+        return self._pace.with_room(with_room)
 
     def _demand(self, server_id: str) -> float:
         """Return the requests per second to the service of a server."""
@@ -693,14 +704,14 @@
     def _log_brittle(self, server_id: str, rejections: float | None) -> None:
         self.journal.emit(events.ServerBrittle(server_id, rejections))
 
-    def _cold_rate(self, member: fleet.Member) -> float:
+    def _log_pace(
+        self, server_id: str, state: server_pace.State, limit: float
+    ) -> None:
+        self.journal.emit(events.ServerPaced(server_id, state.value, limit))
+
+    def _service(self, name: str) -> types.Service | None:
         config_catalog = self.cluster_state.catalog
-        service = (
-            config_catalog.service(member.entry.service)
-            if config_catalog
-            else None
-        )
-        return service.cold_rate if service else 0.0
+        return config_catalog.service(name) if config_catalog else None
 
     def _log_placement(
         self,
@@ -734,6 +745,9 @@
         member, model = started.member, started.model
         seconds_to_head = self.clock.monotonic() - started.sent_at
         self.first_byte_latency.record(seconds_to_head)
+        self._pace.record_answer(
+            member, seconds_to_head, choice.first_byte_seconds
+        )
         started.slow = self.version_tallies.is_slow(
             call.service, model, seconds_to_head
         )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -237,6 +237,21 @@
     per_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class ServerPaced(Event):
+    """A backend server that started or recovered gets few requests at first.
+
+    :param state: cold, growing, back after trouble, or full when it is no
+        longer paced.
+    :param limit: requests that it may hold, for all nodes together.
+    """
+
+    name: ClassVar[str] = "server.pace"
+    server: str
+    state: str
+    limit: float
+
+
 @dataclass(frozen=True, slots=True)
 class EvacuatedZonesChanged(Event):
     """The set of evacuated zones changed."""
--- a/packages/limpetwalk/limpetwalk/gateway/fleet.py
+++ b/packages/limpetwalk/limpetwalk/gateway/fleet.py
@@ -118,6 +118,8 @@
         is no longer used.
     :param health: health of the server as seen by this node.
     :param heard_at: instant at which it last answered this node.
+    :param was_away: whether it got no requests of this node until now, because
+        it was leaving, evacuated, paused or backing off.
     """
 
     entry: types.Server
@@ -126,6 +128,7 @@
     expires_at: float = math.inf
     health: ServerHealth = field(default_factory=ServerHealth)
     heard_at: float = -math.inf
+    was_away: bool = False
 
     @property
     def id(self) -> str:
@@ -280,8 +283,10 @@
         for member in self.members(service):
             entry = member.entry
             if self.is_leaving(entry) or now >= member.expires_at:
+                member.was_away = True
                 continue
             if entry.zone in self.evacuated:
+                member.was_away = True
                 continue
             yield member
 
--- a/packages/limpetwalk/limpetwalk/gateway/load_decisions.py
+++ b/packages/limpetwalk/limpetwalk/gateway/load_decisions.py
@@ -33,6 +33,12 @@
     def may_send(self, member: fleet.Member) -> bool:
         """Return whether this node may send a server a request now."""
 
+    def with_room(self, members: list[fleet.Member]) -> list[fleet.Member]:
+        """Return those of some servers that should get a request.
+
+        :returns: all of them when none should.
+        """
+
     def record_sent(self, member: fleet.Member) -> None:
         """Record that a request is sent to a server."""
 
--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -30,8 +30,6 @@
 OTHER_ZONE_COST = 0.004
 # Cost in seconds of a certain failure: about the time that it wastes.
 FAILURE_COST = 1.5
-# Cost in seconds of a cold server, because it is slow.
-COLD_COST = 0.5
 # Fraction of the shared tokens that the server chosen by rendezvous hashing
 # probably caches, because other nodes send it the same parts.
 PREFERRED_CACHED_SHARE = 0.7
@@ -180,8 +178,6 @@
         if member.entry.zone != self._zone:
             cost += OTHER_ZONE_COST
         cost += FAILURE_COST * member.health.failure_share(now)
-        if member.is_cold(now):
-            cost += COLD_COST
         tie_breaker = xxhash.xxh32_intdigest(f"{member.id}{now}".encode())
         return cost, tie_breaker, choice
 
