--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -110,7 +110,7 @@
             state.fleet.members,
             self.server_loads,
             self._demand,
-            self.brittle_servers.is_known,
+            lambda id_: self.brittle_servers.value(id_) is not None,
             clock,
             random.Random(),
             self._log_pace,
--- a/packages/limpetwalk/limpetwalk/gateway/server_pace.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_pace.py
@@ -75,6 +75,7 @@
         open; it grows while few requests come.
     :param opened_at: instant at which it was last set.
     :param troubled: whether a request had trouble since the last step.
+    :param held_back: whether the last step was for trouble.
     """
 
     state: State
@@ -86,6 +87,7 @@
     openness: float = 1.0
     used_since: float | None = None
     troubled: bool = False
+    held_back: bool = False
 
 
 @dataclass(slots=True)
@@ -287,8 +289,10 @@
     def _step(
         self, pace: _Pace, member: fleet.Member, active: int, now: float
     ) -> None:
+        may_be_full = False
         if pace.state is State.COLD and not member.is_cold(now):
             self._change(pace, member, State.GROWING)
+            may_be_full = True
         delay = peer_groups.report_delay(self._pacer.node_count)
         if now - pace.opened_at >= delay:
             pace.opened_at = now
@@ -300,27 +304,39 @@
             pace.quiet_since = now
             # The same trouble is reported for a while.
             if now - pace.stepped_at >= server_load.REJECTED_SECONDS + delay:
-                pace.limit = max(FIRST_REQUESTS, pace.limit / GROWTH)
-                pace.troubled = False
-                pace.used_since = None
-                pace.stepped_at = now
-                self._on_change(member.id, State.BACK, pace.limit)
+                self._hold_back(pace, member, now)
             return
         usual = self._usual_times.get(member.entry.service, _UsualTimes())
         used_since = now if pace.used_since is None else pace.used_since
         if now - used_since >= max(usual.head, delay):
             # Other nodes may have seen more of it.
             pace.limit = max(pace.limit * GROWTH, float(active))
+            pace.held_back = False
             pace.used_since = None
             pace.stepped_at = now
             self._record_use(pace, active, now)
+            may_be_full = True
+        if pace.state is State.COLD:
+            return
         is_quiet = now - pace.quiet_since >= MAX_SECONDS
-        if pace.state is not State.COLD and (
-            is_quiet or pace.limit >= self._full_limit(member)
+        if is_quiet or (
+            may_be_full and pace.limit >= self._full_limit(member)
         ):
             del self._paces[member.entry.start]
             self._change(pace, member, State.FULL)
 
+    def _hold_back(
+        self, pace: _Pace, member: fleet.Member, now: float
+    ) -> None:
+        before = pace.limit
+        pace.limit = max(FIRST_REQUESTS, before / GROWTH)
+        pace.troubled = False
+        pace.used_since = None
+        pace.stepped_at = now
+        if pace.limit < before or not pace.held_back:
+            self._on_change(member.id, State.BACK, pace.limit)
+        pace.held_back = True
+
     def _change(self, pace: _Pace, member: fleet.Member, state: State) -> None:
         pace.state = state
         self._on_change(member.id, state, pace.limit)
--- a/tests/limpetwalk/gateway/test_server_pace.py
+++ b/tests/limpetwalk/gateway/test_server_pace.py
@@ -243,6 +243,7 @@
             self.has_room()
             self.clock.advance(1.5)
         self.assertEqual(2, self.fill())
+        self.assertEqual(["cold", "back", "growing"], self.node.states())
 
 
 class Starts(PaceCase):
