Leave a sound version time to complete after the plan for rising traffic

A check takes 0.52 s, so of a last chance of 1.6 s as little as 0.04 s can remain. Requests on their way are counted, so 0.95 of the bound may be planned for.

--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -34,13 +34,13 @@
 # Fraction of the allowed exposure that may be planned for when all requests go
 # to the new version. The nodes' counts arrive late, and requests in flight are
 # not in them.
-PLANNED_FRACTION = 0.9
+PLANNED_FRACTION = 0.95
 # Factor by which the request rate may rise in the last seconds of the period.
 # What was sent to the new version then can't be taken back.
 RATE_RISE = 1.75
 # Time before the end of the period, in seconds, from which no rise is planned
 # for: a version that doesn't get all requests by then can't complete.
-LAST_CHANCE = 1.6
+LAST_CHANCE = 1.9
 # Largest share of a canary that gets fewer requests than planned, as a
 # multiple of the allowed exposure share, and the smallest factor by which its
 # share is raised.
