Serve soon after a start while only the shared rows can't be read

Since a node that starts waits for these rows for a second, so that it doesn't serve the older configuration of a restored store; requests wait a quarter of a second, and get 503. The wait is needed only where the store was restored: now it is a tenth of a second while the store's era is 0. With any other era it is a second, as before.

Failed before: test_store_that_was_never_restored_is_not_waited_for (not ready in two seconds); test_restored_store_is_waited_for holds before and after.

--- a/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/cluster_state.py
@@ -36,8 +36,10 @@
 # Longest time for which a row may ask nodes that start to wait, in seconds.
 MAX_CONFIG_WAIT = 60.0
 # Time for which a node that starts waits for the rows that nodes share, in
-# seconds.
+# seconds: after a restoration of the store, and without one. Callers wait for
+# the node a little longer than the shorter one.
 SHARED_ROWS_TIMEOUT = 1.0
+SHARED_ROWS_GRACE = 0.1
 
 RowOwner = Callable[[Mapping[str, str]], None]
 
@@ -89,6 +91,7 @@
         self._store_offset = 0.0
         self._ready = False
         self._shared_rows_read = False
+        self._was_restored = False
         self._platform_read_at: float | None = None
         self._in_force = ConfigInForce()
         self.on_older_config: Callable[[], None] = lambda: None
@@ -110,8 +113,8 @@
     def ready(self) -> bool:
         """Whether configuration and servers are known, so requests can run.
 
-        A node that starts while the store holds an older configuration than
-        was in force waits for that one.
+        A node that starts while a restored store holds an older configuration
+        than was in force waits for that one.
         """
         self._ready = self._ready or self._may_start()
         return self._ready
@@ -123,7 +126,10 @@
         if self._platform_read_at is None:
             self._platform_read_at = now
         if not self._shared_rows_read:
-            return now - self._platform_read_at > SHARED_ROWS_TIMEOUT
+            longest = SHARED_ROWS_GRACE
+            if self._was_restored:
+                longest = SHARED_ROWS_TIMEOUT
+            return now - self._platform_read_at > longest
         return not self.needs_config(self.catalog.version)
 
     def needs_config(self, version: int) -> bool:
@@ -134,6 +140,7 @@
 
     def apply_operator(self, batch: ports.Batch[ports.OperatorEntry]) -> None:
         """Apply configuration, roll-out orders and evacuations of zones."""
+        self._was_restored = batch.version.era > 0
         zones = {} if batch.full_read else dict(self._evacuated)
         if batch.full_read:
             self.rollouts.retain_orders(
--- a/tests/limpetwalk_node/gateway/test_restored_store.py
+++ b/tests/limpetwalk_node/gateway/test_restored_store.py
@@ -8,6 +8,7 @@
 from limpetwalk_bench.hub import site
 from limpetwalk_node.gateway import cluster_state
 from limpetwalk_node.gateway import table_follower
+from limpetwalk_platform import adapter
 
 from . import harness
 
@@ -174,3 +175,42 @@
         await self.start(time.monotonic() - 1)
         async with self.run_.request("POST", "/once/x") as resp:
             self.assertEqual(200, resp.status)
+
+
+class StartDuringAnOutage(harness.GatewayCase):
+    """A node starts while the rows that nodes share can't be read."""
+
+    async def asyncSetUp(self) -> None:
+        # The gateway starts in each test.
+        self.run_ = harness.RunningGateway()
+
+    async def start(self, era: int) -> None:
+        self.run_.site.store.era = era
+
+        async def read(feed: adapter.SharedTable) -> None:
+            await asyncio.sleep(harness.WAIT_TIMEOUT)
+
+        for target, name, value in (
+            (adapter.SharedTable, "read", read),
+            (cluster_state, "SHARED_ROWS_TIMEOUT", 60.0),
+            (harness, "WAIT_TIMEOUT", 2.0),
+        ):
+            patch = mock.patch.object(target, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.addAsyncCleanup(self.run_.stop)
+        await self.run_.start(self.services)
+
+    async def test_store_that_was_never_restored_is_not_waited_for(
+        self,
+    ) -> None:
+        """Guard against refusing requests for a second after a power cut."""
+        await self.start(era=0)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(200, resp.status)
+
+    async def test_restored_store_is_waited_for(self) -> None:
+        with self.assertRaises(TimeoutError):
+            await self.start(era=1)
+        async with self.run_.request("POST", "/once/x") as resp:
+            self.assertEqual(503, resp.status)
