Check a folder against what is in force before it is applied

Operators wished for one check before a configuration is sent: errors, entries that never match, limits that contradict each other, and what differs from the version in force. 'check' found errors, 'diff' the differences, and nothing found the two in between.

'limpetctl preflight DIR' runs the checks on the document that 'apply' would make, with the operators' changes in force, and then lists the differences. It ends with 0, with 8 for warnings only, or with 1 for errors. 'check' runs the new checks too.

The new findings are warnings. As errors they would block 'zone out' and other changes on a deployment whose accepted files have such an entry. Routes are compared by the matcher that serves them, so that the two can't differ. Ruled out: attempts against the number of servers, target latency and cold rate, since the folder's format has no such values; shares above one, undeclared versions and names, a cold limit above the warm one are errors already.

Without the modules' registration, 18 of the cases of test_checks_reach, 7 of test_checks_limits and 8 of test_preflight failed; the near misses passed. With it, all tests of limpetwalk.conf and limpetwalk_ctl pass, and the example sites get no finding.

--- a/packages/limpetwalk-ctl/limpetwalk_ctl/exits.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/exits.py
@@ -14,4 +14,5 @@
     NOT_SEEN_EVERYWHERE = 5
     OUTCOME_UNKNOWN = 6
     NOT_FOUND = 7
+    WARNINGS = 8
     INTERRUPTED = 130
--- a/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
+++ b/packages/limpetwalk-ctl/limpetwalk_ctl/main.py
@@ -30,6 +30,7 @@
     "limpetwalk_ctl.commands.history",
     "limpetwalk_ctl.commands.ledger",
     "limpetwalk_ctl.commands.outcome",
+    "limpetwalk_ctl.commands.preflight",
     "limpetwalk_ctl.commands.rollout",
     "limpetwalk_ctl.commands.server",
     "limpetwalk_ctl.commands.show",
--- a/packages/limpetwalk/limpetwalk/conf/checks.py
+++ b/packages/limpetwalk/limpetwalk/conf/checks.py
@@ -33,9 +33,11 @@
 Check = Callable[[CheckInput], Iterable[findings.Finding]]
 
 _BUILT_IN = [
+    "limpetwalk.conf.checks_limits",
     "limpetwalk.conf.checks_names",
     "limpetwalk.conf.checks_operations",
     "limpetwalk.conf.checks_plugins",
+    "limpetwalk.conf.checks_reach",
     "limpetwalk.conf.checks_rollouts",
     "limpetwalk.conf.checks_servers",
 ]
--- a/tests/limpetwalk/conf/sites.py
+++ b/tests/limpetwalk/conf/sites.py
@@ -6,6 +6,7 @@
 import unittest
 
 from limpetwalk.conf import document
+from limpetwalk.conf import findings
 from limpetwalk.conf import loader
 
 ROOT = pathlib.Path(__file__).parents[3]
@@ -84,6 +85,23 @@
             for finding in outcome.err() or []
         ]
 
+    def warnings(self, *edits: tuple[str, str]) -> list[tuple[str, str]]:
+        """Return the ids and paths of the warnings of an edited ``SMALL``.
+
+        :param edits: texts to replace once, and their replacements.
+        """
+        text = SMALL
+        for old, new in edits:
+            self.assertIn(old, text)
+            text = text.replace(old, new, 1)
+        self.write("site.yaml", text)
+        outcome = loader.load_folder_with_locations(str(self.folder))
+        self.assertTrue(outcome.is_ok(), outcome)
+        items = outcome.unwrap().warnings
+        for item in items:
+            self.assertRegex(str(item), r"site\.yaml:\d+: .*\(warning\)")
+        return [(item.id, findings.format_path(item.path)) for item in items]
+
 
 def small() -> document.Document:
     """Return the document of ``SMALL``."""
--- a/tests/limpetwalk_ctl/test_main.py
+++ b/tests/limpetwalk_ctl/test_main.py
@@ -15,7 +15,7 @@
 
 COMMANDS = (
     "apply", "check", "diff", "explain", "history", "ledger", "outcome",
-    "rollout", "server", "show", "status", "version", "zone",
+    "preflight", "rollout", "server", "show", "status", "version", "zone",
 )  # fmt: skip
 REFERENCE = ctl_runner.ROOT / "docs" / "reference" / "limpetctl.md"
 
