--- a/packages/limpetwalk/limpetwalk/conf/diff.py
+++ b/packages/limpetwalk/limpetwalk/conf/diff.py
@@ -46,8 +46,13 @@
 
     The changes are ordered by path.
     """
+    return diff_trees(mask_secrets(old), mask_secrets(new))
+
+
+def diff_trees(old: Any, new: Any) -> list[Change]:
+    """Return the changes between plain data, ordered by path."""
     changes: list[Change] = []
-    _collect_changes(mask_secrets(old), mask_secrets(new), (), changes)
+    _collect_changes(old, new, (), changes)
     return changes
 
 
