--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -2,13 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
-import datetime
 import math
 import random
 
 from limpetwalk import clock as clocks
 from limpetwalk import metrics as metrics_
-from limpetwalk.gateway import brittle_servers
 from limpetwalk.gateway import buffers
 from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import fleet
@@ -21,10 +19,7 @@
 from limpetwalk.gateway import retries
 from limpetwalk.gateway import retry_budget
 from limpetwalk.gateway import return_time
-from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
-from limpetwalk.gateway import server_pace
-from limpetwalk.gateway import server_pauses
 from limpetwalk.gateway import server_speed
 from limpetwalk.gateway import types
 from limpetwalk.gateway import version_tallies
@@ -35,6 +30,7 @@
 from . import logs
 from . import outbound
 from . import poison_requests
+from . import server_permissions
 from . import upstream
 
 # Timeout for a connection to a server, seconds. It covers a few round trips
@@ -44,8 +40,6 @@
 # Time after an answer broke off in which this node finds out whether it has
 # lost its links, seconds. It covers the next attempt's connection.
 LINK_NEWS_DELAY = 0.4
-# Value of the statements of servers that says nothing.
-NO_STATEMENT = "0"
 
 
 class Dispatcher:
@@ -86,37 +80,16 @@
             clock, settings().bounds.reuse_window
         )
         self.server_loads = server_load.ServerLoads(clock)
-        self.server_limits = server_limits.ServerLimits(
-            settings().name,
-            lambda: state.nodes,
+        self.permissions = server_permissions.ServerPermissions(
+            settings,
+            header_format,
+            state,
             self.server_loads,
+            self.rate,
             clock,
-            self._demand,
-            random.Random(),
-            self._log_limit,
-        )
-        self.brittle_servers = brittle_servers.BrittleServers(
-            lambda: state.nodes,
-            self.server_loads,
-            clock,
-            self._demand,
-            random.Random(),
-            self._log_brittle,
+            journal,
+            metrics,
         )
-        self._pace = server_pace.PacedServers(
-            settings().name,
-            lambda: state.nodes,
-            lambda: settings().bounds,
-            self._service,
-            state.fleet.members,
-            self.server_loads,
-            self._demand,
-            lambda id_: self.brittle_servers.value(id_) is not None,
-            clock,
-            random.Random(),
-            self._log_pace,
-        )
-        self._pauses = server_pauses.ServerPauses(clock, random.Random())
         self.prefill_times = prefill_time.PrefillTimes()
         self.server_speeds = server_speed.LearntSpeeds(clock)
         self._placer = placement.Placer(
@@ -126,8 +99,8 @@
             self.server_loads,
             self.prefill_times,
             clock,
-            self._may_send,
-            self._with_room,
+            self.permissions.may_send,
+            self.permissions.with_room,
             self._unseen_requests,
             random.Random(),
             self.server_speeds,
@@ -150,10 +123,6 @@
             "limpetwalk_buffered_bytes",
             "Size of incomplete bodies and events.",
         ).set_function(lambda: buffer_budget.total_bytes)
-        metrics.gauge(
-            "limpetwalk_paced_servers",
-            "Servers that get few requests, since they started or recovered.",
-        ).set_function(lambda: self._pace.count)
         self._retries_denied = metrics.counter(
             "limpetwalk_repeats_denied",
             "Requests that were not sent again, by reason.",
@@ -164,14 +133,6 @@
             "Requests sent once more, by the reason.",
             ("reason",),
         )
-        self._held_back = metrics.counter(
-            "limpetwalk_brittle_held_back",
-            "Choices of a server for which no brittle server had room.",
-        )
-        self._brittle_rejections = metrics.counter(
-            "limpetwalk_brittle_rejections",
-            "Requests that brittle servers rejected.",
-        )
         self.first_byte_latency = metrics.latency(
             "limpetwalk_first_byte", "Time to the head of an answer."
         )
@@ -257,7 +218,7 @@
         self._log_placement(call, choice, model, time_left)
         self._count_request(choice)
         started: outbound.StartedAnswer | outbound.FailedAttempt | None = None
-        probe = self.brittle_servers.start_probe(member.id)
+        probe = self.permissions.brittle.start_probe(member.id)
         try:
             started = await self._send(
                 call, member, model, last_event, time_left
@@ -265,7 +226,7 @@
         finally:
             self.server_loads.finish_prefill(member.id, choice.prefill_seconds)
             has_started = isinstance(started, outbound.StartedAnswer)
-            self.brittle_servers.end_probe(probe, accepted=has_started)
+            self.permissions.brittle.end_probe(probe, accepted=has_started)
             if not has_started:
                 self.finish(member)
         if isinstance(started, outbound.StartedAnswer):
@@ -361,7 +322,7 @@
         if not link_lost:
             member.health.record(failed, now, unreached)
             if failure is not None:
-                self._pace.record_failure(member)
+                self.permissions.pace.record_failure(member)
         if member.health.backoff_until > now and failed and not link_lost:
             self.journal.emit(
                 events.ServerBackingOff(
@@ -566,7 +527,7 @@
             self.time_left(call),
             self.clock.monotonic(),
             self._rng,
-            lambda member: self._pauses.until(member.entry.start),
+            self.permissions.paused_until,
         )
         return round(seconds, 2)
 
@@ -578,8 +539,7 @@
         last_event: str,
         timeout: float,
     ) -> outbound.StartedAnswer | outbound.FailedAttempt:
-        self._pace.record_sent(member)
-        self.server_limits.record_sent(member.id)
+        self.permissions.record_sent(member)
         try:
             exchange = await self._connector.connect(
                 member, min(CONNECT_TIMEOUT, timeout), self.limits
@@ -609,14 +569,7 @@
                     self.header_format.names,
                     call.caller_attempt_id,
                 )
-                if not verdict.foreign:
-                    self._record_statements(member, head)
-                if (
-                    head.status == response_check.UNAVAILABLE
-                    and verdict.outcome is retries.Outcome.NOT_RUN
-                    and self.brittle_servers.record_rejection(member.id)
-                ):
-                    self._brittle_rejections.inc()
+                self.permissions.record_head(member, head, verdict)
                 if verdict.outcome is None:
                     keep_open = True
                     return outbound.StartedAnswer(
@@ -670,49 +623,6 @@
             other_versions = frozenset() if split.share < 1 else other_versions
         return [versions for versions in (chosen, other_versions) if versions]
 
-    def _record_statements(
-        self, member: fleet.Member, head: upstream.ResponseHead
-    ) -> None:
-        """Record what a server says of itself in the head of an answer."""
-        names = self.header_format.names
-        headers = head.headers
-        self.server_limits.record_answer(
-            member.id, headers.get(names.rate_limit)
-        )
-        self.brittle_servers.record_answer(
-            member.id, headers.get(names.brittle)
-        )
-        is_leaving = headers.get(names.leaving, NO_STATEMENT) != NO_STATEMENT
-        if is_leaving and self.cluster_state.fleet.record_leaving(
-            member.entry
-        ):
-            self.journal.emit(events.ServerStatement(member.id, "leaving"))
-        if head.status != response_check.UNAVAILABLE:
-            return
-        seconds = server_pauses.parse_retry_after(
-            headers.getall("Retry-After", []),
-            datetime.datetime.now(datetime.UTC),
-        )
-        if seconds is not None:
-            pause = self._pauses.record(member.entry.start, seconds)
-            self.journal.emit(
-                events.ServerStatement(member.id, "pause", round(pause, 2))
-            )
-
-    def _may_send(self, member: fleet.Member) -> bool:
-        if self._pauses.is_paused(member.entry.start):
-            member.was_away = True
-            return False
-        if not self.server_limits.may_send(member.id):
-            return False
-        return self._pace.may_send(member)
-
-    def _with_room(self, members: list[fleet.Member]) -> list[fleet.Member]:
-        with_room = self.brittle_servers.with_room(members)
-        if members and not with_room:
-            self._held_back.inc()
-        return self._pace.with_room(with_room)
-
     def _unseen_requests(self, service: str) -> float:
         """Return the requests to a service since the reports of other nodes.
 
@@ -720,26 +630,6 @@
         """
         return self.rate(service) * self.server_loads.mean_report_age
 
-    def _demand(self, server_id: str) -> float:
-        """Return the requests per second to the service of a server."""
-        member = self.cluster_state.fleet.get(server_id)
-        return self.rate(member.entry.service) if member else 0.0
-
-    def _log_limit(self, server_id: str, rate: float | None) -> None:
-        self.journal.emit(events.ServerLimited(server_id, rate))
-
-    def _log_brittle(self, server_id: str, rejections: float | None) -> None:
-        self.journal.emit(events.ServerBrittle(server_id, rejections))
-
-    def _log_pace(
-        self, server_id: str, state: server_pace.State, limit: float
-    ) -> None:
-        self.journal.emit(events.ServerPaced(server_id, state.value, limit))
-
-    def _service(self, name: str) -> types.Service | None:
-        config_catalog = self.cluster_state.catalog
-        return config_catalog.service(name) if config_catalog else None
-
     def _log_placement(
         self,
         call: calls.Call,
@@ -773,7 +663,7 @@
         member, model = started.member, started.model
         seconds_to_head = self.clock.monotonic() - started.sent_at
         self.first_byte_latency.record(seconds_to_head)
-        self._pace.record_answer(
+        self.permissions.pace.record_answer(
             member, seconds_to_head, choice.first_byte_seconds
         )
         started.slow = self.version_tallies.is_slow(
