--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -16,17 +16,24 @@
 import itertools
 import random
 
+from result import Ok
+
 from limpetwalk import clock as clocks
 from limpetwalk.gateway import brittle_servers
+from limpetwalk.gateway import call as calls
 from limpetwalk.gateway import fleet
+from limpetwalk.gateway import load_decisions
 from limpetwalk.gateway import peer_groups
 from limpetwalk.gateway import placement
 from limpetwalk.gateway import prefill_time
 from limpetwalk.gateway import prefix_cache
+from limpetwalk.gateway import request_queue
 from limpetwalk.gateway import return_time
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import server_pauses
+from limpetwalk.gateway import server_room
 from limpetwalk.gateway import types
+from limpetwalk.gateway import workspace_shares
 
 from . import engines
 
@@ -49,6 +56,7 @@
     :param own_tokens: mean tokens of the part of the request itself.
     :param contexts: number of different shared parts.
     :param target: target time to the first event, in seconds.
+    :param priority: priority of the requests, 0 is the highest.
     """
 
     name: str
@@ -58,6 +66,7 @@
     output_tokens: int
     contexts: int
     target: float
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +123,8 @@
     :param pause: when engines want no requests, None if they always do;
         callers that are refused come back once.
     :param nodes_listen: whether the nodes heed what engines say.
+    :param ordered: whether requests proceed by priority.
+    :param workspaces: share of the requests of each workspace.
     """
 
     nodes: int
@@ -126,6 +137,8 @@
     brittle: Brittleness | None = None
     pause: Pause | None = None
     nodes_listen: bool = True
+    ordered: bool = False
+    workspaces: tuple[float, ...] = (1.0,)
 
 
 @dataclass(slots=True)
@@ -144,6 +157,7 @@
     first: float | None
     arrived_at: float = 0.0
     refused_after: list[float] = field(default_factory=list)
+    workspace: str = ""
 
     @property
     def in_time(self) -> bool:
@@ -178,9 +192,13 @@
         served = sum(o.first is not None for o in self.outcomes)
         return served / max(1, len(self.outcomes))
 
-    def in_time_share(self, kind: str = "") -> float:
+    def in_time_share(self, kind: str = "", workspace: str = "") -> float:
         """Return the share of requests that were answered in time."""
-        chosen = [o for o in self.outcomes if kind in ("", o.kind)]
+        chosen = [
+            o
+            for o in self.outcomes
+            if kind in ("", o.kind) and workspace in ("", o.workspace)
+        ]
         return sum(o.in_time for o in chosen) / max(1, len(chosen))
 
     def paused(self, pause: Pause) -> list[Outcome]:
@@ -219,8 +237,27 @@
         names: frozenset[str],
         demand: float,
         rng: random.Random,
+        routes: Mapping[str, types.Route],
+        ordered: bool,
     ) -> None:
         self.loads = server_load.ServerLoads(clock)
+        self.ordered = ordered
+        known_routes = tuple(routes.values())
+        self.room = server_room.ServerRoom(
+            servers, self.loads, lambda: known_routes, clock
+        )
+        self.shares = workspace_shares.WorkspaceShares(clock)
+        self.queue = request_queue.OrderedRequests(
+            lambda: ordered,
+            self.room,
+            self.shares,
+            lambda: len(names),
+            lambda service: self.loads.mean_duration(
+                member.id for member in servers.usable(service)
+            ),
+            clock,
+            rng,
+        )
         self.pauses = server_pauses.ServerPauses(clock, rng)
         self.told_at: dict[str, float] = {}
         self.memory = prefix_cache.PrefixCacheTracker(clock, 9.3)
@@ -245,6 +282,7 @@
                 and not self.pauses.is_paused(member.id)
             ),
             self.brittle.with_room,
+            self.room.with_room if ordered else lambda members, _: members,
         )
 
 
@@ -261,6 +299,8 @@
     choice: placement.Choice | None = None
     started: bool = False
     probe: brittle_servers.Probe | None = None
+    workspace: str = ""
+    permit: load_decisions.Permit | None = None
 
 
 @dataclass(slots=True)
@@ -298,6 +338,7 @@
         self._sites: dict[str, _Site] = {}
         for number in range(load.servers):
             self._add_server(number)
+        self._routes = {kind.name: _route(kind) for kind in load.kinds}
         names = [f"n{number:03d}" for number in range(load.nodes)]
         self._nodes = {
             name: _Node(
@@ -307,6 +348,8 @@
                 frozenset(names),
                 sum(kind.rate for kind in load.kinds),
                 random.Random(f"{seed} {name}"),
+                self._routes,
+                load.ordered,
             )
             for number, name in enumerate(names)
         }
@@ -320,6 +363,8 @@
         for name in self._nodes:
             start = self._rng.uniform(0, self._reporting.interval)
             self._after(start, functools.partial(self._report, name, 1))
+        if self._load.ordered:
+            self._after(request_queue.CHECK_INTERVAL, self._check_queues)
         while self._events:
             at, _, action = heapq.heappop(self._events)
             self._clock.advance(max(0.0, at - self._clock.monotonic()))
@@ -372,8 +417,58 @@
             ),
             self._clock.monotonic(),
             self._clock.monotonic(),
+            workspace=self._draw_workspace(),
         )
-        self._place(req)
+        if self._load.ordered:
+            self._enter(req)
+        else:
+            self._place(req)
+
+    def _draw_workspace(self) -> str:
+        weights = self._load.workspaces
+        if len(weights) == 1:
+            return "w0"
+        (number,) = self._rng.choices(range(len(weights)), weights)
+        return f"w{number}"
+
+    def _enter(self, req: _Request) -> None:
+        """Let a request wait at its node until it may proceed."""
+
+        def settle(entry: request_queue.Entry) -> None:
+            if isinstance(entry, Ok):
+                req.permit = entry.ok_value
+                self._place(req)
+            else:
+                self._finish(req, None)
+
+        req.node.queue.add(self._call(req), settle)
+
+    def _call(self, req: _Request) -> calls.Call:
+        return calls.Call(
+            "",
+            "POST",
+            "/",
+            (),
+            b"",
+            self._routes[req.kind.name],
+            SERVICE,
+            types.Workspace(req.workspace, None),
+            1,
+            req.arrived_at,
+            req.arrived_at + CALLER_PATIENCE,
+            req.prompt,
+            "",
+            "",
+            "",
+        )
+
+    def _check_queues(self) -> None:
+        waiting = False
+        for node in self._nodes.values():
+            node.queue.advance(SERVICE)
+            waiting = waiting or node.queue.waiting > 0
+        if waiting or self._clock.monotonic() < self._arrivals_end:
+            self._after(request_queue.CHECK_INTERVAL, self._check_queues)
 
     def _draw_model(self) -> tuple[str, float]:
         draw = self._rng.random()
@@ -386,7 +481,12 @@
     def _place(self, req: _Request) -> None:
         choice = req.node.placer.choose(
             placement.Need(
-                SERVICE, None, req.work.model, req.prompt, req.tried
+                SERVICE,
+                None,
+                req.work.model,
+                req.prompt,
+                req.tried,
+                req.kind.priority,
             )
         )
         if choice is None or len(req.tried) >= MAX_ATTEMPTS:
@@ -410,6 +510,8 @@
             self._begin(site, req)
         elif len(site.queued) < self._queue_size():
             site.queued.append(req)
+            if self._load.ordered:
+                site.queued.sort(key=lambda queued: queued.kind.priority)
         else:
             self._result.rejected += 1
             self._hear(req)
@@ -514,9 +616,11 @@
         req.node.loads.finish_prefill(
             _server_id(req), req.choice.prefill_seconds
         )
-        req.node.times.record(
-            req.work.model, req.prompt.own_tokens, now - req.arrived_at
-        )
+        member = req.choice.member
+        if not req.node.ordered or req.node.room.is_calm(member):
+            req.node.times.record(
+                req.work.model, req.prompt.own_tokens, now - req.arrived_at
+            )
         req.node.memory.record_read(
             _server_id(req), req.work.model, req.prompt
         )
@@ -537,6 +641,7 @@
         site.engine.end(req.work)
         site.running.remove(req)
         req.node.loads.end_request(_server_id(req))
+        self._leave(req)
         while site.queued and site.engine.has_slot(site.queued[0].work):
             self._begin(site, site.queued.pop(0))
 
@@ -547,7 +652,14 @@
         req.node.loads.finish_prefill(server_id, req.choice.prefill_seconds)
         req.node.loads.end_request(server_id)
 
+    def _leave(self, req: _Request) -> None:
+        if req.permit is not None:
+            permit, req.permit = req.permit, None
+            req.node.queue.leave(permit)
+
     def _finish(self, req: _Request, first: float | None) -> None:
+        if first is None:
+            self._leave(req)
         self._result.outcomes.append(
             Outcome(
                 req.kind.name,
@@ -556,6 +668,7 @@
                 first,
                 req.arrived_at - self._started_at,
                 req.refused_after,
+                req.workspace,
             )
         )
 
@@ -624,3 +737,23 @@
         boot_ms=1,
         models=tuple(load.models),
     )
+
+
+def _route(kind: Kind) -> types.Route:
+    """Return the route of a kind of requests."""
+    return types.Route(
+        name=kind.name,
+        host="",
+        prefix="/",
+        idempotency=types.Idempotency.IDEMPOTENT,
+        streaming=True,
+        resumable=True,
+        timeout=CALLER_PATIENCE,
+        target_latency=kind.target,
+        largest_gap=0.0,
+        attempts=MAX_ATTEMPTS,
+        priority=kind.priority,
+        public=False,
+        models=(),
+        targets=((SERVICE, 1),),
+    )
--- a/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
@@ -79,6 +79,29 @@
     )
 
 
+def crowded(
+    nodes: int,
+    excess: float,
+    workspaces: tuple[float, ...] = (1.0,),
+    seconds: float = 10.0,
+) -> cluster.Load:
+    """Return the load of engines with too few slots, of three priorities.
+
+    The most urgent requests have short prompts and long answers.
+
+    :param excess: load as a multiple of that of a usual cluster.
+    """
+    reviews, briefs, questions = cluster_kinds(nodes)
+    kinds = (
+        dataclasses.replace(reviews, priority=2, rate=reviews.rate * excess),
+        dataclasses.replace(briefs, priority=1, target=1.5),
+        dataclasses.replace(questions, priority=0, target=1.0),
+    )
+    return dataclasses.replace(
+        cluster_of(nodes, seconds), kinds=kinds, workspaces=workspaces
+    )
+
+
 def overloaded_plain(
     nodes: int,
     servers: int,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -18,6 +18,7 @@
 from limpetwalk.gateway import prefill_time
 from limpetwalk.gateway import prefix_cache
 from limpetwalk.gateway import refusal
+from limpetwalk.gateway import request_queue
 from limpetwalk.gateway import response_check
 from limpetwalk.gateway import retries
 from limpetwalk.gateway import retry_budget
@@ -25,8 +26,10 @@
 from limpetwalk.gateway import server_limits
 from limpetwalk.gateway import server_load
 from limpetwalk.gateway import server_pauses
+from limpetwalk.gateway import server_room
 from limpetwalk.gateway import types
 from limpetwalk.gateway import version_tallies
+from limpetwalk.gateway import workspace_shares
 
 from . import cluster_state
 from . import connector
@@ -34,6 +37,7 @@
 from . import logs
 from . import outbound
 from . import poison_requests
+from . import queue_log
 from . import upstream
 
 # Timeout for a connection to a server, seconds. It covers a few round trips
@@ -110,6 +114,23 @@
         )
         self._pauses = server_pauses.ServerPauses(clock, random.Random())
         self.prefill_times = prefill_time.PrefillTimes()
+        self._room = server_room.ServerRoom(
+            state.fleet,
+            self.server_loads,
+            lambda: state.catalog.config.routes if state.catalog else (),
+            clock,
+        )
+        self.workspace_shares = workspace_shares.WorkspaceShares(clock)
+        self.request_queue = request_queue.OrderedRequests(
+            lambda: settings().ordered_under_load,
+            self._room,
+            self.workspace_shares,
+            lambda: len(state.nodes),
+            self._mean_duration,
+            clock,
+            random.Random(),
+            queue_log.QueueLog(journal, metrics).record,
+        )
         self._placer = placement.Placer(
             settings().zone,
             state.fleet,
@@ -119,6 +140,7 @@
             clock,
             self._may_send,
             self._with_room,
+            self._roomy,
         )
         self.version_tallies = version_tallies.VersionTallies(
             state.fleet.members
@@ -205,6 +227,7 @@
                     model,
                     call.prompt,
                     call.tried_servers,
+                    call.priority,
                 )
             )
             if choice is not None:
@@ -682,6 +705,18 @@
             self._held_back.inc()
         return with_room
 
+    def _roomy(
+        self, members: list[fleet.Member], priority: int
+    ) -> list[fleet.Member]:
+        if not self._settings().ordered_under_load:
+            return members
+        return self._room.with_room(members, priority)
+
+    def _mean_duration(self, service: str) -> float:
+        """Return the mean duration of this node's requests of a service."""
+        members = self.cluster_state.fleet.usable(service)
+        return self.server_loads.mean_duration(member.id for member in members)
+
     def _demand(self, server_id: str) -> float:
         """Return the requests per second to the service of a server."""
         member = self.cluster_state.fleet.get(server_id)
@@ -738,7 +773,11 @@
             call.service, model, seconds_to_head
         )
         if model:
-            self.prefill_times.record(
-                model, call.prompt.own_tokens, seconds_to_head
-            )
+            # Behind other requests, the time says little of the prompt.
+            if not self._settings().ordered_under_load or self._room.is_calm(
+                member
+            ):
+                self.prefill_times.record(
+                    model, call.prompt.own_tokens, seconds_to_head
+                )
             self._prefix_cache.record_read(member.id, model, call.prompt)
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/events.py
@@ -312,6 +312,23 @@
     servers: int
 
 
+@dataclass(frozen=True, slots=True)
+class RequestWaited(Event):
+    """A request waited at this node for room at the servers of its service.
+
+    :param end: sent, refused, or left when the caller or the node gave up.
+    """
+
+    name: ClassVar[str] = "request.waited"
+    sampling: ClassVar[Sampling] = Sampling.RATE
+    request: str
+    service: str
+    priority: int
+    workspace: str
+    waited_ms: int
+    end: str
+
+
 @dataclass(frozen=True, slots=True)
 class RequestPlaced(Event):
     """A server and a model were chosen for a request.
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/frontend.py
@@ -299,6 +299,22 @@
             poison = refusal.Refusal(refusal.Reason.POISON)
             return self._refuse(poison, caller_attempt_id, arrived, call)
         self._dispatcher.budget(call.service).record_request()
+        permit = await self._dispatcher.request_queue.enter(call)
+        if isinstance(permit, Err):
+            return self._refuse(
+                permit.err_value, caller_attempt_id, arrived, call
+            )
+        try:
+            return await self._serve(call, req, open_request)
+        finally:
+            self._dispatcher.request_queue.leave(permit.ok_value)
+
+    async def _serve(
+        self,
+        call: calls.Call,
+        req: web.BaseRequest,
+        open_request: _OpenRequest,
+    ) -> web.StreamResponse:
         if call.route.streaming:
             return await self._stream(call, req)
         if call.route.retryable:
--- a/packages/limpetwalk/limpetwalk/gateway/load_decisions.py
+++ b/packages/limpetwalk/limpetwalk/gateway/load_decisions.py
@@ -54,10 +54,13 @@
     """Permission of a request to be sent to a server of its service.
 
     :param waited: seconds for which it waited.
+    :param workspace: workspace that it counts against, or None when requests
+        of the service aren't ordered.
     """
 
     service: str
     waited: float = 0.0
+    workspace: str | None = None
 
 
 class RequestQueue(Protocol):
--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -46,6 +46,7 @@
     :param model: model that is to serve it, or empty.
     :param prompt: size and parts of its prompt.
     :param avoided: identifiers of servers tried before, which are not chosen.
+    :param priority: priority of the request, 0 is the highest.
     """
 
     service: str
@@ -53,6 +54,7 @@
     model: str = ""
     prompt: types.Prompt = types.Prompt()
     avoided: Collection[str] = ()
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +85,8 @@
         now; cold servers and those with a limit take few.
     :param with_room: returns those of some servers that have room for a
         request, as brittle servers must not be asked without.
+    :param roomy: returns those of some servers that a request of a
+        priority should go to.
     """
 
     def __init__(
@@ -97,6 +101,9 @@
         with_room: Callable[
             [list[fleet.Member]], list[fleet.Member]
         ] = lambda members: members,
+        roomy: Callable[
+            [list[fleet.Member], int], list[fleet.Member]
+        ] = lambda members, priority: members,
     ) -> None:
         self._zone = zone
         self._fleet = servers
@@ -106,6 +113,7 @@
         self._clock = clock
         self._may_send = may_send
         self._with_room = with_room
+        self._roomy = roomy
 
     def choose(self, need: Need) -> Choice | None:
         """Return the server of the lowest cost, or None without a candidate.
@@ -124,7 +132,9 @@
         healthy = [
             member for member in untried if member.health.backoff_until <= now
         ]
-        candidates = self._with_room(healthy or untried)
+        candidates = self._roomy(
+            self._with_room(healthy or untried), need.priority
+        )
         if not candidates:
             return None
         preferred = self._preferred_server(need, candidates)
--- a/packages/limpetwalk/limpetwalk/gateway/refusal.py
+++ b/packages/limpetwalk/limpetwalk/gateway/refusal.py
@@ -20,6 +20,7 @@
     NO_MEMORY = ("memory_used", 503)
     SLOW_BODY = ("body_not_received", 408)
     NO_SERVER = ("no_server", 503)
+    NO_ROOM = ("no_room", 503)
     REJECTED = ("rejected_by_servers", 503)
     TIMED_OUT = ("timed_out", 504)
     BROKEN = ("answer_broken", 502)
