--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -680,6 +680,7 @@
             name,
             server_load.Source(name),
             node.loads.own_loads(),
+            node.shares.own_usage(),
             exchange.members,
         )
         if exchange.partners and turn % self._reporting.reports_per_sum == 0:
@@ -687,6 +688,7 @@
                 name,
                 server_load.Source(exchange.group, True),
                 node.loads.group_loads(),
+                node.shares.group_usage(),
                 exchange.partners,
             )
         self._after(
@@ -698,6 +700,7 @@
         sender: str,
         source: server_load.Source,
         loads: Mapping[str, server_load.Load],
+        usage: Mapping[str, workspace_shares.Usage],
         receivers: frozenset[str],
     ) -> None:
         sequence = next(self._sequence)
@@ -711,6 +714,9 @@
                 self._nodes[name].loads.apply_report(
                     source, sender, sequence, loads
                 )
+                self._nodes[name].shares.apply_report(
+                    source, sender, sequence, usage
+                )
                 self._nodes[name].brittle.merge(
                     stated, hops=2 if source.is_group else 1
                 )
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/load_broadcast.py
@@ -21,6 +21,7 @@
 from limpetwalk.gateway import stated_values
 from limpetwalk.gateway import store_watch
 from limpetwalk.gateway import types
+from limpetwalk.gateway import workspace_shares
 from limpetwalk.peers import rendezvous
 
 from . import events
@@ -34,6 +35,8 @@
 IDLE_INTERVAL = 1.0
 # Largest datagram that is sent, bytes.
 MAX_DATAGRAM_BYTES = 60_000
+# Services whose usage by workspaces is read from one report.
+MAX_USAGE_SERVICES = 32
 # Largest number that a field of a report holds.
 MAX_FIELD = 2**32 - 1
 SCHEMA = pathlib.Path(__file__).with_name("pressure.capnp")
@@ -52,6 +55,7 @@
     :param news: receives what other nodes know of them.
     :param links: links of this node to servers.
     :param peer_choice: receives whether other nodes are cut off.
+    :param shares: requests of workspaces in progress.
     :ivar on_evidence: called with the sender, the order and the report of each
         piece of evidence that this node receives as a collector.
     """
@@ -68,6 +72,7 @@
         links: server_links.ServerLinks,
         peer_choice: server_links.PeerChoice,
         journal: logs.Journal,
+        shares: workspace_shares.WorkspaceShares | None = None,
     ) -> None:
         self._node = node
         self._peers = peers
@@ -79,6 +84,7 @@
         self._links = links
         self._peer_choice = peer_choice
         self._journal = journal
+        self._shares = shares
         self.on_evidence: Callable[[str, str, str], None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._schema: Any = None
@@ -159,8 +165,13 @@
 
     def _apply_loads(self, report: Any) -> None:
         sender = report.sender
+        source = server_load.Source(report.group or sender, bool(report.group))
+        if self._shares is not None:
+            self._shares.apply_report(
+                source, sender, report.sequence, _read_usage(report.usage)
+            )
         self._server_loads.apply_report(
-            server_load.Source(report.group or sender, bool(report.group)),
+            source,
             sender,
             report.sequence,
             {
@@ -241,6 +252,13 @@
             entry.active = _field(load.active)
             entry.recent = _field(load.recent)
             entry.rejected = _field(load.rejected)
+        if self._shares is not None:
+            usage = (
+                self._shares.group_usage()
+                if group
+                else self._shares.own_usage()
+            )
+            _write_usage(report.init("usage", len(usage)), usage)
         states = self._tables()
         for entry, state in zip(
             report.init("tables", len(states)), states, strict=True
@@ -285,6 +303,31 @@
     ]
 
 
+def _read_usage(entries: Any) -> dict[str, workspace_shares.Usage]:
+    usage = {}
+    for entry in list(entries)[:MAX_USAGE_SERVICES]:
+        named = list(entry.named)[: workspace_shares.MAX_NAMED]
+        usage[entry.service] = workspace_shares.Usage(
+            {workspace.name: workspace.requests for workspace in named},
+            entry.others,
+        )
+    return usage
+
+
+def _write_usage(
+    entries: Any, usage: Mapping[str, workspace_shares.Usage]
+) -> None:
+    for entry, (service, counts) in zip(entries, usage.items(), strict=True):
+        entry.service = service
+        entry.others = _field(counts.others)
+        named = entry.init("named", len(counts.named))
+        for item, (name, requests) in zip(
+            named, counts.named.items(), strict=True
+        ):
+            item.name = name
+            item.requests = _field(requests)
+
+
 def _write_stated(
     entries: Any, observed: list[stated_values.Observed]
 ) -> None:
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/node.py
@@ -186,6 +186,7 @@
             self.links,
             self.peer_choice,
             self.journal,
+            self.dispatcher.workspace_shares,
         )
         self.followers = self._make_followers(
             clock,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/pressure.capnp
@@ -12,6 +12,7 @@
   limits @6 :List(Limit);
   cutOff @7 :Bool;        # whether the sender has lost its links to servers
   brittle @8 :List(Limit);  # rejections per second from which servers fall over
+  usage @9 :List(Usage);  # requests of workspaces in progress; of services that are ordered
 }
 
 struct Limit {
@@ -39,3 +40,14 @@
   order @0 :Text;         # key of the roll-out's order
   report @1 :Text;        # the sender's evidence, as JSON
 }
+
+struct Usage {
+  service @0 :Text;
+  named @1 :List(Workspace);  # the largest workspaces
+  others @2 :UInt32;          # requests of all others together
+}
+
+struct Workspace {
+  name @0 :Text;
+  requests @1 :UInt32;
+}
--- a/packages/limpetwalk/limpetwalk/gateway/request_queue.py
+++ b/packages/limpetwalk/limpetwalk/gateway/request_queue.py
@@ -4,7 +4,8 @@
 node instead of an engine, so that the most urgent one gets the next free slot
 of any server. The most urgent priority never waits here, and each half of its
 target latency that a request has waited counts as one priority more, so none
-waits for longer than that for each priority above its own.
+waits for longer than that for each priority above its own. A workspace that
+is far above its share counts as one priority less urgent.
 """
 
 import asyncio
@@ -32,6 +33,9 @@
 REPORT_DELAY = 0.4
 # Fraction of the target latency that counts as one priority more.
 PROMOTION_SHARE = 0.5
+# Requests above its share from which a workspace's requests count as one
+# priority less urgent, while room is short.
+FLOOD_EXCESS = 10.0
 # Requests of a service that wait at one node at most.
 MAX_WAITING = 64
 # Seconds over which the pace of the queue is measured.
@@ -190,7 +194,7 @@
         line = self._waiting.get(service)
         while line:
             first = min(line, key=lambda item: self._order(item, now))
-            rank = self._current_rank(first, now)
+            rank = self._order(first, now)[0]
             if rank and not self._take_room(service, rank, now):
                 break
             self._proceed(first, now)
@@ -215,13 +219,11 @@
         call = item.call
         workspace = call.workspace.name if call.workspace else ""
         excess = self._shares.excess(call.service, workspace)
+        rank = item.rank + (excess >= FLOOD_EXCESS)
+        step = PROMOTION_SHARE * call.route.target_latency
+        promotions = int((now - item.since) / step) if step > 0 else rank
         target = call.arrived_at + call.route.target_latency
-        return self._current_rank(item, now), excess, target
-
-    def _current_rank(self, item: Waiting, now: float) -> int:
-        step = PROMOTION_SHARE * item.call.route.target_latency
-        promotions = int((now - item.since) / step) if step > 0 else item.rank
-        return max(0, item.rank - promotions)
+        return max(0, rank - promotions), excess, target
 
     def _take_room(self, service: str, rank: int, now: float) -> bool:
         """Return whether a request of a rank may proceed, and take its room.
@@ -245,7 +247,9 @@
         now = self._clock.monotonic()
         promoted_at = (
             item.since
-            + item.rank * PROMOTION_SHARE * item.call.route.target_latency
+            + (item.rank + 1)
+            * PROMOTION_SHARE
+            * item.call.route.target_latency
         )
         turn = min(promoted_at, now + self._expected_wait(service))
         if turn > _latest_start(item.call, self._needed(service)):
@@ -266,7 +270,7 @@
         if not math.isfinite(wait):
             wait = PACE_SECONDS
         longest = (item.call.deadline - now) * LONGEST_RETRY_SHARE
-        seconds = min(wait * self._rng.uniform(1.0, 2.0), longest)
+        seconds = min(wait, longest / 2) * self._rng.uniform(1.0, 2.0)
         self._remove(item, Outcome.REFUSED)
         item.settle(
             Err(
--- a/packages/limpetwalk/limpetwalk/gateway/workspace_shares.py
+++ b/packages/limpetwalk/limpetwalk/gateway/workspace_shares.py
@@ -5,18 +5,19 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
+import math
 
 from .. import clock as clocks
+from . import server_load
 
 # Workspaces that a report names; the others are reported as a sum.
 MAX_NAMED = 8
 # Largest number of requests that a report may name for one workspace. It is
 # more than a node holds, so larger ones are errors.
 MAX_REQUESTS = 10_000
-# Seconds after which a node's report no longer counts.
-REPORT_LIFETIME = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,7 @@
 @dataclass(slots=True)
 class _Report:
     received_at: float
+    sender: str
     sequence: int
     usage: Mapping[str, Usage]
 
@@ -44,7 +46,9 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._own: dict[str, collections.Counter[str]] = {}
-        self._reports: dict[str, _Report] = {}
+        self._reports: dict[server_load.Source, _Report] = {}
+        self._others: dict[str, Usage] = {}
+        self._summed_at = -math.inf
 
     def start(self, service: str, workspace: str) -> None:
         """Record a request that proceeds."""
@@ -61,58 +65,93 @@
 
     def own_usage(self) -> dict[str, Usage]:
         """Return the requests in progress at this node, by service."""
-        result = {}
+        return {
+            service: _bounded(usage)
+            for service, usage in self._own.items()
+            if usage
+        }
+
+    def group_usage(self) -> dict[str, Usage]:
+        """Return the requests in progress at this node and its group."""
+        nodes = [source for source in self._reports if not source.is_group]
+        total = self._sum_reports(nodes)
         for service, usage in self._own.items():
-            if usage:
-                named = dict(usage.most_common(MAX_NAMED))
-                others = usage.total() - sum(named.values())
-                result[service] = Usage(named, others)
-        return result
+            known = total.get(service, Usage({}))
+            summed = collections.Counter(known.named)
+            summed.update(usage)
+            total[service] = _bounded(summed, known.others)
+        return total
 
     def apply_report(
-        self, sender: str, sequence: int, usage: Mapping[str, Usage]
+        self,
+        source: server_load.Source,
+        sender: str,
+        sequence: int,
+        usage: Mapping[str, Usage],
     ) -> None:
-        """Apply another node's report; an overtaken one is ignored."""
+        """Apply a report; one that was overtaken by a later one is ignored.
+
+        :param source: node or group that the report covers.
+        :param sender: node that sent it.
+        """
         now = self._clock.monotonic()
-        previous = self._reports.get(sender)
+        previous = self._reports.get(source)
         if (
             previous is None
-            or now - previous.received_at > REPORT_LIFETIME
+            or previous.sender != sender
+            or now - previous.received_at > server_load.REPORT_LIFETIME
             or sequence > previous.sequence
         ):
-            self._reports[sender] = _Report(now, sequence, usage)
+            self._reports[source] = _Report(now, sender, sequence, usage)
 
     def excess(self, service: str, workspace: str) -> float:
         """Return by how many requests a workspace is above its share.
 
         :returns: 0 within its share.
         """
-        usage, others = self._total(service)
-        used = usage[workspace]
+        own: Mapping[str, int] = self._own.get(service, {})
+        others = self._other_nodes().get(service, Usage({}))
+        used = own.get(workspace, 0) + others.named.get(workspace, 0)
         if not used:
             return 0.0
-        share = (usage.total() + others) / len(usage)
+        total = sum(own.values()) + sum(others.named.values()) + others.others
+        share = total / len(own.keys() | others.named.keys())
         return max(0.0, used - share)
 
-    def _total(self, service: str) -> tuple[collections.Counter[str], int]:
-        """Return the requests by workspace, and those without a name."""
-        oldest = self._clock.monotonic() - REPORT_LIFETIME
-        total = collections.Counter(self._own.get(service, {}))
-        others = 0
-        for sender, report in list(self._reports.items()):
+    def _other_nodes(self) -> dict[str, Usage]:
+        now = self._clock.monotonic()
+        if now - self._summed_at > server_load.SUMS_LIFETIME:
+            self._others = self._sum_reports(list(self._reports))
+            self._summed_at = now
+        return self._others
+
+    def _sum_reports(
+        self, sources: Iterable[server_load.Source]
+    ) -> dict[str, Usage]:
+        oldest = self._clock.monotonic() - server_load.REPORT_LIFETIME
+        named: dict[str, collections.Counter[str]] = {}
+        others: collections.Counter[str] = collections.Counter()
+        for source in sources:
+            report = self._reports[source]
             if report.received_at < oldest:
-                del self._reports[sender]
-                continue
-            usage = report.usage.get(service)
-            if usage is None:
+                del self._reports[source]
                 continue
-            largest = sorted(
-                usage.named.items(), key=lambda item: item[1], reverse=True
-            )
-            for name, requests in largest[:MAX_NAMED]:
-                total[name] += _valid(requests)
-            others += _valid(usage.others)
-        return total, others
+            for service, usage in report.usage.items():
+                counts = named.setdefault(service, collections.Counter())
+                for name, requests in usage.named.items():
+                    counts[name] += _valid(requests)
+                others[service] += _valid(usage.others)
+        return {
+            service: Usage(counts, others[service])
+            for service, counts in named.items()
+        }
+
+
+def _bounded(usage: Mapping[str, int], others: int = 0) -> Usage:
+    """Return usage that names the largest workspaces only."""
+    counts = collections.Counter(usage)
+    named = dict(counts.most_common(MAX_NAMED))
+    return Usage(named, others + counts.total() - sum(named.values()))
 
 
 def _valid(requests: int) -> int:
