--- a/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/loads.py
@@ -102,6 +102,22 @@
     )
 
 
+def crowded_by_workspace(nodes: int, seconds: float = 6.0) -> cluster.Load:
+    """Return a crowded load of 24 workspaces, one of six times its usual.
+
+    Few nodes have four engines, with as much load for each.
+    """
+    load = crowded(nodes, 5.0, (6.0,) + (1.0,) * 23, seconds)
+    usual = NODES_PER_SERVER * load.servers / nodes
+    return dataclasses.replace(
+        load,
+        kinds=tuple(
+            dataclasses.replace(kind, rate=kind.rate * usual)
+            for kind in load.kinds
+        ),
+    )
+
+
 def overloaded_plain(
     nodes: int,
     servers: int,
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -131,6 +131,10 @@
             random.Random(),
             queue_log.QueueLog(journal, metrics).record,
         )
+        metrics.gauge(
+            "limpetwalk_waiting_requests",
+            "Requests that wait for room at servers.",
+        ).set_function(lambda: self.request_queue.waiting)
         self._placer = placement.Placer(
             settings().zone,
             state.fleet,
--- a/tests/limpetwalk_bench/model/test_cluster.py
+++ b/tests/limpetwalk_bench/model/test_cluster.py
@@ -1,6 +1,7 @@
 """What callers get from a cluster under load, in simulated time."""
 
 import dataclasses
+import itertools
 import unittest
 
 from limpetwalk_bench.model import cluster
@@ -43,6 +44,71 @@
             self.assertLess(len(late), 0.05 * len(sizes) / 10)
 
 
+class CrowdedServers(unittest.TestCase):
+    """Engines with too little room for requests of three priorities.
+
+    One of 24 workspaces sends six times as much as each other.
+    """
+
+    sizes = (3, 90)
+    seeds = (1, 2)
+    flood = "w0"
+
+    # Results with and without an order of requests.
+    pairs: list[tuple[cluster.Result, cluster.Result]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.pairs = []
+        for nodes, seed in itertools.product(cls.sizes, cls.seeds):
+            load = loads.crowded_by_workspace(nodes)
+            way = "to groups" if nodes > 24 else "to all"
+            ordered, former = (
+                cluster.Cluster(
+                    dataclasses.replace(load, ordered=ordered),
+                    loads.reportings(nodes)[way],
+                    seed,
+                ).run()
+                for ordered in (True, False)
+            )
+            cls.pairs.append((ordered, former))
+
+    def in_time_of_others(self, result: cluster.Result) -> float:
+        """Return the share of the other workspaces' answers in time."""
+        others = [o for o in result.outcomes if o.workspace != self.flood]
+        return sum(o.in_time for o in others) / len(others)
+
+    def test_urgent_requests_are_not_late_behind_less_urgent_ones(
+        self,
+    ) -> None:
+        for ordered, former in self.pairs:
+            for kind in ("question", "brief"):
+                in_time = ordered.in_time_share(kind)
+                self.assertGreater(in_time, former.in_time_share(kind) + 0.15)
+
+    def test_flood_of_a_workspace_costs_the_others_less(self) -> None:
+        for ordered, former in self.pairs:
+            self.assertGreater(
+                self.in_time_of_others(ordered),
+                self.in_time_of_others(former),
+            )
+
+    def test_nobody_is_starved(self) -> None:
+        for ordered, _ in self.pairs:
+            served = ordered.served_share()
+            self.assertGreater(served, 0.95)
+            groups = {o.workspace for o in ordered.outcomes} | {
+                o.kind for o in ordered.outcomes
+            }
+            for group in groups:
+                firsts = [
+                    o.first is not None
+                    for o in ordered.outcomes
+                    if group in (o.workspace, o.kind)
+                ]
+                self.assertGreater(sum(firsts) / len(firsts), served / 2)
+
+
 class BrittleServers(unittest.TestCase):
     """Brittle servers that get more requests than they have room for."""
 
