--- a/packages/limpetwalk/limpetwalk/gateway/request_queue.py
+++ b/packages/limpetwalk/limpetwalk/gateway/request_queue.py
@@ -29,8 +29,8 @@
 
 # Seconds between two looks for room while requests wait.
 CHECK_INTERVAL = 0.025
-# Seconds in which the loads of all nodes become known to each other.
-REPORT_DELAY = 0.4
+# Seconds between two reports of the loads that a node puts on servers.
+REPORT_DELAY = 0.2
 # Fraction of the target latency that counts as one priority more.
 PROMOTION_SHARE = 0.5
 # Requests above its share from which a workspace's requests count as one
@@ -228,8 +228,7 @@
     def _take_room(self, service: str, rank: int, now: float) -> bool:
         """Return whether a request of a rank may proceed, and take its room.
 
-        Where the room is less than one request for each node, the node takes
-        only its part, since the others see the same room.
+        A node takes only its part, since the others see the same room.
         """
         allowance = self._allowances.setdefault(service, _Allowance(now))
         free = self._room.free(service, rank)
@@ -304,27 +303,29 @@
 
 @dataclass(slots=True)
 class _Allowance:
-    """Requests that a node may send while room is short.
+    """Requests that a node may send until it hears of the others' again.
 
     :param updated_at: instant up to which room was counted.
-    :param amount: requests, one at most unless each node has more room.
+    :param amount: number of requests.
+    :param short: whether room was less than one request for each node.
     """
 
     updated_at: float
-    amount: float = 0.0
+    amount: float = math.inf
+    short: bool = False
 
     def take(self, room: float, now: float) -> bool:
         """Take the room of one request.
 
         :param room: part of this node in the room that is free now.
         """
-        if room >= 1.0:
-            self.amount, self.updated_at = 0.0, now
-            return True
-        elapsed = now - self.updated_at
-        self.amount = min(1.0, self.amount + room * elapsed / REPORT_DELAY)
+        if room < 1.0 and not self.short:
+            self.amount = min(self.amount, room)
+        self.short = room < 1.0
+        earned = room * (now - self.updated_at) / REPORT_DELAY
+        self.amount = min(max(1.0, room), self.amount + earned)
         self.updated_at = now
-        if self.amount < 1.0:
+        if room <= 0.0 or self.amount < 1.0:
             return False
         self.amount -= 1.0
         return True
--- a/packages/limpetwalk/limpetwalk/gateway/server_room.py
+++ b/packages/limpetwalk/limpetwalk/gateway/server_room.py
@@ -140,9 +140,14 @@
 def _targets_by_service(
     routes: Iterable[types.Route],
 ) -> dict[str, dict[int, float]]:
-    """Return the shortest target latencies of services, by priority."""
+    """Return the shortest target latencies of services, by priority.
+
+    Only generations count: a slot of a plain service is free again before
+    other nodes hear that it was taken.
+    """
     targets: dict[str, dict[int, float]] = {}
-    for route in sorted(routes, key=lambda route: route.priority):
+    generations = (route for route in routes if route.streaming)
+    for route in sorted(generations, key=lambda route: route.priority):
         for service, weight in route.targets:
             if weight > 0:
                 known = targets.setdefault(service, {})
--- a/tests/limpetwalk/gateway/test_request_queue.py
+++ b/tests/limpetwalk/gateway/test_request_queue.py
@@ -150,7 +150,7 @@
         self.add("late", priority=2)
         self.add("soon", priority=1)
         self.room.places = 1
-        self.queue.advance(SERVICE)
+        self.advance(request_queue.REPORT_DELAY)
         self.assertEqual("soon", self.order[0])
 
     def test_shortest_time_to_the_target_goes_first(self) -> None:
@@ -158,7 +158,7 @@
         self.clock.advance(0.01)
         self.add("second")
         self.room.places = 1
-        self.queue.advance(SERVICE)
+        self.advance(2 * request_queue.REPORT_DELAY)
         self.assertEqual(["first", "second"], self.order)
 
     def test_least_urgent_is_not_starved_by_urgent_ones(self) -> None:
@@ -177,7 +177,7 @@
         self.clock.advance(0.01)
         self.add("other", workspace="other")
         self.room.places = 1
-        self.queue.advance(SERVICE)
+        self.advance(request_queue.REPORT_DELAY)
         self.assertEqual("other", self.order[0])
 
     def test_flood_is_served_when_nobody_else_waits(self) -> None:
@@ -200,6 +200,13 @@
         self.advance(request_queue.REPORT_DELAY)
         self.assertLessEqual(len(self.order) * self.nodes, 2 * 9 + self.nodes)
 
+    def test_all_that_wait_do_not_proceed_into_room_for_few(self) -> None:
+        for number in range(40):
+            self.add(str(number), priority=2)
+        self.room.places = 2.0 * self.nodes
+        self.queue.advance(SERVICE)
+        self.assertLessEqual(len(self.order), 2)
+
     def test_little_room_is_used_in_the_end(self) -> None:
         self.room.places = 9
         self.add("only", priority=2, timeout=30.0)
@@ -268,6 +275,7 @@
         await asyncio.sleep(0)
         self.assertFalse(entry.done())
         self.room.places = 1
+        self.advance(request_queue.REPORT_DELAY)
         permit = (await entry).unwrap()
         self.assertEqual("w", permit.workspace)
         self.queue.leave(permit)
@@ -288,7 +296,7 @@
         entry = asyncio.ensure_future(self.queue.enter(self.call("a")))
         await asyncio.sleep(0)
         self.room.places = 1
-        self.queue.advance(SERVICE)
+        self.advance(request_queue.REPORT_DELAY)
         entry.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await entry
