Take back the higher cost of requests at crowded engines

It was to spread requests over the engines, as the time to the first event grows with the requests at an engine. So the code costs a request at an engine as before.

--- a/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
+++ b/packages/limpetwalk-bench/limpetwalk_bench/model/cluster.py
@@ -282,7 +282,6 @@
                 and not self.pauses.is_paused(member.id)
             ),
             self.brittle.with_room,
-            lambda service: ordered,
             self.room.with_room if ordered else lambda members, _: members,
         )
 
--- a/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
+++ b/packages/limpetwalk-node/limpetwalk_node/gateway/dispatch.py
@@ -144,9 +144,6 @@
             clock,
             self._may_send,
             self._with_room,
-            lambda service: (
-                settings().ordered_under_load and self._room.is_ranked(service)
-            ),
             self._roomy,
         )
         self.version_tallies = version_tallies.VersionTallies(
--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -25,9 +25,6 @@
 # of the few slots of a plain service.
 ENGINE_REQUEST_COST = 0.002
 PLAIN_REQUEST_COST = 0.010
-# The same where engines are crowded: their steps, and the prompts that they
-# read in between, delay each first event.
-CROWDED_REQUEST_COST = 0.020
 # Cost in seconds of a server in another zone: the path adds a millisecond, and
 # its traffic is billed by the byte.
 OTHER_ZONE_COST = 0.004
@@ -88,7 +85,6 @@
         now; cold servers and those with a limit take few.
     :param with_room: returns those of some servers that have room for a
         request, as brittle servers must not be asked without.
-    :param crowded: returns whether the engines of a service may be crowded.
     :param roomy: returns those of some servers that a request of a
         priority should go to.
     """
@@ -105,7 +101,6 @@
         with_room: Callable[
             [list[fleet.Member]], list[fleet.Member]
         ] = lambda members: members,
-        crowded: Callable[[str], bool] = lambda service: False,
         roomy: Callable[
             [list[fleet.Member], int], list[fleet.Member]
         ] = lambda members, priority: members,
@@ -118,7 +113,6 @@
         self._clock = clock
         self._may_send = may_send
         self._with_room = with_room
-        self._crowded = crowded
         self._roomy = roomy
 
     def choose(self, need: Need) -> Choice | None:
@@ -192,8 +186,6 @@
         request_cost = (
             ENGINE_REQUEST_COST if need.model else PLAIN_REQUEST_COST
         )
-        if self._crowded(need.service):
-            request_cost = CROWDED_REQUEST_COST
         cost = load.pending_prefill + prefill + request_cost * load.active
         if member.entry.zone != self._zone:
             cost += OTHER_ZONE_COST
--- a/tests/limpetwalk/gateway/test_server_room.py
+++ b/tests/limpetwalk/gateway/test_server_room.py
@@ -76,6 +76,15 @@
         self.clock.advance(2 * server_load.SUMS_LIFETIME)
         self.assertEqual(7.0, self.room.free("s", 2))
 
+    def test_prompts_are_timed_where_requests_hardly_wait(self) -> None:
+        """Estimates learnt from answers that waited grow without bound."""
+        member = self.fleet.get("s0")
+        assert member is not None
+        self.occupy("s0", 4, 0.0)
+        self.assertTrue(self.room.is_calm(member))
+        self.occupy("s0", 1, 0.0)
+        self.assertFalse(self.room.is_calm(member))
+
     def test_crashed_server_has_no_room(self) -> None:
         member = self.fleet.get("s0")
         assert member is not None
