--- a/packages/limpetwalk/limpetwalk/gateway/load_decisions.py
+++ b/packages/limpetwalk/limpetwalk/gateway/load_decisions.py
@@ -1,19 +1,12 @@
 """Interfaces between the decisions that nodes make under load.
 
-The dispatcher asks these in turn: which request may proceed, which servers may
-be sent a request now, and how fast each of them is. Each decision is a module
-of its own, without a network.
+The dispatcher asks which servers may be sent a request now, and how fast each
+of them is. Each decision is a module of its own, without a network.
 """
 
-from collections.abc import Awaitable
-from dataclasses import dataclass
 from typing import Protocol
 
-from result import Result
-
-from . import call as calls
 from . import fleet
-from . import refusal
 
 
 class ServerSpeeds(Protocol):
@@ -53,30 +46,3 @@
 
     def record_failure(self, member: fleet.Member) -> None:
         """Record that a request failed or was rejected at a server."""
-
-
-@dataclass(frozen=True, slots=True)
-class Permit:
-    """Permission of a request to be sent to a server of its service.
-
-    :param waited: seconds for which it waited.
-    """
-
-    service: str
-    waited: float = 0.0
-
-
-class RequestQueue(Protocol):
-    """Order in which requests proceed when a service is short of room."""
-
-    def enter(
-        self, call: calls.Call
-    ) -> Awaitable[Result[Permit, refusal.Refusal]]:
-        """Wait until a request may proceed.
-
-        A request that can't be served in time is refused at once. Cancelling
-        the wait leaves the queue.
-        """
-
-    def leave(self, permit: Permit) -> None:
-        """Return the room that a permit holds."""
--- a/packages/limpetwalk/limpetwalk/gateway/types.py
+++ b/packages/limpetwalk/limpetwalk/gateway/types.py
@@ -318,8 +318,6 @@
     :param metrics: ``(host, port)`` of the metrics page.
     :param memory_bytes: memory above which the process is killed.
     :param max_descriptors: largest number of open descriptors.
-    :param ordered_under_load: whether requests of a service that is short of
-        room proceed in the order of their priority.
     """
 
     name: str
@@ -330,5 +328,4 @@
     peers: tuple[str, int]
     memory_bytes: float = DEFAULT_MEMORY_BYTES
     max_descriptors: float = math.inf
-    ordered_under_load: bool = False
     bounds: Bounds = field(default_factory=Bounds)
