Plan the last chance of a roll-out by the mean rate, as before

The plan for rising traffic also took the larger of the mean and the reported rate in the last seconds, so that it began later.

--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -305,15 +305,16 @@
 ) -> bool:
     """Return whether sending all requests until the end is within bounds.
 
-    The rate is the larger of the mean and what the nodes report now.
+    A rise is planned for from the larger of the mean rate and what the nodes
+    report now.
     """
     exposed: float = observed.candidate.requests
     total = observed.base.requests - stage.base_requests + exposed
-    rate = max(observed.rate, total / max(elapsed, MIN_ELAPSED))
+    rate = total / max(elapsed, MIN_ELAPSED)
     time_left = max(0.0, order.period - elapsed)
     if time_left > LAST_CHANCE:
         exposed += stage.share * rate * EVIDENCE_LAG
-        rate *= RATE_RISE
+        rate = RATE_RISE * max(observed.rate, rate)
     allowed = bounds.exposure_share * (total + rate * time_left)
     allowed += bounds.exposure_extra
     return exposed + rate * time_left <= PLANNED_FRACTION * allowed
