--- a/packages/limpetwalk/limpetwalk/gateway/placement.py
+++ b/packages/limpetwalk/limpetwalk/gateway/placement.py
@@ -69,7 +69,6 @@
     :param queue_seconds: prefill time of the requests that wait there, and
         time until a slot is free.
     :param prefill_seconds: prefill time of the request itself.
-    :param overhead_seconds: time to the first byte besides these.
     :param time_factor: time that the server needs, against the mean of its
         service, for which both times are.
     """
@@ -77,14 +76,13 @@
     member: fleet.Member
     queue_seconds: float
     prefill_seconds: float
-    overhead_seconds: float = prefill_time.OVERHEAD
     time_factor: float = 1.0
 
     @property
     def first_byte_seconds(self) -> float:
         """Expected time to the first byte, in seconds."""
         return self.time_factor * (
-            self.queue_seconds + self.prefill_seconds + self.overhead_seconds
+            self.queue_seconds + self.prefill_seconds + prefill_time.OVERHEAD
         )
 
 
@@ -247,9 +245,7 @@
             need.model, unread_tokens
         )
         waiting = load.pending_prefill + _slot_seconds(member, load, duration)
-        choice = Choice(
-            member, waiting, prefill, self._prefill_times.overhead, factor
-        )
+        choice = Choice(member, waiting, prefill, factor)
         request_cost = (
             ENGINE_REQUEST_COST if need.model else PLAIN_REQUEST_COST
         )
--- a/packages/limpetwalk/limpetwalk/gateway/prefill_time.py
+++ b/packages/limpetwalk/limpetwalk/gateway/prefill_time.py
@@ -1,37 +1,26 @@
 """Estimates the prefill time of models from their responses."""
 
-import math
-
 # Seconds per prompt token that are assumed before a model's first sample.
 DEFAULT_SECONDS_PER_TOKEN = 0.1e-3
 # Lower limit of a sample, in seconds per token; faster responses came from a
 # cache.
 MIN_SECONDS_PER_TOKEN = 1e-6
-# Part of the time to the first byte that is not prefill time, in seconds, that
-# is assumed before the first response.
+# Part of the time to the first byte that is not prefill time, in seconds.
 OVERHEAD = 0.08
 # Prompts with fewer tokens to read are ignored; their prefill time is too
 # short to estimate from.
 MIN_SAMPLE_TOKENS = 400
-# Changes of the logarithm of an estimate by a sample below and above it.
-# Queueing only adds to a sample, so the estimate follows the fast responses,
-# whatever the slow ones took.
-STEP_DOWN = 0.3
-STEP_UP = 0.03
-# Growth of the overhead by each response that took longer.
-OVERHEAD_GROWTH = 1.01
+# Weights of a sample below and above the current estimate. Queueing only adds
+# to a sample, so the estimate follows the fast responses.
+WEIGHT_DOWN = 0.3
+WEIGHT_UP = 0.03
 
 
 class PrefillTimes:
-    """Estimates of the prefill time per prompt token, by model.
-
-    :ivar overhead: time to the first byte besides the prefill time, in
-        seconds.
-    """
+    """Estimates of the prefill time per prompt token, by model."""
 
     def __init__(self) -> None:
         self._per_token: dict[str, float] = {}
-        self.overhead = OVERHEAD
 
     def seconds_per_token(self, model: str) -> float:
         """Return the prefill time of a model per token, in seconds."""
@@ -46,18 +35,15 @@
 
         :param tokens: tokens that had to be read in any case. Shared ones
             may have been cached by a request of another node; where they were
-            not, the sample is slow and counts little.
+            not, the sample is slow and gets a small weight.
         :param latency: time from the request to the first byte, in seconds.
         """
-        self.overhead = min(latency, self.overhead * OVERHEAD_GROWTH)
         if tokens < MIN_SAMPLE_TOKENS:
             return
-        sample = max(MIN_SECONDS_PER_TOKEN, (latency - self.overhead) / tokens)
+        sample = max(MIN_SECONDS_PER_TOKEN, (latency - OVERHEAD) / tokens)
         estimate = self._per_token.get(model)
         if estimate is None:
             self._per_token[model] = sample
             return
-        step = -STEP_DOWN if sample < estimate else STEP_UP
-        self._per_token[model] = max(
-            MIN_SECONDS_PER_TOKEN, estimate * math.exp(step)
-        )
+        weight = WEIGHT_DOWN if sample < estimate else WEIGHT_UP
+        self._per_token[model] = estimate + weight * (sample - estimate)
