--- a/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
+++ b/packages/limpetwalk/limpetwalk/gateway/rollout_policy.py
@@ -40,7 +40,7 @@
 RATE_RISE = 1.75
 # Time before the end of the period, in seconds, from which no rise is planned
 # for: a version that doesn't get all requests by then can't complete.
-LAST_CHANCE = 2.1
+LAST_CHANCE = 2.3
 # Largest share of a canary that gets fewer requests than planned, as a
 # multiple of the allowed exposure share, and the smallest factor by which its
 # share is raised.
